Add workspace, design page and core types

Cause: the project needs a design to build against and one set of names, terms, positions, errors and configuration types that every crate shares. Before: nothing. Conclusion: the decision crates can be built side by side.

--- /dev/null
+++ b/crates/coriander_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Applied configuration, acceptance of changes, freshness and key checks.
--- /dev/null
+++ b/crates/coriander_core/src/lib.rs
@@ -0,0 +1,33 @@
+//! Names, terms, log positions, time, outcomes and configuration types shared by all crates.
+//!
+//! The crate holds plain values only: no I/O, no clock and no randomness.
+//!
+//! ```
+//! use coriander_core::{LogPosition, MonotonicTime, TermNumber};
+//! use std::time::Duration;
+//!
+//! let acknowledged = LogPosition::new(TermNumber::new(3), 41);
+//! let replica: LogPosition = "3.40".parse().expect("valid position");
+//! assert!(!replica.includes(acknowledged));
+//!
+//! let start = MonotonicTime::from_millis(500);
+//! assert_eq!((start + Duration::from_secs(1)).since(start), Duration::from_secs(1));
+//! ```
+
+mod config_document;
+mod log_position;
+mod monotonic_time;
+mod names;
+mod request_error;
+
+pub use config_document::{
+    AccountLimits, ClassTarget, ConfigDocument, ConfigVersion, DigestError, FleetMember, KeyDigest,
+    KeyEntry, WriteCertainty, ZoneState,
+};
+pub use log_position::{LogPosition, PositionError, TermNumber};
+pub use monotonic_time::MonotonicTime;
+pub use names::{
+    AccountName, ClassName, DatabaseName, InstanceId, MAX_NAME_LENGTH, MemberId, NameError,
+    ZoneName,
+};
+pub use request_error::{ErrorCode, RequestError, RequestOutcome};
--- /dev/null
+++ b/crates/coriander_core/src/monotonic_time.rs
@@ -0,0 +1,48 @@
+//! Time of one process, measured from an arbitrary start.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// A point on the monotonic clock of one process.
+///
+/// Values of different processes must never be compared; only durations are exchanged.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct MonotonicTime(Duration);
+
+impl MonotonicTime {
+    /// Start of the clock.
+    pub const ZERO: Self = Self(Duration::ZERO);
+
+    /// Creates a time from its distance to the start of the clock.
+    pub const fn new(since_start: Duration) -> Self {
+        Self(since_start)
+    }
+
+    /// Creates a time from milliseconds since the start of the clock.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+
+    /// Returns the distance to the start of the clock.
+    pub const fn since_start(self) -> Duration {
+        self.0
+    }
+
+    /// Returns the time that has passed since `earlier`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the time that lies `duration` before this one, at least the start of the clock.
+    pub const fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+}
+
+impl Add<Duration> for MonotonicTime {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration))
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detection, fencing, promotion and write acknowledgement.
--- /dev/null
+++ b/crates/coriander_limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Token buckets, grants, fair queueing and load shedding.
--- /dev/null
+++ b/crates/coriander_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer liveness, rendezvous ranks, zones and drain state.
--- /dev/null
+++ b/crates/coriander_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Key-value store interface and Consul HTTP client.
--- /dev/null
+++ b/crates/coriander_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Statement classification, member choice, retry budget and hedging.
--- /dev/null
+++ b/crates/coriander_session/src/lib.rs
@@ -0,0 +1,1 @@
+//! Session tokens, batons and request digests.
--- /dev/null
+++ b/crates/coriander_upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hrana and group control client and the stream pool of one database.
--- /dev/null
+++ b/crates/coriander_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framing, versions, size bounds and authentication of messages between instances.
--- /dev/null
+++ b/crates/corianderctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line tool for operators.
+
+fn main() {}
