Add stand-in member of a database group

Cause: the proxy needs real upstreams to run against: SQL over Hrana, terms, fencing, replication with lag, and limits of streams and slots. Change: library module member and example standin_member, an ntex server with one worker on in-memory SQLite, with fault controls and a request record. Before: nothing. Conclusion: the upstream client can be connected to it.

--- a/crates/coriander_standin/src/lib.rs
+++ b/crates/coriander_standin/src/lib.rs
@@ -1,1 +1,18 @@
 //! Stand-ins for the platform and the database members, load driver and process tests (not published).
+//!
+//! ```
+//! use coriander_core::TermNumber;
+//! use coriander_standin::member::{ControlRequest, GroupState};
+//!
+//! let request = ControlRequest {
+//!     term: TermNumber::new(1),
+//!     proposer: "proxy-1".to_owned(),
+//!     primary_address: None,
+//! };
+//! let mut state = GroupState::default();
+//! assert!(state.fence(&request));
+//! assert!(state.promote(&request, "127.0.0.1:4001"));
+//! assert!(state.confirms(TermNumber::new(1), 1));
+//! ```
+
+pub mod member;
--- /dev/null
+++ b/crates/coriander_standin/src/member/fault_controls.rs
@@ -0,0 +1,106 @@
+//! Faults that tests switch on and off while a member runs.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What happens to requests of a peer that is cut off.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CutMode {
+    /// The connection is closed at once.
+    #[default]
+    Refuse,
+    /// The request is never answered.
+    Ignore,
+}
+
+/// Faults in effect.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FaultSettings {
+    /// Replication lag in milliseconds.
+    pub lag_ms: u64,
+    /// Whether the member stops copying the primary's log.
+    pub replication_paused: bool,
+    /// Peers that are cut off: member ids, proposers, addresses, `members`, `instances` or `*`.
+    pub cut_peers: BTreeSet<String>,
+    /// What happens to the requests of these peers.
+    pub cut_mode: CutMode,
+    /// Whether statements are cut as well as group control and replication.
+    pub cut_statements: bool,
+    /// Delay of late responses in milliseconds.
+    pub late_ms: u64,
+    /// Number of responses that will be late.
+    pub late_count: u64,
+    /// Number of statement responses that will be dropped after executing.
+    pub drop_count: u64,
+}
+
+/// Change of some faults; absent fields keep their value.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultUpdate {
+    /// New replication lag in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub lag_ms: Option<u64>,
+    /// Pauses or resumes replication.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub replication_paused: Option<bool>,
+    /// New set of peers that are cut off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cut_peers: Option<BTreeSet<String>>,
+    /// New treatment of peers that are cut off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cut_mode: Option<CutMode>,
+    /// Whether statements are cut as well.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cut_statements: Option<bool>,
+    /// New delay of late responses in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub late_ms: Option<u64>,
+    /// Number of responses that will be late.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub late_count: Option<u64>,
+    /// Number of statement responses to drop.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub drop_count: Option<u64>,
+}
+
+fn replace<T>(target: &mut T, update: Option<T>) {
+    if let Some(value) = update {
+        *target = value;
+    }
+}
+
+impl FaultSettings {
+    /// Applies a change.
+    pub fn apply(&mut self, update: FaultUpdate) {
+        replace(&mut self.lag_ms, update.lag_ms);
+        replace(&mut self.replication_paused, update.replication_paused);
+        replace(&mut self.cut_peers, update.cut_peers);
+        replace(&mut self.cut_mode, update.cut_mode);
+        replace(&mut self.cut_statements, update.cut_statements);
+        replace(&mut self.late_ms, update.late_ms);
+        replace(&mut self.late_count, update.late_count);
+        replace(&mut self.drop_count, update.drop_count);
+    }
+
+    /// Tells whether traffic from or to one of these names is cut.
+    pub fn is_cut(&self, names: &[&str]) -> bool {
+        self.cut_peers.contains("*") || names.iter().any(|name| self.cut_peers.contains(*name))
+    }
+
+    /// Returns the delay of the next response, if it is to be late.
+    pub fn take_late(&mut self) -> Option<Duration> {
+        self.late_count = self.late_count.checked_sub(1)?;
+        Some(Duration::from_millis(self.late_ms))
+    }
+
+    /// Tells whether the next statement response is to be dropped.
+    pub fn take_drop(&mut self) -> bool {
+        let is_dropped = self.drop_count > 0;
+        self.drop_count = self.drop_count.saturating_sub(1);
+        is_dropped
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/member/group_service.rs
@@ -0,0 +1,148 @@
+//! Requests of group control and replication.
+
+use std::time::Duration;
+
+use coriander_core::{LogPosition, TermNumber};
+use ntex::web::HttpResponse;
+use serde::Deserialize;
+
+use super::group_state::{ConfirmReply, ControlRequest, MemberRole, StatusReply};
+use super::member_node::MemberNode;
+use super::member_refusal::MemberRefusal;
+use super::replication::{EntriesReply, RunsReply};
+
+/// Longest wait of a confirm or entries request.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// Parameters of a confirm request.
+#[derive(Deserialize)]
+pub struct ConfirmQuery {
+    term: TermNumber,
+    index: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// Parameters of a request for entries.
+#[derive(Deserialize)]
+pub struct EntriesQuery {
+    term: TermNumber,
+    after: String,
+    #[serde(default)]
+    wait_ms: u64,
+    limit: usize,
+}
+
+/// Parameters of a request for the outline of the log.
+#[derive(Deserialize)]
+pub struct RunsQuery {
+    term: TermNumber,
+}
+
+/// Returns the state of the member.
+pub fn status(node: &MemberNode) -> HttpResponse {
+    let group = node.group.borrow();
+    HttpResponse::Ok().json(&StatusReply {
+        member: node.settings.member.to_string(),
+        term: group.term,
+        role: group.role,
+        log: group.log.last(),
+        primary: group.primary.clone(),
+    })
+}
+
+/// Executes a fence, promote or follow request; a refused one gets status 409.
+pub fn control(node: &MemberNode, action: &str, request: &ControlRequest) -> HttpResponse {
+    let snapshot = |node: &MemberNode| {
+        let group = node.group.borrow();
+        (group.term, group.role, group.primary.clone())
+    };
+    let before = snapshot(node);
+    let accepted = {
+        let mut group = node.group.borrow_mut();
+        match action {
+            "fence" => group.fence(request),
+            "promote" => group.promote(request, &node.settings.listen.to_string()),
+            _ => group.follow(request),
+        }
+    };
+    let after = snapshot(node);
+    if before != after {
+        log::info!(
+            "group: {action} by {} gives term={} role={:?}",
+            request.proposer,
+            after.0,
+            after.1
+        );
+        if after.1 == MemberRole::Primary {
+            node.journal_last();
+        }
+        node.term_changed();
+    }
+    let reply = node.group.borrow().control_reply(accepted);
+    if accepted {
+        HttpResponse::Ok().json(&reply)
+    } else {
+        HttpResponse::Conflict().json(&reply)
+    }
+}
+
+/// Waits until the member holds an entry, a newer term starts or the time has passed.
+pub async fn confirm(node: &MemberNode, query: ConfirmQuery) -> HttpResponse {
+    let limit = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    node.wait_until(limit, |node| {
+        let group = node.group.borrow();
+        group.confirms(query.term, query.index) || group.term > query.term
+    })
+    .await;
+    let group = node.group.borrow();
+    HttpResponse::Ok().json(&ConfirmReply {
+        confirmed: group.confirms(query.term, query.index),
+        term: group.term,
+        log: group.log.last(),
+    })
+}
+
+fn check_primary(node: &MemberNode, term: TermNumber) -> Result<(), MemberRefusal> {
+    let group = node.group.borrow();
+    if group.term != term || group.role != MemberRole::Primary {
+        let message = format!("the member is no primary of term {term}");
+        return Err(MemberRefusal::conflict("TERM_MISMATCH", message));
+    }
+    Ok(())
+}
+
+/// Returns entries after a position, and waits for one if there is none.
+pub async fn entries(
+    node: &MemberNode,
+    query: EntriesQuery,
+) -> Result<HttpResponse, MemberRefusal> {
+    let after: LogPosition = query
+        .after
+        .parse()
+        .map_err(|error| MemberRefusal::malformed(format!("after: {error}")))?;
+    let limit = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    node.wait_until(limit, |node| {
+        node.position().index > after.index || check_primary(node, query.term).is_err()
+    })
+    .await;
+    check_primary(node, query.term)?;
+    let group = node.group.borrow();
+    let Some(entries) = group.log.entries_after(after, query.limit) else {
+        let message = format!("the log has no entry {after}");
+        return Err(MemberRefusal::conflict("LOG_MISMATCH", message));
+    };
+    Ok(HttpResponse::Ok().json(&EntriesReply {
+        entries: entries.to_vec(),
+    }))
+}
+
+/// Returns where each term of the log starts.
+pub fn runs(node: &MemberNode, query: &RunsQuery) -> Result<HttpResponse, MemberRefusal> {
+    check_primary(node, query.term)?;
+    let group = node.group.borrow();
+    Ok(HttpResponse::Ok().json(&RunsReply {
+        runs: group.log.term_runs(),
+        last_index: group.log.last().index,
+    }))
+}
--- /dev/null
+++ b/crates/coriander_standin/src/member/group_state.rs
@@ -0,0 +1,170 @@
+//! Term, role and log of a member, with the rules of fencing and promotion.
+
+use coriander_core::{LogPosition, TermNumber};
+use serde::{Deserialize, Serialize};
+
+use super::group_log::{GroupLog, LoggedStatement};
+
+/// What a member does in its current term.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberRole {
+    /// Serves nothing until it is promoted or told to follow.
+    #[default]
+    Fenced,
+    /// Executes writes.
+    Primary,
+    /// Copies the log of the primary.
+    Replica,
+}
+
+/// Body of fence, promote and follow requests.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ControlRequest {
+    /// Term that the proposer wants to establish.
+    pub term: TermNumber,
+    /// Identifier of the proposer.
+    pub proposer: String,
+    /// Address of the primary, only in follow requests.
+    #[serde(default)]
+    pub primary_address: Option<String>,
+}
+
+/// Response to fence, promote and follow requests.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlReply {
+    /// Whether the member did what was asked.
+    pub accepted: bool,
+    /// Term of the member.
+    pub term: TermNumber,
+    /// Position of the member's last log entry.
+    pub log: LogPosition,
+}
+
+/// Response to status requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StatusReply {
+    /// Identifier of the member.
+    pub member: String,
+    /// Term of the member.
+    pub term: TermNumber,
+    /// Role of the member in this term.
+    pub role: MemberRole,
+    /// Position of the last log entry.
+    pub log: LogPosition,
+    /// Address of the primary, if the member knows it.
+    pub primary: Option<String>,
+}
+
+/// Response to confirm requests.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfirmReply {
+    /// Whether the member holds the entry in the given term.
+    pub confirmed: bool,
+    /// Term of the member.
+    pub term: TermNumber,
+    /// Position of the member's last log entry.
+    pub log: LogPosition,
+}
+
+/// State of a member without any I/O.
+#[derive(Debug, Default)]
+pub struct GroupState {
+    /// Current term.
+    pub term: TermNumber,
+    /// Proposer whose fence or follow request set the term.
+    pub proposer: Option<String>,
+    /// Role in the current term.
+    pub role: MemberRole,
+    /// Address of the primary.
+    pub primary: Option<String>,
+    /// Whether the log is known to be a prefix of the primary's log.
+    pub matched: bool,
+    /// The log.
+    pub log: GroupLog,
+}
+
+impl GroupState {
+    /// Accepts a term that is greater, or the same term from the same proposer.
+    pub fn fence(&mut self, request: &ControlRequest) -> bool {
+        if request.term > self.term {
+            self.enter_term(request);
+            return true;
+        }
+        request.term == self.term && self.proposer.as_deref() == Some(&request.proposer)
+    }
+
+    /// Makes a fenced member the primary and writes the first entry of the term.
+    pub fn promote(&mut self, request: &ControlRequest, own_address: &str) -> bool {
+        let fenced_by = self.proposer.as_deref() == Some(&request.proposer);
+        if request.term != self.term || !fenced_by || self.role == MemberRole::Replica {
+            return false;
+        }
+        if self.role == MemberRole::Fenced {
+            self.log.append(self.term, Vec::new());
+            self.role = MemberRole::Primary;
+            self.primary = Some(own_address.to_owned());
+            self.matched = true;
+        }
+        true
+    }
+
+    /// Makes the member a replica of the given primary.
+    ///
+    /// A follow request of the current term is accepted from any proposer: it is sent only after a
+    /// majority was fenced, so no other proposer can promote in the same term.
+    pub fn follow(&mut self, request: &ControlRequest) -> bool {
+        let Some(address) = &request.primary_address else {
+            return false;
+        };
+        if request.term < self.term || request.term.get() == 0 {
+            return false;
+        }
+        if request.term > self.term {
+            self.enter_term(request);
+        }
+        if self.role == MemberRole::Primary {
+            return false;
+        }
+        if self.role == MemberRole::Fenced || self.primary.as_ref() != Some(address) {
+            self.matched = false;
+        }
+        self.role = MemberRole::Replica;
+        self.primary = Some(address.clone());
+        self.proposer = Some(request.proposer.clone());
+        true
+    }
+
+    /// Tells whether the member holds an entry in its own, current term.
+    pub fn confirms(&self, term: TermNumber, index: u64) -> bool {
+        let last = self.log.last();
+        self.term == term && last.term == term && last.index >= index
+    }
+
+    /// Tells whether the member may execute statements.
+    pub fn is_serving(&self) -> bool {
+        self.role == MemberRole::Primary || (self.role == MemberRole::Replica && self.matched)
+    }
+
+    /// Appends a committed transaction; only valid on the primary.
+    pub fn commit(&mut self, statements: Vec<LoggedStatement>) -> LogPosition {
+        self.log.append(self.term, statements)
+    }
+
+    /// Returns the response to a control request.
+    pub fn control_reply(&self, accepted: bool) -> ControlReply {
+        ControlReply {
+            accepted,
+            term: self.term,
+            log: self.log.last(),
+        }
+    }
+
+    fn enter_term(&mut self, request: &ControlRequest) {
+        self.term = request.term;
+        self.proposer = Some(request.proposer.clone());
+        self.role = MemberRole::Fenced;
+        self.primary = None;
+        self.matched = false;
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/member/member_refusal.rs
@@ -0,0 +1,48 @@
+//! Requests that the member refuses before it executes anything.
+
+use ntex::http::StatusCode;
+use ntex::web::HttpResponse;
+use serde_json::json;
+
+/// Refusal of a whole request; nothing of it was executed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemberRefusal {
+    status: u16,
+    code: &'static str,
+    message: String,
+}
+
+impl MemberRefusal {
+    /// Creates a refusal because of the member's state (HTTP 409).
+    pub fn conflict(code: &'static str, message: impl Into<String>) -> Self {
+        Self::with_status(409, code, message)
+    }
+
+    /// Creates a refusal because a limit is reached (HTTP 503).
+    pub fn overload(code: &'static str, message: impl Into<String>) -> Self {
+        Self::with_status(503, code, message)
+    }
+
+    /// Creates a refusal of a malformed request (HTTP 400).
+    pub fn malformed(message: impl Into<String>) -> Self {
+        Self::with_status(400, "BAD_REQUEST", message)
+    }
+
+    /// Converts the refusal to a response.
+    pub fn to_response(&self) -> HttpResponse {
+        let status = StatusCode::from_u16(self.status).expect("valid status");
+        HttpResponse::build(status).json(&json!({
+            "code": self.code,
+            "message": self.message,
+            "outcome": "not_run",
+        }))
+    }
+
+    fn with_status(status: u16, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/member/member_server.rs
@@ -0,0 +1,192 @@
+//! HTTP server of a stand-in member.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::client::Client;
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::types::{PayloadConfig, State};
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::fault_controls::{CutMode, FaultUpdate};
+use super::group_service;
+use super::group_state::ControlRequest;
+use super::hrana_service::{StatementHeaders, serve_cursor, serve_pipeline};
+use super::member_node::MemberNode;
+use super::member_refusal::MemberRefusal;
+use super::member_settings::MemberSettings;
+use super::replication::start_replication;
+use super::request_record::ReceivedRequest;
+
+const MAX_BODY: usize = 16 << 20;
+const IGNORE_TIME: Duration = Duration::from_secs(60);
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Runs a member until the process is stopped.
+pub async fn run_member(settings: MemberSettings) -> eyre::Result<()> {
+    let listen = settings.listen;
+    log::info!("member: {} listens on {listen}", settings.member);
+    HttpServer::new(async move || {
+        let node = start_node(settings.clone()).await.expect("member starts");
+        App::new()
+            .state(node)
+            .state(PayloadConfig::new(MAX_BODY))
+            .default_service(web::to(handle))
+    })
+    .workers(1)
+    .bind(listen)?
+    .run()
+    .await?;
+    Ok(())
+}
+
+async fn start_node(settings: MemberSettings) -> eyre::Result<Rc<MemberNode>> {
+    let client = Client::builder().build(ntex::SharedCfg::default()).await;
+    let node = MemberNode::create(settings, client.map_err(|error| eyre::eyre!("{error:?}"))?)?;
+    start_replication(&node);
+    ntex::rt::spawn(expire_streams(node.clone()));
+    Ok(node)
+}
+
+async fn expire_streams(node: Rc<MemberNode>) {
+    let idle = Duration::from_millis(node.settings.stream_idle_ms);
+    let in_transaction = Duration::from_millis(node.settings.transaction_idle_ms);
+    loop {
+        sleep(EXPIRE_INTERVAL).await;
+        node.streams.borrow_mut().expire(idle, in_transaction);
+    }
+}
+
+async fn handle(node: State<Rc<MemberNode>>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let node: Rc<MemberNode> = (*node).clone();
+    if request.path().starts_with("/debug/") {
+        return serve_debug(&node, &request, &body);
+    }
+    let received = ReceivedRequest::copy_of(&request, &body);
+    node.record.borrow_mut().add(received);
+    if let Some(mode) = find_cut(&node, &request, &body) {
+        if mode == CutMode::Ignore {
+            sleep(IGNORE_TIME).await;
+        }
+        return close_connection(&request);
+    }
+    let delay = node.settings.network_delay();
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+    let is_statement = !request.path().starts_with("/group/");
+    let response = serve(&node, &request, body).await;
+    let response = response.unwrap_or_else(|refusal| refusal.to_response());
+    let late = node.faults.borrow_mut().take_late();
+    if let Some(late) = late {
+        sleep(late).await;
+    }
+    if is_statement && node.faults.borrow_mut().take_drop() {
+        return close_connection(&request);
+    }
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+    response
+}
+
+/// Closes the connection; the returned response is never sent.
+fn close_connection(request: &HttpRequest) -> HttpResponse {
+    if let Some(io) = request.io() {
+        io.terminate();
+    }
+    HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// Returns how a request is cut, if it comes from a peer that is cut off.
+fn find_cut(node: &MemberNode, request: &HttpRequest, body: &Bytes) -> Option<CutMode> {
+    let faults = node.faults.borrow();
+    if faults.cut_peers.is_empty() {
+        return None;
+    }
+    let is_statement = !request.path().starts_with("/group/");
+    if is_statement && !faults.cut_statements {
+        return None;
+    }
+    let header = |name: &str| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let control: Option<ControlRequest> = serde_json::from_slice(body).ok();
+    let proposer = control.map(|control| control.proposer);
+    let mut names: Vec<&str> = Vec::new();
+    names.extend(header("x-member"));
+    names.extend(header("x-instance"));
+    names.extend(proposer.as_deref());
+    let is_member = header("x-member").is_some();
+    names.push(if is_member { "members" } else { "instances" });
+    faults.is_cut(&names).then_some(faults.cut_mode)
+}
+
+fn parse_query<T: DeserializeOwned>(request: &HttpRequest) -> Result<T, MemberRefusal> {
+    web::types::Query::<T>::from_query(request.query_string())
+        .map(web::types::Query::into_inner)
+        .map_err(|error| MemberRefusal::malformed(error.to_string()))
+}
+
+async fn serve(
+    node: &Rc<MemberNode>,
+    request: &HttpRequest,
+    body: Bytes,
+) -> Result<HttpResponse, MemberRefusal> {
+    match (request.method().as_str(), request.path()) {
+        ("GET", "/v2" | "/v3") => Ok(HttpResponse::Ok().finish()),
+        ("POST", "/v2/pipeline" | "/v3/pipeline") => {
+            let headers = StatementHeaders::parse(request.headers())?;
+            // A separate task finishes the request even if the connection is closed meanwhile.
+            let task = ntex::rt::spawn(serve_pipeline(node.clone(), headers, body));
+            task.await.expect("pipeline task")
+        }
+        ("POST", "/v3/cursor") => {
+            let headers = StatementHeaders::parse(request.headers())?;
+            let task = ntex::rt::spawn(serve_cursor(node.clone(), headers, body));
+            task.await.expect("cursor task")
+        }
+        ("GET", "/group/status") => Ok(group_service::status(node)),
+        ("POST", "/group/fence" | "/group/promote" | "/group/follow") => {
+            let control = serde_json::from_slice(&body)
+                .map_err(|error| MemberRefusal::malformed(error.to_string()))?;
+            let action = &request.path()["/group/".len()..];
+            Ok(group_service::control(node, action, &control))
+        }
+        ("GET", "/group/confirm") => Ok(group_service::confirm(node, parse_query(request)?).await),
+        ("GET", "/group/entries") => group_service::entries(node, parse_query(request)?).await,
+        ("GET", "/group/runs") => group_service::runs(node, &parse_query(request)?),
+        _ => Ok(HttpResponse::NotFound().finish()),
+    }
+}
+
+fn serve_debug(node: &MemberNode, request: &HttpRequest, body: &Bytes) -> HttpResponse {
+    match (request.method().as_str(), request.path()) {
+        ("GET", "/debug/received") => {
+            let record = node.record.borrow();
+            HttpResponse::Ok().json(&record.all().collect::<Vec<_>>())
+        }
+        ("GET", "/debug/faults") => HttpResponse::Ok().json(&*node.faults.borrow()),
+        ("POST", "/debug/faults") => match serde_json::from_slice::<FaultUpdate>(body) {
+            Ok(update) => {
+                node.faults.borrow_mut().apply(update);
+                node.notify();
+                HttpResponse::Ok().json(&*node.faults.borrow())
+            }
+            Err(error) => MemberRefusal::malformed(error.to_string()).to_response(),
+        },
+        ("GET", "/debug/log") => HttpResponse::Ok().json(&node.group.borrow().log.entries()),
+        ("GET", "/debug/streams") => {
+            let streams = node.streams.borrow();
+            HttpResponse::Ok().json(&json!({"open": streams.len(), "greatest": streams.greatest()}))
+        }
+        _ => HttpResponse::NotFound().finish(),
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/member/replication.rs
@@ -0,0 +1,219 @@
+//! Copying of the primary's log, and replacement of a log that diverged from it.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coriander_core::{LogPosition, TermNumber};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::time::sleep;
+
+use super::group_log::{LogEntry, TermRun};
+use super::group_state::MemberRole;
+use super::member_node::MemberNode;
+use super::sql_database::{SqlDatabase, is_busy};
+
+const RETRY_DELAY: Duration = Duration::from_millis(10);
+const POLL_WAIT: Duration = Duration::from_millis(500);
+const REQUEST_TIMEOUT: ntex::time::Millis = ntex::time::Millis(2_000);
+const ENTRIES_PER_REQUEST: usize = 200;
+/// Entries that are replayed before other requests get their turn.
+const REPLAY_CHUNK: usize = 100;
+
+/// Response with entries of the primary's log.
+#[derive(Deserialize, Serialize)]
+pub struct EntriesReply {
+    /// Entries after the position in the request.
+    pub entries: Vec<LogEntry>,
+}
+
+/// Response with the outline of the primary's log.
+#[derive(Deserialize, Serialize)]
+pub struct RunsReply {
+    /// Where each term starts.
+    pub runs: Vec<TermRun>,
+    /// Index of the last entry.
+    pub last_index: u64,
+}
+
+#[derive(Debug, Error)]
+enum PullError {
+    #[error("request to the primary failed: {0}")]
+    Request(String),
+    #[error("the primary refused with status {0}")]
+    Refused(u16),
+    #[error("invalid response: {0}")]
+    Body(#[from] serde_json::Error),
+    #[error("replay failed: {0}")]
+    Replay(#[from] rusqlite::Error),
+}
+
+/// Source of entries in one epoch of the member.
+struct PullSource {
+    epoch: u64,
+    term: TermNumber,
+    primary: String,
+    is_matched: bool,
+}
+
+/// Starts the tasks that copy and apply entries.
+pub fn start_replication(node: &Rc<MemberNode>) {
+    ntex::rt::spawn(pull_entries(node.clone()));
+    ntex::rt::spawn(apply_entries(node.clone()));
+}
+
+fn current_source(node: &MemberNode) -> Option<PullSource> {
+    let group = node.group.borrow();
+    let primary = group.primary.clone()?;
+    let faults = node.faults.borrow();
+    let is_cut = faults.is_cut(&[&primary, "members"]);
+    if group.role != MemberRole::Replica || faults.replication_paused || is_cut {
+        return None;
+    }
+    Some(PullSource {
+        epoch: node.epoch(),
+        term: group.term,
+        primary,
+        is_matched: group.matched,
+    })
+}
+
+async fn pull_entries(node: Rc<MemberNode>) {
+    loop {
+        let Some(source) = current_source(&node) else {
+            let limit = Duration::from_millis(50);
+            node.wait_until(limit, |node| current_source(node).is_some())
+                .await;
+            continue;
+        };
+        let result = if source.is_matched {
+            pull_once(&node, &source).await
+        } else {
+            match_log(&node, &source).await
+        };
+        if let Err(error) = result {
+            log::debug!("replication: {error}");
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn fetch<T: DeserializeOwned>(node: &MemberNode, url: String) -> Result<T, PullError> {
+    let request_error = |error: &dyn std::fmt::Display| PullError::Request(error.to_string());
+    let response = node
+        .client
+        .get(url)
+        .header("x-member", node.settings.member.as_str())
+        .timeout(REQUEST_TIMEOUT)
+        .send()
+        .await
+        .map_err(|error| request_error(&error))?;
+    if !response.status().is_success() {
+        return Err(PullError::Refused(response.status().as_u16()));
+    }
+    let body = response.body().limit(1 << 28).await;
+    Ok(serde_json::from_slice(
+        &body.map_err(|error| request_error(&error))?,
+    )?)
+}
+
+/// Requests the entries that follow and queues them until the lag has passed.
+async fn pull_once(node: &MemberNode, source: &PullSource) -> Result<(), PullError> {
+    let last_queued = node
+        .incoming
+        .borrow()
+        .back()
+        .map(|(_, entry)| entry.position);
+    let after: LogPosition = last_queued.unwrap_or_else(|| node.position());
+    let (primary, term, wait) = (&source.primary, source.term, POLL_WAIT.as_millis());
+    let url = format!(
+        "http://{primary}/group/entries?term={term}&after={after}&wait_ms={wait}&limit={ENTRIES_PER_REQUEST}"
+    );
+    let reply: EntriesReply = fetch(node, url).await?;
+    let faults = node.faults.borrow();
+    if source.epoch == node.epoch() && !faults.replication_paused {
+        let due = Instant::now() + Duration::from_millis(faults.lag_ms);
+        let mut incoming = node.incoming.borrow_mut();
+        incoming.extend(reply.entries.into_iter().map(|entry| (due, entry)));
+        drop(incoming);
+        node.notify();
+    }
+    Ok(())
+}
+
+/// Finds the part of the log that the primary has too and rebuilds the database if there is more.
+async fn match_log(node: &MemberNode, source: &PullSource) -> Result<(), PullError> {
+    let (primary, term) = (&source.primary, source.term);
+    let url = format!("http://{primary}/group/runs?term={term}");
+    let reply: RunsReply = fetch(node, url).await?;
+    if source.epoch != node.epoch() {
+        return Ok(());
+    }
+    let (length, prefix) = {
+        let log = &node.group.borrow().log;
+        let length = log.common_length(&reply.runs, reply.last_index);
+        let is_diverged = length < log.last().index;
+        (
+            length,
+            is_diverged.then(|| log.entries()[..length as usize].to_vec()),
+        )
+    };
+    if let Some(prefix) = prefix {
+        let database = SqlDatabase::create()?;
+        for chunk in prefix.chunks(REPLAY_CHUNK) {
+            for entry in chunk {
+                database.replay_entry(&entry.statements)?;
+            }
+            tokio::task::yield_now().await;
+        }
+        if source.epoch != node.epoch() {
+            return Ok(());
+        }
+        log::info!("replication: replaced a diverged log, kept {length} entries");
+        node.replace_database(database, length);
+    }
+    node.group.borrow_mut().matched = true;
+    node.notify();
+    Ok(())
+}
+
+/// Applies queued entries whose lag has passed.
+async fn apply_entries(node: Rc<MemberNode>) {
+    loop {
+        let due = node.incoming.borrow().front().map(|(due, _)| *due);
+        match due {
+            None => {
+                let limit = Duration::from_secs(1);
+                node.wait_until(limit, |node| !node.incoming.borrow().is_empty())
+                    .await;
+            }
+            Some(due) if due > Instant::now() => {
+                let limit = due - Instant::now();
+                let epoch = node.epoch();
+                node.wait_until(limit, |node| node.epoch() != epoch).await;
+            }
+            Some(_) => apply_next(&node).await,
+        }
+    }
+}
+
+async fn apply_next(node: &MemberNode) {
+    let Some((_, entry)) = node.incoming.borrow().front().cloned() else {
+        return;
+    };
+    match node.database().replay_entry(&entry.statements) {
+        Ok(()) => {
+            node.incoming.borrow_mut().pop_front();
+            if !node.append_replicated(entry) {
+                log::error!("replication: an entry does not follow the log");
+            }
+        }
+        // A read transaction holds its lock; the entry waits for its end.
+        Err(error) if is_busy(&error) => sleep(Duration::from_millis(1)).await,
+        Err(error) => {
+            log::error!("replication: entry {} failed: {error}", entry.position);
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
