Add message codecs, session tokens and batons

Cause: instances need authenticated messages, and callers need signed session tokens and batons that any instance can check.

Change: coriander_wire has FrameCodec (TCP, 4 MiB) and DatagramCodec (UDP, 1,200 bytes, replay window per sender and epoch) with counters of rejected messages by reason. coriander_session has SecretKeys, SessionToken, TransactionBaton and RequestDigest. A token is bounded to 32 databases; when it drops an entry it reports the position as unknown, so that the read goes to the primary instead of losing read-your-writes.

--- a/crates/coriander_session/src/lib.rs
+++ b/crates/coriander_session/src/lib.rs
@@ -1,1 +1,33 @@
 //! Session tokens, batons and request digests.
+//!
+//! All values are plain data; the signed ones travel through callers as URL-safe text.
+//!
+//! ```
+//! use coriander_session::{SecretKeys, SessionPosition, SessionToken};
+//!
+//! let keys = SecretKeys::derive(b"a fleet secret of some length")?;
+//! let account = "waste-north".parse().expect("valid name");
+//! let database = "records".parse().expect("valid name");
+//! let mut token = SessionToken::new(account);
+//! token.advance(&database, "4.120".parse().expect("valid position"));
+//!
+//! let text = token.encode(&keys);
+//! let decoded = SessionToken::decode(&text, &keys, token.account())?;
+//! assert_eq!(
+//!     decoded.position(&database),
+//!     SessionPosition::AtLeast("4.120".parse().expect("valid position"))
+//! );
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod request_digest;
+mod sealed_text;
+mod secret_keys;
+mod session_token;
+mod transaction_baton;
+
+pub use request_digest::RequestDigest;
+pub use sealed_text::SealError;
+pub use secret_keys::{MIN_SECRET_LENGTH, SecretError, SecretKeys};
+pub use session_token::{MAX_TOKEN_DATABASES, MAX_TOKEN_LENGTH, SessionPosition, SessionToken};
+pub use transaction_baton::{MAX_BATON_LENGTH, TransactionBaton};
--- /dev/null
+++ b/crates/coriander_session/src/request_digest.rs
@@ -0,0 +1,52 @@
+//! Digest that recognizes a request id used for a different request.
+
+use std::fmt;
+
+use coriander_core::{ClassName, DatabaseName};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// SHA-256 over database, class and body of a request.
+///
+/// The body counts byte for byte: a retry must send the same bytes.
+///
+/// ```
+/// use coriander_session::RequestDigest;
+///
+/// let database = "records".parse().expect("valid name");
+/// let class = "orders".parse().expect("valid name");
+/// let digest = RequestDigest::compute(&database, &class, b"{}");
+/// assert_ne!(digest, RequestDigest::compute(&database, &class, b"{ }"));
+/// assert_eq!(digest.to_string().len(), 64);
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct RequestDigest([u8; 32]);
+
+impl RequestDigest {
+    /// Computes the digest of a request.
+    pub fn compute(database: &DatabaseName, class: &ClassName, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        // Each part is preceded by its length so that bytes cannot move between parts.
+        for part in [
+            database.as_str().as_bytes(),
+            class.as_str().as_bytes(),
+            body,
+        ] {
+            hasher.update((part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+
+    /// Returns the bytes.
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
--- /dev/null
+++ b/crates/coriander_session/src/sealed_text.rs
@@ -0,0 +1,102 @@
+//! Signed values as URL-safe text.
+//!
+//! The sealed bytes are the version, the length of the body as a big-endian `u16`, the postcard
+//! body and a truncated HMAC-SHA256. The length tells a value that was cut short from a forged one.
+
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::{DecodeError, Engine};
+use hmac::{Hmac, Mac};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sha2::Sha256;
+use thiserror::Error;
+
+const HEADER_LENGTH: usize = 3;
+const MAC_LENGTH: usize = 16;
+
+/// A token or baton that cannot be accepted.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum SealError {
+    /// The text exceeds its bound.
+    #[error("text of {length} bytes exceeds the bound of {bound}")]
+    TooLong {
+        /// Length of the text in bytes.
+        length: usize,
+        /// Greatest allowed length in bytes.
+        bound: usize,
+    },
+    /// The text has a character outside URL-safe base64.
+    #[error("text is not URL-safe base64")]
+    Encoding,
+    /// The text ends before the value does.
+    #[error("text is cut short")]
+    CutShort,
+    /// The value has another format version.
+    #[error("value has the unsupported version {found}")]
+    Version {
+        /// Version in the value.
+        found: u8,
+    },
+    /// The authentication code does not match.
+    #[error("value has a wrong authentication code")]
+    Forged,
+    /// The value is authentic but its body cannot be read.
+    #[error("value has a malformed body")]
+    Malformed,
+    /// The value was issued for another account.
+    #[error("value belongs to another account")]
+    OtherAccount,
+}
+
+/// Signs a value and writes it as text.
+///
+/// The callers bound their values, so the length always fits and the encoding cannot fail.
+pub(crate) fn seal<T: Serialize>(key: &Hmac<Sha256>, version: u8, value: &T) -> String {
+    let bytes = postcard::to_extend(value, vec![version, 0, 0]);
+    let mut bytes = bytes.expect("plain values are encodable");
+    let length = (bytes.len() - HEADER_LENGTH) as u16;
+    bytes[1..HEADER_LENGTH].copy_from_slice(&length.to_be_bytes());
+    let code = key.clone().chain_update(&bytes).finalize().into_bytes();
+    bytes.extend_from_slice(&code[..MAC_LENGTH]);
+    URL_SAFE_NO_PAD.encode(bytes)
+}
+
+/// Checks a text and reads the value in it.
+pub(crate) fn open<T: DeserializeOwned>(
+    key: &Hmac<Sha256>,
+    version: u8,
+    bound: usize,
+    text: &str,
+) -> Result<T, SealError> {
+    let length = text.len();
+    if length > bound {
+        return Err(SealError::TooLong { length, bound });
+    }
+    let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|error| match error {
+        // A cut leaves an impossible length or unused bits in the last character.
+        DecodeError::InvalidLength(_) | DecodeError::InvalidLastSymbol(..) => SealError::CutShort,
+        _ => SealError::Encoding,
+    })?;
+    let [found, high, low, rest @ ..] = &*bytes else {
+        return Err(SealError::CutShort);
+    };
+    if *found != version {
+        return Err(SealError::Version { found: *found });
+    }
+    let body_length = usize::from(u16::from_be_bytes([*high, *low]));
+    if rest.len() < body_length + MAC_LENGTH {
+        return Err(SealError::CutShort);
+    }
+    let (signed, code) = bytes.split_at(HEADER_LENGTH + body_length);
+    // Bytes after the code make it longer than MAC_LENGTH, which is refused here as well.
+    if code.len() != MAC_LENGTH {
+        return Err(SealError::Forged);
+    }
+    let mac = key.clone().chain_update(signed);
+    mac.verify_truncated_left(code)
+        .map_err(|_| SealError::Forged)?;
+    match postcard::take_from_bytes(&signed[HEADER_LENGTH..]) {
+        Ok((value, [])) => Ok(value),
+        _ => Err(SealError::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/coriander_session/src/session_token.rs
@@ -0,0 +1,106 @@
+//! The token that carries a session's acknowledged writes from one instance to another.
+
+use coriander_core::{AccountName, DatabaseName, LogPosition};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::sealed_text::{open, seal};
+use crate::{SealError, SecretKeys};
+
+/// Databases whose positions a token holds; keeps it well under the usual header limit of 8 KiB.
+pub const MAX_TOKEN_DATABASES: usize = 32;
+
+/// Longest accepted token text in bytes; above 32 entries with the longest names and numbers.
+pub const MAX_TOKEN_LENGTH: usize = 4096;
+
+const TOKEN_VERSION: u8 = 1;
+
+/// What a session requires of the member that serves its read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SessionPosition {
+    /// The session has written nothing to the database, so every member satisfies it.
+    Unwritten,
+    /// The member's log must include this position.
+    AtLeast(LogPosition),
+    /// The position is unknown, so only the primary satisfies the session.
+    Unknown,
+}
+
+/// Last acknowledged write of a session per database.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SessionToken {
+    account: AccountName,
+    /// Most recently advanced last.
+    positions: SmallVec<[(DatabaseName, LogPosition); 2]>,
+    /// Whether an entry had to be dropped.
+    truncated: bool,
+}
+
+impl SessionToken {
+    /// Creates the token of a new session.
+    pub fn new(account: AccountName) -> Self {
+        Self {
+            account,
+            positions: SmallVec::new(),
+            truncated: false,
+        }
+    }
+
+    /// Returns the account of the session.
+    pub const fn account(&self) -> &AccountName {
+        &self.account
+    }
+
+    /// Returns what a read of `database` requires.
+    pub fn position(&self, database: &DatabaseName) -> SessionPosition {
+        match self.positions.iter().find(|(name, _)| name == database) {
+            Some((_, position)) => SessionPosition::AtLeast(*position),
+            None if self.truncated => SessionPosition::Unknown,
+            None => SessionPosition::Unwritten,
+        }
+    }
+
+    /// Raises the position of a database; a lower position changes nothing.
+    ///
+    /// Over [`MAX_TOKEN_DATABASES`] the entry that was advanced least recently is dropped. Reads
+    /// of that database then go to the primary, which keeps the session consistent.
+    pub fn advance(&mut self, database: &DatabaseName, position: LogPosition) {
+        let found = self.positions.iter().position(|(name, _)| name == database);
+        let entry = match found {
+            Some(index) if self.positions[index].1 >= position => return,
+            Some(index) => (self.positions.remove(index).0, position),
+            None => (database.clone(), position),
+        };
+        if self.positions.len() == MAX_TOKEN_DATABASES {
+            self.positions.remove(0);
+            self.truncated = true;
+        }
+        self.positions.push(entry);
+    }
+
+    /// Keeps the greatest position per database of two tokens of one session.
+    pub fn merge(&mut self, other: &Self) -> Result<(), SealError> {
+        if self.account != other.account {
+            return Err(SealError::OtherAccount);
+        }
+        for (database, position) in &other.positions {
+            self.advance(database, *position);
+        }
+        self.truncated |= other.truncated;
+        Ok(())
+    }
+
+    /// Returns the token as header text.
+    pub fn encode(&self, keys: &SecretKeys) -> String {
+        seal(keys.token(), TOKEN_VERSION, self)
+    }
+
+    /// Reads the token that a caller of `account` sent.
+    pub fn decode(text: &str, keys: &SecretKeys, account: &AccountName) -> Result<Self, SealError> {
+        let token: Self = open(keys.token(), TOKEN_VERSION, MAX_TOKEN_LENGTH, text)?;
+        if token.account != *account {
+            return Err(SealError::OtherAccount);
+        }
+        Ok(token)
+    }
+}
--- /dev/null
+++ b/crates/coriander_wire/src/frame_codec.rs
@@ -0,0 +1,110 @@
+//! Length-prefixed frames for TCP.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::message_mac::{MAC_LENGTH, MessageMac, WIRE_VERSION};
+use crate::{DecodeError, EncodeError, RejectCounts};
+
+/// Greatest length of a frame after its prefix, in bytes.
+pub const MAX_FRAME_LENGTH: usize = 4 * 1024 * 1024;
+
+const PREFIX_LENGTH: usize = 4;
+
+/// Result of looking for a frame at the start of the received bytes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FrameStatus<T> {
+    /// The buffer must hold at least `needed` bytes before the next attempt.
+    Incomplete {
+        /// Total number of bytes, counted from the start of the buffer.
+        needed: usize,
+    },
+    /// The buffer starts with a valid message.
+    Complete {
+        /// The message.
+        message: T,
+        /// Number of bytes to remove from the start of the buffer.
+        consumed: usize,
+    },
+}
+
+/// Encodes and decodes the messages of TCP connections.
+///
+/// A frame is a big-endian `u32` length, the version byte, the postcard body and the
+/// authentication code.
+#[derive(Clone)]
+pub struct FrameCodec {
+    mac: MessageMac,
+    rejected: RejectCounts,
+}
+
+impl FrameCodec {
+    /// Creates a codec from the wire key of the fleet.
+    pub fn new(wire_key: &[u8; 32]) -> Self {
+        Self {
+            mac: MessageMac::derive(wire_key, b"frame"),
+            rejected: RejectCounts::default(),
+        }
+    }
+
+    /// Encodes a message.
+    pub fn encode<T: Serialize + ?Sized>(&self, message: &T) -> Result<Vec<u8>, EncodeError> {
+        // The prefix is filled in last, when the length is known.
+        let frame = vec![0, 0, 0, 0, WIRE_VERSION];
+        let mut frame = postcard::to_extend(message, frame)?;
+        let length = frame.len() - PREFIX_LENGTH + MAC_LENGTH;
+        if length > MAX_FRAME_LENGTH {
+            let bound = MAX_FRAME_LENGTH;
+            return Err(EncodeError::TooLong { length, bound });
+        }
+        let mut signed = frame.split_off(PREFIX_LENGTH);
+        self.mac.append(&mut signed);
+        frame.copy_from_slice(&(length as u32).to_be_bytes());
+        frame.extend_from_slice(&signed);
+        Ok(frame)
+    }
+
+    /// Decodes the message at the start of `received`.
+    ///
+    /// An announced length over the bound is rejected before the body arrives, so that a peer
+    /// cannot make the receiver buffer it.
+    pub fn decode<T: DeserializeOwned>(
+        &mut self,
+        received: &[u8],
+    ) -> Result<FrameStatus<T>, DecodeError> {
+        let result = self.decode_frame(received);
+        self.rejected.record(result)
+    }
+
+    /// Returns the counters of rejected frames.
+    pub const fn rejected(&self) -> &RejectCounts {
+        &self.rejected
+    }
+
+    fn decode_frame<T: DeserializeOwned>(
+        &self,
+        received: &[u8],
+    ) -> Result<FrameStatus<T>, DecodeError> {
+        let Some((prefix, rest)) = received.split_first_chunk::<PREFIX_LENGTH>() else {
+            let needed = PREFIX_LENGTH;
+            return Ok(FrameStatus::Incomplete { needed });
+        };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > MAX_FRAME_LENGTH {
+            let bound = MAX_FRAME_LENGTH;
+            return Err(DecodeError::TooLong { length, bound });
+        }
+        if length < 1 + MAC_LENGTH {
+            return Err(DecodeError::CutShort);
+        }
+        let consumed = PREFIX_LENGTH + length;
+        let Some(frame) = rest.get(..length) else {
+            return Ok(FrameStatus::Incomplete { needed: consumed });
+        };
+        let body = self.mac.check(frame)?;
+        match postcard::take_from_bytes(body) {
+            Ok((message, [])) => Ok(FrameStatus::Complete { message, consumed }),
+            _ => Err(DecodeError::Malformed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_wire/src/message_mac.rs
@@ -0,0 +1,52 @@
+//! Authentication code of messages.
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+use crate::DecodeError;
+
+/// Version of the message format; a receiver drops every other version.
+pub const WIRE_VERSION: u8 = 1;
+
+/// Length of the truncated HMAC-SHA256 in bytes.
+pub(crate) const MAC_LENGTH: usize = 16;
+
+/// HMAC key of one transport, already expanded so that each message hashes only its own bytes.
+#[derive(Clone)]
+pub(crate) struct MessageMac(Hmac<Sha256>);
+
+impl MessageMac {
+    /// Derives the key of one transport.
+    ///
+    /// The label separates the transports: a recorded datagram is not a valid frame.
+    pub(crate) fn derive(wire_key: &[u8; 32], label: &[u8]) -> Self {
+        let derived = keyed(wire_key).chain_update(label).finalize().into_bytes();
+        Self(keyed(&derived))
+    }
+
+    /// Appends the code of `message` to it.
+    pub(crate) fn append(&self, message: &mut Vec<u8>) {
+        let code = self.0.clone().chain_update(&*message).finalize();
+        message.extend_from_slice(&code.into_bytes()[..MAC_LENGTH]);
+    }
+
+    /// Checks the version and the code, and returns the bytes between them.
+    pub(crate) fn check<'a>(&self, message: &'a [u8]) -> Result<&'a [u8], DecodeError> {
+        if message.len() < 1 + MAC_LENGTH {
+            return Err(DecodeError::CutShort);
+        }
+        if message[0] != WIRE_VERSION {
+            return Err(DecodeError::Version { found: message[0] });
+        }
+        let (signed, code) = message.split_at(message.len() - MAC_LENGTH);
+        let mac = self.0.clone().chain_update(signed);
+        mac.verify_truncated_left(code)
+            .map_err(|_| DecodeError::Forged)?;
+        Ok(&signed[1..])
+    }
+}
+
+fn keyed(key: &[u8]) -> Hmac<Sha256> {
+    // HMAC accepts keys of every length, so the error cannot occur.
+    Hmac::<Sha256>::new_from_slice(key).expect("HMAC accepts every key length")
+}
--- /dev/null
+++ b/crates/coriander_wire/src/reject_counts.rs
@@ -0,0 +1,97 @@
+//! Counters of rejected messages.
+
+use crate::DecodeError;
+
+/// Reason for which a received message was dropped.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum RejectReason {
+    /// The message exceeds the bound of its transport.
+    TooLong,
+    /// The message is too short.
+    CutShort,
+    /// The message has another format version.
+    Version,
+    /// The authentication code does not match.
+    Forged,
+    /// The body is malformed.
+    Malformed,
+    /// The datagram was received before.
+    Replayed,
+}
+
+impl RejectReason {
+    /// All reasons.
+    pub const ALL: [Self; 6] = [
+        Self::TooLong,
+        Self::CutShort,
+        Self::Version,
+        Self::Forged,
+        Self::Malformed,
+        Self::Replayed,
+    ];
+
+    /// Returns the reason as a metric label.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::TooLong => "too_long",
+            Self::CutShort => "cut_short",
+            Self::Version => "version",
+            Self::Forged => "forged",
+            Self::Malformed => "malformed",
+            Self::Replayed => "replayed",
+        }
+    }
+}
+
+impl From<&DecodeError> for RejectReason {
+    fn from(error: &DecodeError) -> Self {
+        match error {
+            DecodeError::TooLong { .. } => Self::TooLong,
+            DecodeError::CutShort => Self::CutShort,
+            DecodeError::Version { .. } => Self::Version,
+            DecodeError::Forged => Self::Forged,
+            DecodeError::Malformed => Self::Malformed,
+            DecodeError::Replayed { .. } => Self::Replayed,
+        }
+    }
+}
+
+/// Number of rejected messages by reason.
+///
+/// ```
+/// use coriander_wire::{FrameCodec, RejectReason};
+///
+/// let mut codec = FrameCodec::new(&[7; 32]);
+/// assert!(codec.decode::<u8>(&[0, 0, 0, 1, 1]).is_err());
+/// assert_eq!(codec.rejected().get(RejectReason::CutShort), 1);
+/// assert_eq!(codec.rejected().total(), 1);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RejectCounts([u64; RejectReason::ALL.len()]);
+
+impl RejectCounts {
+    /// Returns the number of messages rejected for a reason.
+    pub const fn get(&self, reason: RejectReason) -> u64 {
+        self.0[reason as usize]
+    }
+
+    /// Returns the number of rejected messages.
+    pub fn total(&self) -> u64 {
+        self.0.iter().sum()
+    }
+
+    /// Adds the counts of another codec, for example of a closed connection.
+    pub fn add(&mut self, other: &Self) {
+        for (count, more) in self.0.iter_mut().zip(other.0) {
+            *count += more;
+        }
+    }
+
+    /// Counts a failed result and passes it on.
+    pub(crate) fn record<T>(&mut self, result: Result<T, DecodeError>) -> Result<T, DecodeError> {
+        if let Err(error) = &result {
+            self.0[RejectReason::from(error) as usize] += 1;
+        }
+        result
+    }
+}
--- /dev/null
+++ b/crates/coriander_wire/src/replay_window.rs
@@ -0,0 +1,106 @@
+//! Recognition of datagrams that were received before.
+
+use std::collections::HashMap;
+
+use coriander_core::InstanceId;
+
+/// Number of recent sequence numbers that may arrive out of order.
+const WINDOW_BITS: u64 = 128;
+
+/// Process starts remembered per sender. A restarted instance normally takes a new id, so more
+/// than one epoch per id is rare.
+const MAX_EPOCHS: usize = 4;
+
+/// Senders remembered; above the fleet size of two years (2,100 nodes).
+const MAX_SENDERS: usize = 4096;
+
+/// Received sequence numbers of one process start of one sender.
+struct EpochWindow {
+    epoch: u64,
+    greatest: u64,
+    /// Bit `n` is set if `greatest - n` was received.
+    received: u128,
+    last_use: u64,
+}
+
+impl EpochWindow {
+    fn accept(&mut self, sequence: u64) -> bool {
+        if sequence > self.greatest {
+            let shift = sequence - self.greatest;
+            self.received = if shift < WINDOW_BITS {
+                (self.received << shift) | 1
+            } else {
+                1
+            };
+            self.greatest = sequence;
+            return true;
+        }
+        let distance = self.greatest - sequence;
+        if distance >= WINDOW_BITS || self.received & (1 << distance) != 0 {
+            return false;
+        }
+        self.received |= 1 << distance;
+        true
+    }
+}
+
+/// Windows of all senders, with bounded memory.
+///
+/// Only authenticated datagrams reach this table, so an attacker without the key can fill it only
+/// with recorded datagrams of real senders.
+#[derive(Default)]
+pub(crate) struct ReplayTable {
+    senders: HashMap<InstanceId, Vec<EpochWindow>>,
+    uses: u64,
+}
+
+impl ReplayTable {
+    /// Records a datagram and tells whether it is new.
+    pub(crate) fn accept(&mut self, sender: &InstanceId, epoch: u64, sequence: u64) -> bool {
+        self.uses += 1;
+        let last_use = self.uses;
+        if !self.senders.contains_key(sender) {
+            self.make_room();
+        }
+        let windows = self.senders.entry(sender.clone()).or_default();
+        if let Some(window) = windows.iter_mut().find(|window| window.epoch == epoch) {
+            let is_new = window.accept(sequence);
+            if is_new {
+                window.last_use = last_use;
+            }
+            return is_new;
+        }
+        // A newly seen epoch never invalidates the others: a recorded datagram of an earlier
+        // process must not lock out the running one.
+        if windows.len() == MAX_EPOCHS {
+            let oldest = (0..MAX_EPOCHS).min_by_key(|index| windows[*index].last_use);
+            windows.swap_remove(oldest.unwrap_or_default());
+        }
+        windows.push(EpochWindow {
+            epoch,
+            greatest: sequence,
+            received: 1,
+            last_use,
+        });
+        true
+    }
+
+    /// Returns the number of remembered senders.
+    pub(crate) fn len(&self) -> usize {
+        self.senders.len()
+    }
+
+    fn make_room(&mut self) {
+        if self.senders.len() < MAX_SENDERS {
+            return;
+        }
+        let last_use = |windows: &Vec<EpochWindow>| windows.iter().map(|w| w.last_use).max();
+        let oldest = self
+            .senders
+            .iter()
+            .min_by_key(|(_, windows)| last_use(windows));
+        if let Some(sender) = oldest.map(|(sender, _)| sender.clone()) {
+            self.senders.remove(&sender);
+        }
+    }
+}
