Add platform interface and Consul HTTP client

Cause: configuration, membership and the process need the platform's key-value service and lists behind one interface. Change: PlatformStore (keys with compare-and-swap and watches, sessions, service lists, registration), ConsulStore over ntex::client, errors that tell unsent, refused and lost calls apart, and CallPacer without I/O. Before: an empty crate. Conclusion: other crates can build against the interface.

--- /dev/null
+++ b/crates/coriander_platform/src/call_pacer.rs
@@ -0,0 +1,143 @@
+//! Limits the rate of platform calls and spaces them out after failures.
+
+use std::time::Duration;
+
+use coriander_core::MonotonicTime;
+
+/// Bounds for the platform calls of one instance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PacerSettings {
+    /// Calls per second in the long run.
+    pub rate: f64,
+    /// Calls that may come at once.
+    pub burst: f64,
+    /// Delay after the first failure.
+    pub base_delay: Duration,
+    /// Longest delay after repeated failures.
+    ///
+    /// With 2,100 instances and delays drawn from the upper half of 3 s, the platform receives
+    /// about 930 calls/s during an outage, which is under half of its 2,000 reads/s.
+    pub max_delay: Duration,
+    /// Time after which a probe call without result no longer holds back other calls.
+    pub probe_timeout: Duration,
+}
+
+impl Default for PacerSettings {
+    fn default() -> Self {
+        Self {
+            rate: 20.0,
+            burst: 40.0,
+            base_delay: Duration::from_millis(50),
+            max_delay: Duration::from_secs(3),
+            probe_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Whether a call may be sent now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallPermit {
+    /// The call may be sent; its result must be reported.
+    Send,
+    /// The call must wait; the pacer has to be asked again after the delay.
+    Wait(Duration),
+}
+
+/// Decides when a platform call may be sent.
+///
+/// A token bucket bounds the rate. After a failure only one probe call is let through at a time,
+/// each after a longer, jittered delay, until a call succeeds.
+///
+/// ```
+/// use coriander_core::MonotonicTime;
+/// use coriander_platform::{CallPacer, CallPermit, PacerSettings};
+/// use std::time::Duration;
+///
+/// let mut pacer = CallPacer::new(PacerSettings::default());
+/// let now = MonotonicTime::from_millis(10);
+/// assert_eq!(pacer.request_call(now), CallPermit::Send);
+/// pacer.record_failure(now, 1.0);
+/// assert_eq!(pacer.request_call(now), CallPermit::Wait(Duration::from_millis(50)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct CallPacer {
+    settings: PacerSettings,
+    tokens: f64,
+    refilled: MonotonicTime,
+    failures: u32,
+    blocked_until: MonotonicTime,
+    probe_sent: Option<MonotonicTime>,
+}
+
+impl CallPacer {
+    /// Creates a pacer with a full bucket.
+    pub fn new(settings: PacerSettings) -> Self {
+        Self {
+            settings,
+            tokens: settings.burst,
+            refilled: MonotonicTime::ZERO,
+            failures: 0,
+            blocked_until: MonotonicTime::ZERO,
+            probe_sent: None,
+        }
+    }
+
+    /// Asks to send a call.
+    pub fn request_call(&mut self, now: MonotonicTime) -> CallPermit {
+        self.refill(now);
+        if self.failures > 0 {
+            if now < self.blocked_until {
+                return CallPermit::Wait(self.blocked_until.since(now));
+            }
+            if let Some(sent) = self.probe_sent {
+                let expires = sent + self.settings.probe_timeout;
+                if now < expires {
+                    return CallPermit::Wait(self.settings.base_delay.min(expires.since(now)));
+                }
+            }
+        }
+        if self.tokens < 1.0 {
+            let missing = (1.0 - self.tokens) / self.settings.rate;
+            // Rounded up, so that the token is there when the wait is over.
+            return CallPermit::Wait(Duration::from_secs_f64(missing) + Duration::from_micros(1));
+        }
+        self.tokens -= 1.0;
+        if self.failures > 0 {
+            self.probe_sent = Some(now);
+        }
+        CallPermit::Send
+    }
+
+    /// Records that the platform answered a call, also if it refused it.
+    pub fn record_success(&mut self) {
+        self.failures = 0;
+        self.probe_sent = None;
+        self.blocked_until = MonotonicTime::ZERO;
+    }
+
+    /// Records a call that the platform did not answer.
+    ///
+    /// `jitter` is uniform in 0 to 1. Failures of calls that were under way together count once,
+    /// because only the first one says something new about the platform.
+    pub fn record_failure(&mut self, now: MonotonicTime, jitter: f64) {
+        self.probe_sent = None;
+        if self.failures > 0 && now < self.blocked_until {
+            return;
+        }
+        self.failures = self.failures.saturating_add(1);
+        let doublings = (self.failures - 1).min(16);
+        let delay = self
+            .settings
+            .base_delay
+            .saturating_mul(1 << doublings)
+            .min(self.settings.max_delay);
+        let share = 0.5 + 0.5 * jitter.clamp(0.0, 1.0);
+        self.blocked_until = now + delay.mul_f64(share);
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let earned = now.since(self.refilled).as_secs_f64() * self.settings.rate;
+        self.tokens = (self.tokens + earned).min(self.settings.burst);
+        self.refilled = self.refilled.max(now);
+    }
+}
--- /dev/null
+++ b/crates/coriander_platform/src/consul_request.rs
@@ -0,0 +1,195 @@
+//! Sends one HTTP request to Consul and classifies what happened to it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use coriander_core::MonotonicTime;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientResponse};
+use ntex::http::Method;
+use ntex::time::{sleep, timeout};
+use ntex::util::Bytes;
+
+use crate::{CallPacer, CallPermit, ModifyIndex, PlatformError};
+
+/// Header with the index to pass to the next blocking query.
+const INDEX_HEADER: &str = "x-consul-index";
+/// Greatest accepted body: a value of 1 MB in base64 with its JSON frame.
+const BODY_LIMIT: usize = 2 * 1024 * 1024;
+/// Most characters of an error body that are kept for the message.
+const MESSAGE_LENGTH: usize = 200;
+
+/// One request to Consul.
+pub struct ConsulRequest {
+    pub method: Method,
+    /// Path with its query.
+    pub path: String,
+    pub body: Vec<u8>,
+    /// Time by which a blocking query may answer later than other requests.
+    pub wait: Duration,
+    /// Whether the request changes the platform's state.
+    pub writes: bool,
+}
+
+impl ConsulRequest {
+    pub fn read(path: String) -> Self {
+        Self {
+            method: Method::GET,
+            path,
+            body: Vec::new(),
+            wait: Duration::ZERO,
+            writes: false,
+        }
+    }
+
+    pub fn write(method: Method, path: String, body: Vec<u8>) -> Self {
+        Self {
+            method,
+            path,
+            body,
+            wait: Duration::ZERO,
+            writes: true,
+        }
+    }
+}
+
+/// Answer of Consul that is neither a server error nor a refusal, except for `404`.
+pub struct ConsulReply {
+    pub found: bool,
+    pub index: ModifyIndex,
+    pub body: Bytes,
+}
+
+/// HTTP connection to one of several Consul agents, with the pacing of all calls.
+pub struct ConsulTransport {
+    pub client: Client,
+    pub addresses: Vec<SocketAddr>,
+    pub current: Cell<usize>,
+    pub pacer: RefCell<CallPacer>,
+    pub started: Instant,
+    pub call_timeout: Duration,
+    pub permit_wait: Duration,
+}
+
+impl ConsulTransport {
+    /// Sends a request once it is permitted; never repeats it.
+    pub async fn call(&self, request: ConsulRequest) -> Result<ConsulReply, PlatformError> {
+        self.wait_for_permit().await?;
+        // Consul adds up to a sixteenth of the wait to spread the answers.
+        let limit = self.call_timeout + request.wait + request.wait / 16;
+        let writes = request.writes;
+        let result = match timeout(limit, self.send(request)).await {
+            Ok(result) => result,
+            Err(()) => Err(PlatformError::ResponseLost {
+                reason: format!("no response within {limit:?}"),
+            }),
+        };
+        let result = result.and_then(|(status, reply)| check_status(status, reply, writes));
+        self.record(&result);
+        result
+    }
+
+    async fn wait_for_permit(&self) -> Result<(), PlatformError> {
+        let mut waited = Duration::ZERO;
+        loop {
+            let permit = self.pacer.borrow_mut().request_call(self.now());
+            match permit {
+                CallPermit::Send => return Ok(()),
+                CallPermit::Wait(delay) if waited + delay <= self.permit_wait => {
+                    sleep(delay).await;
+                    waited += delay;
+                }
+                CallPermit::Wait(retry_after) => return Err(PlatformError::Paced { retry_after }),
+            }
+        }
+    }
+
+    async fn send(&self, request: ConsulRequest) -> Result<(u16, ConsulReply), PlatformError> {
+        let address = self.addresses[self.current.get()];
+        let url = format!("http://{address}{}", request.path);
+        let response = self
+            .client
+            .request(request.method, url)
+            .timeout(self.call_timeout + request.wait + request.wait)
+            .send_body(request.body)
+            .await
+            .map_err(|error| classify_error(&error))?;
+        let index = read_index(&response);
+        let status = response.status().as_u16();
+        let body = response.body().limit(BODY_LIMIT).await.map_err(|error| {
+            PlatformError::ResponseLost {
+                reason: format!("body could not be read: {error}"),
+            }
+        })?;
+        let found = status != 404;
+        Ok((status, ConsulReply { found, index, body }))
+    }
+
+    fn record(&self, result: &Result<ConsulReply, PlatformError>) {
+        let mut pacer = self.pacer.borrow_mut();
+        match result {
+            Ok(_) => pacer.record_success(),
+            Err(PlatformError::Refused { status, .. }) if *status != 429 && *status < 500 => {
+                pacer.record_success();
+            }
+            Err(error) => {
+                log::debug!("platform: call failed: {error}");
+                pacer.record_failure(self.now(), rand::random());
+                self.current
+                    .set((self.current.get() + 1) % self.addresses.len());
+            }
+        }
+    }
+
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime::new(self.started.elapsed())
+    }
+}
+
+fn read_index(response: &ClientResponse) -> ModifyIndex {
+    let header = response.header(INDEX_HEADER);
+    let text = header.and_then(|value| value.to_str().ok()).unwrap_or("0");
+    ModifyIndex::new(text.parse().unwrap_or(0))
+}
+
+fn check_status(
+    status: u16,
+    reply: ConsulReply,
+    writes: bool,
+) -> Result<ConsulReply, PlatformError> {
+    if (200..300).contains(&status) || status == 404 {
+        return Ok(reply);
+    }
+    let text = String::from_utf8_lossy(&reply.body);
+    let message: String = text.trim().chars().take(MESSAGE_LENGTH).collect();
+    // Consul reports the loss of its leader during a commit with a server error, so the write
+    // can take effect afterwards.
+    if status >= 500 && writes {
+        let reason = format!("server error {status}: {message}");
+        return Err(PlatformError::ResponseLost { reason });
+    }
+    Err(PlatformError::Refused { status, message })
+}
+
+/// Tells errors before the first byte from those after it.
+fn classify_error(error: &ClientError) -> PlatformError {
+    let reason = error.to_string();
+    match error {
+        // The client reports a connection closed before the response in the same type as a
+        // failed connect, but without an I/O error.
+        ClientError::Connect(ConnectError::Disconnected(None)) => PlatformError::ResponseLost {
+            reason: "connection closed before the response".into(),
+        },
+        ClientError::Connect(_) | ClientError::Url(_) | ClientError::Http(_) => {
+            PlatformError::NotSent { reason }
+        }
+        ClientError::Send(_)
+        | ClientError::Request(_)
+        | ClientError::Response(_)
+        | ClientError::H2(_)
+        | ClientError::Timeout
+        | ClientError::TunnelNotSupported
+        | ClientError::Error(_) => PlatformError::ResponseLost { reason },
+    }
+}
