Add peer table, rank table and drain state

Change: PeerTable, RankTable and DrainState without I/O. Before: an empty crate. Conclusion: the public interface is ready to build against.

--- /dev/null
+++ b/crates/coriander_membership/src/drain_state.rs
@@ -0,0 +1,130 @@
+//! Takes the own instance out of service and back.
+
+use std::time::Duration;
+
+use coriander_core::{ErrorCode, MonotonicTime, RequestError};
+
+use crate::InstanceState;
+
+/// Time in which a leaving instance forwards requests of callers that have not noticed yet.
+const FORWARD_TIME: Duration = Duration::from_secs(3);
+
+/// Time after which a leaving instance stops even with work in flight.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+
+/// Why the instance leaves.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum DrainCause {
+    /// The process was asked to end; cannot be taken back.
+    Terminated,
+    /// Operators asked the instance to drain.
+    Operator,
+    /// Operators took the availability zone out of service.
+    ZoneOut,
+}
+
+/// What to do with a new request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkAdmission {
+    /// Run it here or forward it, as the ranks say.
+    Serve,
+    /// Forward it to another instance; run nothing new here.
+    Forward,
+    /// Refuse it as not run.
+    Refuse,
+}
+
+/// Drain state of the own instance.
+///
+/// ```
+/// use coriander_core::MonotonicTime;
+/// use coriander_membership::{DrainCause, DrainState, WorkAdmission};
+///
+/// let mut drain = DrainState::new();
+/// let start = MonotonicTime::from_millis(1_000);
+/// drain.begin(DrainCause::Terminated, start);
+/// assert!(!drain.is_ready());
+/// assert_eq!(drain.admission(start), WorkAdmission::Forward);
+/// assert_eq!(drain.admission(MonotonicTime::from_millis(4_000)), WorkAdmission::Refuse);
+/// assert!(drain.is_finished(0, MonotonicTime::from_millis(4_000)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct DrainState {
+    causes: Vec<DrainCause>,
+    start: Option<MonotonicTime>,
+}
+
+impl DrainState {
+    /// Creates the state of an instance in service.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts to drain. A further cause does not restart the time limits.
+    pub fn begin(&mut self, cause: DrainCause, now: MonotonicTime) {
+        if !self.causes.contains(&cause) {
+            self.causes.push(cause);
+        }
+        self.start.get_or_insert(now);
+    }
+
+    /// Ends a cause; the instance serves again when none is left.
+    pub fn end(&mut self, cause: DrainCause) {
+        if cause != DrainCause::Terminated {
+            self.causes.retain(|other| *other != cause);
+        }
+        if self.causes.is_empty() {
+            self.start = None;
+        }
+    }
+
+    /// Tells whether the load balancer may send work here.
+    pub fn is_ready(&self) -> bool {
+        self.start.is_none()
+    }
+
+    /// Tells whether the process is to end once it has finished.
+    pub fn is_terminating(&self) -> bool {
+        self.causes.contains(&DrainCause::Terminated)
+    }
+
+    /// Tells what to do with a new request.
+    pub fn admission(&self, now: MonotonicTime) -> WorkAdmission {
+        match self.start {
+            None => WorkAdmission::Serve,
+            Some(start) if now.since(start) < FORWARD_TIME => WorkAdmission::Forward,
+            Some(_) => WorkAdmission::Refuse,
+        }
+    }
+
+    /// Returns the error for a request that is refused because of draining.
+    pub fn refusal(&self) -> RequestError {
+        let message = if self.causes.contains(&DrainCause::ZoneOut) {
+            "availability zone is out of service"
+        } else {
+            "instance is leaving"
+        };
+        RequestError::not_run(ErrorCode::Draining, message)
+    }
+
+    /// Tells whether draining is complete: nothing in flight after the forwarding time, or the
+    /// limit has passed.
+    pub fn is_finished(&self, in_flight: usize, now: MonotonicTime) -> bool {
+        let Some(start) = self.start else {
+            return false;
+        };
+        let passed = now.since(start);
+        (in_flight == 0 && passed >= FORWARD_TIME) || passed >= DRAIN_LIMIT
+    }
+
+    /// Returns the state to report in heartbeats.
+    pub fn state(&self, in_flight: usize, now: MonotonicTime) -> InstanceState {
+        if self.start.is_none() {
+            InstanceState::Serving
+        } else if self.is_finished(in_flight, now) {
+            InstanceState::Stopped
+        } else {
+            InstanceState::Draining
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_membership/src/peer_entry.rs
@@ -0,0 +1,97 @@
+//! What is known about one other instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coriander_core::{ConfigVersion, FleetMember, MonotonicTime, ZoneName};
+
+use crate::{ArrivalWindow, Heartbeat, HeartbeatAck, InstanceState, PeerNotice};
+
+/// Weight of a new sample in the smoothed delay.
+const DELAY_WEIGHT: f64 = 0.2;
+
+#[derive(Clone, Debug)]
+pub(crate) struct PeerEntry {
+    pub zone: ZoneName,
+    pub address: SocketAddr,
+    pub state: InstanceState,
+    pub live: bool,
+    /// Sequence of the newest heartbeat seen directly or by notice.
+    pub sequence: u64,
+    pub config_version: ConfigVersion,
+    /// Set for peers that send heartbeats to this instance.
+    pub arrivals: Option<ArrivalWindow>,
+    pub delay: Option<Duration>,
+    /// State last reported as a change.
+    pub reported: (InstanceState, bool),
+}
+
+impl PeerEntry {
+    pub fn new(member: &FleetMember) -> Self {
+        Self {
+            zone: member.zone.clone(),
+            address: member.peer_address,
+            state: InstanceState::Serving,
+            live: true,
+            sequence: 0,
+            config_version: ConfigVersion::default(),
+            arrivals: None,
+            delay: None,
+            reported: (InstanceState::Serving, true),
+        }
+    }
+
+    /// Tells whether a sequence is new. After a silence, a restarted peer may count from the
+    /// start again.
+    pub fn is_new(&self, sequence: u64) -> bool {
+        sequence > self.sequence || !self.live
+    }
+
+    pub fn heartbeat(&mut self, heartbeat: &Heartbeat, period: Duration, now: MonotonicTime) {
+        self.sequence = heartbeat.sequence;
+        self.state = heartbeat.state;
+        self.live = true;
+        self.config_version = heartbeat.config_version;
+        match &mut self.arrivals {
+            Some(arrivals) => arrivals.record(now),
+            None => self.arrivals = Some(ArrivalWindow::new(period, now)),
+        }
+    }
+
+    pub fn ack(&mut self, ack: &HeartbeatAck, clock: Duration) {
+        self.config_version = self.config_version.max(ack.config_version);
+        // Clock values are of this process; a forged later value gives no negative delay.
+        let Some(round_trip) = clock.checked_sub(ack.sent) else {
+            return;
+        };
+        let sample = round_trip / 2;
+        self.delay = Some(self.delay.map_or(sample, |delay| {
+            delay.mul_f64(1.0 - DELAY_WEIGHT) + sample.mul_f64(DELAY_WEIGHT)
+        }));
+    }
+
+    /// Applies a notice unless own observations are newer.
+    pub fn notice(&mut self, notice: &PeerNotice, now: MonotonicTime) {
+        let heard = self.arrivals.as_ref().is_some_and(|a| !a.is_silent(now));
+        if notice.silent {
+            // A peer that is heard here has only lost contact with the sender of the notice.
+            if !heard && notice.sequence >= self.sequence {
+                self.live = false;
+            }
+        } else if notice.sequence > self.sequence {
+            self.sequence = notice.sequence;
+            self.state = notice.state;
+            self.live = true;
+        }
+    }
+
+    /// Detects silence; returns whether the state differs from the last report.
+    pub fn advance(&mut self, now: MonotonicTime) -> bool {
+        if self.arrivals.as_ref().is_some_and(|a| a.is_silent(now)) {
+            self.live = false;
+        }
+        let changed = self.reported != (self.state, self.live);
+        self.reported = (self.state, self.live);
+        changed
+    }
+}
--- /dev/null
+++ b/crates/coriander_membership/src/peer_table.rs
@@ -0,0 +1,341 @@
+//! The other instances of the fleet, their liveness and the heartbeats between them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coriander_core::{ConfigDocument, ConfigVersion, InstanceId, MonotonicTime, ZoneName};
+use siphasher::sip::SipHasher13;
+use smallvec::SmallVec;
+use thiserror::Error;
+
+use crate::heartbeat::MAX_NOTICES;
+use crate::peer_entry::PeerEntry;
+use crate::{
+    ArrivalWindow, Heartbeat, HeartbeatAck, InstanceState, OwnStatus, PeerNotice, RankTable,
+};
+
+/// Time between heartbeats in a small fleet.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(200);
+
+/// Longest time between heartbeats; two lost ones still fit into the freshness period of 2 s.
+const LONGEST_PERIOD: Duration = Duration::from_millis(650);
+
+/// Heartbeat time per instance of the fleet. It bounds the heartbeats that a watcher receives
+/// from its zone per second.
+const PERIOD_PER_PEER: Duration = Duration::from_micros(500);
+
+/// Fleet size up to which every instance sends heartbeats to every other.
+const FULL_MESH: usize = 8;
+
+/// Following instances on the ring that get heartbeats.
+const RING_NEIGHBOURS: usize = 3;
+
+/// Messages in which a change is passed on.
+const NOTICE_REPEATS: u32 = 24;
+
+/// A heartbeat that was not taken over.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum HeartbeatError {
+    /// The sender is not in the fleet section in force here.
+    #[error("heartbeat of an instance outside the fleet")]
+    Unknown,
+    /// The heartbeat came twice or later than its successor.
+    #[error("heartbeat with an old sequence")]
+    OldSequence,
+}
+
+/// Change of a peer's liveness or state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerChange {
+    /// The peer.
+    pub instance: InstanceId,
+    /// Whether the peer is heard.
+    pub live: bool,
+    /// State that the peer reported last.
+    pub state: InstanceState,
+}
+
+/// What the own instance knows about the others.
+///
+/// ```
+/// use coriander_core::MonotonicTime;
+/// use coriander_membership::{OwnStatus, PeerTable};
+///
+/// let mut peers = PeerTable::new("i-0".parse()?);
+/// let now = MonotonicTime::from_millis(10);
+/// assert!(peers.next_heartbeat(OwnStatus::default(), now).is_none(), "not in the fleet yet");
+/// # Ok::<(), coriander_core::NameError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct PeerTable {
+    own: InstanceId,
+    own_zone: Option<ZoneName>,
+    peers: BTreeMap<InstanceId, PeerEntry>,
+    /// All instances of the fleet in the order of their hashes.
+    ring: Vec<InstanceId>,
+    sequence: u64,
+    next_round: MonotonicTime,
+    notices: VecDeque<(PeerNotice, u32)>,
+}
+
+impl PeerTable {
+    /// Creates the table of an instance, without peers.
+    pub fn new(own: InstanceId) -> Self {
+        Self {
+            own,
+            own_zone: None,
+            peers: BTreeMap::new(),
+            ring: Vec::new(),
+            sequence: 0,
+            next_round: MonotonicTime::ZERO,
+            notices: VecDeque::new(),
+        }
+    }
+
+    /// Takes over the fleet section. Kept peers keep their state.
+    pub fn apply_document(&mut self, document: &ConfigDocument, now: MonotonicTime) {
+        let own = document.fleet.get(&self.own);
+        self.own_zone = own.map(|member| member.zone.clone());
+        self.peers.retain(|id, _| document.fleet.contains_key(id));
+        for (id, member) in &document.fleet {
+            if *id == self.own {
+                continue;
+            }
+            let fresh = || PeerEntry::new(member);
+            let entry = self.peers.entry(id.clone()).or_insert_with(fresh);
+            entry.zone = member.zone.clone();
+            entry.address = member.peer_address;
+        }
+        self.ring = document.fleet.keys().cloned().collect();
+        self.ring.sort_by_key(|id| (ring_hash(id), id.clone()));
+        let period = self.period();
+        for id in self.expected_senders() {
+            if let Some(entry) = self.peers.get_mut(&id) {
+                let start = || ArrivalWindow::new(period, now);
+                entry.arrivals.get_or_insert_with(start);
+            }
+        }
+    }
+
+    /// Time between two rounds of heartbeats.
+    pub fn period(&self) -> Duration {
+        let peers = u32::try_from(self.ring.len()).unwrap_or(u32::MAX);
+        PERIOD_PER_PEER
+            .saturating_mul(peers)
+            .clamp(SHORTEST_PERIOD, LONGEST_PERIOD)
+    }
+
+    /// Returns the time of the next round of heartbeats.
+    pub fn next_round(&self) -> MonotonicTime {
+        self.next_round
+    }
+
+    /// Returns the heartbeat to send to all targets if a round is due.
+    pub fn next_heartbeat(&mut self, status: OwnStatus, now: MonotonicTime) -> Option<Heartbeat> {
+        let zone = self.own_zone.clone()?;
+        if now < self.next_round {
+            return None;
+        }
+        self.next_round = now + self.period();
+        self.sequence += 1;
+        Some(Heartbeat {
+            instance: self.own.clone(),
+            zone,
+            sequence: self.sequence,
+            fleet_version: status.fleet_version,
+            config_version: status.config_version,
+            confirmed_age: status.confirmed_age,
+            state: status.state,
+            sent: now.since_start(),
+            notices: self.take_notices(),
+        })
+    }
+
+    /// Returns the peers that get heartbeats: all in a small fleet, else the watchers of the own
+    /// zone and ring neighbours. A watcher also sends to the watchers of the other zones.
+    pub fn heartbeat_targets(&self, ranks: &mut RankTable) -> Vec<(InstanceId, SocketAddr)> {
+        let mut targets: SmallVec<[InstanceId; 32]> = SmallVec::new();
+        if self.ring.len() <= FULL_MESH {
+            targets.extend(self.peers.keys().cloned());
+        } else if let Some(zone) = &self.own_zone {
+            targets.extend(self.ring_successors());
+            let watchers = ranks.watchers(zone);
+            if watchers.contains(&self.own) {
+                let zones: Vec<ZoneName> = ranks.zones().cloned().collect();
+                targets.extend(zones.iter().flat_map(|zone| ranks.watchers(zone)));
+            }
+            targets.extend(watchers);
+        }
+        targets.sort();
+        targets.dedup();
+        let address = |id: InstanceId| {
+            let address = self.peers.get(&id)?.address;
+            Some((id, address))
+        };
+        targets.into_iter().filter_map(address).collect()
+    }
+
+    /// Takes over a heartbeat and returns the acknowledgement to send to its sender.
+    pub fn heartbeat_received(
+        &mut self,
+        heartbeat: &Heartbeat,
+        status: OwnStatus,
+        now: MonotonicTime,
+    ) -> Result<HeartbeatAck, HeartbeatError> {
+        let period = self.period();
+        let entry = self.peers.get_mut(&heartbeat.instance);
+        let entry = entry.ok_or(HeartbeatError::Unknown)?;
+        if !entry.is_new(heartbeat.sequence) {
+            return Err(HeartbeatError::OldSequence);
+        }
+        entry.heartbeat(heartbeat, period, now);
+        self.apply_notices(&heartbeat.notices, now);
+        Ok(HeartbeatAck {
+            instance: self.own.clone(),
+            sequence: heartbeat.sequence,
+            sent: heartbeat.sent,
+            fleet_version: status.fleet_version,
+            config_version: status.config_version,
+            confirmed_age: status.confirmed_age,
+            notices: self.take_notices(),
+        })
+    }
+
+    /// Takes over the acknowledgement of an own heartbeat.
+    pub fn ack_received(
+        &mut self,
+        ack: &HeartbeatAck,
+        now: MonotonicTime,
+    ) -> Result<(), HeartbeatError> {
+        let entry = self.peers.get_mut(&ack.instance);
+        let entry = entry.ok_or(HeartbeatError::Unknown)?;
+        if ack.sequence > self.sequence {
+            return Err(HeartbeatError::OldSequence);
+        }
+        entry.ack(ack, now.since_start());
+        self.apply_notices(&ack.notices, now);
+        Ok(())
+    }
+
+    /// Takes over the platform's list of leaving instances, which may lag behind heartbeats.
+    pub fn set_leaving(&mut self, instance: &InstanceId) {
+        if let Some(entry) = self.peers.get_mut(instance) {
+            entry.state = entry.state.max(InstanceState::Draining);
+        }
+    }
+
+    /// Detects silent peers and returns all changes since the last call.
+    pub fn advance(&mut self, now: MonotonicTime) -> Vec<PeerChange> {
+        let mut changes = Vec::new();
+        for (id, entry) in &mut self.peers {
+            if entry.advance(now) {
+                changes.push(PeerChange {
+                    instance: id.clone(),
+                    live: entry.live,
+                    state: entry.state,
+                });
+                let notice = PeerNotice {
+                    instance: id.clone(),
+                    sequence: entry.sequence,
+                    state: entry.state,
+                    silent: !entry.live,
+                };
+                self.notices.retain(|(old, _)| old.instance != *id);
+                self.notices.push_back((notice, NOTICE_REPEATS));
+            }
+        }
+        changes
+    }
+
+    /// Tells whether a peer is heard and serving; the own instance is always heard.
+    pub fn is_live(&self, instance: &InstanceId) -> bool {
+        *instance == self.own || self.peers.get(instance).is_some_and(|entry| entry.live)
+    }
+
+    /// Returns the state that a peer reported last.
+    pub fn state(&self, instance: &InstanceId) -> Option<InstanceState> {
+        self.peers.get(instance).map(|entry| entry.state)
+    }
+
+    /// Returns the measured one-way delay to a peer.
+    pub fn delay(&self, instance: &InstanceId) -> Option<Duration> {
+        self.peers.get(instance).and_then(|entry| entry.delay)
+    }
+
+    /// Returns the address of a peer.
+    pub fn address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        self.peers.get(instance).map(|entry| entry.address)
+    }
+
+    /// Returns the live peer with the greatest configuration version, from which to fetch it.
+    pub fn newest_version(&self) -> Option<(&InstanceId, ConfigVersion)> {
+        let live = self.peers.iter().filter(|(_, entry)| entry.live);
+        live.map(|(id, entry)| (id, entry.config_version))
+            .max_by_key(|(_, version)| *version)
+    }
+
+    /// Returns the number of peers.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Tells whether there are no peers.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Peers whose silence is meaningful from the start: all in a small fleet, else the ring
+    /// predecessors. A watcher learns of the others in its zone by their first heartbeat.
+    fn expected_senders(&self) -> SmallVec<[InstanceId; 8]> {
+        if self.ring.len() <= FULL_MESH {
+            return self.peers.keys().cloned().collect();
+        }
+        let Some(own) = self.ring.iter().position(|id| *id == self.own) else {
+            return SmallVec::new();
+        };
+        let count = self.ring.len();
+        (1..=RING_NEIGHBOURS)
+            .map(|step| self.ring[(own + count - step) % count].clone())
+            .collect()
+    }
+
+    fn ring_successors(&self) -> SmallVec<[InstanceId; 4]> {
+        let Some(own) = self.ring.iter().position(|id| *id == self.own) else {
+            return SmallVec::new();
+        };
+        let count = self.ring.len();
+        (1..=RING_NEIGHBOURS)
+            .map(|step| self.ring[(own + step) % count].clone())
+            .collect()
+    }
+
+    fn apply_notices(&mut self, notices: &[PeerNotice], now: MonotonicTime) {
+        for notice in notices.iter().take(MAX_NOTICES) {
+            if let Some(entry) = self.peers.get_mut(&notice.instance) {
+                entry.notice(notice, now);
+            }
+        }
+    }
+
+    /// Takes the notices for one message; each is repeated because messages can be lost.
+    fn take_notices(&mut self) -> SmallVec<[PeerNotice; 2]> {
+        let mut taken = SmallVec::new();
+        for _ in 0..self.notices.len().min(MAX_NOTICES) {
+            if let Some((notice, repeats)) = self.notices.pop_front() {
+                taken.push(notice.clone());
+                if repeats > 1 {
+                    self.notices.push_back((notice, repeats - 1));
+                }
+            }
+        }
+        taken
+    }
+}
+
+fn ring_hash(id: &InstanceId) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(id.as_str().as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/coriander_membership/src/weighted_ranks.rs
@@ -0,0 +1,217 @@
+//! Weighted rendezvous hashing with cached top ranks.
+
+use std::collections::HashMap;
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher13;
+use smallvec::SmallVec;
+
+/// Ranks kept per key. Losses shorten the list without a new computation down to
+/// [`LEAST_CACHED`].
+const MOST_CACHED: usize = 12;
+
+/// Ranks that a lookup can rely on.
+pub(crate) const LEAST_CACHED: usize = 8;
+
+/// Smallest weight that is ranked; lower weights are excluded.
+const LEAST_WEIGHT: f64 = 0.001;
+
+/// Hash of a ranked name together with the purpose of the ranking.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RankKey(u64);
+
+impl RankKey {
+    /// Creates the key of a name for a purpose.
+    pub fn new(purpose: &str, name: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(purpose.as_bytes());
+        hasher.write_u8(0);
+        hasher.write(name.as_bytes());
+        Self(hasher.finish())
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Candidate {
+    hash: u64,
+    weight: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RankEntry {
+    score: u64,
+    slot: u32,
+}
+
+#[derive(Clone, Debug)]
+struct CachedRanks {
+    entries: SmallVec<[RankEntry; MOST_CACHED]>,
+    /// Whether `entries` holds every candidate with a weight.
+    whole: bool,
+    /// Position in the change list up to which the entries are current.
+    applied: u64,
+}
+
+/// Candidates with weights, ranked per key.
+///
+/// A weight change is put on a list. A cached key applies the changes that it has not seen at its
+/// next lookup, one hash each, so that the cost of a change is proportional to the keys in use.
+///
+/// ```
+/// use coriander_membership::{RankKey, WeightedRanks};
+///
+/// let mut ranks = WeightedRanks::default();
+/// let slots: Vec<u32> = ["a", "b", "c"].iter().map(|name| ranks.add(name, 1.0)).collect();
+/// let key = RankKey::new("gateway", "orders");
+/// let first = ranks.top(key)[0];
+/// ranks.set_weight(first, 0.0);
+/// assert_ne!(ranks.top(key)[0], first);
+/// assert_eq!(ranks.top(key).len(), slots.len() - 1);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct WeightedRanks {
+    candidates: Vec<Candidate>,
+    cache: HashMap<RankKey, CachedRanks>,
+    changes: Vec<u32>,
+    changes_before: u64,
+}
+
+impl WeightedRanks {
+    /// Adds a candidate and returns its slot. A weight of 0 excludes it.
+    pub fn add(&mut self, name: &str, weight: f64) -> u32 {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        let slot = u32::try_from(self.candidates.len()).unwrap_or(u32::MAX);
+        self.candidates.push(Candidate {
+            hash: hasher.finish(),
+            weight,
+        });
+        self.record_change(slot);
+        slot
+    }
+
+    /// Returns the weight of a candidate.
+    pub fn weight(&self, slot: u32) -> f64 {
+        self.candidates
+            .get(slot as usize)
+            .map_or(0.0, |candidate| candidate.weight)
+    }
+
+    /// Changes the weight of a candidate.
+    pub fn set_weight(&mut self, slot: u32, weight: f64) {
+        let Some(candidate) = self.candidates.get_mut(slot as usize) else {
+            return;
+        };
+        if candidate.weight.to_bits() != weight.to_bits() {
+            candidate.weight = weight;
+            self.record_change(slot);
+        }
+    }
+
+    /// Returns the number of keys with cached ranks.
+    pub fn cached_keys(&self) -> usize {
+        self.cache.len()
+    }
+
+    /// Returns the slots with the best scores, best first: 8 to 12, or all if there are fewer.
+    pub fn top(&mut self, key: RankKey) -> SmallVec<[u32; MOST_CACHED]> {
+        let end = self.changes_before + self.changes.len() as u64;
+        let candidates = &self.candidates;
+        let cached = self.cache.entry(key).or_insert_with(|| CachedRanks {
+            entries: SmallVec::new(),
+            whole: false,
+            applied: 0,
+        });
+        if cached.applied < end {
+            let unseen = usize::try_from(end - cached.applied).unwrap_or(usize::MAX);
+            if unseen < candidates.len() && cached.applied >= self.changes_before {
+                let first = self.changes.len() - unseen;
+                for &slot in &self.changes[first..] {
+                    cached.update(candidates, key, slot);
+                }
+            } else {
+                cached.entries.clear();
+                cached.whole = false;
+            }
+            cached.applied = end;
+        }
+        if cached.entries.len() < LEAST_CACHED && !cached.whole {
+            cached.compute(candidates, key);
+        }
+        cached.entries.iter().map(|entry| entry.slot).collect()
+    }
+
+    fn record_change(&mut self, slot: u32) {
+        // Keys that have not been looked up for this many changes are computed anew.
+        if self.changes.len() > 2 * self.candidates.len() + 64 {
+            self.changes_before += self.changes.len() as u64;
+            self.changes.clear();
+        }
+        self.changes.push(slot);
+    }
+}
+
+impl CachedRanks {
+    fn compute(&mut self, candidates: &[Candidate], key: RankKey) {
+        self.entries.clear();
+        self.whole = true;
+        for (slot, candidate) in (0..).zip(candidates) {
+            if let Some(score) = candidate.score(key) {
+                self.insert(RankEntry { score, slot });
+            }
+        }
+    }
+
+    fn update(&mut self, candidates: &[Candidate], key: RankKey, slot: u32) {
+        self.entries.retain(|entry| entry.slot != slot);
+        let Some(score) = candidates[slot as usize].score(key) else {
+            return;
+        };
+        let entry = RankEntry { score, slot };
+        // Below the last entry, unknown candidates may have better scores.
+        let known = self.entries.last().is_some_and(|last| entry.beats(last));
+        if known || self.whole {
+            self.insert(entry);
+        }
+    }
+
+    fn insert(&mut self, entry: RankEntry) {
+        let place = self.entries.partition_point(|other| other.beats(&entry));
+        if place == MOST_CACHED {
+            self.whole = false;
+            return;
+        }
+        if self.entries.len() == MOST_CACHED {
+            self.entries.pop();
+            self.whole = false;
+        }
+        self.entries.insert(place, entry);
+    }
+}
+
+impl RankEntry {
+    fn beats(&self, other: &Self) -> bool {
+        (self.score, other.slot) > (other.score, self.slot)
+    }
+}
+
+impl Candidate {
+    /// Scores the candidate: a uniform value raised to the power 1 / weight.
+    ///
+    /// The greatest of such values belongs to a candidate with a probability in proportion to its
+    /// weight, and a change of one weight moves only keys of that candidate.
+    fn score(&self, key: RankKey) -> Option<u64> {
+        if self.weight < LEAST_WEIGHT {
+            return None;
+        }
+        let mut hasher = SipHasher13::new();
+        hasher.write_u64(self.hash);
+        hasher.write_u64(key.0);
+        let uniform = hasher.finish();
+        if self.weight >= 1.0 {
+            return Some(uniform);
+        }
+        let scale = 2f64.powi(64);
+        Some(((uniform as f64 / scale).powf(1.0 / self.weight) * scale) as u64)
+    }
+}
