--- a/crates/coriander_core/src/lib.rs
+++ b/crates/coriander_core/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod config_document;
+mod group_messages;
 mod log_position;
 mod monotonic_time;
 mod names;
@@ -24,6 +25,7 @@
     AccountLimits, ClassTarget, ConfigDocument, ConfigVersion, DigestError, FleetMember, KeyDigest,
     KeyEntry, WriteCertainty, ZoneState,
 };
+pub use group_messages::{ConfirmReply, ControlReply, GroupStatus, MemberRole};
 pub use log_position::{LogPosition, PositionError, TermNumber};
 pub use monotonic_time::MonotonicTime;
 pub use names::{
--- /dev/null
+++ b/crates/coriander_upstream/src/pool_settings.rs
@@ -0,0 +1,71 @@
+//! Limits of a stream pool.
+
+use std::time::Duration;
+
+/// Limits of a [`StreamPool`](crate::StreamPool).
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PoolSettings {
+    pub(crate) max_streams: usize,
+    pub(crate) max_transactions: usize,
+    pub(crate) min_streams: usize,
+    pub(crate) spare_streams: usize,
+    pub(crate) idle_limit: Duration,
+    pub(crate) demand_window: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            max_streams: 6,
+            max_transactions: usize::MAX,
+            min_streams: 1,
+            spare_streams: 1,
+            idle_limit: Duration::from_secs(8),
+            demand_window: Duration::from_secs(5),
+        }
+    }
+}
+
+impl PoolSettings {
+    /// Sets the greatest number of open streams.
+    #[must_use]
+    pub fn with_max_streams(mut self, count: usize) -> Self {
+        self.max_streams = count;
+        self
+    }
+
+    /// Sets how many streams transactions may hold, so that they cannot take all.
+    #[must_use]
+    pub fn with_max_transactions(mut self, count: usize) -> Self {
+        self.max_transactions = count;
+        self
+    }
+
+    /// Sets how many streams are kept open without demand.
+    #[must_use]
+    pub fn with_min_streams(mut self, count: usize) -> Self {
+        self.min_streams = count;
+        self
+    }
+
+    /// Sets how many streams are opened beyond the recent peak demand.
+    #[must_use]
+    pub fn with_spare_streams(mut self, count: usize) -> Self {
+        self.spare_streams = count;
+        self
+    }
+
+    /// Sets after which idle time a stream is closed; it must be shorter than the member's limit.
+    #[must_use]
+    pub fn with_idle_limit(mut self, limit: Duration) -> Self {
+        self.idle_limit = limit;
+        self
+    }
+
+    /// Sets the time over which peak demand is observed.
+    #[must_use]
+    pub fn with_demand_window(mut self, window: Duration) -> Self {
+        self.demand_window = window;
+        self
+    }
+}
--- /dev/null
+++ b/crates/coriander_upstream/src/stream_pool.rs
@@ -0,0 +1,317 @@
+//! Bookkeeping of the Hrana streams of one member.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use coriander_core::MonotonicTime;
+
+use crate::PoolSettings;
+
+/// Purpose for which a stream is checked out.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum StreamUse {
+    /// One autocommit request.
+    Statement,
+    /// An interactive transaction, which keeps the stream over several requests.
+    Transaction,
+    /// Opening a stream ahead of need.
+    WarmUp,
+    /// Closing a stream at the member.
+    Close,
+}
+
+/// Number of streams by state.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolCounts {
+    /// Open streams that nobody uses.
+    pub idle: usize,
+    /// Streams checked out for statements.
+    pub statements: usize,
+    /// Streams checked out for transactions.
+    pub transactions: usize,
+    /// Streams that are being opened ahead of need.
+    pub warming: usize,
+    /// Streams that wait to be closed or are being closed.
+    pub closing: usize,
+}
+
+impl PoolCounts {
+    /// Returns the number of streams that count towards the maximum.
+    pub fn total(self) -> usize {
+        self.in_use() + self.idle + self.warming + self.closing
+    }
+
+    fn in_use(self) -> usize {
+        self.statements + self.transactions
+    }
+}
+
+struct IdleStream {
+    baton: String,
+    since: MonotonicTime,
+}
+
+#[derive(Default)]
+struct DemandPeak {
+    window_start: MonotonicTime,
+    previous: usize,
+    current: usize,
+}
+
+struct PoolState {
+    settings: PoolSettings,
+    generation: u64,
+    /// The most recently used stream is at the back.
+    idle: VecDeque<IdleStream>,
+    closing: VecDeque<String>,
+    leased: PoolCounts,
+    demand: DemandPeak,
+}
+
+impl PoolState {
+    fn counts(&self) -> PoolCounts {
+        PoolCounts {
+            idle: self.idle.len(),
+            closing: self.leased.closing + self.closing.len(),
+            ..self.leased
+        }
+    }
+
+    fn leased_count(&mut self, purpose: StreamUse) -> &mut usize {
+        match purpose {
+            StreamUse::Statement => &mut self.leased.statements,
+            StreamUse::Transaction => &mut self.leased.transactions,
+            StreamUse::WarmUp => &mut self.leased.warming,
+            StreamUse::Close => &mut self.leased.closing,
+        }
+    }
+
+    fn observe_demand(&mut self, extra: usize, now: MonotonicTime) {
+        self.rotate_demand(now);
+        let demand = self.counts().in_use() + extra;
+        self.demand.current = self.demand.current.max(demand);
+    }
+
+    fn rotate_demand(&mut self, now: MonotonicTime) {
+        let elapsed = now.since(self.demand.window_start);
+        if elapsed < self.settings.demand_window {
+            return;
+        }
+        let in_use = self.counts().in_use();
+        // After two windows without a call the older peak no longer says anything.
+        let is_recent = elapsed < self.settings.demand_window * 2;
+        self.demand.previous = if is_recent {
+            self.demand.current
+        } else {
+            in_use
+        };
+        self.demand.current = in_use;
+        self.demand.window_start = now;
+    }
+
+    fn wanted_streams(&mut self, now: MonotonicTime) -> usize {
+        self.rotate_demand(now);
+        let peak = self.demand.previous.max(self.demand.current);
+        let wanted = if peak == 0 {
+            0
+        } else {
+            peak + self.settings.spare_streams
+        };
+        wanted
+            .max(self.settings.min_streams)
+            .min(self.settings.max_streams)
+    }
+}
+
+/// The pool of Hrana streams of one member.
+///
+/// It decides only; the holder of a [`StreamLease`] sends the requests. Clones share one pool.
+#[derive(Clone)]
+pub struct StreamPool(Rc<RefCell<PoolState>>);
+
+impl StreamPool {
+    /// Creates an empty pool.
+    pub fn new(settings: PoolSettings) -> Self {
+        Self(Rc::new(RefCell::new(PoolState {
+            settings,
+            generation: 0,
+            idle: VecDeque::new(),
+            closing: VecDeque::new(),
+            leased: PoolCounts::default(),
+            demand: DemandPeak::default(),
+        })))
+    }
+
+    /// Checks a stream out for one request or one transaction.
+    ///
+    /// Returns an idle stream, else a lease without baton whose first request opens a stream, or
+    /// `None` if the limit is reached.
+    pub fn check_out(&self, purpose: StreamUse, now: MonotonicTime) -> Option<StreamLease> {
+        let mut state = self.0.borrow_mut();
+        state.observe_demand(1, now);
+        let limit = state.settings.max_transactions;
+        if purpose == StreamUse::Transaction && state.leased.transactions >= limit {
+            return None;
+        }
+        let idle_limit = state.settings.idle_limit;
+        let baton = match state.idle.pop_back() {
+            // The member may have dropped a stream that was idle for longer than the limit.
+            Some(stream) if now.since(stream.since) < idle_limit => Some(stream.baton),
+            Some(stream) => {
+                state.closing.push_back(stream.baton);
+                None
+            }
+            None => None,
+        };
+        if baton.is_none() && state.counts().total() >= state.settings.max_streams {
+            return None;
+        }
+        Some(self.lease(&mut state, purpose, baton))
+    }
+
+    /// Returns a lease for opening a stream ahead of need, or `None` if enough are open.
+    ///
+    /// The holder sends an empty pipeline, calls [`StreamLease::advance`] and checks it in.
+    pub fn warm_up(&self, now: MonotonicTime) -> Option<StreamLease> {
+        let mut state = self.0.borrow_mut();
+        let wanted = state.wanted_streams(now);
+        if state.counts().total() >= wanted {
+            return None;
+        }
+        Some(self.lease(&mut state, StreamUse::WarmUp, None))
+    }
+
+    /// Returns a lease of a stream that has to be closed at the member, if there is one.
+    ///
+    /// The holder sends a close request and drops the lease.
+    pub fn next_to_close(&self, now: MonotonicTime) -> Option<StreamLease> {
+        let mut state = self.0.borrow_mut();
+        while let Some(oldest) = state.idle.front() {
+            // Expired streams are replaced by warm-up before the member drops them.
+            let is_expired = now.since(oldest.since) >= state.settings.idle_limit;
+            let is_over_limit = state.counts().total() > state.settings.max_streams;
+            if !is_expired && !is_over_limit {
+                break;
+            }
+            if let Some(stream) = state.idle.pop_front() {
+                state.closing.push_back(stream.baton);
+            }
+        }
+        let baton = state.closing.pop_front()?;
+        Some(self.lease(&mut state, StreamUse::Close, Some(baton)))
+    }
+
+    /// Forgets all streams, because the member restarted or lost its role.
+    ///
+    /// Leases that are checked out end with their next check-in.
+    pub fn reset(&self) {
+        let mut state = self.0.borrow_mut();
+        state.generation += 1;
+        state.idle.clear();
+        state.closing.clear();
+    }
+
+    /// Changes the greatest number of open streams; excess idle streams get closed.
+    pub fn set_max_streams(&self, count: usize) {
+        self.0.borrow_mut().settings.max_streams = count;
+    }
+
+    /// Changes how many streams are kept open without demand.
+    pub fn set_min_streams(&self, count: usize) {
+        self.0.borrow_mut().settings.min_streams = count;
+    }
+
+    /// Returns the number of streams by state.
+    pub fn counts(&self) -> PoolCounts {
+        self.0.borrow().counts()
+    }
+
+    fn lease(
+        &self,
+        state: &mut PoolState,
+        purpose: StreamUse,
+        baton: Option<String>,
+    ) -> StreamLease {
+        *state.leased_count(purpose) += 1;
+        StreamLease {
+            pool: self.clone(),
+            generation: state.generation,
+            purpose,
+            baton,
+        }
+    }
+}
+
+/// Exclusive use of one stream.
+///
+/// Dropping the lease discards the stream: after an error or a cancelled request its state at the
+/// member is not known.
+pub struct StreamLease {
+    pool: StreamPool,
+    generation: u64,
+    purpose: StreamUse,
+    baton: Option<String>,
+}
+
+impl StreamLease {
+    /// Returns the baton for the next request; `None` opens a new stream.
+    pub fn baton(&self) -> Option<&str> {
+        self.baton.as_deref()
+    }
+
+    /// Returns the purpose of the lease.
+    pub fn purpose(&self) -> StreamUse {
+        self.purpose
+    }
+
+    /// Sets the baton of the last response.
+    pub fn advance(&mut self, baton: String) {
+        self.baton = Some(baton);
+    }
+
+    /// Turns a statement's stream into that of a transaction that the statement began.
+    pub fn begin_transaction(&mut self) {
+        let mut state = self.pool.0.borrow_mut();
+        *state.leased_count(self.purpose) -= 1;
+        self.purpose = StreamUse::Transaction;
+        *state.leased_count(self.purpose) += 1;
+    }
+
+    /// Returns the stream to the pool.
+    ///
+    /// No transaction may be open on it. Without a baton nothing was opened or the member closed
+    /// the stream, so only its place is given back.
+    pub fn check_in(mut self, now: MonotonicTime) {
+        let baton = self.baton.take();
+        let mut state = self.pool.0.borrow_mut();
+        let Some(baton) = baton else { return };
+        if state.generation != self.generation || self.purpose == StreamUse::Close {
+            return;
+        }
+        // The lease itself still counts until it is dropped at the end of this call.
+        if state.counts().total() > state.settings.max_streams {
+            state.closing.push_back(baton);
+        } else {
+            state.idle.push_back(IdleStream { baton, since: now });
+        }
+    }
+
+    /// Gives up a stream whose baton is still valid and has it closed at the member.
+    ///
+    /// Closing also rolls back a transaction that is open on the stream.
+    pub fn close(mut self) {
+        if let Some(baton) = self.baton.take()
+            && self.pool.0.borrow().generation == self.generation
+        {
+            self.pool.0.borrow_mut().closing.push_back(baton);
+        }
+    }
+}
+
+impl Drop for StreamLease {
+    fn drop(&mut self) {
+        let mut state = self.pool.0.borrow_mut();
+        *state.leased_count(self.purpose) -= 1;
+    }
+}
