Add token grants, fair queue and slot limiter

Change: PlanTable, OwnerTable with BucketShard, GrantHolder, FairQueue and SlotLimiter without I/O. A share shrinks at once and grows only after the freshness period since acceptance. A shard is kept while its owner stays the same from one fleet version to the next, so that a fleet change stops only the shards that move. Before: an empty crate.

--- /dev/null
+++ b/crates/coriander_limits/src/account_plan.rs
@@ -0,0 +1,186 @@
+//! How rate and burst of each account are split between owners and instances.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use coriander_core::{AccountLimits, AccountName, ConfigDocument, ConfigVersion, InstanceId};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::token_bucket::MICROS;
+use crate::{BucketShare, LimitPolicy};
+
+/// Smallest capacity of a shard for which the bucket is split further.
+const LEAST_SHARD_TOKENS: u64 = 2;
+
+/// Part of the burst, as a divisor, that may be outstanding in grants. It shortens the expiry of
+/// accounts whose burst is small against their rate.
+const OUTSTANDING_DIVISOR: u64 = 4;
+
+/// Number of the fleet section and zones, raised by one with each change of either.
+///
+/// Owners keep their shards from one number to the next. After a gap they start empty, because
+/// another instance may have owned the shard in between.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct FleetVersion(u64);
+
+impl FleetVersion {
+    /// Creates a fleet version.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// Tells whether no other version lies between `earlier` and this one.
+    pub const fn follows(self, earlier: Self) -> bool {
+        self.0 == earlier.0 || self.0 == earlier.0 + 1
+    }
+}
+
+/// Owners and shares of one account.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AccountPlan {
+    /// Owners of the shards, best first.
+    pub owners: SmallVec<[InstanceId; 3]>,
+    /// Share of each owner. The capacity is reduced by what may be outstanding in grants.
+    pub shard: BucketShare,
+    /// Share of each instance's local reserve.
+    pub reserve: BucketShare,
+    /// Validity of grants, counted from the sending of their request.
+    pub expiry: Duration,
+    /// Rate of the account over the whole fleet, in requests per second.
+    pub rate: u32,
+}
+
+impl AccountPlan {
+    /// Splits an account's limits.
+    ///
+    /// The shares are rounded down and add up to at most the limits. A burst of at least 2 is
+    /// needed: a grant in transit always counts against the burst.
+    ///
+    /// ```
+    /// use coriander_core::AccountLimits;
+    /// use coriander_limits::{AccountPlan, LimitPolicy};
+    ///
+    /// let limits = AccountLimits { rate: 600, burst: 600 };
+    /// let owners = ["a".parse()?, "b".parse()?, "c".parse()?];
+    /// let policy = LimitPolicy::default().with_reserve_percent(10, 10);
+    /// let plan = AccountPlan::new(limits, 6, &owners, &policy);
+    /// assert_eq!(plan.shard.rate, 180_000_000);
+    /// assert_eq!(plan.reserve.rate, 10_000_000);
+    /// # Ok::<(), coriander_core::NameError>(())
+    /// ```
+    pub fn new(
+        limits: AccountLimits,
+        fleet_size: usize,
+        owners: &[InstanceId],
+        policy: &LimitPolicy,
+    ) -> Self {
+        let rate = u64::from(limits.rate) * MICROS;
+        let burst = u64::from(limits.burst) * MICROS;
+        let instances = fleet_size.max(1) as u64;
+        let part = |whole: u64, percent: u32| whole / 100 * u64::from(percent) / instances;
+        let mut reserve = BucketShare {
+            rate: part(rate, policy.reserve_rate_percent),
+            capacity: part(burst, policy.reserve_burst_percent),
+        };
+        // A reserve that never holds a whole token would only waste its share.
+        if reserve.capacity < MICROS {
+            reserve = BucketShare::default();
+        }
+        let pool_rate = rate - reserve.rate * instances;
+        let pool_burst = burst - reserve.capacity * instances;
+        let expiry = grant_expiry(pool_rate, pool_burst, policy);
+        let shard = |count: u64| {
+            let rate = pool_rate / count;
+            let outstanding = u128::from(rate) * expiry.as_nanos() / 1_000_000_000;
+            let outstanding = u64::try_from(outstanding).unwrap_or(u64::MAX);
+            BucketShare {
+                rate,
+                capacity: (pool_burst / count).saturating_sub(outstanding.saturating_add(1)),
+            }
+        };
+        let mut count = owners.len().max(1);
+        while count > 1 && shard(count as u64).capacity < LEAST_SHARD_TOKENS * MICROS {
+            count -= 1;
+        }
+        Self {
+            owners: owners.iter().take(count).cloned().collect(),
+            shard: shard(count as u64),
+            reserve,
+            expiry,
+            rate: limits.rate,
+        }
+    }
+}
+
+fn grant_expiry(pool_rate: u64, pool_burst: u64, policy: &LimitPolicy) -> Duration {
+    if pool_rate == 0 {
+        return policy.grant_expiry;
+    }
+    let burst_time = pool_burst as f64 / pool_rate as f64;
+    Duration::from_secs_f64(burst_time / OUTSTANDING_DIVISOR as f64).min(policy.grant_expiry)
+}
+
+/// Plans of all accounts in one configuration.
+#[derive(Clone, Debug, Default)]
+pub struct PlanTable {
+    /// Configuration version of the plans.
+    pub config_version: ConfigVersion,
+    /// Fleet version of the plans.
+    pub fleet_version: FleetVersion,
+    /// Policy from which the plans were made.
+    pub policy: LimitPolicy,
+    fleet: Vec<InstanceId>,
+    accounts: HashMap<AccountName, AccountPlan>,
+}
+
+impl PlanTable {
+    /// Makes the plans of a configuration. `owners` returns the ranked owners of an account.
+    pub fn new(
+        document: &ConfigDocument,
+        fleet_version: FleetVersion,
+        policy: &LimitPolicy,
+        mut owners: impl FnMut(&AccountName) -> SmallVec<[InstanceId; 3]>,
+    ) -> Self {
+        let size = document.fleet.len();
+        let accounts = document.accounts.iter().map(|(account, limits)| {
+            let plan = AccountPlan::new(*limits, size, &owners(account), policy);
+            (account.clone(), plan)
+        });
+        Self {
+            config_version: document.version,
+            fleet_version,
+            policy: policy.clone(),
+            accounts: accounts.collect(),
+            fleet: document.fleet.keys().cloned().collect(),
+        }
+    }
+
+    /// Returns the plan of an account.
+    pub fn get(&self, account: &AccountName) -> Option<&AccountPlan> {
+        self.accounts.get(account)
+    }
+
+    /// Returns all plans.
+    pub fn iter(&self) -> impl Iterator<Item = (&AccountName, &AccountPlan)> {
+        self.accounts.iter()
+    }
+
+    /// Tells whether an instance is in the fleet.
+    pub fn has_instance(&self, instance: &InstanceId) -> bool {
+        self.fleet.binary_search(instance).is_ok()
+    }
+
+    /// Tells whether shares may be kept on the way from `earlier` to these plans.
+    pub fn follows(&self, earlier: &Self) -> bool {
+        self.fleet_version.follows(earlier.fleet_version)
+    }
+}
--- /dev/null
+++ b/crates/coriander_limits/src/bucket_shard.rs
@@ -0,0 +1,131 @@
+//! One owner's part of an account's token bucket.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use coriander_core::{ConfigVersion, MonotonicTime};
+
+use crate::token_bucket::PhasedBucket;
+use crate::{BucketShare, GrantNumber, LimitPolicy, ReturnedTokens};
+
+/// Most grants whose unused tokens can be returned. Later returns of older grants are ignored,
+/// which loses tokens and never creates any.
+const MOST_OUTSTANDING: usize = 64;
+
+#[derive(Clone, Copy, Debug)]
+struct OutstandingGrant {
+    number: GrantNumber,
+    amount: u32,
+    expires: MonotonicTime,
+}
+
+/// Shard of a token bucket at its owner.
+///
+/// Tokens are deducted when they are granted. Spending follows within the expiry, and the
+/// capacity is reduced by rate × expiry, so that spending stays within burst + rate × t.
+#[derive(Clone, Debug)]
+pub struct BucketShard {
+    bucket: PhasedBucket,
+    expiry: Duration,
+    outstanding: VecDeque<OutstandingGrant>,
+}
+
+impl BucketShard {
+    /// Creates an empty shard that grants after the waiting period.
+    pub fn new(
+        share: BucketShare,
+        expiry: Duration,
+        version: ConfigVersion,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            bucket: PhasedBucket::new(share, version, now),
+            expiry,
+            outstanding: VecDeque::new(),
+        }
+    }
+
+    /// Changes the share; a greater one is in force after the waiting period.
+    pub fn set_share(
+        &mut self,
+        share: BucketShare,
+        expiry: Duration,
+        version: ConfigVersion,
+        now: MonotonicTime,
+    ) {
+        self.bucket.set_target(share, version, now);
+        self.expiry = expiry;
+    }
+
+    /// Notes that a version has been accepted, which starts the waiting period.
+    pub fn set_accepted(&mut self, version: ConfigVersion, now: MonotonicTime) {
+        self.bucket.set_accepted(version, now);
+    }
+
+    /// Grants tokens: all wanted ones or a part of the content.
+    pub fn grant(
+        &mut self,
+        wanted: u32,
+        number: GrantNumber,
+        policy: &LimitPolicy,
+        now: MonotonicTime,
+    ) -> u32 {
+        self.bucket.settle(policy.freshness, now);
+        let whole = self.bucket.tokens(now) / crate::token_bucket::MICROS;
+        // One holder must not empty the shard while others are about to ask.
+        let most = (whole * u64::from(policy.grant_share_percent)).div_ceil(100);
+        let most = u32::try_from(most).unwrap_or(u32::MAX);
+        let amount = self.bucket.take(wanted.min(most), now);
+        if amount > 0 {
+            if self.outstanding.len() == MOST_OUTSTANDING {
+                self.outstanding.pop_front();
+            }
+            self.outstanding.push_back(OutstandingGrant {
+                number,
+                amount,
+                expires: now + self.expiry,
+            });
+        }
+        amount
+    }
+
+    /// Takes unused tokens back. Each token of a grant counts once, and only before its expiry.
+    pub fn take_back(&mut self, returned: ReturnedTokens, now: MonotonicTime) {
+        while self.outstanding.front().is_some_and(|g| g.expires <= now) {
+            self.outstanding.pop_front();
+        }
+        let number = returned.grant;
+        let Some(place) = self.outstanding.iter().position(|g| g.number == number) else {
+            return;
+        };
+        if let Some(grant) = self.outstanding.remove(place) {
+            self.bucket.put_back(returned.amount.min(grant.amount), now);
+        }
+    }
+
+    /// Validity of grants.
+    pub fn expiry(&self) -> Duration {
+        self.expiry
+    }
+
+    /// Time until the shard holds a number of tokens, if it ever will.
+    pub fn time_until(&mut self, count: u32, now: MonotonicTime) -> Option<Duration> {
+        self.bucket.time_until(count, now)
+    }
+
+    /// Tells whether the shard may grant; a shard in its waiting period may not.
+    pub fn is_active(&mut self, policy: &LimitPolicy, now: MonotonicTime) -> bool {
+        self.bucket.settle(policy.freshness, now);
+        self.bucket.is_active()
+    }
+
+    /// Returns share and content for a hand-over. The shard must grant nothing afterwards.
+    pub fn content(&mut self, now: MonotonicTime) -> (BucketShare, u64) {
+        (self.bucket.share(), self.bucket.tokens(now))
+    }
+
+    /// Goes on with the content of the previous owner instead of waiting.
+    pub fn take_over(&mut self, share: BucketShare, tokens: u64, now: MonotonicTime) {
+        self.bucket.take_over(share, tokens, now);
+    }
+}
--- /dev/null
+++ b/crates/coriander_limits/src/class_queue.rs
@@ -0,0 +1,161 @@
+//! Waiting requests of one class and role, shared between accounts by deficit round robin.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use coriander_core::{AccountName, KeyDigest, MonotonicTime};
+
+/// Cost that each account may use per round.
+const QUANTUM: u32 = 1;
+
+/// Part of the target, as a divisor, that remains when a class becomes urgent.
+const URGENT_DIVISOR: u32 = 4;
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QueuedEntry {
+    pub ticket: u64,
+    pub key: KeyDigest,
+    pub cost: u32,
+    pub deadline: MonotonicTime,
+}
+
+#[derive(Clone, Debug, Default)]
+struct AccountQueue {
+    entries: VecDeque<QueuedEntry>,
+    deficit: u32,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct ClassQueue {
+    target: Duration,
+    accounts: HashMap<AccountName, AccountQueue>,
+    /// Accounts with waiting requests, the one whose turn it is first.
+    turns: VecDeque<AccountName>,
+    deadlines: BTreeSet<(MonotonicTime, u64)>,
+}
+
+impl ClassQueue {
+    pub fn new(target: Duration) -> Self {
+        Self {
+            target,
+            accounts: HashMap::new(),
+            turns: VecDeque::new(),
+            deadlines: BTreeSet::new(),
+        }
+    }
+
+    pub fn target(&self) -> Duration {
+        self.target
+    }
+
+    pub fn set_target(&mut self, target: Duration) {
+        self.target = target;
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    pub fn account_len(&self, account: &AccountName) -> usize {
+        self.accounts
+            .get(account)
+            .map_or(0, |queue| queue.entries.len())
+    }
+
+    pub fn longest(&self) -> usize {
+        let lengths = self.accounts.values().map(|queue| queue.entries.len());
+        lengths.max().unwrap_or(0)
+    }
+
+    pub fn first_deadline(&self) -> Option<MonotonicTime> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Tells whether the first deadline is near.
+    pub fn is_urgent(&self, now: MonotonicTime) -> bool {
+        let first = self.first_deadline();
+        first.is_some_and(|deadline| deadline.since(now) < self.target / URGENT_DIVISOR)
+    }
+
+    pub fn push(&mut self, account: &AccountName, entry: QueuedEntry) {
+        if !self.accounts.contains_key(account) {
+            self.accounts
+                .insert(account.clone(), AccountQueue::default());
+            self.turns.push_back(account.clone());
+        }
+        if let Some(queue) = self.accounts.get_mut(account) {
+            queue.entries.push_back(entry);
+            self.deadlines.insert((entry.deadline, entry.ticket));
+        }
+    }
+
+    /// Takes the next request by deficit round robin.
+    pub fn pop(&mut self) -> Option<u64> {
+        loop {
+            let account = self.turns.front()?.clone();
+            let queue = self.accounts.get_mut(&account)?;
+            let cost = queue.entries.front()?.cost;
+            if queue.deficit < cost {
+                queue.deficit += QUANTUM;
+                // The turn ends only if the account still cannot pay.
+                if queue.deficit < cost {
+                    self.turns.rotate_left(1);
+                    continue;
+                }
+            }
+            queue.deficit -= cost;
+            let entry = queue.entries.pop_front()?;
+            self.deadlines.remove(&(entry.deadline, entry.ticket));
+            if queue.entries.is_empty() {
+                // An account without waiting requests saves up nothing.
+                self.accounts.remove(&account);
+                self.turns.pop_front();
+            } else {
+                self.turns.rotate_left(1);
+            }
+            return Some(entry.ticket);
+        }
+    }
+
+    pub fn drop_newest_of_longest(&mut self) -> Option<u64> {
+        let queues = self.accounts.iter_mut();
+        let (account, queue) = queues.max_by_key(|(_, queue)| queue.entries.len())?;
+        let entry = queue.entries.pop_back()?;
+        self.deadlines.remove(&(entry.deadline, entry.ticket));
+        if queue.entries.is_empty() {
+            let account = account.clone();
+            self.accounts.remove(&account);
+            self.turns.retain(|other| *other != account);
+        }
+        Some(entry.ticket)
+    }
+
+    /// Removes matching requests and returns their tickets.
+    pub fn remove_where(
+        &mut self,
+        remove: impl Fn(&AccountName, &QueuedEntry) -> bool,
+    ) -> Vec<u64> {
+        let mut removed = Vec::new();
+        for (account, queue) in &mut self.accounts {
+            queue.entries.retain(|entry| {
+                let matches = remove(account, entry);
+                if matches {
+                    removed.push(entry.ticket);
+                    self.deadlines.remove(&(entry.deadline, entry.ticket));
+                }
+                !matches
+            });
+        }
+        self.accounts.retain(|_, queue| !queue.entries.is_empty());
+        self.turns
+            .retain(|account| self.accounts.contains_key(account));
+        removed
+    }
+
+    pub fn into_entries(self) -> impl Iterator<Item = (AccountName, QueuedEntry)> {
+        self.accounts.into_iter().flat_map(|(account, queue)| {
+            let entries = queue.entries.into_iter();
+            entries.map(move |entry| (account.clone(), entry))
+        })
+    }
+}
--- /dev/null
+++ b/crates/coriander_limits/src/grant_holder.rs
@@ -0,0 +1,304 @@
+//! The requester's side: admits requests with tokens granted by owners.
+
+use std::collections::{BTreeSet, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coriander_core::{
+    AccountName, ConfigVersion, ErrorCode, InstanceId, MonotonicTime, RequestError,
+};
+
+use crate::account_grants::{AccountGrants, HolderContext};
+use crate::{PlanTable, TakeTokens, TokenGrant};
+
+/// Retry time of requests for accounts without a plan.
+const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
+
+/// Decision on one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmitDecision {
+    /// A token has been spent; the request may run.
+    Admitted,
+    /// The request waits for tokens. A [`HolderEvent`] with its ticket follows by this time.
+    WaitUntil(MonotonicTime),
+    /// The account has no tokens in time.
+    Refused {
+        /// When a retry makes sense.
+        retry_after: Duration,
+    },
+}
+
+impl AdmitDecision {
+    /// Returns the error for the caller if the request is refused.
+    pub fn error(&self) -> Option<RequestError> {
+        match self {
+            Self::Refused { retry_after } => Some(rate_error(*retry_after)),
+            Self::Admitted | Self::WaitUntil(_) => None,
+        }
+    }
+}
+
+/// Returns the error of a request that exceeds its account's rate.
+pub fn rate_error(retry_after: Duration) -> RequestError {
+    RequestError::not_run(ErrorCode::RateLimited, "account exceeds its rate")
+        .with_retry_after(retry_after)
+}
+
+/// What the holder wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HolderEvent {
+    /// Send a request for tokens; pass the reply to [`GrantHolder::grant_received`].
+    Send {
+        /// Receiver.
+        owner: InstanceId,
+        /// Message; with amount 0 there is no reply to wait for.
+        message: TakeTokens,
+    },
+    /// A waiting request may run.
+    Admitted {
+        /// Ticket of the request.
+        ticket: u64,
+    },
+    /// A waiting request got no token in time.
+    Refused {
+        /// Ticket of the request.
+        ticket: u64,
+        /// When a retry makes sense.
+        retry_after: Duration,
+    },
+}
+
+/// Tokens that one instance holds, of all accounts.
+///
+/// After each call, handle [`GrantHolder::take_events`] and call [`GrantHolder::poll`] at
+/// [`GrantHolder::next_wakeup`].
+///
+/// ```
+/// use coriander_core::{AccountLimits, ConfigDocument, MonotonicTime};
+/// use coriander_limits::{
+///     AdmitDecision, FleetVersion, GrantHolder, HolderEvent, LimitPolicy, PlanTable,
+/// };
+/// use std::sync::Arc;
+///
+/// let mut document = ConfigDocument::default();
+/// document.accounts.insert("harbour".parse()?, AccountLimits { rate: 100, burst: 100 });
+/// let owners = |_: &_| [("i-0".parse()).expect("valid name")].into_iter().collect();
+/// let plans = PlanTable::new(&document, FleetVersion::new(1), &LimitPolicy::default(), owners);
+///
+/// let mut holder = GrantHolder::new("i-1".parse()?);
+/// let now = MonotonicTime::from_millis(10);
+/// holder.apply(&Arc::new(plans), now);
+/// let deadline = MonotonicTime::from_millis(200);
+/// let decision = holder.admit(&"harbour".parse()?, 1, deadline, now);
+/// assert_eq!(decision, AdmitDecision::WaitUntil(deadline));
+/// assert!(matches!(holder.take_events()[..], [HolderEvent::Send { .. }]));
+/// # Ok::<(), coriander_core::NameError>(())
+/// ```
+#[derive(Debug)]
+pub struct GrantHolder {
+    own: InstanceId,
+    plans: Arc<PlanTable>,
+    accounts: HashMap<AccountName, HolderEntry>,
+    wakeups: BTreeSet<(MonotonicTime, AccountName)>,
+    /// Newest accepted version and when this instance learned of it.
+    accepted: Option<(ConfigVersion, MonotonicTime)>,
+    context: HolderContext,
+}
+
+#[derive(Debug)]
+struct HolderEntry {
+    grants: AccountGrants,
+    wakeup: Option<MonotonicTime>,
+}
+
+impl GrantHolder {
+    /// Creates the holder of an instance without plans.
+    pub fn new(own: InstanceId) -> Self {
+        let mut hasher = DefaultHasher::new();
+        own.hash(&mut hasher);
+        let plans: Arc<PlanTable> = Arc::default();
+        Self {
+            own,
+            accounts: HashMap::new(),
+            wakeups: BTreeSet::new(),
+            accepted: None,
+            context: HolderContext {
+                // Truncated, so that adding a small number cannot overflow.
+                own_hash: (hasher.finish() >> 33) as usize,
+                policy: plans.policy.clone(),
+                fleet_version: plans.fleet_version,
+                fresh_until: MonotonicTime::ZERO,
+                links: HashMap::new(),
+                last_number: 0,
+                events: Vec::new(),
+            },
+            plans,
+        }
+    }
+
+    /// Takes over new plans. Waiting requests of accounts that are gone are refused.
+    pub fn apply(&mut self, plans: &Arc<PlanTable>, now: MonotonicTime) {
+        let follows = plans.follows(&self.plans) && self.plans.has_instance(&self.own);
+        self.context.policy = plans.policy.clone();
+        self.context.fleet_version = plans.fleet_version;
+        self.plans = Arc::clone(plans);
+        let events = &mut self.context.events;
+        self.accounts.retain(|account, entry| {
+            let Some(plan) = plans.get(account) else {
+                for ticket in entry.grants.cancel_all() {
+                    let retry_after = UNKNOWN_RETRY;
+                    events.push(HolderEvent::Refused {
+                        ticket,
+                        retry_after,
+                    });
+                }
+                return false;
+            };
+            entry.grants.apply(plan, plans, follows, now);
+            true
+        });
+        let accounts = &self.accounts;
+        self.wakeups
+            .retain(|(_, account)| accounts.contains_key(account));
+    }
+
+    /// Notes that a configuration version has been accepted by the fleet.
+    pub fn set_accepted(&mut self, version: ConfigVersion, now: MonotonicTime) {
+        if self.accepted.is_some_and(|(newest, _)| newest >= version) {
+            return;
+        }
+        self.accepted = Some((version, now));
+        for entry in self.accounts.values_mut() {
+            entry.grants.reserve_mut().set_accepted(version, now);
+        }
+    }
+
+    /// Sets until when the configuration counts as confirmed; the reserve is not used later.
+    pub fn set_fresh_until(&mut self, until: MonotonicTime) {
+        self.context.fresh_until = until;
+    }
+
+    /// Decides on a request. `deadline` bounds the time that it may wait for tokens.
+    pub fn admit(
+        &mut self,
+        account: &AccountName,
+        ticket: u64,
+        deadline: MonotonicTime,
+        now: MonotonicTime,
+    ) -> AdmitDecision {
+        if !self.accounts.contains_key(account) && !self.add_account(account, now) {
+            return AdmitDecision::Refused {
+                retry_after: UNKNOWN_RETRY,
+            };
+        }
+        let decision = self.with_entry(account, now, |grants, context| {
+            grants.admit(ticket, deadline, context, now)
+        });
+        decision.unwrap_or(AdmitDecision::Refused {
+            retry_after: UNKNOWN_RETRY,
+        })
+    }
+
+    /// Takes over an owner's reply.
+    pub fn grant_received(&mut self, owner: &InstanceId, grant: &TokenGrant, now: MonotonicTime) {
+        self.with_entry(&grant.account, now, |grants, context| {
+            grants.grant_received(owner, grant, context, now);
+        });
+    }
+
+    /// Notes that a message to an owner could not be delivered.
+    pub fn take_failed(&mut self, message: &TakeTokens, now: MonotonicTime) {
+        self.with_entry(&message.account, now, |grants, context| {
+            grants.take_failed(message.number, context, now);
+        });
+    }
+
+    /// Forgets a waiting request, for example because its caller has gone.
+    pub fn cancel(&mut self, account: &AccountName, ticket: u64) -> bool {
+        let entry = self.accounts.get_mut(account);
+        entry.is_some_and(|entry| entry.grants.cancel(ticket))
+    }
+
+    /// Forgets all waiting requests of an account and returns their tickets.
+    pub fn cancel_account(&mut self, account: &AccountName) -> Vec<u64> {
+        let entry = self.accounts.get_mut(account);
+        entry.map_or_else(Vec::new, |entry| entry.grants.cancel_all().collect())
+    }
+
+    /// Does what is due by now.
+    pub fn poll(&mut self, now: MonotonicTime) {
+        while let Some((time, account)) = self.wakeups.first().cloned() {
+            if time > now {
+                break;
+            }
+            self.with_entry(&account, now, |grants, context| {
+                grants.refresh(context, now);
+            });
+            // An entry that is due again at once waits for the next poll.
+            if self
+                .wakeups
+                .first()
+                .is_some_and(|first| *first == (time, account))
+            {
+                break;
+            }
+        }
+    }
+
+    /// Returns the time of the next poll.
+    pub fn next_wakeup(&self) -> Option<MonotonicTime> {
+        self.wakeups.first().map(|(time, _)| *time)
+    }
+
+    /// Returns what is to be done since the last call, in order.
+    pub fn take_events(&mut self) -> Vec<HolderEvent> {
+        std::mem::take(&mut self.context.events)
+    }
+
+    /// Returns the number of accounts with state here.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Tells whether no account has state here.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    fn add_account(&mut self, account: &AccountName, now: MonotonicTime) -> bool {
+        let Some(plan) = self.plans.get(account) else {
+            return false;
+        };
+        let mut grants = AccountGrants::new(account, plan, &self.plans, now);
+        if let Some((version, time)) = self.accepted {
+            grants.reserve_mut().set_accepted(version, time);
+        }
+        let wakeup = None;
+        self.accounts
+            .insert(account.clone(), HolderEntry { grants, wakeup });
+        true
+    }
+
+    /// Runs a function on an account's entry and updates the time of its next refresh.
+    fn with_entry<T>(
+        &mut self,
+        account: &AccountName,
+        now: MonotonicTime,
+        function: impl FnOnce(&mut AccountGrants, &mut HolderContext) -> T,
+    ) -> Option<T> {
+        let entry = self.accounts.get_mut(account)?;
+        let result = function(&mut entry.grants, &mut self.context);
+        let wakeup = entry.grants.wakeup(&self.context, now);
+        if wakeup != entry.wakeup {
+            if let Some(time) = entry.wakeup {
+                self.wakeups.remove(&(time, account.clone()));
+            }
+            if let Some(time) = wakeup {
+                self.wakeups.insert((time, account.clone()));
+            }
+            entry.wakeup = wakeup;
+        }
+        Some(result)
+    }
+}
--- a/crates/coriander_limits/src/lib.rs
+++ b/crates/coriander_limits/src/lib.rs
@@ -1,1 +1,72 @@
 //! Token buckets, grants, fair queueing and load shedding.
+//!
+//! The crate does no I/O: time and received messages are passed in, and decisions and messages
+//! to send come out.
+//!
+//! * [`PlanTable`] splits each account's rate and burst between owners and local reserves.
+//! * [`OwnerTable`] holds the shards of an instance and grants tokens.
+//! * [`GrantHolder`] admits requests with granted tokens and asks owners ahead of need.
+//! * [`FairQueue`] orders the waiting requests of a database and sheds what comes too late.
+//! * [`SlotLimiter`] learns how many statements a member runs at a time.
+//!
+//! ```
+//! use coriander_core::{AccountLimits, ConfigDocument, MonotonicTime};
+//! use coriander_limits::{
+//!     AdmitDecision, FleetVersion, GrantHolder, HolderEvent, LimitPolicy, OwnerTable, PlanTable,
+//! };
+//! use std::sync::Arc;
+//!
+//! let mut document = ConfigDocument::default();
+//! document.accounts.insert("harbour".parse()?, AccountLimits { rate: 100, burst: 100 });
+//! let owners = |_: &_| [("i-0".parse()).expect("valid name")].into_iter().collect();
+//! let plans = PlanTable::new(&document, FleetVersion::new(1), &LimitPolicy::default(), owners);
+//! let plans = Arc::new(plans);
+//!
+//! let start = MonotonicTime::ZERO;
+//! let mut owner = OwnerTable::new("i-0".parse()?);
+//! owner.apply(&plans, start);
+//! owner.set_accepted(document.version, start);
+//! owner.set_fresh_until(MonotonicTime::from_millis(60_000));
+//! let mut holder = GrantHolder::new("i-1".parse()?);
+//! holder.apply(&plans, start);
+//!
+//! // The request waits for a grant and is admitted with the reply.
+//! let now = MonotonicTime::from_millis(5_000);
+//! let deadline = MonotonicTime::from_millis(5_200);
+//! let decision = holder.admit(&"harbour".parse()?, 7, deadline, now);
+//! assert_eq!(decision, AdmitDecision::WaitUntil(deadline));
+//! for event in holder.take_events() {
+//!     if let HolderEvent::Send { owner: id, message } = event {
+//!         let grant = owner.take(&message, now);
+//!         holder.grant_received(&id, &grant, now);
+//!     }
+//! }
+//! assert_eq!(holder.take_events(), [HolderEvent::Admitted { ticket: 7 }]);
+//! # Ok::<(), coriander_core::NameError>(())
+//! ```
+
+mod account_grants;
+mod account_plan;
+mod bucket_shard;
+mod class_queue;
+mod fair_queue;
+mod grant_holder;
+mod limit_policy;
+mod owner_link;
+mod owner_table;
+mod rate_estimate;
+mod slot_limiter;
+mod token_bucket;
+mod token_messages;
+
+pub use account_plan::{AccountPlan, FleetVersion, PlanTable};
+pub use bucket_shard::BucketShard;
+pub use fair_queue::{FairQueue, QueueBounds, QueuedRequest, ShedRequest, SlotRole};
+pub use grant_holder::{AdmitDecision, GrantHolder, HolderEvent, rate_error};
+pub use limit_policy::LimitPolicy;
+pub use owner_table::OwnerTable;
+pub use slot_limiter::SlotLimiter;
+pub use token_bucket::BucketShare;
+pub use token_messages::{
+    GrantNumber, HandOver, HandOverReply, ReturnedTokens, TakeTokens, TokenGrant,
+};
--- /dev/null
+++ b/crates/coriander_limits/src/owner_table.rs
@@ -0,0 +1,231 @@
+//! All shards that one instance owns.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coriander_core::{AccountName, ConfigVersion, InstanceId, MonotonicTime};
+
+use crate::{
+    AccountPlan, BucketShard, GrantNumber, HandOver, HandOverReply, PlanTable, TakeTokens,
+    TokenGrant,
+};
+
+/// Retry time in replies of an instance that cannot grant at all now.
+const IDLE_RETRY: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug)]
+struct OwnedShard {
+    shard: BucketShard,
+    /// Owner of the previous fleet version from which a hand-over is accepted, once.
+    predecessor: Option<InstanceId>,
+}
+
+/// Shards of an instance, their grants and hand-overs.
+///
+/// ```
+/// use coriander_core::{AccountLimits, ConfigDocument, FleetMember, MonotonicTime};
+/// use coriander_limits::{FleetVersion, LimitPolicy, OwnerTable, PlanTable, TakeTokens};
+/// use std::sync::Arc;
+///
+/// let (own, account) = ("i-0".parse()?, "harbour".parse()?);
+/// let mut document = ConfigDocument::default();
+/// document.accounts.insert("harbour".parse()?, AccountLimits { rate: 100, burst: 100 });
+/// let owners = |_: &_| [("i-0".parse()).expect("valid name")].into_iter().collect();
+/// let plans = PlanTable::new(&document, FleetVersion::new(1), &LimitPolicy::default(), owners);
+///
+/// let mut table = OwnerTable::new(own);
+/// let start = MonotonicTime::ZERO;
+/// table.apply(&Arc::new(plans), start);
+/// table.set_accepted(document.version, start);
+/// table.set_fresh_until(MonotonicTime::from_millis(10_000));
+/// let take = TakeTokens {
+///     account,
+///     fleet_version: FleetVersion::new(1),
+///     number: 1,
+///     amount: 5,
+///     returned: Default::default(),
+/// };
+/// // Nothing is granted before the freshness period has passed; then the shard fills.
+/// assert_eq!(table.take(&take, MonotonicTime::from_millis(1_999)).amount, 0);
+/// assert_eq!(table.take(&take, MonotonicTime::from_millis(2_000)).amount, 0);
+/// assert_eq!(table.take(&take, MonotonicTime::from_millis(2_500)).amount, 5);
+/// # Ok::<(), coriander_core::NameError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct OwnerTable {
+    own: InstanceId,
+    plans: Arc<PlanTable>,
+    shards: HashMap<AccountName, OwnedShard>,
+    fresh_until: MonotonicTime,
+    last_grant: u64,
+}
+
+impl OwnerTable {
+    /// Creates the table of an instance that owns nothing yet.
+    pub fn new(own: InstanceId) -> Self {
+        Self {
+            own,
+            plans: Arc::default(),
+            shards: HashMap::new(),
+            fresh_until: MonotonicTime::ZERO,
+            last_grant: 0,
+        }
+    }
+
+    /// Takes over new plans and returns the shards to hand over with their next owners.
+    ///
+    /// A shard is kept if this instance owned it in the directly preceding fleet version with
+    /// the same number of owners. Any other shard starts empty and waits.
+    pub fn apply(
+        &mut self,
+        plans: &Arc<PlanTable>,
+        now: MonotonicTime,
+    ) -> Vec<(InstanceId, HandOver)> {
+        let old_plans = std::mem::replace(&mut self.plans, Arc::clone(plans));
+        let mut old_shards = std::mem::take(&mut self.shards);
+        let follows = plans.follows(&old_plans);
+        let mut hand_overs = Vec::new();
+        for (account, plan) in plans.iter() {
+            let old_plan = old_plans
+                .get(account)
+                .filter(|old| follows && same_count(old, plan));
+            let old_shard = old_shards.remove(account).filter(|_| old_plan.is_some());
+            if plan.owners.contains(&self.own) {
+                let owned = self.next_shard(old_shard, old_plan, plan, now);
+                self.shards.insert(account.clone(), owned);
+            } else if let (Some(mut owned), Some(old_plan)) = (old_shard, old_plan) {
+                // A shard in its waiting period is not handed over: its previous owner may
+                // still grant.
+                if owned.shard.is_active(&plans.policy, now)
+                    && let Some(next) = successor(&self.own, old_plan, plan)
+                {
+                    let (share, tokens) = owned.shard.content(now);
+                    let hand_over = HandOver {
+                        account: account.clone(),
+                        fleet_version: plans.fleet_version,
+                        share,
+                        tokens,
+                    };
+                    hand_overs.push((next, hand_over));
+                }
+            }
+        }
+        hand_overs
+    }
+
+    /// Notes that a configuration version has been accepted by the fleet.
+    pub fn set_accepted(&mut self, version: ConfigVersion, now: MonotonicTime) {
+        for owned in self.shards.values_mut() {
+            owned.shard.set_accepted(version, now);
+        }
+    }
+
+    /// Sets until when the configuration counts as confirmed; no grants are made later.
+    pub fn set_fresh_until(&mut self, until: MonotonicTime) {
+        self.fresh_until = until;
+    }
+
+    /// Serves a request for tokens. A message with amount 0 needs no reply.
+    pub fn take(&mut self, request: &TakeTokens, now: MonotonicTime) -> TokenGrant {
+        let mut reply = TokenGrant {
+            account: request.account.clone(),
+            number: request.number,
+            grant: GrantNumber::default(),
+            amount: 0,
+            expiry: Duration::ZERO,
+            retry_after: IDLE_RETRY,
+        };
+        if now >= self.fresh_until {
+            return reply;
+        }
+        let Some(owned) = self.shards.get_mut(&request.account) else {
+            return reply;
+        };
+        for returned in &request.returned {
+            owned.shard.take_back(*returned, now);
+        }
+        if request.amount > 0 {
+            self.last_grant += 1;
+            let policy = &self.plans.policy;
+            reply.grant = GrantNumber(self.last_grant);
+            reply.amount = owned.shard.grant(request.amount, reply.grant, policy, now);
+            reply.expiry = owned.shard.expiry();
+            let missing = request.amount - reply.amount;
+            reply.retry_after = retry_time(&mut owned.shard, missing, now);
+        }
+        reply
+    }
+
+    /// Takes over the shard of the previous owner, at most once.
+    pub fn hand_over(
+        &mut self,
+        from: &InstanceId,
+        hand_over: &HandOver,
+        now: MonotonicTime,
+    ) -> HandOverReply {
+        if hand_over.fleet_version > self.plans.fleet_version {
+            return HandOverReply::NotYet;
+        }
+        let Some(owned) = self.shards.get_mut(&hand_over.account) else {
+            return HandOverReply::Ignored;
+        };
+        let expected = hand_over.fleet_version == self.plans.fleet_version
+            && owned.predecessor.as_ref() == Some(from);
+        if !expected || owned.shard.is_active(&self.plans.policy, now) {
+            return HandOverReply::Ignored;
+        }
+        owned.predecessor = None;
+        owned
+            .shard
+            .take_over(hand_over.share, hand_over.tokens, now);
+        HandOverReply::Done
+    }
+
+    /// Returns the number of shards.
+    pub fn len(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// Tells whether the instance owns no shards.
+    pub fn is_empty(&self) -> bool {
+        self.shards.is_empty()
+    }
+
+    fn next_shard(
+        &self,
+        old_shard: Option<OwnedShard>,
+        old_plan: Option<&AccountPlan>,
+        plan: &AccountPlan,
+        now: MonotonicTime,
+    ) -> OwnedShard {
+        let version = self.plans.config_version;
+        if let Some(mut owned) = old_shard {
+            owned.shard.set_share(plan.shard, plan.expiry, version, now);
+            return owned;
+        }
+        OwnedShard {
+            shard: BucketShard::new(plan.shard, plan.expiry, version, now),
+            predecessor: old_plan.and_then(|old| successor(&self.own, plan, old)),
+        }
+    }
+}
+
+fn same_count(old: &AccountPlan, new: &AccountPlan) -> bool {
+    old.owners.len() == new.owners.len()
+}
+
+/// Pairs the owners that only `from` has with those that only `to` has, in rank order, and
+/// returns the partner of `own`. Both sides of a hand-over come to the same pairs.
+fn successor(own: &InstanceId, from: &AccountPlan, to: &AccountPlan) -> Option<InstanceId> {
+    let mut leaving = from.owners.iter().filter(|id| !to.owners.contains(id));
+    let mut joining = to.owners.iter().filter(|id| !from.owners.contains(id));
+    let place = leaving.position(|id| id == own)?;
+    joining.nth(place).cloned()
+}
+
+fn retry_time(shard: &mut BucketShard, missing: u32, now: MonotonicTime) -> Duration {
+    let wait = shard.time_until(missing.max(1), now);
+    let next = wait.or_else(|| shard.time_until(1, now));
+    next.unwrap_or(IDLE_RETRY).min(IDLE_RETRY)
+}
--- /dev/null
+++ b/crates/coriander_limits/src/slot_limiter.rs
@@ -0,0 +1,145 @@
+//! Concurrent statements per member, learned from its refusals.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use coriander_core::{MemberId, MonotonicTime};
+
+/// Time without a refusal after which a lowered limit is raised by one slot.
+const RAISE_AFTER: Duration = Duration::from_secs(5);
+
+/// Longest such time. It doubles when the raised limit is refused at once, so that a stable
+/// limit is not tested all the time.
+const LONGEST_RAISE: Duration = Duration::from_secs(300);
+
+#[derive(Clone, Debug)]
+struct MemberSlots {
+    in_use: u32,
+    limit: u32,
+    /// Limit from the settings, which is never exceeded.
+    ceiling: u32,
+    changed: MonotonicTime,
+    raise_after: Duration,
+    /// Whether the last change of the limit was upwards.
+    raised: bool,
+}
+
+/// Slots of the members of one database.
+///
+/// ```
+/// use coriander_core::MonotonicTime;
+/// use coriander_limits::SlotLimiter;
+///
+/// let mut slots = SlotLimiter::new(3);
+/// let member = "a".parse()?;
+/// let now = MonotonicTime::from_millis(10);
+/// assert!(slots.acquire(&member, now) && slots.acquire(&member, now));
+/// // The member had room for one statement only.
+/// slots.refused(&member, now);
+/// assert_eq!(slots.limit(&member), 1);
+/// assert!(!slots.acquire(&member, now));
+/// # Ok::<(), coriander_core::NameError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct SlotLimiter {
+    default_limit: u32,
+    members: HashMap<MemberId, MemberSlots>,
+}
+
+impl SlotLimiter {
+    /// Creates a limiter with the slots per member from the settings.
+    pub fn new(default_limit: u32) -> Self {
+        Self {
+            default_limit: default_limit.max(1),
+            members: HashMap::new(),
+        }
+    }
+
+    /// Sets the slots of one member from the settings.
+    pub fn set_ceiling(&mut self, member: &MemberId, slots: u32, now: MonotonicTime) {
+        let entry = self.entry(member, now);
+        entry.ceiling = slots.max(1);
+        entry.limit = entry.ceiling;
+    }
+
+    /// Returns the number of free slots of a member.
+    pub fn free(&mut self, member: &MemberId, now: MonotonicTime) -> u32 {
+        let entry = self.entry(member, now);
+        entry.raise(now);
+        entry.limit.saturating_sub(entry.in_use)
+    }
+
+    /// Takes a slot if one is free.
+    pub fn acquire(&mut self, member: &MemberId, now: MonotonicTime) -> bool {
+        let free = self.free(member, now) > 0;
+        if free {
+            self.entry(member, now).in_use += 1;
+        }
+        free
+    }
+
+    /// Frees a slot after its statement has ended.
+    pub fn release(&mut self, member: &MemberId) {
+        if let Some(entry) = self.members.get_mut(member) {
+            entry.in_use = entry.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Frees a slot after the member refused its statement because too many were running.
+    pub fn refused(&mut self, member: &MemberId, now: MonotonicTime) {
+        let entry = self.entry(member, now);
+        entry.in_use = entry.in_use.saturating_sub(1);
+        // The others that are in use have been accepted. Refusals of statements sent together
+        // come one after the other and must not lower the limit below what is running.
+        entry.limit = entry.limit.min(entry.in_use.max(1));
+        if entry.raised {
+            entry.raise_after = (entry.raise_after * 2).min(LONGEST_RAISE);
+        }
+        entry.raised = false;
+        entry.changed = now;
+    }
+
+    /// Returns the slots that a member is taken to have.
+    pub fn limit(&self, member: &MemberId) -> u32 {
+        self.members
+            .get(member)
+            .map_or(self.default_limit, |entry| entry.limit)
+    }
+
+    /// Returns the number of slots in use.
+    pub fn in_use(&self, member: &MemberId) -> u32 {
+        self.members.get(member).map_or(0, |entry| entry.in_use)
+    }
+
+    /// Forgets a member that has left.
+    pub fn remove(&mut self, member: &MemberId) {
+        self.members.remove(member);
+    }
+
+    fn entry(&mut self, member: &MemberId, now: MonotonicTime) -> &mut MemberSlots {
+        let limit = self.default_limit;
+        let entry = self.members.entry(member.clone());
+        entry.or_insert_with(|| MemberSlots {
+            in_use: 0,
+            limit,
+            ceiling: limit,
+            changed: now,
+            raise_after: RAISE_AFTER,
+            raised: false,
+        })
+    }
+}
+
+impl MemberSlots {
+    fn raise(&mut self, now: MonotonicTime) {
+        if self.limit < self.ceiling && now.since(self.changed) >= self.raise_after {
+            if self.raised {
+                // The raise before was not refused.
+                self.raise_after = RAISE_AFTER;
+            }
+            self.limit += 1;
+            self.changed = now;
+            self.raised = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_limits/src/token_bucket.rs
@@ -0,0 +1,160 @@
+//! A token bucket and its change from one share to another.
+
+use std::time::Duration;
+
+use coriander_core::{ConfigVersion, MonotonicTime};
+use serde::{Deserialize, Serialize};
+
+/// Parts of a token in which buckets count.
+pub(crate) const MICROS: u64 = 1_000_000;
+
+/// Rate and capacity of one bucket in millionths of a token.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BucketShare {
+    /// Millionths of a token per second.
+    pub rate: u64,
+    /// Greatest content in millionths of a token.
+    pub capacity: u64,
+}
+
+impl BucketShare {
+    /// Returns the smaller rate and the smaller capacity of two shares.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            capacity: self.capacity.min(other.capacity),
+        }
+    }
+}
+
+/// A bucket whose share may shrink at once but grows only after a waiting period.
+///
+/// Until the period has passed since the new version was accepted, instances of the old version
+/// may spend the part that this bucket is to gain.
+#[derive(Clone, Debug)]
+pub(crate) struct PhasedBucket {
+    tokens: u64,
+    refilled: MonotonicTime,
+    usable: BucketShare,
+    target: BucketShare,
+    /// Version that set the target.
+    version: ConfigVersion,
+    /// Start of the waiting period, once the version is accepted.
+    accepted: Option<MonotonicTime>,
+}
+
+impl PhasedBucket {
+    /// Creates an empty bucket that grows to `target` after the waiting period.
+    pub fn new(target: BucketShare, version: ConfigVersion, now: MonotonicTime) -> Self {
+        Self {
+            tokens: 0,
+            refilled: now,
+            usable: BucketShare::default(),
+            target,
+            version,
+            accepted: None,
+        }
+    }
+
+    /// Sets a new target. A smaller share is in force at once.
+    pub fn set_target(&mut self, target: BucketShare, version: ConfigVersion, now: MonotonicTime) {
+        if target != self.target {
+            self.target = target;
+            self.version = version;
+            self.accepted = None;
+        }
+        self.change_share(self.usable.min(target), now);
+    }
+
+    /// Starts the waiting period if the target's version is accepted.
+    pub fn set_accepted(&mut self, version: ConfigVersion, now: MonotonicTime) {
+        if version >= self.version {
+            self.accepted.get_or_insert(now);
+        }
+    }
+
+    /// Puts the target in force if the waiting period has passed.
+    pub fn settle(&mut self, freshness: Duration, now: MonotonicTime) {
+        if self.usable == self.target {
+            return;
+        }
+        let ready = self.accepted.map(|start| start + freshness);
+        if let Some(ready) = ready.filter(|ready| *ready <= now) {
+            self.change_share(self.target, ready);
+        }
+    }
+
+    /// Takes over the content and share of the bucket that this one replaces.
+    pub fn take_over(&mut self, share: BucketShare, tokens: u64, now: MonotonicTime) {
+        self.usable = share.min(self.target);
+        self.tokens = tokens.min(self.usable.capacity);
+        self.refilled = now;
+    }
+
+    /// Tells whether the bucket has any share in force.
+    pub fn is_active(&self) -> bool {
+        self.usable.rate > 0 || self.usable.capacity > 0
+    }
+
+    pub fn share(&self) -> BucketShare {
+        self.usable
+    }
+
+    pub fn tokens(&mut self, now: MonotonicTime) -> u64 {
+        self.refill(now);
+        self.tokens
+    }
+
+    pub fn is_full(&mut self, now: MonotonicTime) -> bool {
+        self.tokens(now) >= self.usable.capacity
+    }
+
+    /// Takes whole tokens, at most `wanted`.
+    pub fn take(&mut self, wanted: u32, now: MonotonicTime) -> u32 {
+        let available = u32::try_from(self.tokens(now) / MICROS).unwrap_or(u32::MAX);
+        let taken = wanted.min(available);
+        self.tokens -= u64::from(taken) * MICROS;
+        taken
+    }
+
+    /// Puts whole tokens back that were taken and not spent.
+    pub fn put_back(&mut self, count: u32, now: MonotonicTime) {
+        let tokens = self.tokens(now) + u64::from(count) * MICROS;
+        self.tokens = tokens.min(self.usable.capacity);
+    }
+
+    /// Time until the bucket holds `count` whole tokens, if it ever will.
+    pub fn time_until(&mut self, count: u32, now: MonotonicTime) -> Option<Duration> {
+        let wanted = u64::from(count) * MICROS;
+        let missing = wanted.saturating_sub(self.tokens(now));
+        if missing == 0 {
+            return Some(Duration::ZERO);
+        }
+        if self.usable.rate == 0 || wanted > self.usable.capacity {
+            return None;
+        }
+        Some(Duration::from_secs_f64(
+            missing as f64 / self.usable.rate as f64,
+        ))
+    }
+
+    fn change_share(&mut self, share: BucketShare, now: MonotonicTime) {
+        self.refill(now);
+        // Time before the change must not count at the new rate.
+        self.refilled = self.refilled.max(now);
+        self.usable = share;
+        self.tokens = self.tokens.min(share.capacity);
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let nanos = now.since(self.refilled).as_nanos();
+        // Rounded down, so that frequent calls never add more than the rate.
+        let added = nanos * u128::from(self.usable.rate) / 1_000_000_000;
+        let added = u64::try_from(added).unwrap_or(u64::MAX);
+        if added > 0 {
+            self.tokens = self.tokens.saturating_add(added).min(self.usable.capacity);
+            self.refilled = now;
+        }
+    }
+}
