Classify statements, pipelines and batches

Change: StatementKind proves a read with the parser, a list of known functions and a search for write keywords that does not depend on the grammar. A leading semicolon, byte order mark or comment does not hide transaction control.

--- /dev/null
+++ b/crates/coriander_routing/src/request_kind.rs
@@ -0,0 +1,153 @@
+//! Classification of whole Hrana pipelines and batches.
+
+use libsql_hrana::proto::{Batch, Stmt, StreamRequest};
+
+use crate::script::split_script;
+use crate::{StatementCache, StatementKind};
+
+/// How a request must be executed.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum RequestKind {
+    /// Every statement is a proven read.
+    ReadOnly,
+    /// Some statement is not a proven read, and none controls a transaction.
+    AutocommitWrite,
+    /// Some statement controls a transaction, so the request needs its own stream.
+    Transaction,
+}
+
+/// Classification of a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct RequestClass {
+    /// How the request must be executed.
+    pub kind: RequestKind,
+    /// Whether a transaction may still be open after the request; only a `get_autocommit` on the
+    /// stream tells for certain.
+    pub may_stay_open: bool,
+}
+
+impl RequestClass {
+    const READ: Self = Self {
+        kind: RequestKind::ReadOnly,
+        may_stay_open: false,
+    };
+
+    fn add(&mut self, kind: StatementKind) {
+        let needed = match kind {
+            StatementKind::Read => RequestKind::ReadOnly,
+            StatementKind::Change | StatementKind::Write => RequestKind::AutocommitWrite,
+            _ => RequestKind::Transaction,
+        };
+        self.kind = self.kind.max(needed);
+        match kind {
+            StatementKind::Begin | StatementKind::Savepoint => self.may_stay_open = true,
+            StatementKind::End => self.may_stay_open = false,
+            _ => {}
+        }
+    }
+
+    /// Classifies the requests of a pipeline that starts a new stream.
+    ///
+    /// A request on a stream with an open transaction belongs to that transaction, whatever its
+    /// statements are, and needs no classification.
+    ///
+    /// ```
+    /// use coriander_routing::{RequestClass, RequestKind, StatementCache};
+    /// use libsql_hrana::proto::PipelineReqBody;
+    ///
+    /// let body = r#"{"baton": null, "requests": [
+    ///     {"type": "execute", "stmt": {"sql": "SELECT 1"}},
+    ///     {"type": "close"}
+    /// ]}"#;
+    /// let pipeline: PipelineReqBody = serde_json::from_str(body)?;
+    /// let mut cache = StatementCache::default();
+    /// let class = RequestClass::of_requests(&pipeline.requests, &mut cache);
+    /// assert_eq!(class.kind, RequestKind::ReadOnly);
+    /// # Ok::<(), serde_json::Error>(())
+    /// ```
+    pub fn of_requests(requests: &[StreamRequest], cache: &mut StatementCache) -> Self {
+        let mut class = Self::READ;
+        for (index, request) in requests.iter().enumerate() {
+            let stored = &requests[..index];
+            match request {
+                StreamRequest::Execute(execute) => {
+                    class.add(classify_statement(&execute.stmt, stored, cache));
+                }
+                StreamRequest::Batch(batch) => class.add_batch(&batch.batch, stored, cache),
+                StreamRequest::Sequence(sequence) => {
+                    let sql = find_sql(sequence.sql.as_deref(), sequence.sql_id, stored);
+                    class.add_script(sql, cache);
+                }
+                StreamRequest::Close(_)
+                | StreamRequest::Describe(_)
+                | StreamRequest::StoreSql(_)
+                | StreamRequest::CloseSql(_)
+                | StreamRequest::GetAutocommit(_) => {}
+                StreamRequest::None => class.add(StatementKind::Write),
+            }
+        }
+        class
+    }
+
+    /// Classifies a batch, as sent to the cursor endpoint.
+    pub fn of_batch(batch: &Batch, cache: &mut StatementCache) -> Self {
+        let mut class = Self::READ;
+        class.add_batch(batch, &[], cache);
+        class
+    }
+
+    fn add_batch(&mut self, batch: &Batch, stored: &[StreamRequest], cache: &mut StatementCache) {
+        let mut opened = false;
+        for step in &batch.steps {
+            let kind = classify_statement(&step.stmt, stored, cache);
+            opened |= kind == StatementKind::Begin;
+            self.add(kind);
+            // A conditional COMMIT or ROLLBACK does not prove that the transaction has ended.
+            if kind == StatementKind::End && step.condition.is_some() {
+                self.may_stay_open = opened;
+            }
+        }
+    }
+
+    fn add_script(&mut self, sql: Option<&str>, cache: &mut StatementCache) {
+        let Some(sql) = sql else {
+            return self.add(StatementKind::Write);
+        };
+        match split_script(sql) {
+            Some(statements) => {
+                for statement in statements {
+                    self.add(cache.classify(statement));
+                }
+            }
+            // A script that cannot be split may control a transaction.
+            None => self.add(StatementKind::Begin),
+        }
+    }
+}
+
+fn classify_statement(
+    statement: &Stmt,
+    stored: &[StreamRequest],
+    cache: &mut StatementCache,
+) -> StatementKind {
+    match find_sql(statement.sql.as_deref(), statement.sql_id, stored) {
+        Some(sql) => cache.classify(sql),
+        None => StatementKind::Write,
+    }
+}
+
+/// Finds the text of a statement, which may have been stored earlier in the same pipeline.
+pub(crate) fn find_sql<'a>(
+    sql: Option<&'a str>,
+    sql_id: Option<i32>,
+    stored: &'a [StreamRequest],
+) -> Option<&'a str> {
+    if sql.is_some() {
+        return sql;
+    }
+    let id = sql_id?;
+    stored.iter().rev().find_map(|request| match request {
+        StreamRequest::StoreSql(store) if store.sql_id == id => Some(&*store.sql),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/coriander_routing/tests/classification.rs
@@ -0,0 +1,239 @@
+//! Statements and requests that must not be taken for reads, and those that should be.
+
+use coriander_routing::{RequestClass, RequestKind, StatementCache, StatementKind};
+use libsql_hrana::proto::{Batch, BatchCond, BatchStep, PipelineReqBody, Stmt};
+use proptest::prelude::*;
+
+/// Guards against losing replica reads to an over-careful proof.
+#[test]
+fn classify_proven_reads() {
+    for sql in [
+        "SELECT * FROM orders WHERE id = ?1",
+        "select count(*), max(weight) from entries e left join sites s on s.id = e.site",
+        "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 9) SELECT i FROM n",
+        "-- comment\n/* another */ SELECT replace(name, 'a', 'b') FROM t;",
+        "VALUES (1), (2)",
+        "SELECT j.value FROM t, json_each(t.body) AS j WHERE t.a = :a AND t.b = @b AND t.c = $c",
+        "SELECT CASE WHEN a > 1 THEN 'x' ELSE 'y' END FROM t ORDER BY a LIMIT 5 OFFSET ?",
+        "SELECT sum(w) OVER (PARTITION BY site ORDER BY day) FROM entries",
+        "SELECT * FROM (SELECT a FROM t UNION SELECT b FROM u) WHERE a IN (SELECT c FROM v)",
+        "EXPLAIN QUERY PLAN SELECT * FROM orders",
+        "PRAGMA table_info('orders')",
+    ] {
+        assert_eq!(StatementKind::of(sql), StatementKind::Read, "{sql}");
+    }
+}
+
+/// Guards against a write or connection-dependent statement being sent to a replica.
+#[test]
+fn classify_hidden_writes() {
+    for sql in [
+        "",
+        "INSERT INTO t VALUES (1) RETURNING id",
+        "REPLACE INTO t VALUES (1)",
+        "WITH a AS (SELECT 1) INSERT INTO t SELECT * FROM a",
+        "WITH a AS (DELETE FROM t RETURNING id) SELECT * FROM a",
+        "SELECT 1; DELETE FROM t",
+        "SELECT 1;;\nUPDATE t SET a = 1",
+        "SELECT 'a\\'; DELETE FROM t; --'",
+        "SELECT /* /* */ 1; DELETE FROM t; -- */",
+        "SELECT 1 -- \r; DELETE FROM t",
+        "SELECT \"a\"; DROP TABLE t",
+        "SELECT load_extension('x')",
+        "SELECT Writefile('a', 'b')",
+        "SELECT a FROM t WHERE b = (SELECT edit(c) FROM u)",
+        "SELECT * FROM t ORDER BY load_extension('x')",
+        "SELECT * FROM json_each(load_extension('x'))",
+        "SELECT unknown_function(1)",
+        "SELECT main.abs(1)",
+        "SELECT last_insert_rowid()",
+        "SELECT changes(), total_changes()",
+        "SELECT * FROM pragma_journal_mode('wal')",
+        "SELECT * FROM unknown_table_function(1)",
+        "SELECT * INTO t FROM u",
+        "PRAGMA journal_mode = WAL",
+        "PRAGMA journal_mode(WAL)",
+        "PRAGMA user_version = 4",
+        "PRAGMA table_info(t); DELETE FROM t",
+        "PRAGMA wal_checkpoint",
+        "ATTACH 'x.db' AS x",
+        "DETACH x",
+        "VACUUM INTO 'copy.db'",
+        "EXPLAIN DELETE FROM t",
+        "CREATE TABLE t (a)",
+        "\u{feff}DELETE FROM t",
+    ] {
+        assert_ne!(StatementKind::of(sql), StatementKind::Read, "{sql}");
+    }
+}
+
+/// Guards against transaction control inside a request that is run in the log's transaction.
+#[test]
+fn classify_control() {
+    for (sql, kind) in [
+        ("BEGIN IMMEDIATE", StatementKind::Begin),
+        ("savepoint a", StatementKind::Begin),
+        ("SAVEPOINT \"a;b\"", StatementKind::Begin),
+        ("/* SELECT */ COMMIT", StatementKind::End),
+        (";COMMIT", StatementKind::End),
+        ("\u{feff}/* SELECT */ COMMIT", StatementKind::End),
+        ("-- x\n;; end transaction;", StatementKind::End),
+        ("ROLLBACK", StatementKind::End),
+        (
+            "ROLLBACK TRANSACTION TO SAVEPOINT a",
+            StatementKind::Savepoint,
+        ),
+        ("RELEASE a", StatementKind::Savepoint),
+        ("DELETE FROM t; COMMIT", StatementKind::End),
+        ("SELECT 1; COMMIT; BEGIN", StatementKind::Begin),
+    ] {
+        assert_eq!(StatementKind::of(sql), kind, "{sql}");
+    }
+}
+
+/// Guards against rows or connection counters being lost by the path that stores counters only.
+#[test]
+fn classify_plain_changes() {
+    let change = StatementKind::Change;
+    assert_eq!(StatementKind::of("INSERT INTO t VALUES ('a;b')"), change);
+    assert_eq!(StatementKind::of("UPDATE t SET a = ? WHERE b = ?;"), change);
+    for sql in [
+        "DELETE FROM t RETURNING a",
+        "INSERT INTO u VALUES (last_insert_rowid())",
+        "DELETE FROM t; DELETE FROM u",
+    ] {
+        assert_eq!(StatementKind::of(sql), StatementKind::Write, "{sql}");
+    }
+}
+
+fn class_of(requests: &str) -> RequestClass {
+    let body = format!(r#"{{"baton": null, "requests": [{requests}]}}"#);
+    let pipeline: PipelineReqBody = serde_json::from_str(&body).expect("valid pipeline");
+    RequestClass::of_requests(&pipeline.requests, &mut StatementCache::default())
+}
+
+/// Guards against one write among reads, stored texts and scripts being overlooked.
+#[test]
+fn classify_pipelines() {
+    use RequestKind::{AutocommitWrite, ReadOnly, Transaction};
+    let read = r#"{"type":"execute","stmt":{"sql":"SELECT 1"}}"#;
+    for (requests, kind, may_stay_open) in [
+        (r#"{"type":"close"}"#, ReadOnly, false),
+        (
+            r#"{"type":"sequence","sql":"SELECT 1; SELECT ';'"}"#,
+            ReadOnly,
+            false,
+        ),
+        (
+            r#"{"type":"sequence","sql":"SELECT 1; DELETE FROM t"}"#,
+            AutocommitWrite,
+            false,
+        ),
+        (
+            r#"{"type":"sequence","sql":"SELECT 1; BEGIN"}"#,
+            Transaction,
+            true,
+        ),
+        (
+            r#"{"type":"sequence","sql":"SELECT 'open"}"#,
+            Transaction,
+            true,
+        ),
+        (
+            r#"{"type":"execute","stmt":{"sql_id":1}}"#,
+            AutocommitWrite,
+            false,
+        ),
+        (
+            r#"{"type":"store_sql","sql_id":1,"sql":"SELECT 1"},{"type":"execute","stmt":{"sql_id":1}}"#,
+            ReadOnly,
+            false,
+        ),
+        (
+            r#"{"type":"store_sql","sql_id":1,"sql":"SELECT 1"},{"type":"store_sql","sql_id":1,"sql":"DROP TABLE t"},{"type":"execute","stmt":{"sql_id":1}}"#,
+            AutocommitWrite,
+            false,
+        ),
+    ] {
+        let class = class_of(requests);
+        assert_eq!(
+            (class.kind, class.may_stay_open),
+            (kind, may_stay_open),
+            "{requests}"
+        );
+        let class = class_of(&format!("{read},{requests},{read}"));
+        assert_eq!(class.kind, kind, "among reads: {requests}");
+    }
+}
+
+/// Guards against releasing a stream whose conditional COMMIT may not have run.
+#[test]
+fn classify_transactional_batch() {
+    let mut cache = StatementCache::default();
+    let mut batch = Batch::transactional([Stmt::new("DELETE FROM t", false)]);
+    let class = RequestClass::of_batch(&batch, &mut cache);
+    assert_eq!(class.kind, RequestKind::Transaction);
+    assert!(class.may_stay_open);
+    batch.steps = vec![BatchStep {
+        condition: Some(BatchCond::Ok { step: 0 }),
+        stmt: Stmt::new("SELECT 1", true),
+    }];
+    let class = RequestClass::of_batch(&batch, &mut cache);
+    assert_eq!(class.kind, RequestKind::ReadOnly);
+}
+
+/// Guards against unbounded growth of the cache and a wrong answer after eviction.
+#[test]
+fn statement_cache_bounded() {
+    let mut cache = StatementCache::default();
+    for round in 0..20_000 {
+        let sql = format!("SELECT {round}");
+        assert_eq!(cache.classify(&sql), StatementKind::Read);
+        assert_eq!(cache.classify("DELETE FROM t"), StatementKind::Change);
+        assert!(cache.len() <= 4096);
+    }
+    assert_eq!(cache.misses(), 20_001, "a text in regular use stays cached");
+}
+
+/// Guards against exhausting the stack with a deeply nested or very long text.
+#[test]
+fn classify_deep_texts() {
+    for (part, count) in [
+        ("1+", 4090),
+        ("(", 8000),
+        ("SELECT (", 1000),
+        ("NOT ", 2000),
+        ("a,", 9999),
+    ] {
+        let sql = format!("SELECT {}1", part.repeat(count));
+        let _ = StatementKind::of(&sql);
+    }
+}
+
+proptest! {
+    /// Guards against panics on arbitrary texts.
+    #[test]
+    fn classify_arbitrary_text(sql in "\\PC{0,200}", prefix in prop::sample::select(vec!["", "SELECT ", "WITH ", "PRAGMA ", ";/*", "BEGIN;"])) {
+        let _ = StatementKind::of(&format!("{prefix}{sql}"));
+    }
+
+    /// Guards against SQLite executing a write where the parser proved a read.
+    #[test]
+    fn classify_agrees_with_sqlite(pieces in prop::collection::vec(prop::sample::select(vec![
+        "SELECT ", "1 ", "a ", "FROM t ", ";", "'", "\"", "--", "\n", "\r", "/*", "*/", "DELETE FROM t ",
+        "INSERT INTO t VALUES (1) ", "WITH x AS (", ")", "\\", "[", "]", "`", "RETURNING a ", "UNION ", "$$",
+        "E'", "x'", "#", "\u{a0}", "\u{feff}", ",", "REPLACE ", "PRAGMA user_version=3 ",
+    ]), 1..12)) {
+        let sql = pieces.concat();
+        if StatementKind::of(&sql) == StatementKind::Read {
+            let connection = rusqlite::Connection::open_in_memory().expect("in-memory database");
+            connection.execute_batch("CREATE TABLE t (a); INSERT INTO t VALUES (7)").expect("schema");
+            // A text that SQLite rejects changes nothing; one that it runs must not change data.
+            let _ = connection.execute_batch(&sql);
+            let total: i64 = connection
+                .query_row("SELECT (SELECT count(*) FROM t) + 10 * user_version FROM pragma_user_version", [], |row| row.get(0))
+                .expect("query");
+            prop_assert_eq!(total, 1, "{}", sql);
+        }
+    }
+}
