Align stand-in member with the upstream client

Cause: the upstream client recognizes a refusal by the header x-outcome and reads refused fence calls as a normal reply; the member answered them with 409. Change: refusals carry x-outcome, x-group-term and x-log-position; control calls answer 200 with accepted=false; messages are the types of coriander_core; the code for another term is TERM_CHANGED. Before: a refused fence was read as a failed call. After: it parses as a reply. Conclusion: both sides use one set of message types.

--- a/crates/coriander_standin/src/member/group_service.rs
+++ b/crates/coriander_standin/src/member/group_service.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use coriander_core::{LogPosition, TermNumber};
+use coriander_core::{ConfirmReply, GroupStatus, LogPosition, MemberRole, TermNumber};
 use ntex::web::HttpResponse;
 use serde::Deserialize;
 
-use super::group_state::{ConfirmReply, ControlRequest, MemberRole, StatusReply};
+use super::group_state::ControlRequest;
 use super::member_node::MemberNode;
 use super::member_refusal::MemberRefusal;
 use super::replication::{EntriesReply, RunsReply};
@@ -42,8 +42,8 @@
 /// Returns the state of the member.
 pub fn status(node: &MemberNode) -> HttpResponse {
     let group = node.group.borrow();
-    HttpResponse::Ok().json(&StatusReply {
-        member: node.settings.member.to_string(),
+    HttpResponse::Ok().json(&GroupStatus {
+        member: node.settings.member.clone(),
         term: group.term,
         role: group.role,
         log: group.log.last(),
@@ -51,7 +51,7 @@
     })
 }
 
-/// Executes a fence, promote or follow request; a refused one gets status 409.
+/// Executes a fence, promote or follow request; a refused one is answered with `accepted: false`.
 pub fn control(node: &MemberNode, action: &str, request: &ControlRequest) -> HttpResponse {
     let snapshot = |node: &MemberNode| {
         let group = node.group.borrow();
@@ -80,11 +80,7 @@
         node.term_changed();
     }
     let reply = node.group.borrow().control_reply(accepted);
-    if accepted {
-        HttpResponse::Ok().json(&reply)
-    } else {
-        HttpResponse::Conflict().json(&reply)
-    }
+    HttpResponse::Ok().json(&reply)
 }
 
 /// Waits until the member holds an entry, a newer term starts or the time has passed.
@@ -107,7 +103,7 @@
     let group = node.group.borrow();
     if group.term != term || group.role != MemberRole::Primary {
         let message = format!("the member is no primary of term {term}");
-        return Err(MemberRefusal::conflict("TERM_MISMATCH", message));
+        return Err(MemberRefusal::conflict("TERM_CHANGED", message));
     }
     Ok(())
 }
--- a/crates/coriander_standin/src/member/group_state.rs
+++ b/crates/coriander_standin/src/member/group_state.rs
@@ -1,23 +1,10 @@
 //! Term, role and log of a member, with the rules of fencing and promotion.
 
-use coriander_core::{LogPosition, TermNumber};
+use coriander_core::{ControlReply, LogPosition, MemberRole, TermNumber};
 use serde::{Deserialize, Serialize};
 
 use super::group_log::{GroupLog, LoggedStatement};
 
-/// What a member does in its current term.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberRole {
-    /// Serves nothing until it is promoted or told to follow.
-    #[default]
-    Fenced,
-    /// Executes writes.
-    Primary,
-    /// Copies the log of the primary.
-    Replica,
-}
-
 /// Body of fence, promote and follow requests.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ControlRequest {
@@ -30,45 +17,8 @@
     pub primary_address: Option<String>,
 }
 
-/// Response to fence, promote and follow requests.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ControlReply {
-    /// Whether the member did what was asked.
-    pub accepted: bool,
-    /// Term of the member.
-    pub term: TermNumber,
-    /// Position of the member's last log entry.
-    pub log: LogPosition,
-}
-
-/// Response to status requests.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StatusReply {
-    /// Identifier of the member.
-    pub member: String,
-    /// Term of the member.
-    pub term: TermNumber,
-    /// Role of the member in this term.
-    pub role: MemberRole,
-    /// Position of the last log entry.
-    pub log: LogPosition,
-    /// Address of the primary, if the member knows it.
-    pub primary: Option<String>,
-}
-
-/// Response to confirm requests.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ConfirmReply {
-    /// Whether the member holds the entry in the given term.
-    pub confirmed: bool,
-    /// Term of the member.
-    pub term: TermNumber,
-    /// Position of the member's last log entry.
-    pub log: LogPosition,
-}
-
 /// State of a member without any I/O.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct GroupState {
     /// Current term.
     pub term: TermNumber,
@@ -84,6 +34,19 @@
     pub log: GroupLog,
 }
 
+impl Default for GroupState {
+    fn default() -> Self {
+        Self {
+            term: TermNumber::default(),
+            proposer: None,
+            role: MemberRole::Fenced,
+            primary: None,
+            matched: false,
+            log: GroupLog::default(),
+        }
+    }
+}
+
 impl GroupState {
     /// Accepts a term that is greater, or the same term from the same proposer.
     pub fn fence(&mut self, request: &ControlRequest) -> bool {
--- a/crates/coriander_standin/src/member/hrana_service.rs
+++ b/crates/coriander_standin/src/member/hrana_service.rs
@@ -130,7 +130,7 @@
     let group = node.group.borrow();
     if group.term != headers.term {
         let message = format!("the member is in term {}", group.term);
-        return Err(MemberRefusal::conflict("TERM_MISMATCH", message));
+        return Err(MemberRefusal::conflict("TERM_CHANGED", message));
     }
     if !group.is_serving() {
         let message = "the member neither is the primary nor follows one";
--- a/crates/coriander_standin/src/member/member_refusal.rs
+++ b/crates/coriander_standin/src/member/member_refusal.rs
@@ -1,5 +1,6 @@
 //! Requests that the member refuses before it executes anything.
 
+use coriander_core::{LogPosition, TermNumber};
 use ntex::http::StatusCode;
 use ntex::web::HttpResponse;
 use serde_json::json;
@@ -28,10 +29,14 @@
         Self::with_status(400, "BAD_REQUEST", message)
     }
 
-    /// Converts the refusal to a response.
-    pub fn to_response(&self) -> HttpResponse {
+    /// Converts the refusal to a response that states the member's term and position.
+    pub fn to_response(&self, term: TermNumber, position: LogPosition) -> HttpResponse {
         let status = StatusCode::from_u16(self.status).expect("valid status");
-        HttpResponse::build(status).json(&json!({
+        let mut response = HttpResponse::build(status);
+        response.header("x-outcome", "not_run");
+        response.header("x-group-term", term.to_string());
+        response.header("x-log-position", position.to_string());
+        response.json(&json!({
             "code": self.code,
             "message": self.message,
             "outcome": "not_run",
--- a/crates/coriander_standin/src/member/member_server.rs
+++ b/crates/coriander_standin/src/member/member_server.rs
@@ -80,7 +80,7 @@
     }
     let is_statement = !request.path().starts_with("/group/");
     let response = serve(&node, &request, body).await;
-    let response = response.unwrap_or_else(|refusal| refusal.to_response());
+    let response = response.unwrap_or_else(|refusal| refuse(&node, &refusal));
     let late = node.faults.borrow_mut().take_late();
     if let Some(late) = late {
         sleep(late).await;
@@ -94,6 +94,11 @@
     response
 }
 
+fn refuse(node: &MemberNode, refusal: &MemberRefusal) -> HttpResponse {
+    let term = node.group.borrow().term;
+    refusal.to_response(term, node.position())
+}
+
 /// Closes the connection; the returned response is never sent.
 fn close_connection(request: &HttpRequest) -> HttpResponse {
     if let Some(io) = request.io() {
@@ -180,7 +185,7 @@
                 node.notify();
                 HttpResponse::Ok().json(&*node.faults.borrow())
             }
-            Err(error) => MemberRefusal::malformed(error.to_string()).to_response(),
+            Err(error) => refuse(node, &MemberRefusal::malformed(error.to_string())),
         },
         ("GET", "/debug/log") => HttpResponse::Ok().json(&node.group.borrow().log.entries()),
         ("GET", "/debug/streams") => {
--- a/crates/coriander_standin/src/member/mod.rs
+++ b/crates/coriander_standin/src/member/mod.rs
@@ -20,9 +20,7 @@
 
 pub use fault_controls::{CutMode, FaultSettings, FaultUpdate};
 pub use group_log::{GroupLog, LogEntry, LoggedStatement, TermRun};
-pub use group_state::{
-    ConfirmReply, ControlReply, ControlRequest, GroupState, MemberRole, StatusReply,
-};
+pub use group_state::{ControlRequest, GroupState};
 pub use member_server::run_member;
 pub use member_settings::MemberSettings;
 pub use request_record::ReceivedRequest;
--- a/crates/coriander_standin/src/member/replication.rs
+++ b/crates/coriander_standin/src/member/replication.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coriander_core::{LogPosition, TermNumber};
+use coriander_core::{LogPosition, MemberRole, TermNumber};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::time::sleep;
 
 use super::group_log::{LogEntry, TermRun};
-use super::group_state::MemberRole;
 use super::member_node::MemberNode;
 use super::sql_database::{SqlDatabase, is_busy};
 
--- a/crates/coriander_standin/src/member/statement_runner.rs
+++ b/crates/coriander_standin/src/member/statement_runner.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coriander_core::LogPosition;
+use coriander_core::{LogPosition, MemberRole};
 use libsql_hrana::proto::{Error as HranaError, Stmt, StmtResult};
 use rusqlite::Statement;
 use rusqlite::fallible_iterator::FallibleIterator;
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use super::group_log::LoggedStatement;
-use super::group_state::MemberRole;
 use super::member_node::MemberNode;
 use super::sql_database::{is_busy, leading_words, prepare_single, run_statement};
 use super::sql_functions::StatementClock;
