Add stand-in platform

Cause: configuration, leases and lists need a platform to run against that enforces its call limits and can be down, slow or lose responses. Before: nothing.

--- a/crates/coriander_standin/src/lib.rs
+++ b/crates/coriander_standin/src/lib.rs
@@ -16,3 +16,4 @@
 //! ```
 
 pub mod member;
+pub mod platform;
--- /dev/null
+++ b/crates/coriander_standin/src/platform/call_limits.rs
@@ -0,0 +1,88 @@
+//! Limits and counters of calls.
+
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+/// Kind of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallKind {
+    /// Reads, lists and watches.
+    Read,
+    /// Everything that changes the state, also sessions and registrations.
+    Write,
+}
+
+/// Numbers of calls since the start.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CallCounters {
+    /// Accepted reads, watches included.
+    pub reads: u64,
+    /// Accepted writes.
+    pub writes: u64,
+    /// Accepted reads that were watches.
+    pub watches: u64,
+    /// Watches that wait now.
+    pub waiting_watches: u64,
+    /// Reads refused with status 429.
+    pub refused_reads: u64,
+    /// Writes refused with status 429.
+    pub refused_writes: u64,
+    /// Values refused with status 413.
+    pub refused_values: u64,
+    /// Requests of any kind while the platform was down.
+    pub while_down: u64,
+    /// Writes that took effect and whose response was lost.
+    pub lost_responses: u64,
+}
+
+struct CallBucket {
+    tokens: f64,
+    filled_at: Instant,
+}
+
+impl CallBucket {
+    fn take(&mut self, rate: u32, now: Instant) -> bool {
+        let rate = f64::from(rate);
+        let elapsed = now.duration_since(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + rate * elapsed).min(rate);
+        self.filled_at = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// Token buckets for reads and writes, each with a burst of one second.
+pub struct CallLimits {
+    reads: CallBucket,
+    writes: CallBucket,
+    reads_per_second: u32,
+    writes_per_second: u32,
+}
+
+impl CallLimits {
+    /// Creates full buckets.
+    pub fn new(reads_per_second: u32, writes_per_second: u32, now: Instant) -> Self {
+        let bucket = |rate: u32| CallBucket {
+            tokens: f64::from(rate),
+            filled_at: now,
+        };
+        Self {
+            reads: bucket(reads_per_second),
+            writes: bucket(writes_per_second),
+            reads_per_second,
+            writes_per_second,
+        }
+    }
+
+    /// Takes a token; `false` if the call exceeds the limit.
+    pub fn take(&mut self, kind: CallKind, now: Instant) -> bool {
+        match kind {
+            CallKind::Read => self.reads.take(self.reads_per_second, now),
+            CallKind::Write => self.writes.take(self.writes_per_second, now),
+        }
+    }
+}
