Add configuration state, freshness, acceptance and key checks

Change: root and sections with digests and a size error, deltas for instances that are behind, ConfigState, FreshnessGuard, AcceptanceTally, ChangeCoordinator, KeyVerifier, typed change commands, and the JSON types of the admin address. The root also lists recent change ids, and the fleets that must confirm a version since the last accepted one. Before: an empty crate. Conclusion: the server and corianderctl can build against these types.

--- /dev/null
+++ b/crates/coriander_config/src/admin_messages.rs
@@ -0,0 +1,89 @@
+//! JSON of the admin address, shared by the server and `corianderctl`.
+
+use std::time::Duration;
+
+use coriander_core::{ConfigDocument, ConfigVersion, InstanceId};
+use serde::{Deserialize, Serialize};
+
+use crate::{ChangeCommand, CommandError};
+
+/// Answer to `GET /admin/config`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigView {
+    /// Answering instance.
+    pub instance: InstanceId,
+    /// Applied document; keys appear as digests with their public identifiers.
+    pub document: ConfigDocument,
+    /// Whether the instance may serve under this version now.
+    pub fresh: bool,
+    /// Time since the version was confirmed, if it is fresh.
+    pub age: Option<Duration>,
+}
+
+/// Body of `POST /admin/change`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ChangeRequest {
+    /// Random identifier; a retry uses the same one and cannot apply the change twice.
+    pub change_id: String,
+    /// Who makes the change.
+    pub author: String,
+    /// Version that the operator saw; the change is made to no other version.
+    pub expected: ConfigVersion,
+    /// The change.
+    pub change: ChangeCommand,
+}
+
+/// Result of a change, and body of the answer to `POST /admin/change`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "result")]
+pub enum ChangeResult {
+    /// The change is written, and a majority of the old and of the new fleet has applied it.
+    Accepted {
+        /// Version that the change produced.
+        version: ConfigVersion,
+    },
+    /// The change is written, but not confirmed by enough instances yet.
+    Unconfirmed {
+        /// Version that the change produced.
+        version: ConfigVersion,
+        /// Instances that have not confirmed it.
+        missing: Vec<InstanceId>,
+    },
+    /// Another change came first; this one was not and will not be made.
+    Conflict {
+        /// Current version.
+        version: ConfigVersion,
+        /// Who made the change that produced the version after the expected one.
+        winner: String,
+        /// Version which that change produced.
+        winner_version: ConfigVersion,
+    },
+    /// The change is not possible; nothing was written.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+    },
+    /// The platform did not answer; nothing was written.
+    NotRecorded,
+    /// The platform did not answer after the write was sent. The change may have been made; a
+    /// retry with the same change id finds out.
+    Undetermined,
+}
+
+/// Why a change is refused.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind", content = "detail")]
+pub enum RefusalReason {
+    /// The change does not fit the configuration.
+    Command(CommandError),
+    /// The resulting section is too large or cannot be encoded.
+    Section(String),
+    /// Too many fleet changes wait for their confirmation.
+    FleetUnsettled,
+    /// The platform's version is lower than the applied one, so it has lost data.
+    PlatformBehind,
+    /// The expected version is newer than the current one.
+    VersionUnknown,
+    /// The change id or the author is empty or too long.
+    BadRequest,
+}
--- /dev/null
+++ b/crates/coriander_config/src/change_coordinator.rs
@@ -0,0 +1,514 @@
+//! Makes one operator's change and finds out whether it is accepted.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::{ConfigDocument, ConfigVersion, FleetMember, InstanceId, MonotonicTime};
+
+use crate::change_plan::ChangePlan;
+use crate::{
+    AcceptanceTally, ChangeRequest, ChangeResult, ConfigRoot, CoordinatorAction, RefusalReason,
+    RootRead, VersionConfirmed, WriteResult,
+};
+
+/// Time within which a change gets a result.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for finding out whether the version before the change is accepted.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay before a step is repeated. Calls to the platform are paced by its client as well.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay between two rounds of questions to the fleet. Acceptance needs two rounds.
+const ASK_DELAY: Duration = Duration::from_millis(150);
+/// Longest accepted change id or author in bytes; the root repeats both for recent changes.
+const MAX_TEXT_LENGTH: usize = 64;
+
+type Fleet = BTreeMap<InstanceId, FleetMember>;
+
+/// What the coordinator waits for.
+#[derive(Clone, Debug)]
+enum ChangePhase {
+    /// The root, before or after a write.
+    Reading,
+    /// The document of the root that was read.
+    LoadingDocument,
+    /// Fleets of earlier versions that have to confirm as well.
+    LoadingFleets,
+    /// Confirmations of the version before the change.
+    Settling { until: MonotonicTime },
+    /// Sections that are being stored.
+    Storing { left: BTreeMap<String, Vec<u8>> },
+    /// The conditional write of the root.
+    Writing,
+    /// Confirmations of the change.
+    Confirming,
+    /// Nothing.
+    Finished,
+}
+
+/// Makes one change on the version that the operator saw.
+///
+/// The root is written with compare-and-swap. After a lost response the root is read back: if it
+/// names the change id, the change is recorded; if it is unchanged, the same write is repeated,
+/// because the first one may be lost or still under way, and at most one of them can take effect.
+/// A change that is found to be recorded already, for example by a retry through another
+/// instance, is only confirmed.
+///
+/// ```
+/// use coriander_config::{ChangeCommand, ChangeCoordinator, ChangeRequest, CoordinatorAction};
+/// use coriander_core::{ConfigVersion, MonotonicTime};
+///
+/// let request = ChangeRequest {
+///     change_id: "6f1c".into(),
+///     author: "amina".into(),
+///     expected: ConfigVersion::default(),
+///     change: ChangeCommand::AddDatabase { database: "orders".parse().expect("valid name") },
+/// };
+/// let (coordinator, actions) = ChangeCoordinator::start(request, MonotonicTime::ZERO);
+/// assert_eq!(actions, [CoordinatorAction::ReadRoot]);
+/// assert!(!coordinator.is_finished());
+/// ```
+#[derive(Clone, Debug)]
+pub struct ChangeCoordinator {
+    request: ChangeRequest,
+    phase: ChangePhase,
+    deadline: MonotonicTime,
+    retry_at: Option<MonotonicTime>,
+    /// Whether a write of the root may have taken effect or may still do so.
+    write_open: bool,
+    base: Option<(Rc<ConfigRoot>, u64)>,
+    base_document: Rc<ConfigDocument>,
+    /// Fleets that must confirm, the newest last.
+    fleets: Vec<Fleet>,
+    plan: Option<ChangePlan>,
+    recorded: Option<ConfigVersion>,
+    tally: Option<AcceptanceTally>,
+}
+
+impl ChangeCoordinator {
+    /// Starts a change.
+    pub fn start(request: ChangeRequest, now: MonotonicTime) -> (Self, Vec<CoordinatorAction>) {
+        let valid = |text: &str| !text.is_empty() && text.len() <= MAX_TEXT_LENGTH;
+        let change_id = &request.change_id;
+        // The change id is part of platform keys.
+        let plain = change_id
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b == b'-');
+        let accepted = plain && valid(change_id) && valid(&request.author);
+        let mut coordinator = Self {
+            request,
+            phase: ChangePhase::Reading,
+            deadline: now + CHANGE_TIMEOUT,
+            retry_at: None,
+            write_open: false,
+            base: None,
+            base_document: Rc::default(),
+            fleets: Vec::new(),
+            plan: None,
+            recorded: None,
+            tally: None,
+        };
+        let actions = if accepted {
+            vec![CoordinatorAction::ReadRoot]
+        } else {
+            coordinator.refuse(RefusalReason::BadRequest)
+        };
+        (coordinator, actions)
+    }
+
+    /// Tells whether the result has been reported.
+    pub const fn is_finished(&self) -> bool {
+        matches!(self.phase, ChangePhase::Finished)
+    }
+
+    /// Continues after reading the root.
+    ///
+    /// `applied` is the version that this instance had applied when it sent the read.
+    pub fn root_read(
+        &mut self,
+        read: RootRead,
+        applied: ConfigVersion,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        if !matches!(self.phase, ChangePhase::Reading) {
+            return Vec::new();
+        }
+        let (version, found) = match read {
+            RootRead::Failed => return self.retry_later(now),
+            RootRead::Absent => (ConfigVersion::default(), None),
+            RootRead::Found { root, index } => (root.version, Some((root, index))),
+        };
+        if version < applied {
+            return self.refuse(RefusalReason::PlatformBehind);
+        }
+        if let Some((root, _)) = &found
+            && let Some(recorded) = root.find_change(&self.request.change_id)
+        {
+            return self.found_recorded(Rc::clone(root), recorded, now);
+        }
+        if version != self.request.expected {
+            return self.lose_race(found.as_ref().map(|(root, _)| root));
+        }
+        if let Some(plan) = &self.plan {
+            // Read back after a lost response: the root is unchanged.
+            let bytes = plan.bytes.clone();
+            return self.write_root(bytes, found.map(|(_, index)| index));
+        }
+        self.base.clone_from(&found);
+        match found {
+            Some((root, _)) => {
+                self.phase = ChangePhase::LoadingDocument;
+                vec![CoordinatorAction::LoadDocument(root)]
+            }
+            None => self.make_plan(true),
+        }
+    }
+
+    /// Continues after loading a document; `None` if that failed.
+    pub fn document_loaded(
+        &mut self,
+        document: Option<Rc<ConfigDocument>>,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        let (ChangePhase::LoadingDocument, Some((root, _))) = (&self.phase, &self.base) else {
+            return Vec::new();
+        };
+        let Some(document) = document.filter(|document| document.version == root.version) else {
+            // The version may have been superseded and its sections deleted.
+            self.phase = ChangePhase::Reading;
+            return self.retry_later(now);
+        };
+        let current = &root.sections.fleet;
+        let earlier = root
+            .fleets
+            .iter()
+            .filter(|fleet| fleet.digest != current.digest);
+        let earlier: Vec<_> = earlier.cloned().collect();
+        self.fleets = vec![document.fleet.clone()];
+        self.base_document = document;
+        if earlier.is_empty() {
+            return self.fleets_known(now);
+        }
+        self.phase = ChangePhase::LoadingFleets;
+        vec![CoordinatorAction::LoadFleets(earlier)]
+    }
+
+    /// Continues after loading fleets of earlier versions; `None` if that failed.
+    pub fn fleets_loaded(
+        &mut self,
+        fleets: Option<Vec<Fleet>>,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        if !matches!(self.phase, ChangePhase::LoadingFleets) {
+            return Vec::new();
+        }
+        let Some(fleets) = fleets else {
+            self.phase = ChangePhase::Reading;
+            return self.retry_later(now);
+        };
+        self.fleets.splice(..0, fleets);
+        self.fleets_known(now)
+    }
+
+    /// Continues after storing a section.
+    pub fn section_stored(
+        &mut self,
+        key: &str,
+        result: WriteResult,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        let ChangePhase::Storing { left } = &mut self.phase else {
+            return Vec::new();
+        };
+        if result != WriteResult::Written {
+            return self.retry_later(now);
+        }
+        left.remove(key);
+        if !left.is_empty() {
+            return Vec::new();
+        }
+        self.retry_at = None;
+        let bytes = self.plan.as_ref().map(|plan| plan.bytes.clone());
+        let unchanged = self.base.as_ref().map(|(_, index)| *index);
+        self.write_root(bytes.unwrap_or_default(), unchanged)
+    }
+
+    /// Continues after writing the root.
+    pub fn root_written(
+        &mut self,
+        result: WriteResult,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        if !matches!(self.phase, ChangePhase::Writing) {
+            return Vec::new();
+        }
+        match result {
+            WriteResult::Written => {
+                let version = self.request.expected.next();
+                self.start_confirming(version, now)
+            }
+            WriteResult::NotSent => self.retry_later(now),
+            // The condition also fails if an earlier write of the same change took effect.
+            WriteResult::ConditionFailed | WriteResult::Lost => {
+                self.write_open |= result == WriteResult::Lost;
+                self.phase = ChangePhase::Reading;
+                vec![CoordinatorAction::ReadRoot]
+            }
+        }
+    }
+
+    /// Records the confirmation of an instance, also that of the instance itself.
+    pub fn record_answer(
+        &mut self,
+        answer: &VersionConfirmed,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        let Some(tally) = &mut self.tally else {
+            return Vec::new();
+        };
+        tally.record_answer(answer, now);
+        if !tally.is_accepted() {
+            return Vec::new();
+        }
+        match self.phase {
+            ChangePhase::Settling { .. } => self.make_plan(true),
+            ChangePhase::Confirming => self.accept(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Repeats steps and ends the change at its deadline; to be called every 50 ms or so.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<CoordinatorAction> {
+        if self.is_finished() {
+            return Vec::new();
+        }
+        if now >= self.deadline {
+            return self.give_up();
+        }
+        if let ChangePhase::Settling { until } = self.phase
+            && now >= until
+        {
+            return self.make_plan(false);
+        }
+        if self.retry_at.is_none_or(|time| now < time) {
+            return Vec::new();
+        }
+        self.retry_at = None;
+        match &self.phase {
+            ChangePhase::Reading => vec![CoordinatorAction::ReadRoot],
+            ChangePhase::Storing { left } => list_sections(left),
+            ChangePhase::Writing => {
+                let bytes = self.plan.as_ref().map(|plan| plan.bytes.clone());
+                let unchanged = self.base.as_ref().map(|(_, index)| *index);
+                self.write_root(bytes.unwrap_or_default(), unchanged)
+            }
+            ChangePhase::Settling { .. } | ChangePhase::Confirming => self.ask_instances(now),
+            ChangePhase::LoadingDocument | ChangePhase::LoadingFleets | ChangePhase::Finished => {
+                Vec::new()
+            }
+        }
+    }
+
+    fn found_recorded(
+        &mut self,
+        root: Rc<ConfigRoot>,
+        recorded: ConfigVersion,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        let own = self.plan.as_ref().is_some_and(|plan| plan.root == root);
+        if own {
+            return self.start_confirming(recorded, now);
+        }
+        // Acceptance of the current version implies that of the recorded one.
+        self.recorded = Some(recorded);
+        self.plan = None;
+        self.base = Some((Rc::clone(&root), 0));
+        self.phase = ChangePhase::LoadingDocument;
+        vec![CoordinatorAction::LoadDocument(root)]
+    }
+
+    fn fleets_known(&mut self, now: MonotonicTime) -> Vec<CoordinatorAction> {
+        let version = self.base_document.version;
+        if self.recorded.is_none() && self.fleets.len() == 1 {
+            // Nothing was unconfirmed but the current fleet's own versions.
+            return self.make_plan(false);
+        }
+        let fleets = self
+            .fleets
+            .iter()
+            .map(|fleet| fleet.keys().cloned().collect());
+        self.tally = Some(AcceptanceTally::new(version, fleets.collect()));
+        self.phase = if self.recorded.is_some() {
+            ChangePhase::Confirming
+        } else {
+            let until = now + SETTLE_TIMEOUT;
+            ChangePhase::Settling { until }
+        };
+        self.ask_instances(now)
+    }
+
+    fn make_plan(&mut self, settled: bool) -> Vec<CoordinatorAction> {
+        self.tally = None;
+        self.retry_at = None;
+        let base = self.base.as_ref().map(|(root, _)| &**root);
+        let plan = match ChangePlan::new(&self.request, base, &self.base_document, settled) {
+            Ok(plan) => plan,
+            Err(reason) => return self.refuse(reason),
+        };
+        if settled {
+            // The fleet of the base version is the last one.
+            self.fleets.drain(..self.fleets.len().saturating_sub(1));
+        }
+        let sections = plan.sections.iter();
+        let left: BTreeMap<_, _> = sections
+            .map(|section| {
+                let key = plan
+                    .root
+                    .sections
+                    .get(section.name)
+                    .platform_key(section.name);
+                (key, section.bytes.clone())
+            })
+            .collect();
+        self.plan = Some(plan);
+        let actions = list_sections(&left);
+        self.phase = ChangePhase::Storing { left };
+        actions
+    }
+
+    fn write_root(&mut self, bytes: Vec<u8>, unchanged: Option<u64>) -> Vec<CoordinatorAction> {
+        self.phase = ChangePhase::Writing;
+        vec![CoordinatorAction::WriteRoot { bytes, unchanged }]
+    }
+
+    fn start_confirming(
+        &mut self,
+        version: ConfigVersion,
+        now: MonotonicTime,
+    ) -> Vec<CoordinatorAction> {
+        let Some(plan) = self.plan.clone() else {
+            return Vec::new();
+        };
+        self.recorded = Some(version);
+        self.write_open = false;
+        self.fleets.push(plan.document.fleet.clone());
+        let fleets: Vec<BTreeSet<_>> = self
+            .fleets
+            .iter()
+            .map(|fleet| fleet.keys().cloned().collect())
+            .collect();
+        self.tally = Some(AcceptanceTally::new(version, fleets));
+        self.phase = ChangePhase::Confirming;
+        let mut actions = vec![CoordinatorAction::Apply {
+            root: plan.root,
+            document: plan.document,
+        }];
+        actions.extend(self.ask_instances(now));
+        actions
+    }
+
+    fn ask_instances(&mut self, now: MonotonicTime) -> Vec<CoordinatorAction> {
+        if self
+            .tally
+            .as_ref()
+            .is_some_and(AcceptanceTally::is_accepted)
+        {
+            return match self.phase {
+                ChangePhase::Settling { .. } => self.make_plan(true),
+                _ => self.accept(),
+            };
+        }
+        self.retry_at = Some(now + ASK_DELAY);
+        // The newest address of an instance is in the newest fleet, which comes last.
+        let mut addresses: BTreeMap<InstanceId, SocketAddr> = BTreeMap::new();
+        for (id, member) in self.fleets.iter().flatten() {
+            addresses.insert(id.clone(), member.peer_address);
+        }
+        vec![CoordinatorAction::AskInstances(
+            addresses.into_iter().collect(),
+        )]
+    }
+
+    fn accept(&mut self) -> Vec<CoordinatorAction> {
+        let mut actions = Vec::new();
+        if let (Some((base, _)), Some(plan)) = (&self.base, &self.plan) {
+            let kept = plan.root.platform_keys();
+            let mut superseded = base.platform_keys();
+            superseded.retain(|key| !kept.contains(key));
+            if !superseded.is_empty() {
+                actions.push(CoordinatorAction::DeleteSections(superseded));
+            }
+        }
+        let version = self.recorded.unwrap_or_default();
+        actions.extend(self.finish(ChangeResult::Accepted { version }));
+        actions
+    }
+
+    fn lose_race(&mut self, root: Option<&Rc<ConfigRoot>>) -> Vec<CoordinatorAction> {
+        let expected = self.request.expected;
+        let Some(root) = root.filter(|root| root.version > expected) else {
+            return self.refuse(RefusalReason::VersionUnknown);
+        };
+        let Some(winner) = root.change_at(expected.next()) else {
+            // So many changes followed that this one may be among the forgotten ones.
+            return self.finish(ChangeResult::Undetermined);
+        };
+        let result = ChangeResult::Conflict {
+            version: root.version,
+            winner: winner.author.clone(),
+            winner_version: winner.version,
+        };
+        let mut actions = Vec::new();
+        if let Some(plan) = &self.plan {
+            let kept = root.platform_keys();
+            let mut orphans = plan.root.platform_keys();
+            let own = format!(".{}", self.request.change_id);
+            orphans.retain(|key| key.ends_with(&own) && !kept.contains(key));
+            actions.push(CoordinatorAction::DeleteSections(orphans));
+        }
+        actions.extend(self.finish(result));
+        actions
+    }
+
+    fn give_up(&mut self) -> Vec<CoordinatorAction> {
+        let result = match (self.recorded, &self.tally) {
+            (Some(version), tally) => ChangeResult::Unconfirmed {
+                version,
+                missing: tally
+                    .as_ref()
+                    .map(AcceptanceTally::missing)
+                    .unwrap_or_default(),
+            },
+            (None, _) if self.write_open || self.awaits_write() => ChangeResult::Undetermined,
+            (None, _) => ChangeResult::NotRecorded,
+        };
+        self.finish(result)
+    }
+
+    fn awaits_write(&self) -> bool {
+        matches!(self.phase, ChangePhase::Writing) && self.retry_at.is_none()
+    }
+
+    fn refuse(&mut self, reason: RefusalReason) -> Vec<CoordinatorAction> {
+        self.finish(ChangeResult::Refused { reason })
+    }
+
+    fn finish(&mut self, result: ChangeResult) -> Vec<CoordinatorAction> {
+        self.phase = ChangePhase::Finished;
+        vec![CoordinatorAction::Finish(result)]
+    }
+
+    fn retry_later(&mut self, now: MonotonicTime) -> Vec<CoordinatorAction> {
+        self.retry_at = Some(now + RETRY_DELAY);
+        Vec::new()
+    }
+}
+
+fn list_sections(left: &BTreeMap<String, Vec<u8>>) -> Vec<CoordinatorAction> {
+    let store = |(key, bytes): (&String, &Vec<u8>)| CoordinatorAction::StoreSection {
+        key: key.clone(),
+        bytes: bytes.clone(),
+    };
+    left.iter().map(store).collect()
+}
--- /dev/null
+++ b/crates/coriander_config/src/change_plan.rs
@@ -0,0 +1,93 @@
+//! The version that a change produces from the version that the operator saw.
+
+use std::rc::Rc;
+
+use coriander_core::ConfigDocument;
+
+use crate::config_root::RECENT_CHANGES;
+use crate::config_section::encode_changes;
+use crate::{
+    ChangeRequest, ConfigRoot, EncodedSection, RecentChange, RefusalReason, SectionError,
+    SectionRef,
+};
+
+/// Distinct fleets that may wait for their confirmation at a time.
+const MAX_FLEETS: usize = 8;
+
+/// A new version that is ready to be written.
+#[derive(Clone, Debug)]
+pub struct ChangePlan {
+    pub root: Rc<ConfigRoot>,
+    pub document: Rc<ConfigDocument>,
+    pub sections: Vec<EncodedSection>,
+    pub bytes: Vec<u8>,
+}
+
+impl ChangePlan {
+    /// Applies the change to the base version.
+    ///
+    /// `settled` tells whether the base version is known to be accepted.
+    pub fn new(
+        request: &ChangeRequest,
+        base: Option<&ConfigRoot>,
+        base_document: &ConfigDocument,
+        settled: bool,
+    ) -> Result<Self, RefusalReason> {
+        let mut document = base_document.clone();
+        let applied = request.change.apply(&mut document);
+        applied.map_err(RefusalReason::Command)?;
+        document.version = base_document.version.next();
+        document.author = request.author.clone();
+        document.change_id = request.change_id.clone();
+        let refs = base.map(|root| &root.sections);
+        let (sections, changed) =
+            encode_changes(refs, &document).map_err(|error| refuse_section(&error))?;
+        let fleets = required_fleets(base, &sections.fleet, settled)?;
+        let mut recent = base.map_or_else(Vec::new, |root| root.recent.clone());
+        recent.push(RecentChange {
+            version: document.version,
+            change_id: request.change_id.clone(),
+            author: request.author.clone(),
+        });
+        let surplus = recent.len().saturating_sub(RECENT_CHANGES);
+        recent.drain(..surplus);
+        let root = ConfigRoot {
+            version: document.version,
+            author: request.author.clone(),
+            change_id: request.change_id.clone(),
+            sections,
+            fleets,
+            recent,
+        };
+        Ok(Self {
+            bytes: root.encode().map_err(|error| refuse_section(&error))?,
+            root: Rc::new(root),
+            document: Rc::new(document),
+            sections: changed,
+        })
+    }
+}
+
+/// Lists the fleets that must confirm a version, each once.
+fn required_fleets(
+    base: Option<&ConfigRoot>,
+    fleet: &SectionRef,
+    settled: bool,
+) -> Result<Vec<SectionRef>, RefusalReason> {
+    let mut fleets = match base {
+        Some(root) if settled => vec![root.sections.fleet.clone()],
+        Some(root) => root.fleets.clone(),
+        None => Vec::new(),
+    };
+    if !fleets.iter().any(|known| known.digest == fleet.digest) {
+        if fleets.len() >= MAX_FLEETS {
+            return Err(RefusalReason::FleetUnsettled);
+        }
+        fleets.push(fleet.clone());
+    }
+    Ok(fleets)
+}
+
+fn refuse_section(error: &SectionError) -> RefusalReason {
+    RefusalReason::Section(error.to_string())
+}
--- /dev/null
+++ b/crates/coriander_config/src/freshness_guard.rs
@@ -0,0 +1,240 @@
+//! The freshness rule: whether an instance may serve under its applied version.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use coriander_core::{ConfigDocument, ConfigVersion, InstanceId, MonotonicTime};
+
+use crate::{ConfirmVersion, Incarnation, VersionConfirmed};
+
+/// Time for which a confirmation allows an instance to serve.
+pub const FRESHNESS_PERIOD: Duration = Duration::from_secs(2);
+/// Rounds whose answers may still arrive.
+const KEPT_ROUNDS: usize = 4;
+/// Confirmations of newer versions that are kept until the version is applied.
+const KEPT_PENDING: usize = 4;
+
+/// Answers to one round of requests that were sent at the same time.
+#[derive(Clone, Debug)]
+struct ConfirmRound {
+    sent: MonotonicTime,
+    answers: BTreeMap<InstanceId, ConfigVersion>,
+}
+
+/// Decides whether an instance may serve.
+///
+/// A confirmation `(w, t)` says that no version after `w` was accepted before `t`, a time on the
+/// clock of this process. It allows serving under an applied version `v >= w` until
+/// `t + FRESHNESS_PERIOD`. The time is always the send time of the request, reduced by the age
+/// that a peer reports.
+///
+/// A restarted process does not count as confirming until it has read the root from the platform
+/// or a majority of the fleet, itself not included, has told it that nothing newer was applied.
+/// The latter is safe because [`AcceptanceTally`](crate::AcceptanceTally) requires a majority
+/// that held the version at one moment.
+///
+/// The clock must advance while the process is paused.
+///
+/// ```
+/// use coriander_config::{FreshnessGuard, Incarnation};
+/// use coriander_core::{ConfigDocument, ConfigVersion, MonotonicTime};
+///
+/// let mut guard = FreshnessGuard::new("a".parse().expect("valid name"), Incarnation::new(7));
+/// let version = ConfigVersion::new(1);
+/// guard.note_applied(&ConfigDocument { version, ..ConfigDocument::default() });
+/// guard.record_platform(version, MonotonicTime::from_millis(100));
+/// assert!(guard.may_serve(MonotonicTime::from_millis(2_100)));
+/// assert!(!guard.may_serve(MonotonicTime::from_millis(2_101)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct FreshnessGuard {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    applied: ConfigVersion,
+    fleet: BTreeSet<InstanceId>,
+    loaded: bool,
+    confirmed: Option<MonotonicTime>,
+    platform: Option<MonotonicTime>,
+    pending: Vec<(ConfigVersion, MonotonicTime)>,
+    pending_load: Option<ConfigVersion>,
+    rounds: VecDeque<ConfirmRound>,
+}
+
+impl FreshnessGuard {
+    /// Creates the guard of a process that has just started.
+    pub const fn new(instance: InstanceId, incarnation: Incarnation) -> Self {
+        Self {
+            instance,
+            incarnation,
+            applied: ConfigVersion::new(0),
+            fleet: BTreeSet::new(),
+            loaded: false,
+            confirmed: None,
+            platform: None,
+            pending: Vec::new(),
+            pending_load: None,
+            rounds: VecDeque::new(),
+        }
+    }
+
+    /// Tells whether the instance may serve a request now; takes constant time.
+    pub fn may_serve(&self, now: MonotonicTime) -> bool {
+        self.confirmed_age(now).is_some()
+    }
+
+    /// Returns the time since the applied version was confirmed, if it is fresh.
+    pub fn confirmed_age(&self, now: MonotonicTime) -> Option<Duration> {
+        if self.applied == ConfigVersion::default() {
+            return None;
+        }
+        within_period(self.confirmed, now)
+    }
+
+    /// Tells whether the platform answered within the freshness period.
+    pub fn has_platform(&self, now: MonotonicTime) -> bool {
+        within_period(self.platform, now).is_some()
+    }
+
+    /// Tells whether the instance counts as confirming.
+    pub const fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Takes over the version and fleet of the applied document.
+    pub fn note_applied(&mut self, document: &ConfigDocument) {
+        if document.version <= self.applied {
+            return;
+        }
+        self.applied = document.version;
+        self.fleet = document.fleet.keys().cloned().collect();
+        if self
+            .pending_load
+            .is_some_and(|wanted| wanted <= self.applied)
+        {
+            self.loaded = true;
+        }
+        let pending = std::mem::take(&mut self.pending);
+        for (version, time) in pending {
+            self.confirm(version, time);
+        }
+        for index in 0..self.rounds.len() {
+            self.count_round(index);
+        }
+    }
+
+    /// Records the version of a root read from the platform by a request sent at `sent`.
+    ///
+    /// `sent` must be taken before the call, by this process.
+    pub fn record_platform(&mut self, version: ConfigVersion, sent: MonotonicTime) {
+        self.platform = self.platform.max(Some(sent));
+        if version < self.applied {
+            // Either the read overlapped with applying a newer version, or the platform lost data.
+            return;
+        }
+        if version == self.applied {
+            self.loaded = true;
+        } else {
+            self.pending_load = self.pending_load.max(Some(version));
+        }
+        self.confirm(version, sent);
+    }
+
+    /// Starts a round of requests; the same request goes to all instances that are asked.
+    pub fn begin_round(&mut self, now: MonotonicTime) -> ConfirmVersion {
+        if self.rounds.back().is_none_or(|round| round.sent < now) {
+            self.rounds.push_back(ConfirmRound {
+                sent: now,
+                answers: BTreeMap::new(),
+            });
+        }
+        if self.rounds.len() > KEPT_ROUNDS {
+            self.rounds.pop_front();
+        }
+        ConfirmVersion {
+            asker: self.incarnation,
+            sent: now.since_start(),
+            version: self.applied,
+        }
+    }
+
+    /// Answers the request of another instance.
+    pub fn answer(&self, request: ConfirmVersion, now: MonotonicTime) -> VersionConfirmed {
+        VersionConfirmed {
+            request,
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            version: self.applied,
+            loaded: self.loaded,
+            age: self.confirmed_age(now),
+            has_platform: self.has_platform(now),
+        }
+    }
+
+    /// Records an answer to a request of this process.
+    pub fn record_answer(&mut self, answer: &VersionConfirmed, now: MonotonicTime) {
+        let sent = answer.request.sent_at();
+        if answer.request.asker != self.incarnation || sent > now {
+            return;
+        }
+        if let Some(age) = answer.age
+            && age <= sent.since_start()
+        {
+            self.confirm(answer.version, sent.before(age));
+        }
+        if !answer.loaded || answer.instance == self.instance {
+            return;
+        }
+        let found = self.rounds.iter().position(|round| round.sent == sent);
+        if let Some(index) = found {
+            let answers = &mut self.rounds[index].answers;
+            answers.insert(answer.instance.clone(), answer.version);
+            self.count_round(index);
+        }
+    }
+
+    /// Counts the answers of loaded instances that have applied nothing newer.
+    fn count_round(&mut self, index: usize) {
+        let round = &self.rounds[index];
+        let sent = round.sent;
+        // Most answers arrive before the majority can be complete.
+        if self.fleet.is_empty() || round.answers.len() + 1 < majority(self.fleet.len()) {
+            return;
+        }
+        let not_newer = |id: &&InstanceId| {
+            round
+                .answers
+                .get(*id)
+                .is_some_and(|version| *version <= self.applied)
+        };
+        let others = self.fleet.iter().filter(not_newer).count();
+        let needed = majority(self.fleet.len());
+        if self.applied > ConfigVersion::default() && others >= needed {
+            self.loaded = true;
+        }
+        let own = usize::from(self.loaded && self.fleet.contains(&self.instance));
+        if others + own >= needed {
+            self.confirm(self.applied, sent);
+        }
+    }
+
+    fn confirm(&mut self, version: ConfigVersion, time: MonotonicTime) {
+        if version <= self.applied {
+            self.confirmed = self.confirmed.max(Some(time));
+            return;
+        }
+        self.pending.push((version, time));
+        if self.pending.len() > KEPT_PENDING {
+            self.pending.remove(0);
+        }
+    }
+}
+
+/// Returns the size of the smallest majority.
+pub const fn majority(size: usize) -> usize {
+    size / 2 + 1
+}
+
+fn within_period(time: Option<MonotonicTime>, now: MonotonicTime) -> Option<Duration> {
+    let age = now.since(time?);
+    (age <= FRESHNESS_PERIOD).then_some(age)
+}
