Run autocommit writes together with their request log record

Change: LoggedWrite builds one upstream batch that begins, inserts the record, runs the statements, stores the outcome, commits or rolls back. Statements that return no rows need one pipeline, because SQL itself stores their counters; others need a second pipeline on the same stream that stores the results as JSON and commits. The request is all or nothing. Measurements in results (rows read, duration) are removed so that a retry gets the same bytes. Outcomes over 64 KiB are not stored; their retry learns only that the request was executed. RequestLog also has the statements for interactive commits, lookup and cleanup.

Conclusion: ready for the gateway, which must confirm the position of an `AlreadyDone` write before it acknowledges it.

--- /dev/null
+++ b/crates/coriander_routing/src/request_parts.rs
@@ -0,0 +1,210 @@
+//! Division of a caller's pipeline into the statements of one transaction.
+
+use libsql_hrana::proto::{BatchCond, BatchCondList, BatchStep, Stmt, StreamRequest};
+use thiserror::Error;
+
+use crate::request_kind::find_sql;
+use crate::script::split_script;
+use crate::{RequestLog, StatementCache, StatementKind};
+
+/// Greatest number of statements in one logged request.
+const MAX_STEPS: usize = 4096;
+
+/// A request that cannot be executed as one logged transaction; nothing has been executed.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum WrapError {
+    /// A statement controls a transaction.
+    #[error("request controls a transaction")]
+    Transaction,
+    /// A statement names the table of executed requests.
+    #[error("request uses the reserved table corianderstile_requests")]
+    ReservedTable,
+    /// A statement refers to a stored text that the request does not hold.
+    #[error("request refers to an unknown stored text")]
+    UnknownText,
+    /// A script cannot be divided into statements.
+    #[error("script cannot be divided into statements; send its statements one by one")]
+    Script,
+    /// A condition refers to a step that does not come before it.
+    #[error("condition refers to a step that does not come before it")]
+    Condition,
+    /// The request kind cannot be part of a transaction.
+    #[error("describe must be sent in a request without writes")]
+    Describe,
+    /// The request has too many statements.
+    #[error("request has more than {MAX_STEPS} statements")]
+    TooManySteps,
+}
+
+/// One request of the caller's pipeline and its statements.
+#[derive(Clone, Debug)]
+pub(crate) enum RequestPart {
+    Execute,
+    /// Holds the number of steps.
+    Batch(usize),
+    /// Holds the number of statements.
+    Sequence(usize),
+    StoreSql,
+    CloseSql,
+    Close,
+    GetAutocommit,
+}
+
+/// A statement with the caller's condition; steps are counted over the whole request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerStep {
+    pub(crate) condition: Option<BatchCond>,
+    pub(crate) statement: Stmt,
+    /// Whether another step's condition deals with an error of this one.
+    pub(crate) is_error_handled: bool,
+}
+
+/// All statements of a caller's pipeline.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RequestParts {
+    pub(crate) parts: Vec<RequestPart>,
+    pub(crate) steps: Vec<CallerStep>,
+    /// Whether every statement is a change without result rows.
+    pub(crate) only_changes: bool,
+    /// Whether any step has a condition.
+    pub(crate) has_conditions: bool,
+}
+
+impl RequestParts {
+    pub(crate) fn new(
+        requests: &[StreamRequest],
+        cache: &mut StatementCache,
+    ) -> Result<Self, WrapError> {
+        let mut parts = Self {
+            only_changes: true,
+            ..Self::default()
+        };
+        for (index, request) in requests.iter().enumerate() {
+            parts.add_request(request, &requests[..index], cache)?;
+        }
+        Ok(parts)
+    }
+
+    fn add_request(
+        &mut self,
+        request: &StreamRequest,
+        stored: &[StreamRequest],
+        cache: &mut StatementCache,
+    ) -> Result<(), WrapError> {
+        let start = self.steps.len();
+        let part = match request {
+            StreamRequest::Execute(execute) => {
+                self.add_step(None, &execute.stmt, stored, cache)?;
+                RequestPart::Execute
+            }
+            StreamRequest::Batch(batch) => {
+                for step in &batch.batch.steps {
+                    self.add_batch_step(step, start, stored, cache)?;
+                }
+                RequestPart::Batch(batch.batch.steps.len())
+            }
+            StreamRequest::Sequence(sequence) => {
+                let sql = find_sql(sequence.sql.as_deref(), sequence.sql_id, stored);
+                let statements = split_script(sql.ok_or(WrapError::UnknownText)?);
+                for statement in statements.ok_or(WrapError::Script)? {
+                    self.add_step(None, &Stmt::new(statement, false), stored, cache)?;
+                }
+                RequestPart::Sequence(self.steps.len() - start)
+            }
+            StreamRequest::StoreSql(_) => RequestPart::StoreSql,
+            StreamRequest::CloseSql(_) => RequestPart::CloseSql,
+            StreamRequest::Close(_) => RequestPart::Close,
+            StreamRequest::GetAutocommit(_) => RequestPart::GetAutocommit,
+            StreamRequest::Describe(_) | StreamRequest::None => return Err(WrapError::Describe),
+        };
+        self.parts.push(part);
+        Ok(())
+    }
+
+    fn add_batch_step(
+        &mut self,
+        step: &BatchStep,
+        start: usize,
+        stored: &[StreamRequest],
+        cache: &mut StatementCache,
+    ) -> Result<(), WrapError> {
+        let local = self.steps.len() - start;
+        let condition = match &step.condition {
+            Some(condition) => Some(self.shift_condition(condition, start, local)?),
+            None => None,
+        };
+        self.add_step(condition, &step.stmt, stored, cache)
+    }
+
+    fn add_step(
+        &mut self,
+        condition: Option<BatchCond>,
+        statement: &Stmt,
+        stored: &[StreamRequest],
+        cache: &mut StatementCache,
+    ) -> Result<(), WrapError> {
+        let sql = find_sql(statement.sql.as_deref(), statement.sql_id, stored);
+        let sql = sql.ok_or(WrapError::UnknownText)?;
+        if RequestLog::is_used_by(sql) {
+            return Err(WrapError::ReservedTable);
+        }
+        let kind = cache.classify(sql);
+        if kind.is_control() {
+            return Err(WrapError::Transaction);
+        }
+        if self.steps.len() == MAX_STEPS {
+            return Err(WrapError::TooManySteps);
+        }
+        self.only_changes &= kind == StatementKind::Change;
+        self.has_conditions |= condition.is_some();
+        let statement = Stmt {
+            sql: Some(sql.to_owned()),
+            sql_id: None,
+            ..statement.clone()
+        };
+        self.steps.push(CallerStep {
+            condition,
+            statement,
+            is_error_handled: false,
+        });
+        Ok(())
+    }
+
+    /// Renumbers the steps of a condition from the caller's batch to the whole request.
+    fn shift_condition(
+        &mut self,
+        condition: &BatchCond,
+        start: usize,
+        local: usize,
+    ) -> Result<BatchCond, WrapError> {
+        let check = |step: u32| match step as usize {
+            step if step < local => Ok(start + step),
+            _ => Err(WrapError::Condition),
+        };
+        let shift_list = |parts: &mut Self, list: &BatchCondList| {
+            let conds = list.conds.iter();
+            let conds: Result<_, _> = conds
+                .map(|cond| parts.shift_condition(cond, start, local))
+                .collect();
+            conds.map(|conds| BatchCondList { conds })
+        };
+        Ok(match condition {
+            BatchCond::None => return Err(WrapError::Condition),
+            BatchCond::Ok { step } => BatchCond::Ok {
+                step: check(*step)? as u32,
+            },
+            BatchCond::Error { step } => {
+                let step = check(*step)?;
+                self.steps[step].is_error_handled = true;
+                BatchCond::Error { step: step as u32 }
+            }
+            BatchCond::Not { cond } => BatchCond::Not {
+                cond: Box::new(self.shift_condition(cond, start, local)?),
+            },
+            BatchCond::And(list) => BatchCond::And(shift_list(self, list)?),
+            BatchCond::Or(list) => BatchCond::Or(shift_list(self, list)?),
+            // Outside of the log's transaction the condition would hold; an empty AND holds too.
+            BatchCond::IsAutocommit {} => BatchCond::And(BatchCondList { conds: Vec::new() }),
+        })
+    }
+}
--- /dev/null
+++ b/crates/coriander_routing/src/request_results.rs
@@ -0,0 +1,120 @@
+//! Results of a caller's requests from the outcomes of their statements.
+
+use libsql_hrana::proto::{
+    BatchResult, BatchStreamResp, CloseSqlStreamResp, CloseStreamResp, Error, ExecuteStreamResp,
+    GetAutocommitStreamResp, SequenceStreamResp, StmtResult, StoreSqlStreamResp, StreamResponse,
+    StreamResult,
+};
+
+use crate::request_parts::{RequestPart, RequestParts};
+
+/// Outcome of one step of an upstream batch.
+#[derive(Clone, Debug)]
+pub(crate) enum StepOutcome {
+    Done(StmtResult),
+    Failed(Error),
+    /// The step's condition did not hold.
+    Skipped,
+}
+
+impl StepOutcome {
+    /// Removes measurements, which differ between attempts, so that a retry gets the same result.
+    fn normalize(self) -> Self {
+        match self {
+            Self::Done(result) => Self::Done(StmtResult {
+                replication_index: None,
+                rows_read: 0,
+                rows_written: 0,
+                query_duration_ms: 0.0,
+                ..result
+            }),
+            outcome => outcome,
+        }
+    }
+}
+
+/// Builds the results; `rolled_back` replaces the results of statements whose effect was undone.
+pub(crate) fn build_results(
+    parts: &RequestParts,
+    outcomes: Vec<StepOutcome>,
+    rolled_back: Option<&Error>,
+) -> Vec<StreamResult> {
+    let undo = |outcome: StepOutcome| match (outcome, rolled_back) {
+        (StepOutcome::Done(_), Some(error)) => StepOutcome::Failed(error.clone()),
+        (outcome, _) => outcome.normalize(),
+    };
+    let mut outcomes = outcomes.into_iter().map(undo);
+    let results = parts.parts.iter().map(|part| match part {
+        RequestPart::Execute => execute_result(outcomes.next(), rolled_back),
+        RequestPart::Batch(steps) => batch_result(outcomes.by_ref().take(*steps)),
+        RequestPart::Sequence(steps) => {
+            let steps = outcomes.by_ref().take(*steps);
+            sequence_result(steps.collect(), rolled_back)
+        }
+        RequestPart::StoreSql => respond(StreamResponse::StoreSql(StoreSqlStreamResp {})),
+        RequestPart::CloseSql => respond(StreamResponse::CloseSql(CloseSqlStreamResp {})),
+        RequestPart::Close => respond(StreamResponse::Close(CloseStreamResp {})),
+        RequestPart::GetAutocommit => {
+            let is_autocommit = true;
+            respond(StreamResponse::GetAutocommit(GetAutocommitStreamResp {
+                is_autocommit,
+            }))
+        }
+    });
+    results.collect()
+}
+
+const fn respond(response: StreamResponse) -> StreamResult {
+    StreamResult::Ok { response }
+}
+
+fn skipped(rolled_back: Option<&Error>) -> StreamResult {
+    let error = rolled_back.cloned().unwrap_or_default();
+    StreamResult::Error { error }
+}
+
+fn execute_result(outcome: Option<StepOutcome>, rolled_back: Option<&Error>) -> StreamResult {
+    match outcome {
+        Some(StepOutcome::Done(result)) => {
+            respond(StreamResponse::Execute(ExecuteStreamResp { result }))
+        }
+        Some(StepOutcome::Failed(error)) => StreamResult::Error { error },
+        Some(StepOutcome::Skipped) | None => skipped(rolled_back),
+    }
+}
+
+fn batch_result(outcomes: impl Iterator<Item = StepOutcome>) -> StreamResult {
+    let mut result = BatchResult::default();
+    for outcome in outcomes {
+        let (step, error) = match outcome {
+            StepOutcome::Done(step) => (Some(step), None),
+            StepOutcome::Failed(error) => (None, Some(error)),
+            StepOutcome::Skipped => (None, None),
+        };
+        result.step_results.push(step);
+        result.step_errors.push(error);
+    }
+    respond(StreamResponse::Batch(BatchStreamResp { result }))
+}
+
+fn sequence_result(outcomes: Vec<StepOutcome>, rolled_back: Option<&Error>) -> StreamResult {
+    // The statement's own error explains more than the error of an undone one before it.
+    let is_own = |error: &Error| rolled_back.is_none_or(|undone| undone.code != error.code);
+    let mut errors: Vec<Error> = Vec::new();
+    let mut is_complete = true;
+    for outcome in outcomes {
+        match outcome {
+            StepOutcome::Failed(error) => errors.push(error),
+            StepOutcome::Skipped => is_complete = false,
+            StepOutcome::Done(_) => {}
+        }
+    }
+    let own = errors.iter().position(is_own).unwrap_or(0);
+    match errors.get(own) {
+        Some(error) => StreamResult::Error {
+            error: error.clone(),
+        },
+        None if is_complete => respond(StreamResponse::Sequence(SequenceStreamResp {})),
+        None => skipped(rolled_back),
+    }
+}
--- /dev/null
+++ b/crates/coriander_routing/tests/request_log.rs
@@ -0,0 +1,443 @@
+//! Logged writes against SQLite: at most once, the same answer to a retry, all or nothing.
+
+use coriander_routing::{
+    LogEntry, LoggedWrite, MAX_OUTCOME_LENGTH, RequestIdentity, RequestLog, StatementCache,
+    WrapError, WriteResult, WriteStep,
+};
+use coriander_session::RequestDigest;
+use libsql_hrana::proto::{
+    Batch, BatchCond, BatchResult, BatchStreamResp, Col, Error, PipelineReqBody, PipelineRespBody,
+    Row, Stmt, StmtResult, StreamRequest, StreamResponse, StreamResult, Value,
+};
+use proptest::prelude::*;
+use rusqlite::Connection;
+use rusqlite::types::ValueRef;
+
+fn open() -> Connection {
+    let connection = Connection::open_in_memory().expect("in-memory database");
+    for sql in RequestLog::SCHEMA {
+        connection.execute_batch(sql).expect("schema");
+    }
+    let schema = "CREATE TABLE t (id INTEGER PRIMARY KEY, a TEXT UNIQUE)";
+    connection.execute_batch(schema).expect("schema");
+    connection
+}
+
+fn count(connection: &Connection, table: &str) -> i64 {
+    let sql = format!("SELECT count(*) FROM {table}");
+    connection
+        .query_row(&sql, [], |row| row.get(0))
+        .expect("count")
+}
+
+fn run_statement(connection: &Connection, stmt: &Stmt) -> rusqlite::Result<StmtResult> {
+    let mut prepared = connection.prepare(stmt.sql.as_deref().expect("text"))?;
+    for (index, arg) in stmt.args.iter().enumerate() {
+        match arg {
+            Value::Text { value } => prepared.raw_bind_parameter(index + 1, &**value)?,
+            Value::Integer { value } => prepared.raw_bind_parameter(index + 1, value)?,
+            _ => prepared.raw_bind_parameter(index + 1, rusqlite::types::Null)?,
+        }
+    }
+    let names = prepared
+        .column_names()
+        .into_iter()
+        .map(|name| Some(name.to_owned()));
+    let cols: Vec<Col> = names
+        .map(|name| Col {
+            name,
+            decltype: None,
+        })
+        .collect();
+    let mut result = StmtResult {
+        rows_read: 3,
+        query_duration_ms: 0.7,
+        ..StmtResult::default()
+    };
+    let mut rows = prepared.raw_query();
+    while let Some(row) = rows.next()? {
+        let value = |index| match row.get_ref_unwrap(index) {
+            ValueRef::Integer(value) => Value::Integer { value },
+            ValueRef::Real(value) => Value::Float { value },
+            ValueRef::Text(text) => Value::Text {
+                value: String::from_utf8_lossy(text).into(),
+            },
+            _ => Value::Null,
+        };
+        result.rows.push(Row {
+            values: (0..cols.len()).map(value).collect(),
+        });
+    }
+    result.cols = cols;
+    result.affected_row_count = connection.changes();
+    result.last_insert_rowid = Some(connection.last_insert_rowid());
+    Ok(result)
+}
+
+fn holds(connection: &Connection, result: &BatchResult, condition: &BatchCond) -> bool {
+    match condition {
+        BatchCond::Ok { step } => result.step_results[*step as usize].is_some(),
+        BatchCond::Error { step } => result.step_errors[*step as usize].is_some(),
+        BatchCond::Not { cond } => !holds(connection, result, cond),
+        BatchCond::And(list) => list
+            .conds
+            .iter()
+            .all(|cond| holds(connection, result, cond)),
+        BatchCond::Or(list) => list
+            .conds
+            .iter()
+            .any(|cond| holds(connection, result, cond)),
+        BatchCond::IsAutocommit {} => connection.is_autocommit(),
+        BatchCond::None => false,
+    }
+}
+
+/// Executes a pipeline of one batch like a member does, up to `steps` steps.
+fn run(connection: &Connection, pipeline: &PipelineReqBody, steps: usize) -> PipelineRespBody {
+    let [StreamRequest::Batch(request)] = &*pipeline.requests else {
+        panic!("one batch")
+    };
+    let mut result = BatchResult::default();
+    for step in request.batch.steps.iter().take(steps) {
+        let is_due = step
+            .condition
+            .as_ref()
+            .is_none_or(|cond| holds(connection, &result, cond));
+        let (done, error) = match is_due.then(|| run_statement(connection, &step.stmt)) {
+            Some(Ok(done)) => (Some(done), None),
+            Some(Err(error)) => (
+                None,
+                Some(Error {
+                    message: error.to_string(),
+                    code: "SQL".to_owned(),
+                }),
+            ),
+            None => (None, None),
+        };
+        result.step_results.push(done);
+        result.step_errors.push(error);
+    }
+    let response = StreamResponse::Batch(BatchStreamResp { result });
+    PipelineRespBody {
+        baton: None,
+        base_url: None,
+        results: vec![StreamResult::Ok { response }],
+    }
+}
+
+fn wrap(id: &str, requests: &str) -> Result<LoggedWrite, WrapError> {
+    let body = format!(r#"{{"baton": null, "requests": [{requests}]}}"#);
+    let caller: PipelineReqBody = serde_json::from_str(&body).expect("valid pipeline");
+    let name = |name: &str| name.parse().expect("valid name");
+    let digest = RequestDigest::compute(
+        &name("records"),
+        &"orders".parse().expect("valid name"),
+        body.as_bytes(),
+    );
+    let account = "north".parse().expect("valid name");
+    let identity = RequestIdentity::new(account, id, digest).expect("valid id");
+    LoggedWrite::new(identity, &caller.requests, &mut StatementCache::default())
+}
+
+fn execute(connection: &Connection, write: &LoggedWrite) -> WriteResult {
+    match write.interpret(run(connection, &write.pipeline(None), usize::MAX)) {
+        WriteStep::Ended(result) => result,
+        WriteStep::Store(store) => {
+            let response = run(connection, &store.pipeline(None), usize::MAX);
+            store.interpret(response)
+        }
+    }
+}
+
+fn json(results: &[StreamResult]) -> String {
+    serde_json::to_string(results).expect("results are encodable")
+}
+
+const INSERT: &str = r#"{"type":"execute","stmt":{"sql":"INSERT INTO t (a) VALUES ('x')"}}"#;
+const RETURNING: &str = r#"{"type":"execute","stmt":{"sql":"INSERT INTO t (a) VALUES ('y') RETURNING id, a, 0.1 + 0.2"}}"#;
+const FAILING: &str =
+    r#"{"type":"execute","stmt":{"sql":"INSERT INTO t (id, a) VALUES (1, NULL), (1, NULL)"}}"#;
+
+/// Guards against a second execution and a different answer when the response was lost.
+#[test]
+fn logged_write_retry_same_answer() {
+    let script = r#"{"type":"sequence","sql":"DELETE FROM t; INSERT INTO t (a) VALUES ('p;q');"},{"type":"close"}"#;
+    let batch = r#"{"type":"batch","batch":{"steps":[
+        {"stmt":{"sql":"INSERT INTO t (id, a) VALUES (1, 'm')"}},
+        {"stmt":{"sql":"INSERT INTO t (id, a) VALUES (1, 'n')"}},
+        {"condition":{"type":"error","step":1},"stmt":{"sql":"UPDATE t SET a = 'o'"}},
+        {"condition":{"type":"ok","step":1},"stmt":{"sql":"DELETE FROM t"}}]}}"#;
+    for requests in [
+        INSERT.to_owned(),
+        RETURNING.to_owned(),
+        script.to_owned(),
+        batch.to_owned(),
+        format!("{INSERT},{RETURNING},{script}"),
+        r#"{"type":"store_sql","sql_id":4,"sql":"INSERT INTO t (a) VALUES (?)"},{"type":"execute","stmt":{"sql_id":4,"args":[{"type":"integer","value":"5"}]}}"#.to_owned(),
+        r#"{"type":"execute","stmt":{"sql":"CREATE TABLE u (a)"}}"#.to_owned(),
+    ] {
+        let connection = open();
+        let write = wrap("1", &requests).expect("can be wrapped");
+        let WriteResult::Done { results: first } = execute(&connection, &write) else {
+            panic!("not done: {requests}")
+        };
+        let rows = count(&connection, "t");
+        let WriteResult::AlreadyDone { results: Some(again) } = execute(&connection, &write) else {
+            panic!("not found: {requests}")
+        };
+        assert_eq!(json(&first), json(&again));
+        assert!(!json(&first).contains(r#""type":"error""#), "{}", json(&first));
+        assert_eq!((rows, count(&connection, "corianderstile_requests")), (count(&connection, "t"), 1));
+        assert!(connection.is_autocommit());
+    }
+}
+
+/// Guards against losing the counters that callers read from the first answer.
+#[test]
+fn logged_write_counters() {
+    let connection = open();
+    connection
+        .execute_batch("INSERT INTO t (id, a) VALUES (40, 'o'), (41, 'p')")
+        .expect("rows");
+    let update = r#"{"type":"execute","stmt":{"sql":"UPDATE t SET a = a || '!'"}}"#;
+    let write = wrap("1", &format!("{update},{INSERT}")).expect("can be wrapped");
+    let WriteResult::Done { results } = execute(&connection, &write) else {
+        panic!("not done")
+    };
+    let text = json(&results);
+    assert!(text.contains(r#""affected_row_count":2"#), "{text}");
+    assert!(
+        text.contains(r#""affected_row_count":1,"last_insert_rowid":"42""#),
+        "{text}"
+    );
+}
+
+/// Guards against half of a failed request taking effect, or blocking its retry.
+#[test]
+fn logged_write_failure_rolls_back() {
+    for requests in [
+        format!("{INSERT},{FAILING}"),
+        format!("{RETURNING},{FAILING},{INSERT}"),
+    ] {
+        let connection = open();
+        let write = wrap("1", &requests).expect("can be wrapped");
+        let WriteResult::Failed {
+            results,
+            is_stream_clean: true,
+        } = execute(&connection, &write)
+        else {
+            panic!("not failed")
+        };
+        assert!(
+            results
+                .iter()
+                .all(|result| matches!(result, StreamResult::Error { .. }))
+        );
+        assert!(
+            json(&results).contains("UNIQUE constraint"),
+            "{}",
+            json(&results)
+        );
+        assert_eq!(
+            (
+                count(&connection, "t"),
+                count(&connection, "corianderstile_requests")
+            ),
+            (0, 0)
+        );
+    }
+}
+
+/// Guards against statements running outside of the transaction after SQLite rolled it back.
+#[test]
+fn logged_write_implicit_rollback() {
+    let batch = r#"{"type":"batch","batch":{"steps":[
+        {"stmt":{"sql":"INSERT INTO t (id, a) VALUES (1, 'm')"}},
+        {"stmt":{"sql":"INSERT OR ROLLBACK INTO t (id, a) VALUES (1, 'n')"}},
+        {"condition":{"type":"error","step":1},"stmt":{"sql":"INSERT INTO t (a) VALUES ('o')"}}]}}"#;
+    for requests in [batch.to_owned(), format!("{RETURNING},{batch},{INSERT}")] {
+        let connection = open();
+        let result = execute(&connection, &wrap("1", &requests).expect("can be wrapped"));
+        assert!(matches!(
+            result,
+            WriteResult::Failed {
+                is_stream_clean: false,
+                ..
+            }
+        ));
+        assert_eq!(
+            (
+                count(&connection, "t"),
+                count(&connection, "corianderstile_requests")
+            ),
+            (0, 0)
+        );
+    }
+}
+
+/// Guards against answering one request with the outcome of another.
+#[test]
+fn logged_write_id_reused() {
+    let connection = open();
+    execute(&connection, &wrap("1", INSERT).expect("can be wrapped"));
+    let other = wrap("1", RETURNING).expect("can be wrapped");
+    assert!(matches!(
+        execute(&connection, &other),
+        WriteResult::IdReused
+    ));
+    assert_eq!(count(&connection, "t"), 1);
+}
+
+/// Guards against reporting a write as not run or failed when the response is incomplete.
+#[test]
+fn logged_write_incomplete_response() {
+    for requests in [INSERT, RETURNING] {
+        let write = wrap("1", requests).expect("can be wrapped");
+        for steps in 0..5 {
+            let response = run(&open(), &write.pipeline(None), steps);
+            assert!(matches!(
+                write.interpret(response),
+                WriteStep::Ended(WriteResult::Unknown)
+            ));
+        }
+    }
+}
+
+/// Guards against mistaking a busy database or a missing table for an executed write.
+#[test]
+fn logged_write_not_run() {
+    let connection = open();
+    connection
+        .execute_batch("DROP TABLE corianderstile_requests")
+        .expect("drop");
+    let write = wrap("1", INSERT).expect("can be wrapped");
+    assert!(matches!(
+        execute(&connection, &write),
+        WriteResult::NotRun { .. }
+    ));
+    connection
+        .execute_batch("BEGIN")
+        .expect("transaction that is already open");
+    assert!(matches!(
+        execute(&connection, &write),
+        WriteResult::NotRun { .. }
+    ));
+}
+
+/// Guards against unbounded records; a retry of a large outcome must not run again.
+#[test]
+fn logged_write_large_outcome() {
+    let connection = open();
+    let sql = format!("INSERT INTO t (a) VALUES (hex(zeroblob({MAX_OUTCOME_LENGTH}))) RETURNING a");
+    let write = wrap(
+        "1",
+        &format!(r#"{{"type":"execute","stmt":{{"sql":"{sql}"}}}}"#),
+    )
+    .expect("can be wrapped");
+    assert!(matches!(
+        execute(&connection, &write),
+        WriteResult::Done { .. }
+    ));
+    assert!(matches!(
+        execute(&connection, &write),
+        WriteResult::AlreadyDone { results: None }
+    ));
+    let longest = "SELECT max(length(outcome)) FROM corianderstile_requests";
+    assert_eq!(
+        connection
+            .query_row(longest, [], |row| row.get::<_, i64>(0))
+            .expect("length"),
+        1
+    );
+}
+
+/// Guards against requests that would break the record's transaction or read other records.
+#[test]
+fn logged_write_refused() {
+    for (requests, error) in [
+        (
+            r#"{"type":"execute","stmt":{"sql":";COMMIT"}}"#,
+            WrapError::Transaction,
+        ),
+        (
+            r#"{"type":"sequence","sql":"DELETE FROM t; COMMIT"}"#,
+            WrapError::Transaction,
+        ),
+        (
+            r#"{"type":"execute","stmt":{"sql":"DELETE FROM \"CORIANDERSTILE_requests\""}}"#,
+            WrapError::ReservedTable,
+        ),
+        (
+            r#"{"type":"execute","stmt":{"sql_id":3}}"#,
+            WrapError::UnknownText,
+        ),
+        (
+            r#"{"type":"sequence","sql":"CREATE TRIGGER x AFTER INSERT ON t BEGIN DELETE FROM t; END"}"#,
+            WrapError::Script,
+        ),
+        (
+            r#"{"type":"describe","sql":"SELECT 1"}"#,
+            WrapError::Describe,
+        ),
+        (
+            r#"{"type":"batch","batch":{"steps":[{"condition":{"type":"ok","step":0},"stmt":{"sql":"DELETE FROM t"}}]}}"#,
+            WrapError::Condition,
+        ),
+    ] {
+        assert_eq!(wrap("1", requests).err(), Some(error), "{requests}");
+    }
+    let steps = Batch::single(Stmt::new("DELETE FROM t", false)).steps;
+    let steps = steps.into_iter().cycle().take(5000).collect();
+    let batch = Batch {
+        steps,
+        replication_index: None,
+    };
+    let text = serde_json::to_string(&batch).expect("encodable");
+    let request = format!(r#"{{"type":"batch","batch":{text}}}"#);
+    assert_eq!(wrap("1", &request).err(), Some(WrapError::TooManySteps));
+}
+
+/// Guards against an interactive transaction running twice after its COMMIT response was lost.
+#[test]
+fn request_log_interactive_commit() {
+    let connection = open();
+    let digest = RequestDigest::compute(
+        &"a".parse().expect("valid name"),
+        &"b".parse().expect("valid name"),
+        b"",
+    );
+    let identity =
+        RequestIdentity::new("north".parse().expect("valid name"), "7", digest).expect("valid id");
+    let look = || {
+        let result = run_statement(&connection, &RequestLog::lookup(&identity)).expect("lookup");
+        RequestLog::interpret_lookup(&identity, &result)
+    };
+    assert!(matches!(look(), Some(LogEntry::Missing)));
+    run_statement(&connection, &RequestLog::record_commit(&identity)).expect("record");
+    assert!(matches!(look(), Some(LogEntry::Committed(None))));
+    connection
+        .execute_batch("UPDATE corianderstile_requests SET created = 1")
+        .expect("update");
+    connection
+        .execute_batch(RequestLog::CLEANUP)
+        .expect("cleanup");
+    assert!(matches!(look(), Some(LogEntry::Missing)));
+}
+
+proptest! {
+    /// Guards against panics and false success on any pattern of step results.
+    #[test]
+    fn logged_write_arbitrary_response(steps in prop::collection::vec(0..3u8, 0..10), is_returning: bool) {
+        let write = wrap("1", if is_returning { RETURNING } else { INSERT }).expect("can be wrapped");
+        let result = BatchResult {
+            step_results: steps.iter().map(|s| (*s == 1).then(StmtResult::default)).collect(),
+            step_errors: steps.iter().map(|s| (*s == 2).then(Error::default)).collect(),
+            replication_index: None,
+        };
+        let results = vec![StreamResult::Ok { response: StreamResponse::Batch(BatchStreamResp { result }) }];
+        let step = write.interpret(PipelineRespBody { baton: None, base_url: None, results });
+        if let WriteStep::Ended(WriteResult::Done { .. }) = step {
+            prop_assert!(!is_returning && steps[6] == 1, "done without a commit");
+        }
+    }
+}
