--- a/crates/coriander_standin/src/lib.rs
+++ b/crates/coriander_standin/src/lib.rs
@@ -17,3 +17,4 @@
 
 pub mod member;
 pub mod platform;
+pub mod process;
--- a/crates/coriander_standin/src/member/member_server.rs
+++ b/crates/coriander_standin/src/member/member_server.rs
@@ -69,18 +69,19 @@
     let received = ReceivedRequest::copy_of(&request, &body);
     node.record.borrow_mut().add(received);
     if let Some(mode) = find_cut(&node, &request, &body) {
-        if mode == CutMode::Ignore {
-            sleep(IGNORE_TIME).await;
-        }
-        return close_connection(&request);
+        return cut_connection(&request, mode).await;
     }
     let delay = node.settings.network_delay();
     if !delay.is_zero() {
         sleep(delay).await;
     }
     let is_statement = !request.path().starts_with("/group/");
-    let response = serve(&node, &request, body).await;
+    let response = serve(&node, &request, body.clone()).await;
     let response = response.unwrap_or_else(|refusal| refuse(&node, &refusal));
+    // A request that waited while its peer was cut off gets no response either.
+    if let Some(mode) = find_cut(&node, &request, &body) {
+        return cut_connection(&request, mode).await;
+    }
     let late = node.faults.borrow_mut().take_late();
     if let Some(late) = late {
         sleep(late).await;
@@ -107,6 +108,13 @@
     HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE)
 }
 
+async fn cut_connection(request: &HttpRequest, mode: CutMode) -> HttpResponse {
+    if mode == CutMode::Ignore {
+        sleep(IGNORE_TIME).await;
+    }
+    close_connection(request)
+}
+
 /// Returns how a request is cut, if it comes from a peer that is cut off.
 fn find_cut(node: &MemberNode, request: &HttpRequest, body: &Bytes) -> Option<CutMode> {
     let faults = node.faults.borrow();
--- /dev/null
+++ b/crates/coriander_standin/src/process/http_caller.rs
@@ -0,0 +1,115 @@
+//! HTTP requests of tests and of the load driver.
+
+use std::time::Duration;
+
+use ntex::client::{Client, Connector};
+use ntex::http::{HeaderMap, Method};
+use ntex::time::Millis;
+use serde::de::DeserializeOwned;
+
+use super::process_error::ProcessError;
+
+const RESPONSE_LIMIT: usize = 1 << 28;
+const CONNECTIONS_PER_HOST: usize = 1024;
+
+/// A client with connections that are kept open.
+#[derive(Clone)]
+pub struct HttpCaller {
+    client: Client,
+    timeout: Duration,
+}
+
+/// A response with its whole body.
+#[derive(Debug)]
+pub struct HttpReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl HttpReply {
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Parses the body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, ProcessError> {
+        Ok(serde_json::from_slice(&self.body)?)
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+impl HttpCaller {
+    /// Creates a client whose requests fail after a timeout.
+    pub async fn create(timeout: Duration) -> Self {
+        let connector = Connector::default().limit(CONNECTIONS_PER_HOST);
+        let client = Client::builder()
+            .connector::<()>(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .build(ntex::SharedCfg::default())
+            .await
+            .expect("HTTP client");
+        Self { client, timeout }
+    }
+
+    /// Sends a GET request.
+    pub async fn get(&self, url: &str) -> Result<HttpReply, ProcessError> {
+        self.call(Method::GET, url, &[], Vec::new()).await
+    }
+
+    /// Sends a POST request.
+    pub async fn post(&self, url: &str, body: String) -> Result<HttpReply, ProcessError> {
+        self.call(Method::POST, url, &[], body.into_bytes()).await
+    }
+
+    /// Sends a PUT request.
+    pub async fn put(&self, url: &str, body: &str) -> Result<HttpReply, ProcessError> {
+        let body = body.as_bytes().to_vec();
+        self.call(Method::PUT, url, &[], body).await
+    }
+
+    /// Sends a request and reads the whole response within the timeout.
+    pub async fn call(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<HttpReply, ProcessError> {
+        let failed = |reason: String| ProcessError::Request {
+            url: url.to_owned(),
+            reason,
+        };
+        let mut request = self.client.request(method, url).timeout(Millis::ZERO);
+        for (name, value) in headers {
+            request = request.set_header(*name, *value);
+        }
+        let exchange = async {
+            let response = request.send_body(body).await;
+            let response = response.map_err(|error| failed(error.to_string()))?;
+            let body = response.body().limit(RESPONSE_LIMIT).timeout(Millis::ZERO);
+            Ok(HttpReply {
+                status: response.status().as_u16(),
+                headers: response.headers().clone(),
+                body: body
+                    .await
+                    .map_err(|error| failed(error.to_string()))?
+                    .to_vec(),
+            })
+        };
+        match tokio::time::timeout(self.timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(failed("timeout".to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/process/mod.rs
@@ -0,0 +1,19 @@
+//! Processes for tests and scripts: start, signal, wait and stop.
+
+mod http_caller;
+mod instance_spec;
+mod member_client;
+mod process_error;
+mod process_group;
+mod program_paths;
+mod unused_address;
+mod wait_until;
+
+pub use http_caller::{HttpCaller, HttpReply};
+pub use instance_spec::InstanceSpec;
+pub use member_client::MemberClient;
+pub use process_error::ProcessError;
+pub use process_group::ProcessGroup;
+pub use program_paths::{example_path, program_path};
+pub use unused_address::unused_address;
+pub use wait_until::{GENEROUS_LIMIT, wait_until};
--- /dev/null
+++ b/crates/coriander_standin/src/process/process_error.rs
@@ -0,0 +1,56 @@
+//! Failures of the process helpers.
+
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// Failure to start, reach or signal a process.
+#[derive(Debug, Error)]
+pub enum ProcessError {
+    /// The program has not been built.
+    #[error("{0} does not exist; run `cargo build --workspace --bins --examples` first")]
+    NotBuilt(PathBuf),
+    /// The group has no process with this name, or it has ended.
+    #[error("no process named {0} is running")]
+    NotRunning(String),
+    /// A system call failed.
+    #[error("{context}: {source}")]
+    System {
+        /// What was attempted.
+        context: String,
+        /// Cause reported by the operating system.
+        source: io::Error,
+    },
+    /// No loopback port was unused.
+    #[error("found no unused port")]
+    NoPort,
+    /// A request got no response.
+    #[error("request to {url} failed: {reason}")]
+    Request {
+        /// Requested URL.
+        url: String,
+        /// Explanation of the client.
+        reason: String,
+    },
+    /// A response has another form than expected.
+    #[error("unexpected response: {0}")]
+    Body(#[from] serde_json::Error),
+    /// A condition did not hold in time.
+    #[error("{what} did not happen within {limit:?}")]
+    Timeout {
+        /// The condition.
+        what: String,
+        /// The limit.
+        limit: Duration,
+    },
+}
+
+impl ProcessError {
+    /// Adds what was attempted to an error of the operating system.
+    pub fn system(context: impl Into<String>) -> impl FnOnce(io::Error) -> Self {
+        let context = context.into();
+        move |source| Self::System { context, source }
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/process/wait_until.rs
@@ -0,0 +1,32 @@
+//! Waiting for conditions.
+
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use super::process_error::ProcessError;
+
+/// Limit for conditions that normally hold within a second; generous because the machine may be
+/// busy.
+pub const GENEROUS_LIMIT: Duration = Duration::from_secs(20);
+
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Waits until a condition holds.
+pub async fn wait_until(
+    what: &str,
+    limit: Duration,
+    mut condition: impl AsyncFnMut() -> bool,
+) -> Result<(), ProcessError> {
+    let start = Instant::now();
+    while !condition().await {
+        if start.elapsed() > limit {
+            return Err(ProcessError::Timeout {
+                what: what.to_owned(),
+                limit,
+            });
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/coriander_standin/tests/process_group.rs
@@ -0,0 +1,38 @@
+//! Signals and the end of processes in a group.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::panic::AssertUnwindSafe;
+use std::time::Duration;
+
+use coriander_standin::process::{HttpCaller, ProcessGroup};
+
+/// Guards against signals that do not reach the process and processes that survive their group.
+#[ntex::test]
+async fn processes_signalled_and_ended() {
+    let mut group = ProcessGroup::create("group-signals").await.unwrap();
+    let platform = group.start_platform(&[]).await.unwrap();
+    let url = format!("http://{platform}/debug/counters");
+    let caller = HttpCaller::create(Duration::from_millis(300)).await;
+    group.pause("platform").unwrap();
+    assert!(caller.get(&url).await.is_err());
+    group.resume("platform").unwrap();
+    group.wait_for_url(&url).await.unwrap();
+    group.terminate("platform").unwrap();
+    let code = group
+        .wait_for_end("platform", Duration::from_secs(20))
+        .await
+        .unwrap();
+    assert_eq!(code, Some(0));
+    assert!(!group.is_running("platform"));
+    group.restart("platform").unwrap();
+    group.wait_for_url(&url).await.unwrap();
+    let panicked = std::panic::catch_unwind(AssertUnwindSafe(move || {
+        let _group = group;
+        panic!("expected by this test");
+    }));
+    assert!(panicked.is_err());
+    assert!(
+        caller.get(&url).await.is_err(),
+        "the process ended with its group"
+    );
+}
