--- /dev/null
+++ b/crates/coriander_failover/src/group_event.rs
@@ -0,0 +1,139 @@
+//! Inputs and outputs of a group monitor.
+
+use coriander_core::{ControlReply, GroupStatus, MemberId, TermNumber, ZoneName};
+
+/// Identifier of one probe; later probes have greater numbers.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ProbeId(pub(crate) u64);
+
+/// A member of the group as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GroupMember {
+    /// Identifier of the member.
+    pub id: MemberId,
+    /// Availability zone of the member.
+    pub zone: ZoneName,
+    /// Whether the platform reports the member as leaving.
+    pub is_leaving: bool,
+    /// Whether operators took the member's zone out of service.
+    pub is_zone_out: bool,
+}
+
+impl GroupMember {
+    /// Tells whether the member should become or stay primary.
+    pub fn is_eligible(&self) -> bool {
+        !self.is_leaving && !self.is_zone_out
+    }
+}
+
+/// Why a call to a member failed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum CallFailure {
+    /// The member's host refused the connection.
+    Refused,
+    /// No response was received.
+    Silent,
+}
+
+/// What happened since the last call of the monitor.
+#[derive(Clone, Debug)]
+pub enum GroupEvent {
+    /// Time has passed.
+    Tick,
+    /// A member replied to a probe.
+    Status {
+        /// Probe that was replied to.
+        probe: ProbeId,
+        /// Member that was probed.
+        member: MemberId,
+        /// Its reply.
+        status: GroupStatus,
+    },
+    /// A probe failed.
+    ProbeFailed {
+        /// Probe that failed.
+        probe: ProbeId,
+        /// Member that was probed.
+        member: MemberId,
+        /// Why it failed.
+        failure: CallFailure,
+    },
+    /// A fence call ended.
+    FenceDone {
+        /// Member that was called.
+        member: MemberId,
+        /// Term of the call.
+        term: TermNumber,
+        /// Reply or failure.
+        result: Result<ControlReply, CallFailure>,
+    },
+    /// A promote call ended.
+    PromoteDone {
+        /// Member that was called.
+        member: MemberId,
+        /// Term of the call.
+        term: TermNumber,
+        /// Reply or failure.
+        result: Result<ControlReply, CallFailure>,
+    },
+    /// A follow call ended.
+    FollowDone {
+        /// Member that was called.
+        member: MemberId,
+        /// Term of the call.
+        term: TermNumber,
+        /// Reply or failure.
+        result: Result<ControlReply, CallFailure>,
+    },
+    /// A statement request to a member was not sent, or a member refused its term.
+    ///
+    /// It makes the monitor probe at once instead of at the next interval.
+    StatementFailed {
+        /// Member that was called.
+        member: MemberId,
+    },
+}
+
+/// A call that the holder of the monitor must send without waiting for earlier ones.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum GroupAction {
+    /// Ask for the status.
+    Probe {
+        /// Member to call.
+        member: MemberId,
+        /// Identifier to pass back.
+        probe: ProbeId,
+    },
+    /// Fence the member.
+    Fence {
+        /// Member to call.
+        member: MemberId,
+        /// New term.
+        term: TermNumber,
+    },
+    /// Make the member primary.
+    Promote {
+        /// Member to call.
+        member: MemberId,
+        /// Term of the new primary.
+        term: TermNumber,
+    },
+    /// Make the member replicate.
+    Follow {
+        /// Member to call.
+        member: MemberId,
+        /// Term of the primary.
+        term: TermNumber,
+        /// Member to replicate from.
+        primary: MemberId,
+    },
+}
+
+/// The primary of a group as far as it is known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PrimaryView {
+    /// The primary.
+    pub member: MemberId,
+    /// Its term, which statement requests must carry.
+    pub term: TermNumber,
+}
--- /dev/null
+++ b/crates/coriander_failover/src/group_monitor.rs
@@ -0,0 +1,417 @@
+//! State machine that watches one database group and replaces its primary.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coriander_core::{
+    ControlReply, DatabaseName, GroupStatus, LogPosition, MemberId, MemberRole, MonotonicTime,
+    TermNumber, WriteCertainty,
+};
+use rand::RngCore;
+
+use crate::member_record::{MemberRecord, SeenStatus};
+use crate::promotion_attempt::{AttemptStage, PromotionAttempt};
+use crate::{
+    CallFailure, GroupAction, GroupEvent, GroupMember, MonitorSettings, PrimaryView, ProbeId,
+    PromotionCause, WriteAcknowledgement,
+};
+
+/// A gap between two calls of the monitor beyond the expected interval, after which the silence
+/// of members is measured anew: this process itself did not run.
+const LOCAL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time, randomness and results of one call of the monitor.
+pub(crate) struct MonitorStep<'a> {
+    pub(crate) now: MonotonicTime,
+    pub(crate) random: &'a mut dyn RngCore,
+    pub(crate) actions: Vec<GroupAction>,
+}
+
+/// A suspected need for a promotion.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) cause: PromotionCause,
+    pub(crate) since: MonotonicTime,
+}
+
+/// A planned promotion that waits for its target to hold all entries.
+#[derive(Debug)]
+pub(crate) struct Handover {
+    pub(crate) target: MemberId,
+    pub(crate) started: MonotonicTime,
+    pub(crate) last_probe: ProbeId,
+}
+
+/// Watches one group; see the crate documentation.
+///
+/// All time, randomness and replies are passed in; the returned actions must be sent in parallel.
+#[derive(Debug)]
+pub struct GroupMonitor {
+    pub(crate) database: DatabaseName,
+    pub(crate) settings: MonitorSettings,
+    pub(crate) records: BTreeMap<MemberId, MemberRecord>,
+    pub(crate) rank: Option<u32>,
+    pub(crate) view: Option<PrimaryView>,
+    pub(crate) attempt: Option<PromotionAttempt>,
+    pub(crate) handover: Option<Handover>,
+    pub(crate) suspicion: Option<Suspicion>,
+    pub(crate) last_probe: ProbeId,
+    /// Statuses of probes up to this one were sampled before the last change of primary.
+    pub(crate) view_probe: ProbeId,
+    pub(crate) greatest_term: TermNumber,
+    pub(crate) own_term: TermNumber,
+    pub(crate) foreign_term: TermNumber,
+    pub(crate) foreign_since: MonotonicTime,
+    /// Greatest position that is known to be on a majority.
+    pub(crate) floor: LogPosition,
+    pub(crate) floor_changed: MonotonicTime,
+    pub(crate) stall_since: Option<MonotonicTime>,
+    pub(crate) planned_mark: Option<(MonotonicTime, LogPosition)>,
+    pub(crate) not_before: MonotonicTime,
+    pub(crate) planned_not_before: MonotonicTime,
+    last_call: MonotonicTime,
+}
+
+impl GroupMonitor {
+    /// Creates a monitor that knows no members and has no rank.
+    pub fn new(database: DatabaseName, settings: MonitorSettings, now: MonotonicTime) -> Self {
+        Self {
+            database,
+            settings,
+            records: BTreeMap::new(),
+            rank: None,
+            view: None,
+            attempt: None,
+            handover: None,
+            suspicion: None,
+            last_probe: ProbeId(0),
+            view_probe: ProbeId(0),
+            greatest_term: TermNumber::default(),
+            own_term: TermNumber::default(),
+            foreign_term: TermNumber::default(),
+            foreign_since: now,
+            floor: LogPosition::default(),
+            floor_changed: now,
+            stall_since: None,
+            planned_mark: None,
+            not_before: now,
+            planned_not_before: now,
+            last_call: now,
+        }
+    }
+
+    /// Adds and updates members.
+    ///
+    /// A known member that is missing from the list counts as leaving but stays part of the group:
+    /// the platform may omit unreachable members, and a smaller group would need fewer votes.
+    pub fn set_members(&mut self, members: &[GroupMember], now: MonotonicTime) {
+        for record in self.records.values_mut() {
+            record.member.is_leaving = true;
+        }
+        for member in members {
+            let record = self.records.entry(member.id.clone());
+            record
+                .or_insert_with(|| MemberRecord::new(member.clone(), now))
+                .member = member.clone();
+        }
+    }
+
+    /// Sets the rank of this instance for the database; without a rank it neither probes nor
+    /// promotes.
+    pub fn set_rank(&mut self, rank: Option<u32>, now: MonotonicTime) {
+        if self.rank.is_none() && rank.is_some() {
+            for record in self.records.values_mut() {
+                record.detector.restart_silence(now);
+                record.probe_due = now;
+            }
+            self.last_call = now;
+        }
+        if rank.is_none() {
+            self.attempt = None;
+            self.handover = None;
+            self.suspicion = None;
+        }
+        self.rank = rank;
+    }
+
+    /// Takes note of a position that a majority holds, such as the one of a session token.
+    ///
+    /// The monitor will not promote a member whose log ends before it.
+    pub fn note_acknowledged(&mut self, position: LogPosition, now: MonotonicTime) {
+        if position > self.floor {
+            self.floor = position;
+            self.floor_changed = now;
+            for record in self.records.values_mut() {
+                if let Some(log) = record.status().map(|status| status.log) {
+                    record.note_log(log, position, self.last_probe);
+                }
+            }
+        }
+    }
+
+    /// Processes an event and returns the calls to send.
+    pub fn handle(
+        &mut self,
+        event: GroupEvent,
+        now: MonotonicTime,
+        random: &mut dyn RngCore,
+    ) -> Vec<GroupAction> {
+        let mut step = MonitorStep {
+            now,
+            random,
+            actions: Vec::new(),
+        };
+        if self.rank.is_none() {
+            return step.actions;
+        }
+        self.check_local_pause(now);
+        self.apply(event, &mut step);
+        self.advance(&mut step);
+        self.send_probes(&mut step);
+        step.actions
+    }
+
+    /// Returns the primary, or `None` while it is not known or being replaced.
+    pub fn primary(&self) -> Option<&PrimaryView> {
+        if self.attempt.is_some() {
+            None
+        } else {
+            self.view.as_ref()
+        }
+    }
+
+    /// Tells whether new writes may be sent to the primary.
+    ///
+    /// Before a planned promotion writes are held back for a short time, so that none is cut off.
+    pub fn accepts_writes(&self) -> bool {
+        self.handover.is_none() && self.primary().is_some()
+    }
+
+    /// Returns the newest status of a member and when it was received.
+    pub fn member_status(&self, member: &MemberId) -> Option<(&GroupStatus, MonotonicTime)> {
+        let seen = self.records.get(member)?.seen.as_ref()?;
+        Some((&seen.status, seen.received))
+    }
+
+    /// Tells whether a member answers its probes.
+    pub fn is_answering(&self, member: &MemberId, now: MonotonicTime) -> bool {
+        self.records
+            .get(member)
+            .is_some_and(|record| self.answers(record, now))
+    }
+
+    /// Returns why a promotion is under way or about to start.
+    pub fn cause(&self) -> Option<PromotionCause> {
+        let attempt = self.attempt.as_ref().map(|attempt| attempt.cause);
+        attempt.or(self.suspicion.map(|suspicion| suspicion.cause))
+    }
+
+    /// Starts the acknowledgement of a write that the current primary executed.
+    ///
+    /// Returns `None` if there is no primary.
+    pub fn acknowledgement(
+        &self,
+        position: LogPosition,
+        certainty: WriteCertainty,
+    ) -> Option<WriteAcknowledgement> {
+        let members: Vec<MemberId> = self.records.keys().cloned().collect();
+        let write = WriteAcknowledgement::new(self.primary()?, position, &members, certainty);
+        Some(write.with_group_size(self.group_size(), certainty))
+    }
+
+    pub(crate) fn group_size(&self) -> usize {
+        self.settings.group_size.max(self.records.len())
+    }
+
+    pub(crate) fn answers(&self, record: &MemberRecord, now: MonotonicTime) -> bool {
+        record.seen.is_some()
+            && record.detector.refusals() == 0
+            && !record.detector.is_silent(&self.settings, now)
+    }
+
+    pub(crate) fn note_term(&mut self, term: TermNumber, now: MonotonicTime) {
+        self.greatest_term = self.greatest_term.max(term);
+        if term > self.own_term && term > self.foreign_term {
+            self.foreign_term = term;
+            self.foreign_since = now;
+        }
+    }
+
+    /// Makes a member the known primary of a term and drops what was learnt about earlier terms.
+    pub(crate) fn adopt(&mut self, member: &MemberId, term: TermNumber, now: MonotonicTime) {
+        log::info!(
+            "failover: primary database={} member={member} term={term}",
+            self.database
+        );
+        self.view = Some(PrimaryView {
+            member: member.clone(),
+            term,
+        });
+        self.view_probe = self.last_probe;
+        self.attempt = None;
+        self.handover = None;
+        self.suspicion = None;
+        self.stall_since = None;
+        self.planned_mark = None;
+        let follow_due = now + self.settings.rank_delay * self.rank.unwrap_or_default();
+        for record in self.records.values_mut() {
+            record.probe_due = now;
+            record.follow_due = follow_due;
+        }
+    }
+
+    fn check_local_pause(&mut self, now: MonotonicTime) {
+        if now.since(self.last_call) > self.settings.probe_interval + LOCAL_PAUSE {
+            for record in self.records.values_mut() {
+                record.detector.restart_silence(now);
+                record.probe_due = now;
+            }
+            self.suspicion = None;
+            self.stall_since = None;
+        }
+        self.last_call = now;
+    }
+
+    fn apply(&mut self, event: GroupEvent, step: &mut MonitorStep<'_>) {
+        let now = step.now;
+        match event {
+            GroupEvent::Tick => {}
+            GroupEvent::Status {
+                probe,
+                member,
+                status,
+            } => {
+                self.apply_status(probe, &member, status, now);
+            }
+            GroupEvent::ProbeFailed {
+                probe,
+                member,
+                failure,
+            } => {
+                self.apply_probe_failure(probe, &member, failure, now);
+            }
+            GroupEvent::FenceDone {
+                member,
+                term,
+                result,
+            } => {
+                self.apply_fence(member, term, result, now);
+            }
+            GroupEvent::PromoteDone {
+                member,
+                term,
+                result,
+            } => {
+                self.apply_promote(&member, term, result, step);
+            }
+            GroupEvent::FollowDone { result, .. } => {
+                if let Ok(reply) = result {
+                    self.note_term(reply.term, now);
+                }
+            }
+            GroupEvent::StatementFailed { member } => {
+                if let Some(record) = self.records.get_mut(&member) {
+                    // Many statements fail at once; they must not use up the refusals in no time.
+                    let earliest = record.probe_sent + self.settings.refused_interval;
+                    record.probe_due = record.probe_due.min(earliest.max(now));
+                }
+            }
+        }
+    }
+
+    fn apply_status(
+        &mut self,
+        probe: ProbeId,
+        member: &MemberId,
+        status: GroupStatus,
+        now: MonotonicTime,
+    ) {
+        let Some(record) = self.records.get_mut(member) else {
+            return;
+        };
+        record.detector.answered(probe, now);
+        if record.seen.as_ref().is_some_and(|seen| seen.probe >= probe) {
+            return;
+        }
+        let (term, role, log) = (status.term, status.role, status.log);
+        record.seen = Some(SeenStatus {
+            probe,
+            received: now,
+            status,
+        });
+        record.note_log(log, self.floor, self.last_probe);
+        self.note_term(term, now);
+        let known_term = self.view.as_ref().map(|view| view.term);
+        let attempt_term = self.attempt.as_ref().map(|attempt| attempt.term);
+        if role == MemberRole::Primary
+            && known_term.is_none_or(|known| term > known)
+            && attempt_term.is_none_or(|own| term >= own)
+        {
+            self.adopt(member, term, now);
+        }
+        self.raise_floor(now);
+    }
+
+    fn apply_probe_failure(
+        &mut self,
+        probe: ProbeId,
+        member: &MemberId,
+        failure: CallFailure,
+        now: MonotonicTime,
+    ) {
+        let is_primary = self
+            .view
+            .as_ref()
+            .is_some_and(|view| view.member == *member);
+        let Some(record) = self.records.get_mut(member) else {
+            return;
+        };
+        record.detector.failed(probe, failure);
+        if failure == CallFailure::Refused && is_primary {
+            record.probe_due = record.probe_due.min(now + self.settings.refused_interval);
+        }
+    }
+
+    fn apply_fence(
+        &mut self,
+        member: MemberId,
+        term: TermNumber,
+        result: Result<ControlReply, CallFailure>,
+        now: MonotonicTime,
+    ) {
+        let Ok(reply) = result else { return };
+        self.note_term(reply.term, now);
+        let Some(attempt) = self.attempt.as_mut() else {
+            return;
+        };
+        if attempt.term != term || attempt.stage != AttemptStage::Fencing {
+            return;
+        }
+        if reply.accepted && reply.term == term {
+            attempt.add_vote(member, reply.log);
+        } else {
+            attempt.add_refusal(member);
+        }
+    }
+
+    /// Raises the position that is known to be on a majority from the members' statuses.
+    ///
+    /// A status is the same statement as a confirmation: the member's term and its last entry's
+    /// term are the primary's, so it holds the primary's entries up to its index.
+    fn raise_floor(&mut self, now: MonotonicTime) {
+        let Some(term) = self.view.as_ref().map(|view| view.term) else {
+            return;
+        };
+        let mut indexes: Vec<u64> = self
+            .records
+            .values()
+            .filter_map(MemberRecord::status)
+            .filter(|status| status.term == term && status.log.term == term)
+            .map(|status| status.log.index)
+            .collect();
+        indexes.sort_unstable_by(|a, b| b.cmp(a));
+        if let Some(index) = indexes.get(crate::majority_of(self.group_size()) - 1) {
+            self.note_acknowledged(LogPosition::new(term, *index), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/src/probe_schedule.rs
@@ -0,0 +1,76 @@
+//! When members are probed and when the monitor has to be called.
+
+use std::time::Duration;
+
+use coriander_core::MonotonicTime;
+
+use crate::group_monitor::{GroupMonitor, MonitorStep};
+use crate::{GroupAction, ProbeId};
+
+/// Time between probes of the two members of a planned promotion.
+const HANDOVER_PROBE: Duration = Duration::from_millis(20);
+
+impl GroupMonitor {
+    /// Returns when [`GroupMonitor::handle`] must be called with a tick at the latest.
+    pub fn next_wake(&self, now: MonotonicTime) -> MonotonicTime {
+        let mut wake = now + self.settings.probe_interval;
+        for record in self.records.values() {
+            wake = wake.min(record.probe_due);
+            if let Some(deadline) = record.detector.silence_deadline(&self.settings)
+                && deadline > now
+            {
+                wake = wake.min(deadline);
+            }
+        }
+        let starts = [
+            self.start_time(),
+            self.attempt.as_ref().map(|attempt| attempt.resend_due),
+        ];
+        for start in starts.into_iter().flatten().filter(|start| *start > now) {
+            wake = wake.min(start);
+        }
+        wake
+    }
+
+    pub(crate) fn send_probes(&mut self, step: &mut MonitorStep<'_>) {
+        let now = step.now;
+        let primary = self.view.as_ref().map(|view| view.member.clone());
+        let is_calm = primary.is_some() && self.attempt.is_none() && !self.is_primary_doubtful(now);
+        for (id, record) in &mut self.records {
+            let is_primary = primary.as_ref() == Some(id);
+            let interval = match &self.handover {
+                Some(handover) if is_primary || handover.target == *id => HANDOVER_PROBE,
+                _ if is_primary && record.detector.refusals() > 0 => self.settings.refused_interval,
+                _ if is_primary || !is_calm => self.settings.probe_interval,
+                _ => self.settings.replica_probe_interval,
+            };
+            // A shorter interval applies at once, also to a probe that was planned before.
+            record.probe_due = record.probe_due.min(now + interval);
+            if now < record.probe_due {
+                continue;
+            }
+            self.last_probe = ProbeId(self.last_probe.0 + 1);
+            record.detector.probe_sent(self.last_probe, now);
+            record.probe_sent = now;
+            record.probe_due = now + interval;
+            step.actions.push(GroupAction::Probe {
+                member: id.clone(),
+                probe: self.last_probe,
+            });
+        }
+    }
+
+    /// Tells whether the primary has missed an answer, so that the other members are probed more
+    /// often before its failure is certain.
+    fn is_primary_doubtful(&self, now: MonotonicTime) -> bool {
+        let record = self
+            .view
+            .as_ref()
+            .and_then(|view| self.records.get(&view.member));
+        record.is_some_and(|record| {
+            let silent = record.detector.silent_since().map(|since| now.since(since));
+            record.detector.refusals() > 0
+                || silent.is_some_and(|silent| silent >= self.settings.probe_interval)
+        })
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/src/promotion_attempt.rs
@@ -0,0 +1,180 @@
+//! One attempt to fence a majority and to promote the member with the greatest log.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coriander_core::{LogPosition, MemberId, MonotonicTime, TermNumber};
+use smallvec::SmallVec;
+
+use crate::PromotionCause;
+use crate::member_record::MemberRecord;
+
+/// How long the attempt waits for members that should not become primary before it counts them.
+const PREFERENCE_WAIT: Duration = Duration::from_millis(100);
+
+/// Progress of an attempt.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum AttemptStage {
+    Fencing,
+    /// The candidate never changes within a term; another choice needs a new term.
+    Promoting(MemberId),
+}
+
+/// Result of counting the fenced members.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum FenceCount {
+    Waiting,
+    Candidate(MemberId),
+    /// Too many members have accepted another proposer or a later term.
+    Refused,
+}
+
+/// An attempt; a monitor never uses the same term for two attempts.
+#[derive(Debug)]
+pub(crate) struct PromotionAttempt {
+    pub(crate) term: TermNumber,
+    pub(crate) cause: PromotionCause,
+    pub(crate) stage: AttemptStage,
+    pub(crate) started: MonotonicTime,
+    pub(crate) stage_started: MonotonicTime,
+    pub(crate) resend_due: MonotonicTime,
+    /// Member that should become primary, if its log allows it.
+    pub(crate) target: Option<MemberId>,
+    /// Member that is suspected to have failed.
+    pub(crate) suspect: Option<MemberId>,
+    votes: BTreeMap<MemberId, LogPosition>,
+    refusals: SmallVec<[MemberId; 4]>,
+}
+
+impl PromotionAttempt {
+    pub(crate) fn new(term: TermNumber, cause: PromotionCause, now: MonotonicTime) -> Self {
+        Self {
+            term,
+            cause,
+            stage: AttemptStage::Fencing,
+            started: now,
+            stage_started: now,
+            resend_due: now,
+            target: None,
+            suspect: None,
+            votes: BTreeMap::new(),
+            refusals: SmallVec::new(),
+        }
+    }
+
+    pub(crate) fn add_vote(&mut self, member: MemberId, log: LogPosition) {
+        // A repeated fence call can be answered after the member began to follow; its first
+        // answer is the position that was fenced.
+        self.votes.entry(member).or_insert(log);
+    }
+
+    pub(crate) fn add_refusal(&mut self, member: MemberId) {
+        if !self.votes.contains_key(&member) && !self.refusals.contains(&member) {
+            self.refusals.push(member);
+        }
+    }
+
+    pub(crate) fn has_vote(&self, member: &MemberId) -> bool {
+        self.votes.contains_key(member)
+    }
+
+    /// Returns when waiting for preferred members ends.
+    pub(crate) fn preference_deadline(&self) -> MonotonicTime {
+        self.started + PREFERENCE_WAIT
+    }
+
+    /// Counts the votes of a group of `size` members.
+    ///
+    /// Any majority of fenced members may choose, because every acknowledged write is on one of
+    /// them. Members that lost entries do not count, except when every member has been heard.
+    pub(crate) fn count(
+        &self,
+        records: &BTreeMap<MemberId, MemberRecord>,
+        size: usize,
+        floor: LogPosition,
+        now: MonotonicTime,
+    ) -> FenceCount {
+        let majority = crate::majority_of(size);
+        if self.is_hopeless(records, majority, now) {
+            return FenceCount::Refused;
+        }
+        let is_complete = self.votes.len() >= size;
+        let intact = |id: &MemberId, log: LogPosition| {
+            is_complete
+                || records
+                    .get(id)
+                    .is_some_and(|record| !record.has_lost_entries(log))
+        };
+        let counted: SmallVec<[&MemberId; 4]> = self
+            .votes
+            .iter()
+            .filter(|(id, log)| intact(id, **log))
+            .map(|(id, _)| id)
+            .collect();
+        if counted.len() < majority {
+            return FenceCount::Waiting;
+        }
+        let preferred: SmallVec<[&MemberId; 4]> = counted
+            .iter()
+            .copied()
+            .filter(|id| self.is_preferred(id, records))
+            .collect();
+        let is_target_heard = self
+            .target
+            .as_ref()
+            .is_none_or(|target| self.has_vote(target));
+        let can_wait =
+            now < self.preference_deadline() && self.votes.len() + self.refusals.len() < size;
+        let choice = if preferred.len() >= majority && (is_target_heard || !can_wait) {
+            self.greatest(&preferred, records)
+        } else if can_wait {
+            None
+        } else {
+            self.greatest(&counted, records)
+        };
+        match choice {
+            Some((id, log)) if log >= floor || is_complete => FenceCount::Candidate(id.clone()),
+            _ => FenceCount::Waiting,
+        }
+    }
+
+    /// Tells whether a refusal leaves no majority without the suspect, so that waiting is useless.
+    fn is_hopeless(
+        &self,
+        records: &BTreeMap<MemberId, MemberRecord>,
+        majority: usize,
+        now: MonotonicTime,
+    ) -> bool {
+        let is_open = |id: &MemberId| {
+            !self.has_vote(id) && !self.refusals.contains(id) && self.suspect.as_ref() != Some(id)
+        };
+        let reachable = self.votes.len() + records.keys().filter(|id| is_open(id)).count();
+        !self.refusals.is_empty()
+            && self.votes.len() < majority
+            && (reachable < majority || now >= self.preference_deadline())
+    }
+
+    fn is_preferred(&self, id: &MemberId, records: &BTreeMap<MemberId, MemberRecord>) -> bool {
+        self.suspect.as_ref() != Some(id)
+            && records
+                .get(id)
+                .is_some_and(|record| record.member.is_eligible())
+    }
+
+    fn greatest<'a>(
+        &self,
+        voters: &[&'a MemberId],
+        records: &BTreeMap<MemberId, MemberRecord>,
+    ) -> Option<(&'a MemberId, LogPosition)> {
+        let key = |id: &MemberId| {
+            let log = self.votes.get(id).copied().unwrap_or_default();
+            (
+                log,
+                self.is_preferred(id, records),
+                self.target.as_ref() == Some(id),
+            )
+        };
+        let best = voters.iter().copied().max_by_key(|id| key(id))?;
+        Some((best, key(best).0))
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/src/promotion_cause.rs
@@ -0,0 +1,46 @@
+//! Reasons for a promotion.
+
+use std::fmt;
+
+/// Why a new primary is needed.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum PromotionCause {
+    /// No member is primary.
+    NoPrimary,
+    /// The primary's host refuses connections.
+    Refused,
+    /// The primary does not answer.
+    Silent,
+    /// The primary restarted without its role or term.
+    RoleLost,
+    /// The primary lacks entries that it had before.
+    EntriesLost,
+    /// Writes of the primary reach no majority although the other members answer.
+    ReplicationStalled,
+    /// A member accepted a later term in which no primary appeared.
+    LaterTerm,
+    /// The primary is leaving or its zone is out of service.
+    Planned,
+}
+
+impl PromotionCause {
+    /// Returns the cause as it appears in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoPrimary => "no_primary",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+            Self::RoleLost => "role_lost",
+            Self::EntriesLost => "entries_lost",
+            Self::ReplicationStalled => "replication_stalled",
+            Self::LaterTerm => "later_term",
+            Self::Planned => "planned",
+        }
+    }
+}
+
+impl fmt::Display for PromotionCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/src/promotion_steps.rs
@@ -0,0 +1,321 @@
+//! Fencing, promotion and following, and the planned promotion that precedes them.
+
+use std::time::Duration;
+
+use coriander_core::{ControlReply, LogPosition, MemberId, MonotonicTime, TermNumber};
+use rand::Rng;
+
+use crate::group_monitor::{GroupMonitor, Handover, MonitorStep};
+use crate::member_record::MemberRecord;
+use crate::promotion_attempt::{AttemptStage, FenceCount, PromotionAttempt};
+use crate::{CallFailure, GroupAction, PromotionCause};
+
+const RESEND_INTERVAL: Duration = Duration::from_millis(100);
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without a majority after which an attempt ends; the cause is then judged anew.
+const FENCING_LIMIT: Duration = Duration::from_secs(1);
+/// Lower ranks wait this much longer per rank before a planned promotion, which is never urgent.
+const PLANNED_RANK_DELAY: Duration = Duration::from_secs(2);
+/// A target whose log reaches the primary's position of at most this time ago is caught up.
+const PLANNED_LAG: Duration = Duration::from_millis(500);
+
+impl GroupMonitor {
+    pub(crate) fn advance(&mut self, step: &mut MonitorStep<'_>) {
+        if self.attempt.is_some() {
+            self.advance_attempt(step);
+            return;
+        }
+        self.update_suspicion(step.now);
+        if let Some(cause) = self.suspicion.map(|suspicion| suspicion.cause) {
+            self.handover = None;
+            if self.start_time().is_some_and(|start| step.now >= start) {
+                self.start_attempt(cause, None, step);
+            }
+            return;
+        }
+        self.advance_handover(step);
+        self.send_follows(step);
+    }
+
+    pub(crate) fn apply_promote(
+        &mut self,
+        member: &MemberId,
+        term: TermNumber,
+        result: Result<ControlReply, CallFailure>,
+        step: &mut MonitorStep<'_>,
+    ) {
+        if let Ok(reply) = &result {
+            self.note_term(reply.term, step.now);
+        }
+        let Some(attempt) = &self.attempt else { return };
+        if attempt.term != term || attempt.stage != AttemptStage::Promoting(member.clone()) {
+            return;
+        }
+        match result {
+            Ok(reply) if reply.accepted && reply.term == term => {
+                let took = step.now.since(attempt.started).as_millis();
+                log::info!("failover: promoted member={member} term={term} took_ms={took}");
+                self.adopt(member, term, step.now);
+                // The first follow calls may have come before the member was primary.
+                self.follow_all(member, term, step);
+            }
+            Ok(_) => self.back_off(step),
+            Err(CallFailure::Refused) => self.retry_without(member, step),
+            Err(CallFailure::Silent) => {}
+        }
+    }
+
+    fn start_attempt(
+        &mut self,
+        cause: PromotionCause,
+        target: Option<MemberId>,
+        step: &mut MonitorStep<'_>,
+    ) {
+        let term = self.greatest_term.next();
+        self.greatest_term = term;
+        self.own_term = term;
+        log::info!(
+            "failover: fencing database={} term={term} cause={cause}",
+            self.database
+        );
+        let mut attempt = PromotionAttempt::new(term, cause, step.now);
+        attempt.resend_due = step.now + RESEND_INTERVAL;
+        attempt.target = target;
+        let is_suspect = !matches!(cause, PromotionCause::Planned | PromotionCause::LaterTerm);
+        if is_suspect {
+            attempt.suspect = self.view.as_ref().map(|view| view.member.clone());
+        }
+        self.attempt = Some(attempt);
+        self.handover = None;
+        for member in self.records.keys() {
+            step.actions.push(GroupAction::Fence {
+                member: member.clone(),
+                term,
+            });
+        }
+    }
+
+    fn advance_attempt(&mut self, step: &mut MonitorStep<'_>) {
+        let size = self.group_size();
+        let Some(attempt) = self.attempt.as_mut() else {
+            return;
+        };
+        match &attempt.stage {
+            AttemptStage::Fencing => match attempt.count(&self.records, size, self.floor, step.now)
+            {
+                FenceCount::Candidate(candidate) => self.promote(&candidate, step),
+                FenceCount::Refused => self.back_off(step),
+                FenceCount::Waiting if step.now.since(attempt.started) >= FENCING_LIMIT => {
+                    self.back_off(step);
+                }
+                FenceCount::Waiting => self.resend_fences(step),
+            },
+            AttemptStage::Promoting(candidate) => {
+                let candidate = candidate.clone();
+                let limit = self
+                    .records
+                    .get(&candidate)
+                    .map_or(FENCING_LIMIT, |record| {
+                        record.detector.silence_timeout(&self.settings)
+                    });
+                if step.now.since(attempt.stage_started) >= limit {
+                    self.retry_without(&candidate, step);
+                } else if step.now >= attempt.resend_due {
+                    attempt.resend_due = step.now + RESEND_INTERVAL;
+                    let term = attempt.term;
+                    step.actions.push(GroupAction::Promote {
+                        member: candidate,
+                        term,
+                    });
+                }
+            }
+        }
+    }
+
+    fn promote(&mut self, candidate: &MemberId, step: &mut MonitorStep<'_>) {
+        let Some(attempt) = self.attempt.as_mut() else {
+            return;
+        };
+        attempt.stage = AttemptStage::Promoting(candidate.clone());
+        attempt.stage_started = step.now;
+        attempt.resend_due = step.now + RESEND_INTERVAL;
+        let term = attempt.term;
+        step.actions.push(GroupAction::Promote {
+            member: candidate.clone(),
+            term,
+        });
+        // The choice is final for this term, so the others may follow before the reply arrives.
+        self.follow_all(candidate, term, step);
+    }
+
+    fn resend_fences(&mut self, step: &mut MonitorStep<'_>) {
+        let Some(attempt) = self.attempt.as_mut() else {
+            return;
+        };
+        if step.now < attempt.resend_due {
+            return;
+        }
+        attempt.resend_due = step.now + RESEND_INTERVAL;
+        let term = attempt.term;
+        for member in self
+            .records
+            .keys()
+            .filter(|member| !attempt.has_vote(member))
+        {
+            step.actions.push(GroupAction::Fence {
+                member: member.clone(),
+                term,
+            });
+        }
+    }
+
+    fn follow_all(&mut self, primary: &MemberId, term: TermNumber, step: &mut MonitorStep<'_>) {
+        for (member, record) in &mut self.records {
+            if member != primary {
+                record.follow_due = step.now + FOLLOW_INTERVAL;
+                let (member, primary) = (member.clone(), primary.clone());
+                step.actions.push(GroupAction::Follow {
+                    member,
+                    term,
+                    primary,
+                });
+            }
+        }
+    }
+
+    /// Ends the attempt and waits for a random time, so that two proposers do not keep
+    /// interrupting each other.
+    fn back_off(&mut self, step: &mut MonitorStep<'_>) {
+        if let Some(attempt) = self.attempt.take() {
+            log::info!(
+                "failover: gave up database={} term={}",
+                self.database,
+                attempt.term
+            );
+            if attempt.cause == PromotionCause::Planned {
+                self.planned_not_before = step.now + self.settings.handover_pause;
+            }
+        }
+        let factor = step.random.random_range(0.5..2.5);
+        self.not_before = step.now + self.settings.backoff.mul_f64(factor);
+    }
+
+    /// Starts over at a new term because the candidate failed; a term's candidate never changes.
+    fn retry_without(&mut self, candidate: &MemberId, step: &mut MonitorStep<'_>) {
+        let Some(cause) = self.attempt.take().map(|attempt| attempt.cause) else {
+            return;
+        };
+        self.start_attempt(cause, None, step);
+        if let Some(attempt) = self.attempt.as_mut() {
+            attempt.suspect = Some(candidate.clone());
+        }
+    }
+
+    /// Tells members to follow that missed the call or restarted.
+    fn send_follows(&mut self, step: &mut MonitorStep<'_>) {
+        let Some(view) = &self.view else { return };
+        let interval = FOLLOW_INTERVAL * (1 + self.rank.unwrap_or_default());
+        for (id, record) in &mut self.records {
+            let Some(status) = record.status_after(self.view_probe) else {
+                continue;
+            };
+            let is_behind = status.term <= view.term && !record.replicates(view.term);
+            if *id == view.member || !is_behind || step.now < record.follow_due {
+                continue;
+            }
+            record.follow_due = step.now + interval;
+            let (member, primary) = (id.clone(), view.member.clone());
+            step.actions.push(GroupAction::Follow {
+                member,
+                term: view.term,
+                primary,
+            });
+        }
+    }
+
+    /// Prepares a planned promotion: chooses a target that is caught up, holds writes back, and
+    /// fences once the target holds all entries.
+    fn advance_handover(&mut self, step: &mut MonitorStep<'_>) {
+        if let Some(handover) = &self.handover {
+            let target = handover.target.clone();
+            let is_complete = self.is_target_complete(handover);
+            let is_over = step.now.since(handover.started) >= self.settings.handover_limit;
+            if is_complete {
+                self.start_attempt(PromotionCause::Planned, Some(target), step);
+            } else if is_over {
+                self.handover = None;
+                self.planned_not_before = step.now + self.settings.handover_pause;
+            }
+            return;
+        }
+        let Some(log) = self.primary_log().filter(|_| self.is_primary_unwanted()) else {
+            self.planned_mark = None;
+            return;
+        };
+        let delay = PLANNED_RANK_DELAY * self.rank.unwrap_or_default();
+        if step.now < self.planned_not_before + delay {
+            return;
+        }
+        if self
+            .planned_mark
+            .is_none_or(|(time, _)| step.now.since(time) >= PLANNED_LAG)
+        {
+            self.planned_mark = Some((step.now, log));
+        }
+        if let Some(target) = self.handover_target() {
+            log::info!(
+                "failover: planned database={} target={target}",
+                self.database
+            );
+            let last_probe = self.last_probe;
+            self.handover = Some(Handover {
+                target,
+                started: step.now,
+                last_probe,
+            });
+            self.probe_now(step.now);
+        }
+    }
+
+    fn probe_now(&mut self, now: MonotonicTime) {
+        for record in self.records.values_mut() {
+            record.probe_due = now;
+        }
+    }
+
+    fn is_primary_unwanted(&self) -> bool {
+        let record = self
+            .view
+            .as_ref()
+            .and_then(|view| self.records.get(&view.member));
+        record.is_some_and(|record| !record.member.is_eligible())
+    }
+
+    fn handover_target(&self) -> Option<MemberId> {
+        let (_, mark) = self.planned_mark?;
+        let term = self.view.as_ref()?.term;
+        let log = |record: &MemberRecord| record.status().map_or(LogPosition::default(), |s| s.log);
+        let candidates = self.records.iter().filter(|(_, record)| {
+            record.member.is_eligible() && record.replicates(term) && log(record) >= mark
+        });
+        candidates
+            .max_by_key(|(_, record)| log(record))
+            .map(|(id, _)| id.clone())
+    }
+
+    /// Compares samples that were taken after writes were held back.
+    fn is_target_complete(&self, handover: &Handover) -> bool {
+        let sampled = |member: &MemberId| {
+            self.records
+                .get(member)
+                .and_then(|record| record.status_after(handover.last_probe))
+        };
+        let Some(view) = &self.view else { return false };
+        match (sampled(&view.member), sampled(&handover.target)) {
+            (Some(primary), Some(target)) => {
+                target.term == view.term && primary.term == view.term && target.log >= primary.log
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/src/write_acknowledgement.rs
@@ -0,0 +1,124 @@
+//! The rule that decides when a write may be acknowledged.
+
+use coriander_core::{ConfirmReply, LogPosition, MemberId, WriteCertainty};
+use smallvec::SmallVec;
+
+use crate::PrimaryView;
+
+/// Returns the number of members that form a majority of a group.
+///
+/// ```
+/// assert_eq!(coriander_failover::majority_of(3), 2);
+/// assert_eq!(coriander_failover::majority_of(4), 3);
+/// ```
+pub const fn majority_of(members: usize) -> usize {
+    members / 2 + 1
+}
+
+/// What is known about the acknowledgement of a write.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum AckState {
+    /// More confirmations are needed.
+    Waiting,
+    /// Enough members hold the write; it survives any promotion.
+    Acknowledged,
+    /// Too many members have moved to a later term; the outcome must be reported as unknown.
+    Impossible,
+}
+
+/// Confirmations of one write.
+///
+/// ```
+/// use coriander_core::{ConfirmReply, LogPosition, MemberId, TermNumber, WriteCertainty};
+/// use coriander_failover::{AckState, PrimaryView, WriteAcknowledgement};
+///
+/// let members: Vec<MemberId> = ["a", "b", "c"].map(|m| m.parse().expect("name")).to_vec();
+/// let term = TermNumber::new(4);
+/// let view = PrimaryView { member: members[0].clone(), term };
+/// let position = LogPosition::new(term, 9);
+/// let mut write = WriteAcknowledgement::new(&view, position, &members, WriteCertainty::Majority);
+/// assert_eq!(write.state(), AckState::Waiting);
+/// let reply = ConfirmReply { confirmed: true, term, log: position };
+/// assert_eq!(write.record(&members[1], &reply), AckState::Acknowledged);
+/// ```
+#[derive(Clone, Debug)]
+pub struct WriteAcknowledgement {
+    position: LogPosition,
+    needed: usize,
+    holders: SmallVec<[MemberId; 4]>,
+    undecided: SmallVec<[MemberId; 4]>,
+}
+
+impl WriteAcknowledgement {
+    /// Starts with the primary, which has executed the write.
+    ///
+    /// A position of another term than the primary's can never be acknowledged.
+    pub fn new(
+        primary: &PrimaryView,
+        position: LogPosition,
+        members: &[MemberId],
+        certainty: WriteCertainty,
+    ) -> Self {
+        let needed = needed_holders(members.len(), certainty);
+        let mut holders = SmallVec::new();
+        let mut undecided = SmallVec::new();
+        if position.term == primary.term && members.contains(&primary.member) {
+            holders.push(primary.member.clone());
+            undecided.extend(members.iter().filter(|m| **m != primary.member).cloned());
+        }
+        Self {
+            position,
+            needed,
+            holders,
+            undecided,
+        }
+    }
+
+    /// Sets the size of a group of which not all members are known.
+    #[must_use]
+    pub fn with_group_size(mut self, members: usize, certainty: WriteCertainty) -> Self {
+        self.needed = self.needed.max(needed_holders(members, certainty));
+        self
+    }
+
+    /// Records a member's reply to a confirm call for this write's position.
+    ///
+    /// The reply is checked against the rule again, so that a reply to another call cannot count.
+    pub fn record(&mut self, member: &MemberId, reply: &ConfirmReply) -> AckState {
+        let Some(place) = self.undecided.iter().position(|m| m == member) else {
+            return self.state();
+        };
+        let is_same_term = reply.term == self.position.term;
+        let is_held =
+            reply.log.term == self.position.term && reply.log.index >= self.position.index;
+        if reply.confirmed && is_same_term && is_held {
+            self.holders.push(self.undecided.swap_remove(place));
+        } else if reply.term > self.position.term {
+            self.undecided.swap_remove(place);
+        }
+        self.state()
+    }
+
+    /// Returns the members whose confirmation is still missing.
+    pub fn undecided(&self) -> &[MemberId] {
+        &self.undecided
+    }
+
+    /// Returns what is known now.
+    pub fn state(&self) -> AckState {
+        if !self.holders.is_empty() && self.holders.len() >= self.needed {
+            AckState::Acknowledged
+        } else if self.holders.len() + self.undecided.len() < self.needed {
+            AckState::Impossible
+        } else {
+            AckState::Waiting
+        }
+    }
+}
+
+fn needed_holders(members: usize, certainty: WriteCertainty) -> usize {
+    match certainty {
+        WriteCertainty::Majority => majority_of(members),
+        WriteCertainty::All => members,
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/tests/cluster/mod.rs
@@ -0,0 +1,507 @@
+//! Simulation in virtual time of two monitors, three members and writers over a faulty network.
+
+#![allow(dead_code)]
+
+pub mod faults;
+pub mod member;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use coriander_core::{
+    ConfirmReply, ControlReply, LogPosition, MemberId, MonotonicTime, TermNumber, WriteCertainty,
+};
+use coriander_failover::{
+    AckState, CallFailure, GroupAction, GroupEvent, GroupMember, GroupMonitor, MonitorSettings,
+    PrimaryView, WriteAcknowledgement,
+};
+pub use faults::Fault;
+use member::{Breakage, FakeMember, LogTail};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+pub const MEMBERS: usize = 3;
+const WRITE_INTERVAL: u64 = 5_000;
+const PULL_INTERVAL: u64 = 2_000;
+const CONFIRM_INTERVAL: u64 = 2_000;
+const CALL_TIMEOUT: u64 = 1_000_000;
+
+pub fn member_id(name: usize) -> MemberId {
+    ["a", "b", "c", "d", "e"][name].parse().expect("name")
+}
+
+fn member_number(id: &MemberId) -> usize {
+    usize::from(id.as_str().as_bytes()[0] - b'a')
+}
+
+pub fn group_members() -> Vec<GroupMember> {
+    let member = |name| GroupMember {
+        id: member_id(name),
+        zone: ["berrechid", "ain-sebaa", "mohammedia"][name]
+            .parse()
+            .expect("name"),
+        is_leaving: false,
+        is_zone_out: false,
+    };
+    (0..MEMBERS).map(member).collect()
+}
+
+/// One-way delays in microseconds and fault rates of the network.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    pub delay: u64,
+    pub jitter: u64,
+    pub spike: (f64, u64),
+    pub loss: f64,
+    pub duplicates: f64,
+}
+
+impl Network {
+    pub const CALM: Self = Self {
+        delay: 1_500,
+        jitter: 200,
+        spike: (0.0, 0),
+        loss: 0.0,
+        duplicates: 0.0,
+    };
+    pub const FAULTY: Self = Self {
+        delay: 1_500,
+        jitter: 6_000,
+        spike: (0.02, 150_000),
+        loss: 0.03,
+        duplicates: 0.05,
+    };
+    /// Jitter and spikes of a busy but healthy network.
+    pub const JITTERED: Self = Self {
+        delay: 1_500,
+        jitter: 20_000,
+        spike: (0.01, 120_000),
+        loss: 0.0,
+        duplicates: 0.0,
+    };
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Node {
+    Member(usize),
+    Proposer(usize),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Call(GroupAction, u64),
+    Reply(GroupEvent, u64),
+    Write(u64, u64),
+    Written(u64, Option<LogPosition>, usize),
+    Confirm(u64, LogPosition),
+    Confirmed(u64, usize, ConfirmReply),
+    Pull(usize, u64, LogPosition),
+    Tail(LogTail),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Deliver(Node, Node, Message),
+    Tick(usize),
+    NextWrite(usize),
+    NextConfirm(usize, u64),
+    NextPull(usize),
+    Resume(Node),
+    Inject(Fault),
+}
+
+struct Proposer {
+    monitor: GroupMonitor,
+    incarnation: u64,
+    tick_at: u64,
+    writes: BTreeMap<u64, (WriteAcknowledgement, LogPosition, u64)>,
+}
+
+/// The simulation; `violations` lists what the checks found.
+pub struct Cluster {
+    pub now: u64,
+    pub members: Vec<FakeMember>,
+    pub violations: Vec<String>,
+    /// Primary by term, with the writes in its log when it was promoted.
+    pub promotions: BTreeMap<u64, (usize, Vec<u64>)>,
+    pub promotion_times: Vec<u64>,
+    /// Acknowledged writes: number, term and times of sending and acknowledgement.
+    pub acknowledged: Vec<(u64, u64, u64, u64)>,
+    proposers: Vec<Proposer>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    parked: Vec<(Node, Event)>,
+    paused: Vec<Node>,
+    killed: Vec<usize>,
+    cut: Vec<usize>,
+    network: Network,
+    random: SmallRng,
+    breakage: Option<Breakage>,
+    next_event: u64,
+    next_write: u64,
+    next_incarnation: u64,
+    sent_at: BTreeMap<u64, u64>,
+    settings: MonitorSettings,
+    /// Factor of the intervals of writes, confirmations and replication.
+    pub pace: u64,
+}
+
+impl Cluster {
+    pub fn new(seed: u64, network: Network, breakage: Option<Breakage>) -> Self {
+        let mut cluster = Self {
+            now: 0,
+            members: (0..MEMBERS)
+                .map(|name| FakeMember::new(name, breakage))
+                .collect(),
+            violations: Vec::new(),
+            promotions: BTreeMap::new(),
+            promotion_times: Vec::new(),
+            acknowledged: Vec::new(),
+            proposers: Vec::new(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            parked: Vec::new(),
+            paused: Vec::new(),
+            killed: Vec::new(),
+            cut: Vec::new(),
+            network,
+            random: SmallRng::seed_from_u64(seed),
+            breakage,
+            next_event: 0,
+            next_write: 0,
+            next_incarnation: 0,
+            sent_at: BTreeMap::new(),
+            settings: MonitorSettings::default(),
+            pace: 1,
+        };
+        for rank in 0..2 {
+            let proposer = cluster.new_proposer(rank);
+            cluster.proposers.push(proposer);
+            cluster.push(0, Event::Tick(rank));
+            cluster.push(WRITE_INTERVAL, Event::NextWrite(rank));
+        }
+        for member in 0..MEMBERS {
+            cluster.push(0, Event::NextPull(member));
+        }
+        cluster
+    }
+
+    pub fn primary(&self) -> Option<PrimaryView> {
+        self.proposers[0].monitor.primary().cloned()
+    }
+
+    pub fn inject_at(&mut self, time: u64, fault: Fault) {
+        self.push(time.saturating_sub(self.now), Event::Inject(fault));
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(Reverse((time, id))) = self.queue.peek().copied() {
+            if time > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = time;
+            if let Some(event) = self.events.remove(&id) {
+                self.process(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Time from `fault` to the first acknowledgement of a write that was sent after it.
+    pub fn gap_after(&self, fault: u64) -> Option<u64> {
+        let sent_after = self
+            .acknowledged
+            .iter()
+            .filter(|(_, _, sent, _)| *sent > fault);
+        sent_after
+            .map(|(_, _, _, acknowledged)| acknowledged - fault)
+            .min()
+    }
+
+    fn new_proposer(&mut self, rank: usize) -> Proposer {
+        self.next_incarnation += 1;
+        let now = self.time();
+        let database = "orders".parse().expect("name");
+        let mut monitor = GroupMonitor::new(database, self.settings, now);
+        monitor.set_members(&group_members(), now);
+        monitor.set_rank(u32::try_from(rank).ok(), now);
+        let incarnation = self.next_incarnation;
+        Proposer {
+            monitor,
+            incarnation,
+            tick_at: self.now,
+            writes: BTreeMap::new(),
+        }
+    }
+
+    fn time(&self) -> MonotonicTime {
+        MonotonicTime::new(Duration::from_micros(self.now))
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.next_event += 1;
+        self.queue
+            .push(Reverse((self.now + after, self.next_event)));
+        self.events.insert(self.next_event, event);
+    }
+
+    fn is_cut(&self, from: Node, to: Node) -> bool {
+        let is_cut = |node| matches!(node, Node::Member(m) if self.cut.contains(&m));
+        from != to && (is_cut(from) || is_cut(to))
+    }
+
+    fn send(&mut self, from: Node, to: Node, message: &Message) {
+        let copies = 1 + usize::from(self.random.random_bool(self.network.duplicates));
+        for _ in 0..copies {
+            if self.random.random_bool(self.network.loss) || self.is_cut(from, to) {
+                continue;
+            }
+            let mut delay = self.network.delay + self.random.random_range(0..=self.network.jitter);
+            let (chance, spike) = self.network.spike;
+            if self.random.random_bool(chance) {
+                delay += self.random.random_range(0..=spike);
+            }
+            self.push(delay, Event::Deliver(from, to, message.clone()));
+        }
+    }
+
+    fn process(&mut self, event: Event) {
+        let node = match &event {
+            Event::Deliver(_, to, _) => Some(*to),
+            Event::Tick(p) | Event::NextWrite(p) | Event::NextConfirm(p, _) => {
+                Some(Node::Proposer(*p))
+            }
+            Event::NextPull(m) => Some(Node::Member(*m)),
+            Event::Resume(_) | Event::Inject(_) => None,
+        };
+        if let Some(node) = node.filter(|node| self.paused.contains(node)) {
+            self.parked.push((node, event));
+            return;
+        }
+        match event {
+            Event::Deliver(from, to, message) => self.deliver(from, to, message),
+            Event::Tick(p) if self.proposers[p].tick_at == self.now => {
+                self.drive(p, GroupEvent::Tick);
+            }
+            Event::Tick(_) => {}
+            Event::NextWrite(p) => self.send_write(p),
+            Event::NextConfirm(p, write) => self.send_confirms(p, write),
+            Event::NextPull(m) => self.send_pull(m),
+            Event::Resume(node) => self.resume(node),
+            Event::Inject(fault) => self.inject(fault),
+        }
+    }
+
+    fn drive(&mut self, p: usize, event: GroupEvent) {
+        let now = self.time();
+        let actions = self.proposers[p]
+            .monitor
+            .handle(event, now, &mut self.random);
+        let incarnation = self.proposers[p].incarnation;
+        for action in actions {
+            let to = match &action {
+                GroupAction::Probe { member, .. }
+                | GroupAction::Fence { member, .. }
+                | GroupAction::Promote { member, .. }
+                | GroupAction::Follow { member, .. } => member_number(member),
+            };
+            self.send(
+                Node::Proposer(p),
+                Node::Member(to),
+                &Message::Call(action, incarnation),
+            );
+        }
+        let wake = self.proposers[p].monitor.next_wake(now).since_start();
+        let wake = u64::try_from(wake.as_micros())
+            .expect("small time")
+            .max(self.now + 1);
+        self.proposers[p].tick_at = wake;
+        self.push(wake - self.now, Event::Tick(p));
+    }
+
+    fn deliver(&mut self, from: Node, to: Node, message: Message) {
+        match (to, message) {
+            (Node::Member(m), Message::Call(action, incarnation)) => {
+                let event = if self.killed.contains(&m) {
+                    Self::failure(action, CallFailure::Refused)
+                } else {
+                    self.execute(m, action, incarnation)
+                };
+                self.send(to, from, &Message::Reply(event, incarnation));
+            }
+            (Node::Member(m), Message::Write(write, _)) if self.killed.contains(&m) => {
+                self.send(to, from, &Message::Written(write, None, m));
+            }
+            (Node::Member(m), _) if self.killed.contains(&m) => {}
+            (Node::Member(m), Message::Write(write, term)) => {
+                let position = self.members[m].write(term, write);
+                self.send(to, from, &Message::Written(write, position, m));
+            }
+            (Node::Member(m), Message::Confirm(write, position)) => {
+                let reply = self.members[m].confirm(position);
+                self.send(to, from, &Message::Confirmed(write, m, reply));
+            }
+            (Node::Member(m), Message::Pull(replica, term, last)) => {
+                if let Some(tail) = self.members[m].tail_after(term, last) {
+                    self.send(to, Node::Member(replica), &Message::Tail(tail));
+                }
+            }
+            (Node::Member(m), Message::Tail(tail)) => self.members[m].append(tail),
+            (Node::Proposer(p), Message::Reply(event, incarnation))
+                if self.proposers[p].incarnation == incarnation =>
+            {
+                self.drive(p, event);
+            }
+            (Node::Proposer(p), Message::Written(write, Some(position), _)) => {
+                self.start_confirms(p, write, position);
+            }
+            (Node::Proposer(p), Message::Written(_, None, m)) => {
+                let member = member_id(m);
+                self.drive(p, GroupEvent::StatementFailed { member });
+            }
+            (Node::Proposer(p), Message::Confirmed(write, m, reply)) => {
+                self.record_confirm(p, write, m, reply);
+            }
+            _ => {}
+        }
+    }
+
+    fn failure(action: GroupAction, failure: CallFailure) -> GroupEvent {
+        let result = Err(failure);
+        match action {
+            GroupAction::Probe { member, probe } => GroupEvent::ProbeFailed {
+                probe,
+                member,
+                failure,
+            },
+            GroupAction::Fence { member, term } => GroupEvent::FenceDone {
+                member,
+                term,
+                result,
+            },
+            GroupAction::Promote { member, term } => GroupEvent::PromoteDone {
+                member,
+                term,
+                result,
+            },
+            GroupAction::Follow { member, term, .. } => GroupEvent::FollowDone {
+                member,
+                term,
+                result,
+            },
+        }
+    }
+
+    fn execute(&mut self, m: usize, action: GroupAction, proposer: u64) -> GroupEvent {
+        match action {
+            GroupAction::Probe { member, probe } => GroupEvent::Status {
+                probe,
+                member,
+                status: self.members[m].status(),
+            },
+            GroupAction::Fence { member, term } => {
+                let reply = self.fence(m, term.get(), proposer);
+                GroupEvent::FenceDone {
+                    member,
+                    term,
+                    result: Ok(reply),
+                }
+            }
+            GroupAction::Promote { member, term } => {
+                let (reply, is_new) = self.members[m].promote(term.get(), proposer);
+                if is_new {
+                    self.check_promotion(m, term.get());
+                }
+                GroupEvent::PromoteDone {
+                    member,
+                    term,
+                    result: Ok(reply),
+                }
+            }
+            GroupAction::Follow {
+                member,
+                term,
+                primary,
+            } => {
+                let reply = self.members[m].follow(term.get(), member_number(&primary));
+                GroupEvent::FollowDone {
+                    member,
+                    term,
+                    result: Ok(reply),
+                }
+            }
+        }
+    }
+
+    fn fence(&mut self, m: usize, term: u64, proposer: u64) -> ControlReply {
+        let is_first = self.members.iter().all(|other| other.term < term);
+        if self.breakage == Some(Breakage::ForgedFence) && !is_first {
+            let log = self.members[m].position();
+            return ControlReply {
+                accepted: true,
+                term: TermNumber::new(term),
+                log,
+            };
+        }
+        self.members[m].fence(term, proposer)
+    }
+
+    fn send_write(&mut self, p: usize) {
+        self.push(WRITE_INTERVAL * self.pace, Event::NextWrite(p));
+        let monitor = &self.proposers[p].monitor;
+        let Some(view) = monitor
+            .primary()
+            .cloned()
+            .filter(|_| monitor.accepts_writes())
+        else {
+            return;
+        };
+        self.next_write += 1;
+        let write = self.next_write;
+        self.sent_at.insert(write, self.now);
+        let to = Node::Member(member_number(&view.member));
+        self.send(
+            Node::Proposer(p),
+            to,
+            &Message::Write(write, view.term.get()),
+        );
+    }
+
+    fn start_confirms(&mut self, p: usize, write: u64, position: LogPosition) {
+        let proposer = &mut self.proposers[p];
+        let certainty = WriteCertainty::Majority;
+        let Some(ack) = proposer.monitor.acknowledgement(position, certainty) else {
+            return;
+        };
+        proposer.writes.insert(write, (ack, position, self.now));
+        self.send_confirms(p, write);
+    }
+
+    fn send_confirms(&mut self, p: usize, write: u64) {
+        let Some((ack, position, since)) = self.proposers[p].writes.get(&write) else {
+            return;
+        };
+        let position = *position;
+        if ack.state() != AckState::Waiting || self.now - since > CALL_TIMEOUT {
+            self.proposers[p].writes.remove(&write);
+            return;
+        }
+        let waiting: Vec<usize> = ack.undecided().iter().map(member_number).collect();
+        for member in waiting {
+            let message = Message::Confirm(write, position);
+            self.send(Node::Proposer(p), Node::Member(member), &message);
+        }
+        self.push(CONFIRM_INTERVAL * self.pace, Event::NextConfirm(p, write));
+    }
+
+    fn send_pull(&mut self, m: usize) {
+        self.push(PULL_INTERVAL * self.pace, Event::NextPull(m));
+        let member = &self.members[m];
+        if let Some(primary) = member.primary.filter(|_| !self.killed.contains(&m)) {
+            let pull = Message::Pull(m, member.term, member.position());
+            self.send(Node::Member(m), Node::Member(primary), &pull);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_failover/tests/failover_gap.rs
@@ -0,0 +1,125 @@
+//! Detection and promotion times in virtual time.
+
+mod cluster;
+
+use cluster::{Cluster, Fault, Network};
+
+const SECOND: u64 = 1_000_000;
+const RUNS: u64 = 40;
+/// Ten one-way zone delays of at most 1.7 ms.
+const PROMOTION_BOUND: u64 = 17_000;
+/// The writers of the simulation send a write every 5 ms.
+const WRITE_INTERVAL: u64 = 5_000;
+
+/// Returns the gaps in milliseconds over several phases of the probe interval.
+fn measure(name: &str, fault: Fault) -> Vec<u64> {
+    let mut gaps: Vec<u64> = (0..RUNS)
+        .map(|run| {
+            let mut cluster = Cluster::new(run, Network::CALM, None);
+            let start = 3 * SECOND + run * 2_500;
+            cluster.inject_at(start, fault);
+            cluster.run_until(start + 4 * SECOND);
+            assert!(
+                cluster.violations.is_empty(),
+                "{name} run {run}: {:?}",
+                cluster.violations
+            );
+            cluster.gap_after(start).expect("service resumes")
+        })
+        .collect();
+    gaps.sort_unstable();
+    let mean = gaps.iter().sum::<u64>() / RUNS;
+    println!(
+        "{name}: min {} mean {mean} max {} us",
+        gaps[0],
+        gaps[gaps.len() - 1]
+    );
+    gaps
+}
+
+fn assert_bound(gaps: &[u64], detection: u64) {
+    let bound = detection + PROMOTION_BOUND + WRITE_INTERVAL;
+    assert!(
+        gaps.iter().all(|gap| *gap <= bound),
+        "gap over {bound} us: {gaps:?}"
+    );
+}
+
+/// Guards against a slower detection of refused connections than three probes.
+#[test]
+fn gap_kill() {
+    assert_bound(&measure("kill", Fault::KillPrimary), 100_000 + 2 * 50_000);
+}
+
+/// Guards against a slower detection of silence than the floor of the timeout.
+#[test]
+fn gap_cut() {
+    assert_bound(&measure("cut", Fault::CutPrimary), 100_000 + 300_000);
+}
+
+/// Guards against a paused primary that keeps its role.
+#[test]
+fn gap_pause() {
+    assert_bound(
+        &measure("pause", Fault::PausePrimary(2 * SECOND)),
+        100_000 + 300_000,
+    );
+}
+
+/// Guards against interruptions of planned promotions beyond a few round trips.
+#[test]
+fn gap_planned() {
+    let mut worst = 0;
+    for run in 0..RUNS {
+        let mut cluster = Cluster::new(run, Network::CALM, None);
+        cluster.run_until(3 * SECOND);
+        let primary = cluster.primary().expect("primary").member;
+        let name = usize::from(primary.as_str().as_bytes()[0] - b'a');
+        cluster.inject_at(3 * SECOND + 1, Fault::TakeOutZone(name));
+        cluster.run_until(6 * SECOND);
+        assert!(
+            cluster.violations.is_empty(),
+            "run {run}: {:?}",
+            cluster.violations
+        );
+        assert_ne!(cluster.primary().expect("primary").member, primary);
+        assert_eq!(
+            cluster.promotions.len(),
+            2,
+            "one planned promotion after the first one"
+        );
+        let times: Vec<u64> = cluster
+            .acknowledged
+            .iter()
+            .map(|(.., time)| *time)
+            .collect();
+        let after = times.windows(2).filter(|pair| pair[1] > 3 * SECOND);
+        worst = worst.max(after.map(|pair| pair[1] - pair[0]).max().expect("writes"));
+    }
+    println!("planned: max {worst} us between acknowledgements");
+    assert!(
+        worst <= 100_000,
+        "planned promotion interrupted writes for {worst} us"
+    );
+}
+
+/// Guards against promotions that only jitter causes.
+#[test]
+fn quiet_run_has_no_promotion() {
+    for seed in 0..4 {
+        let mut cluster = Cluster::new(seed, Network::JITTERED, None);
+        cluster.pace = 10;
+        cluster.run_until(900 * SECOND);
+        assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
+        let late = cluster
+            .promotion_times
+            .iter()
+            .filter(|time| **time > 2 * SECOND)
+            .count();
+        assert_eq!(
+            late, 0,
+            "seed {seed}: promotions at {:?}",
+            cluster.promotion_times
+        );
+    }
+}
--- a/crates/coriander_upstream/src/stream_pool.rs
+++ b/crates/coriander_upstream/src/stream_pool.rs
@@ -155,15 +155,13 @@
             return None;
         }
         let idle_limit = state.settings.idle_limit;
-        let baton = match state.idle.pop_back() {
-            // The member may have dropped a stream that was idle for longer than the limit.
-            Some(stream) if now.since(stream.since) < idle_limit => Some(stream.baton),
-            Some(stream) => {
-                state.closing.push_back(stream.baton);
-                None
-            }
-            None => None,
-        };
+        // The member may have dropped a stream that was idle for longer than the limit; its baton
+        // must not be used, and closing it is left to the member.
+        let baton = state
+            .idle
+            .pop_back()
+            .filter(|stream| now.since(stream.since) < idle_limit)
+            .map(|stream| stream.baton);
         if baton.is_none() && state.counts().total() >= state.settings.max_streams {
             return None;
         }
@@ -190,7 +188,8 @@
         while let Some(oldest) = state.idle.front() {
             // Expired streams are replaced by warm-up before the member drops them.
             let is_expired = now.since(oldest.since) >= state.settings.idle_limit;
-            let is_over_limit = state.counts().total() > state.settings.max_streams;
+            let counts = state.counts();
+            let is_over_limit = counts.total() - counts.closing > state.settings.max_streams;
             if !is_expired && !is_over_limit {
                 break;
             }
