--- a/crates/coriander_config/src/change_plan.rs
+++ b/crates/coriander_config/src/change_plan.rs
@@ -43,6 +43,11 @@
         let (sections, changed) =
             encode_changes(refs, &document).map_err(|error| refuse_section(&error))?;
         let fleets = required_fleets(base, &sections.fleet, settled)?;
+        let same_fleet = base.is_some_and(|root| {
+            root.sections.fleet.digest == sections.fleet.digest
+                && root.sections.zones.digest == sections.zones.digest
+        });
+        document.fleet_version = base_document.fleet_version + u64::from(!same_fleet);
         let mut recent = base.map_or_else(Vec::new, |root| root.recent.clone());
         recent.push(RecentChange {
             version: document.version,
@@ -55,6 +60,7 @@
             version: document.version,
             author: request.author.clone(),
             change_id: request.change_id.clone(),
+            fleet_version: document.fleet_version,
             sections,
             fleets,
             recent,
--- a/crates/coriander_config/src/config_delta.rs
+++ b/crates/coriander_config/src/config_delta.rs
@@ -106,6 +106,7 @@
         document.version = self.root.version;
         document.author = self.root.author.clone();
         document.change_id = self.root.change_id.clone();
+        document.fleet_version = self.root.fleet_version;
         for name in self.changed_sections() {
             let bytes = encode_section(&document, name)?;
             let digest = SectionRef::new(&bytes, "").digest;
--- a/crates/coriander_config/src/config_root.rs
+++ b/crates/coriander_config/src/config_root.rs
@@ -138,6 +138,9 @@
     pub author: String,
     /// Identifier of the last change.
     pub change_id: String,
+    /// Number of changes of the fleet or the zones up to this version.
+    #[serde(default)]
+    pub fleet_version: u64,
     /// Sections of this version.
     pub sections: SectionRefs,
     /// Fleets of which a majority must have applied this version before it is accepted.
--- a/crates/coriander_config/src/config_section.rs
+++ b/crates/coriander_config/src/config_section.rs
@@ -155,6 +155,7 @@
     document.version = root.version;
     document.author = root.author.clone();
     document.change_id = root.change_id.clone();
+    document.fleet_version = root.fleet_version;
     Ok(document)
 }
 
--- a/crates/coriander_core/src/config_document.rs
+++ b/crates/coriander_core/src/config_document.rs
@@ -179,6 +179,9 @@
     pub author: String,
     /// Random identifier of the change, to recognize it after a lost answer.
     pub change_id: String,
+    /// Number of changes of the fleet or the zones; owners of rate limits depend on both.
+    #[serde(default)]
+    pub fleet_version: u64,
     /// Classes with their targets.
     #[serde(default)]
     pub classes: BTreeMap<ClassName, ClassTarget>,
--- a/crates/coriander_upstream/src/stream_pool.rs
+++ b/crates/coriander_upstream/src/stream_pool.rs
@@ -277,6 +277,11 @@
         *state.leased_count(self.purpose) += 1;
     }
 
+    /// Notes that the member has closed the stream; the next request opens a new one.
+    pub fn forget(&mut self) {
+        self.baton = None;
+    }
+
     /// Returns the stream to the pool.
     ///
     /// No transaction may be open on it. Without a baton nothing was opened or the member closed
--- /dev/null
+++ b/crates/corianderstile/src/entry.rs
@@ -0,0 +1,447 @@
+//! The path of a caller's request through its entry instance.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::{
+    DatabaseName, ErrorCode, InstanceId, MonotonicTime, RequestError, RequestOutcome,
+};
+use coriander_membership::WorkAdmission;
+use coriander_routing::{RequestClass, RequestKind, StatementCache};
+use coriander_session::{SecretKeys, SessionToken, TransactionBaton};
+use libsql_hrana::proto::PipelineReqBody;
+
+use crate::caller::{CallerEndpoint, CallerRequest, pipeline_of_cursor};
+use crate::config::ConfigService;
+use crate::decision_log::{DecisionLog, DecisionRecord, DecisionStep};
+use crate::gateway::GatewaySet;
+use crate::membership_service::MembershipService;
+use crate::metrics::{ProxyMetrics, RequestLabels};
+use crate::peer::{
+    ForwardAnswer, ForwardRequest, PeerClient, PeerError, PeerReply, PeerRequest, ServedBy,
+    SessionDemand,
+};
+use crate::process_clock::ProcessClock;
+use crate::rate_service::RateService;
+use crate::settings::RequestBounds;
+
+/// Longest time that a request may take, a change of primary (9 s) included.
+const REQUEST_LIMIT: Duration = Duration::from_secs(10);
+
+/// Pause before a request is offered to the gateways again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// A successful request.
+pub struct EntrySuccess {
+    /// Body of the response.
+    pub body: Vec<u8>,
+    /// Session token for the next request.
+    pub session: String,
+    /// Member that executed the request.
+    pub served_by: Option<ServedBy>,
+}
+
+/// Result of a request with the id under which it ran.
+pub struct EntryAnswer {
+    /// Id that the caller sent or that was generated.
+    pub request_id: String,
+    /// The result.
+    pub result: Result<EntrySuccess, RequestError>,
+}
+
+/// The parts of the process that a request passes through.
+pub struct EntryParts {
+    /// Identifier of this instance.
+    pub own_id: InstanceId,
+    /// Clock of this process.
+    pub clock: ProcessClock,
+    /// Bounds on requests.
+    pub bounds: RequestBounds,
+    /// Keys for tokens and batons.
+    pub secrets: SecretKeys,
+    /// Configuration in force.
+    pub config: Rc<ConfigService>,
+    /// Fleet and ranks.
+    pub membership: Rc<MembershipService>,
+    /// Rate limits.
+    pub rates: Rc<RateService>,
+    /// Gateways of this instance.
+    pub gateways: Rc<GatewaySet>,
+    /// Connections to other instances.
+    pub peers: Rc<PeerClient>,
+    /// Counters.
+    pub metrics: Rc<ProxyMetrics>,
+    /// Recent decisions.
+    pub decisions: Rc<DecisionLog>,
+}
+
+/// Accepts callers' requests and passes them to the gateway of their database.
+pub struct EntryService {
+    parts: EntryParts,
+    cache: RefCell<StatementCache>,
+    in_flight: Cell<usize>,
+}
+
+/// A request that is known to be well formed and to belong to an account.
+struct CheckedRequest {
+    forward: ForwardRequest,
+    token: SessionToken,
+    gateway: Option<InstanceId>,
+    is_repeatable: bool,
+}
+
+impl EntryService {
+    /// Creates the service.
+    pub fn new(parts: EntryParts) -> Rc<Self> {
+        Rc::new(Self {
+            parts,
+            cache: RefCell::default(),
+            in_flight: Cell::new(0),
+        })
+    }
+
+    /// Returns the bound on request bodies in bytes.
+    pub fn body_limit(&self) -> usize {
+        self.parts.bounds.body_bytes
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Tells whether the load balancer may send requests here.
+    pub fn readiness(&self) -> Result<(), RequestError> {
+        self.parts.config.may_serve()?;
+        if self.parts.membership.is_ready() {
+            Ok(())
+        } else {
+            Err(self.parts.membership.refusal())
+        }
+    }
+
+    /// Serves a caller's request.
+    pub async fn serve(self: Rc<Self>, request: CallerRequest) -> EntryAnswer {
+        self.in_flight.set(self.in_flight.get() + 1);
+        let start = self.parts.clock.now();
+        let generated = || format!("auto-{:032x}", rand::random::<u128>());
+        let request_id = request.request_id.clone().unwrap_or_else(generated);
+        let mut record = DecisionRecord {
+            request_id: request_id.clone(),
+            account: None,
+            database: None,
+            class: request.class.clone(),
+            steps: Vec::new(),
+        };
+        let result = self.run(request, &request_id, start, &mut record).await;
+        let took = self.parts.clock.now().since(start);
+        self.count(&result, took, &mut record);
+        self.parts.decisions.push(record);
+        self.in_flight.set(self.in_flight.get() - 1);
+        EntryAnswer { request_id, result }
+    }
+
+    async fn run(
+        &self,
+        request: CallerRequest,
+        request_id: &str,
+        start: MonotonicTime,
+        record: &mut DecisionRecord,
+    ) -> Result<EntrySuccess, RequestError> {
+        self.parts.config.may_serve()?;
+        if self.parts.membership.admission() == WorkAdmission::Refuse && !has_baton(&request.body) {
+            return Err(self.parts.membership.refusal());
+        }
+        let mut checked = self.check(request, request_id)?;
+        record.account = Some(checked.forward.account.clone());
+        record.database = Some(checked.forward.database.clone());
+        let target = self.parts.config.class_target(&checked.forward.class);
+        self.parts
+            .rates
+            .set_confirmed_age(self.parts.config.confirmed_age());
+        let account = &checked.forward.account;
+        self.parts
+            .rates
+            .admit(account, start + target.latency)
+            .await?;
+        let waited = self.parts.clock.now().since(start);
+        record.steps.push(DecisionStep::Admitted {
+            waited_ms: millis(waited),
+        });
+        // The key may have been withdrawn while the request waited for its rate.
+        self.parts.config.check_key(&checked.forward.key)?;
+        let answer = self
+            .dispatch(&checked, start + REQUEST_LIMIT, record)
+            .await?;
+        if let Some(position) = answer.written {
+            checked.token.advance(&checked.forward.database, position);
+        }
+        Ok(EntrySuccess {
+            body: answer.body,
+            session: checked.token.encode(&self.parts.secrets),
+            served_by: answer.served_by,
+        })
+    }
+
+    fn check(
+        &self,
+        request: CallerRequest,
+        request_id: &str,
+    ) -> Result<CheckedRequest, RequestError> {
+        let verified = self.parts.config.verify(&request.key)?;
+        let body = parse_body(&request, self.parts.bounds.statements)?;
+        let database = self.find_database(request.database)?;
+        let (token, session) = match &request.session {
+            Some(text) => {
+                let token = SessionToken::decode(text, &self.parts.secrets, &verified.account)
+                    .map_err(|error| bad_session(&error))?;
+                let demand = token.position(&database).into();
+                (token, demand)
+            }
+            None => (
+                SessionToken::new(verified.account.clone()),
+                SessionDemand::Unknown,
+            ),
+        };
+        let class = RequestClass::of_requests(&body.requests, &mut self.cache.borrow_mut());
+        let baton = match &body.baton {
+            Some(text) => Some(self.check_baton(text, &verified.account, &database)?),
+            None => None,
+        };
+        let encoded = match request.endpoint {
+            CallerEndpoint::Pipeline => request.body,
+            CallerEndpoint::Cursor => serde_json::to_vec(&body)
+                .map_err(|error| RequestError::not_run(ErrorCode::Internal, error.to_string()))?,
+        };
+        Ok(CheckedRequest {
+            forward: ForwardRequest {
+                account: verified.account,
+                key: verified.digest,
+                class: request.class,
+                database,
+                session,
+                request_id: request_id.to_owned(),
+                stream: baton.as_ref().map(|baton| (baton.stream, baton.sequence)),
+                remaining: REQUEST_LIMIT,
+                body: encoded,
+            },
+            token,
+            is_repeatable: baton.is_none() && class.kind != RequestKind::Transaction,
+            gateway: baton.map(|baton| baton.gateway),
+        })
+    }
+
+    fn check_baton(
+        &self,
+        text: &str,
+        account: &coriander_core::AccountName,
+        database: &DatabaseName,
+    ) -> Result<TransactionBaton, RequestError> {
+        let baton = TransactionBaton::decode(text, &self.parts.secrets, account)
+            .map_err(|error| RequestError::not_run(ErrorCode::BadBaton, error.to_string()))?;
+        if baton.database != *database {
+            let message = "baton belongs to another database";
+            return Err(RequestError::not_run(ErrorCode::BadBaton, message));
+        }
+        Ok(baton)
+    }
+
+    fn find_database(&self, named: Option<DatabaseName>) -> Result<DatabaseName, RequestError> {
+        let document = self.parts.config.document();
+        let missing = |message: String| RequestError::not_run(ErrorCode::NotFound, message);
+        match named {
+            Some(name) if document.databases.contains(&name) => Ok(name),
+            Some(name) => Err(missing(format!("database {name} does not exist"))),
+            // With a single database there is nothing to choose.
+            None if document.databases.len() == 1 => Ok(document.databases[0].clone()),
+            None => Err(missing("the request names no database".to_owned())),
+        }
+    }
+
+    async fn dispatch(
+        &self,
+        checked: &CheckedRequest,
+        deadline: MonotonicTime,
+        record: &mut DecisionRecord,
+    ) -> Result<ForwardAnswer, RequestError> {
+        if let Some(gateway) = &checked.gateway {
+            return self.send_to(gateway, checked, deadline, record).await;
+        }
+        let mut may_have_run = false;
+        loop {
+            let gateways = self.parts.membership.gateways(&checked.forward.database);
+            let mut last = RequestError::not_run(
+                ErrorCode::NoUpstream,
+                "no instance can serve the database now",
+            );
+            for gateway in &gateways {
+                let error = match self.send_to(gateway, checked, deadline, record).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(error) => error,
+                };
+                may_have_run |= error.outcome == RequestOutcome::Unknown;
+                if !is_gateway_failure(&error) || (may_have_run && !checked.is_repeatable) {
+                    return Err(with_outcome(error, may_have_run));
+                }
+                record.steps.push(DecisionStep::FallBack {
+                    reason: error.to_string(),
+                });
+                last = error;
+            }
+            if self.parts.clock.now() + RETRY_PAUSE >= deadline {
+                return Err(with_outcome(last, may_have_run));
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+            if let Err(error) = self.parts.config.check_key(&checked.forward.key) {
+                return Err(with_outcome(error, may_have_run));
+            }
+        }
+    }
+
+    async fn send_to(
+        &self,
+        gateway: &InstanceId,
+        checked: &CheckedRequest,
+        deadline: MonotonicTime,
+        record: &mut DecisionRecord,
+    ) -> Result<ForwardAnswer, RequestError> {
+        let remaining = deadline.since(self.parts.clock.now());
+        let forward = ForwardRequest {
+            remaining,
+            ..checked.forward.clone()
+        };
+        if *gateway == self.parts.own_id {
+            record.steps.push(DecisionStep::RunLocally);
+            return self
+                .parts
+                .gateways
+                .get(&forward.database)
+                .execute(forward)
+                .await;
+        }
+        let gone = || RequestError::not_run(ErrorCode::NoUpstream, "the gateway left the fleet");
+        let address = self.parts.membership.address(gateway);
+        let address = address.ok_or_else(|| self.gateway_gone(checked, gone()))?;
+        record.steps.push(DecisionStep::Forwarded {
+            gateway: gateway.clone(),
+        });
+        self.parts.metrics.forwarded.inc();
+        let request = PeerRequest::Forward(forward);
+        match self.parts.peers.call(address, request, remaining).await {
+            Ok(PeerReply::Forwarded(result)) => result,
+            Ok(_) => Err(RequestError::unknown(
+                ErrorCode::Internal,
+                "unexpected reply of a peer",
+            )),
+            Err(PeerError::NotSent | PeerError::Encode(_)) => {
+                Err(self.gateway_gone(checked, gone()))
+            }
+            Err(PeerError::NoReply) => {
+                let message = "the gateway was lost while it ran the request";
+                Err(RequestError::unknown(ErrorCode::OutcomeUnknown, message))
+            }
+        }
+    }
+
+    /// A transaction ends with its gateway; the upstream rolls it back.
+    fn gateway_gone(&self, checked: &CheckedRequest, error: RequestError) -> RequestError {
+        if checked.gateway.is_some() {
+            let message = "the instance that held the transaction is gone; it was rolled back";
+            return RequestError::not_run(ErrorCode::TransactionLost, message);
+        }
+        error
+    }
+
+    fn count(
+        &self,
+        result: &Result<EntrySuccess, RequestError>,
+        took: Duration,
+        record: &mut DecisionRecord,
+    ) {
+        let took_ms = millis(took);
+        let code = match result {
+            Ok(success) => {
+                let served_by = success.served_by.as_ref().map(ToString::to_string);
+                self.parts
+                    .metrics
+                    .count_served_by(success.served_by.as_ref());
+                record
+                    .steps
+                    .push(DecisionStep::Answered { served_by, took_ms });
+                "OK"
+            }
+            Err(error) => {
+                log::debug!("caller: request {} failed: {error}", record.request_id);
+                record.steps.push(DecisionStep::Failed {
+                    code: error.code,
+                    outcome: error.outcome,
+                    message: error.message.clone(),
+                    took_ms,
+                });
+                error.code.as_str()
+            }
+        };
+        let labels = RequestLabels::new(&record.class, code);
+        self.parts.metrics.count_request(&labels, took);
+    }
+}
+
+fn parse_body(request: &CallerRequest, most: usize) -> Result<PipelineReqBody, RequestError> {
+    let body: PipelineReqBody = match request.endpoint {
+        CallerEndpoint::Cursor => pipeline_of_cursor(&request.body)?,
+        CallerEndpoint::Pipeline => serde_json::from_slice(&request.body)
+            .map_err(|error| RequestError::not_run(ErrorCode::BadRequest, error.to_string()))?,
+    };
+    let count = count_statements(&body);
+    if count > most {
+        let message = format!("request has {count} statements; at most {most} are allowed");
+        return Err(RequestError::not_run(ErrorCode::BadRequest, message));
+    }
+    Ok(body)
+}
+
+fn count_statements(body: &PipelineReqBody) -> usize {
+    use libsql_hrana::proto::StreamRequest;
+    let count = |request: &StreamRequest| match request {
+        StreamRequest::Batch(batch) => batch.batch.steps.len(),
+        _ => 1,
+    };
+    body.requests.iter().map(count).sum()
+}
+
+/// Tells without parsing whether a body may continue a transaction.
+fn has_baton(body: &[u8]) -> bool {
+    serde_json::from_slice::<BatonOnly>(body).is_ok_and(|body| body.baton.is_some())
+}
+
+#[derive(serde::Deserialize)]
+struct BatonOnly {
+    baton: Option<String>,
+}
+
+fn bad_session(error: &dyn std::fmt::Display) -> RequestError {
+    RequestError::not_run(ErrorCode::BadSession, error.to_string())
+}
+
+/// Failures of the gateway itself, after which another one may be tried.
+fn is_gateway_failure(error: &RequestError) -> bool {
+    let is_lost = error.code == ErrorCode::OutcomeUnknown;
+    let refused = matches!(
+        error.code,
+        ErrorCode::NoUpstream | ErrorCode::Draining | ErrorCode::ConfigStale
+    );
+    is_lost || refused
+}
+
+fn with_outcome(mut error: RequestError, may_have_run: bool) -> RequestError {
+    if may_have_run && error.outcome == RequestOutcome::NotRun {
+        error.outcome = RequestOutcome::Unknown;
+        error.code = ErrorCode::OutcomeUnknown;
+    }
+    error
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -0,0 +1,461 @@
+//! The gateway of one database: members, queue, transactions and their upkeep.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::{
+    ClassName, ClassTarget, DatabaseName, ErrorCode, InstanceId, KeyDigest, MemberId,
+    MonotonicTime, RequestError, ZoneName,
+};
+use coriander_failover::{GroupMember, PrimaryView, majority_of};
+use coriander_platform::{MemberState, ServiceMember};
+use coriander_routing::{RequestClass, RequestKind, StatementCache};
+use coriander_session::SecretKeys;
+use coriander_upstream::{
+    HttpMember, MemberSettings, PoolSettings, StreamLease, StreamPool, StreamUse,
+};
+use libsql_hrana::proto::{PipelineReqBody, PipelineRespBody, StreamResult};
+
+use super::group_task::GroupTask;
+use super::member_handle::MemberHandle;
+use super::pipeline_shape::PipelineShape;
+use super::slot_gate::{SlotGate, SlotMembers, SlotPermit, SlotRequest};
+use super::transaction_table::TransactionTable;
+use crate::peer::{ForwardAnswer, ForwardRequest};
+use crate::process_clock::ProcessClock;
+use crate::replica_reads::ReplicaReads;
+use crate::settings::RequestBounds;
+
+/// Time between two rounds of pool upkeep and transaction expiry.
+const UPKEEP_PERIOD: Duration = Duration::from_millis(50);
+
+/// Pause before a request is tried again on another member.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Metadata key of the platform's list with the number of members of the group.
+const GROUP_SIZE_KEY: &str = "group_size";
+
+/// Function that tells whether a request with a key may run.
+pub type KeyCheck = Box<dyn Fn(&KeyDigest) -> Result<(), RequestError>>;
+
+/// What a gateway needs from the rest of the process.
+pub struct GatewayContext {
+    /// Identifier of this instance.
+    pub own_id: InstanceId,
+    /// Availability zone of this instance.
+    pub own_zone: ZoneName,
+    /// Clock of this process.
+    pub clock: ProcessClock,
+    /// Keys for batons.
+    pub secrets: SecretKeys,
+    /// Bounds on requests.
+    pub bounds: RequestBounds,
+    /// Tells whether the instance may serve now and the key is still valid.
+    pub may_run: KeyCheck,
+    /// Returns the target of a class.
+    pub class_target: Box<dyn Fn(&ClassName) -> ClassTarget>,
+    /// Tells whether operators keep a zone in service.
+    pub is_zone_in: Box<dyn Fn(&ZoneName) -> bool>,
+}
+
+/// The gateway of one database on this instance.
+pub struct DatabaseGateway {
+    pub(super) name: DatabaseName,
+    pub(super) context: Rc<GatewayContext>,
+    pub(super) group: Rc<GroupTask>,
+    pub(super) gate: Rc<SlotGate>,
+    pub(super) transactions: TransactionTable,
+    pub(super) cache: RefCell<StatementCache>,
+    pub(super) reads: ReplicaReads,
+    pub(super) schema_term: Cell<u64>,
+    listed: RefCell<Vec<ServiceMember>>,
+    rank: Cell<Option<u32>>,
+    in_flight: Cell<usize>,
+}
+
+impl DatabaseGateway {
+    /// Creates a gateway without members and starts its upkeep.
+    pub fn start(name: DatabaseName, context: Rc<GatewayContext>) -> Rc<Self> {
+        let group = GroupTask::new(name.clone(), context.own_id.clone(), context.clock);
+        let gateway = Rc::new(Self {
+            gate: SlotGate::new(context.clock, context.bounds.slots_per_member),
+            reads: ReplicaReads::new(context.own_zone.clone(), context.clock),
+            name,
+            group: group.clone(),
+            context,
+            transactions: TransactionTable::default(),
+            cache: RefCell::default(),
+            schema_term: Cell::new(0),
+            listed: RefCell::default(),
+            rank: Cell::new(None),
+            in_flight: Cell::new(0),
+        });
+        let weak = Rc::downgrade(&gateway);
+        group.on_status(Box::new(move |status, is_primary| {
+            if let Some(gateway) = weak.upgrade() {
+                gateway.reads.record_status(status, is_primary);
+            }
+        }));
+        ntex::rt::spawn(group.run());
+        ntex::rt::spawn(gateway.clone().upkeep());
+        gateway
+    }
+
+    /// Runs a request; the entry instance may be this one or another.
+    pub async fn execute(
+        self: Rc<Self>,
+        request: ForwardRequest,
+    ) -> Result<ForwardAnswer, RequestError> {
+        self.in_flight.set(self.in_flight.get() + 1);
+        let result = self.clone().execute_counted(request).await;
+        self.in_flight.set(self.in_flight.get() - 1);
+        result
+    }
+
+    async fn execute_counted(
+        self: Rc<Self>,
+        request: ForwardRequest,
+    ) -> Result<ForwardAnswer, RequestError> {
+        (self.context.may_run)(&request.key)?;
+        let deadline = self.context.clock.now() + request.remaining;
+        let body: PipelineReqBody = serde_json::from_slice(&request.body)
+            .map_err(|error| RequestError::not_run(ErrorCode::BadRequest, error.to_string()))?;
+        let class = {
+            let mut cache = self.cache.borrow_mut();
+            RequestClass::of_requests(&body.requests, &mut cache)
+        };
+        let shape = PipelineShape::new(body.requests);
+        if request.stream.is_some() {
+            return self.continue_transaction(request, shape, deadline).await;
+        }
+        match class.kind {
+            RequestKind::Transaction => self.open_transaction(request, shape, deadline).await,
+            _ if shape.keeps_stored_sql() => self.open_transaction(request, shape, deadline).await,
+            RequestKind::ReadOnly => self.run_read(request, shape, deadline).await,
+            RequestKind::AutocommitWrite => self.run_write(request, shape, deadline).await,
+        }
+    }
+
+    /// Takes over the platform's list of members.
+    pub async fn set_listed(&self, listed: Vec<ServiceMember>) {
+        let mut members = BTreeMap::new();
+        for member in &listed {
+            let Ok(id) = member.id.parse::<MemberId>() else {
+                log::warn!("gateway: member id {:?} is not a valid name", member.id);
+                continue;
+            };
+            let known = self
+                .group
+                .member(&id)
+                .filter(|known| known.address == member.address);
+            let handle = match known {
+                Some(handle) => handle,
+                None => match self.open_member(&id, member).await {
+                    Some(handle) => handle,
+                    None => continue,
+                },
+            };
+            if let Some(zone) = &member.zone {
+                handle.zone.borrow_mut().clone_from(zone);
+            }
+            handle.is_leaving.set(member.state == MemberState::Leaving);
+            members.insert(id, handle);
+        }
+        // The platform may omit unreachable members; their clients are still needed.
+        for handle in self.group.members() {
+            members.entry(handle.id.clone()).or_insert(handle);
+        }
+        if !is_group_complete(&listed, members.len()) {
+            log::warn!("gateway: {} has too few listed members", self.name);
+            return;
+        }
+        *self.listed.borrow_mut() = listed;
+        let states = group_members(&members, &self.context);
+        self.group.set_members(members, &states);
+        self.update_members();
+    }
+
+    /// Applies changes of zones and classes.
+    pub fn apply_config(&self) {
+        let members: BTreeMap<_, _> = self
+            .group
+            .members()
+            .into_iter()
+            .map(|member| (member.id.clone(), member))
+            .collect();
+        if !members.is_empty() {
+            let states = group_members(&members, &self.context);
+            self.group.set_members(members, &states);
+        }
+        self.update_members();
+    }
+
+    /// Sets the latency target of a class.
+    pub fn set_class(&self, class: ClassName, target: &ClassTarget) {
+        self.gate.set_target(class, target.latency);
+    }
+
+    /// Sets the rank of this instance: 0 is the gateway, 1 the backup, `None` neither.
+    pub fn set_rank(&self, rank: Option<u32>) {
+        if self.rank.replace(rank) != rank {
+            log::info!("gateway: rank of {} is now {rank:?}", self.name);
+        }
+        self.group.set_rank(rank);
+        for member in self.group.members() {
+            self.size_pool(&member.pool);
+        }
+    }
+
+    /// Ends waiting requests and transactions of withdrawn keys.
+    pub fn end_keys(&self, keys: &[KeyDigest]) {
+        self.gate.cancel_keys(keys);
+        let ended = self.transactions.end_keys(|key| keys.contains(key));
+        if ended > 0 {
+            log::info!(
+                "gateway: ended {ended} transactions of withdrawn keys on {}",
+                self.name
+            );
+        }
+    }
+
+    /// Returns the number of requests and transactions in progress.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get() + self.transactions.len()
+    }
+
+    /// Returns the rank of this instance for the database.
+    pub fn rank(&self) -> Option<u32> {
+        self.rank.get()
+    }
+
+    /// Returns the number of open transactions.
+    pub fn open_transactions(&self) -> usize {
+        self.transactions.len()
+    }
+
+    /// Returns the current primary.
+    pub fn primary(&self) -> Option<PrimaryView> {
+        self.group.primary()
+    }
+
+    /// Describes members and queue for the state dump.
+    pub fn describe(&self) -> serde_json::Value {
+        let members: Vec<_> = self
+            .group
+            .members()
+            .iter()
+            .map(|member| {
+                let counts = member.pool.counts();
+                serde_json::json!({
+                    "member": member.id, "address": member.address,
+                    "zone": *member.zone.borrow(), "leaving": member.is_leaving.get(),
+                    "streams": { "idle": counts.idle, "statements": counts.statements,
+                        "transactions": counts.transactions, "warming": counts.warming,
+                        "closing": counts.closing },
+                })
+            })
+            .collect();
+        let primary = self.primary();
+        serde_json::json!({
+            "database": self.name, "rank": self.rank.get(),
+            "primary": primary.as_ref().map(|view| view.member.to_string()),
+            "term": primary.as_ref().map(|view| view.term),
+            "transactions": self.transactions.len(), "in_flight": self.in_flight.get(),
+            "waiting": self.gate.waiting_total(), "members": members,
+            "monitor": self.group.describe(), "replicas": self.reads.describe(),
+        })
+    }
+
+    /// Waits for a slot on the primary or a replica.
+    pub(super) async fn acquire_slot(
+        &self,
+        request: &ForwardRequest,
+        role: coriander_limits::SlotRole,
+        deadline: MonotonicTime,
+    ) -> Result<SlotPermit, RequestError> {
+        let target = (self.context.class_target)(&request.class);
+        let permit = self.gate.acquire(SlotRequest {
+            account: request.account.clone(),
+            key: request.key,
+            class: request.class.clone(),
+            role,
+            deadline: deadline.min(self.context.clock.now() + target.latency),
+        });
+        permit.await
+    }
+
+    /// Waits for a stream of a member; the pool is bounded like the member's connections.
+    pub(super) async fn wait_stream(
+        &self,
+        member: &MemberHandle,
+        purpose: StreamUse,
+        deadline: MonotonicTime,
+    ) -> Result<StreamLease, RequestError> {
+        loop {
+            if let Some(lease) = member.check_out(purpose, self.context.clock) {
+                return Ok(lease);
+            }
+            if self.context.clock.now() >= deadline {
+                let message = "no connection became free in time";
+                return Err(RequestError::not_run(ErrorCode::Overloaded, message));
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    /// Waits until a primary accepts requests, for example during a promotion.
+    pub(super) async fn wait_primary(&self, deadline: MonotonicTime) -> Option<PrimaryView> {
+        loop {
+            if let Some(view) = self.group.write_primary() {
+                return Some(view);
+            }
+            if self.context.clock.now() >= deadline {
+                return None;
+            }
+            self.group.wait_change().await;
+        }
+    }
+
+    async fn open_member(&self, id: &MemberId, member: &ServiceMember) -> Option<Rc<MemberHandle>> {
+        let client = match HttpMember::new(member.address, MemberSettings::default()).await {
+            Ok(client) => client,
+            Err(error) => {
+                log::error!("gateway: client of member {id} not created: {error}");
+                return None;
+            }
+        };
+        let pool = StreamPool::new(PoolSettings::default());
+        self.size_pool(&pool);
+        Some(Rc::new(MemberHandle {
+            id: id.clone(),
+            address: member.address,
+            zone: RefCell::new(
+                member
+                    .zone
+                    .clone()
+                    .unwrap_or_else(|| self.context.own_zone.clone()),
+            ),
+            is_leaving: Cell::new(false),
+            client: Rc::new(client),
+            pool,
+        }))
+    }
+
+    /// Gives four fifths of the connections to the gateway and one fifth to its backup.
+    fn size_pool(&self, pool: &StreamPool) {
+        let total = self.context.bounds.connections_per_database;
+        let members = self.listed.borrow().len().max(1);
+        let per_member = (total / members).max(2);
+        let backup = (per_member / 5).max(1);
+        let (most, least) = match self.rank.get() {
+            Some(0) => (per_member - backup, 1),
+            Some(_) => (backup, 0),
+            // A former gateway keeps a place for requests that reach it during a change of ranks.
+            None => (1, 0),
+        };
+        pool.set_max_streams(most);
+        pool.set_min_streams(least);
+    }
+
+    fn update_members(&self) {
+        let primary = self.group.primary();
+        let in_use = |member: &Rc<MemberHandle>| {
+            !member.is_leaving.get() && (self.context.is_zone_in)(&member.zone.borrow())
+        };
+        let handles = self.group.members();
+        self.reads.set_members(&handles, &in_use);
+        let is_primary = |id: &MemberId| primary.as_ref().is_some_and(|view| view.member == *id);
+        let replicas = handles
+            .iter()
+            .filter(|member| in_use(member) && !is_primary(&member.id));
+        let mut replicas: Vec<_> = replicas.collect();
+        replicas.sort_by_key(|member| *member.zone.borrow() != self.context.own_zone);
+        let replicas = replicas
+            .into_iter()
+            .map(|member| member.id.clone())
+            .collect();
+        let primary = primary.map(|view| view.member);
+        self.gate.set_members(SlotMembers { primary, replicas });
+    }
+
+    async fn upkeep(self: Rc<Self>) {
+        let mut last_primary = None;
+        loop {
+            tokio::time::sleep(UPKEEP_PERIOD).await;
+            let primary = self.group.primary();
+            if primary != last_primary {
+                self.primary_changed(primary.as_ref());
+                last_primary.clone_from(&primary);
+            }
+            let now = self.context.clock.now();
+            let term = primary.as_ref().map(|view| view.term);
+            self.transactions
+                .expire(now, self.context.bounds.idle_transaction, term);
+            self.gate.dispatch();
+            let Some(view) = primary.filter(|_| self.rank.get().is_some()) else {
+                continue;
+            };
+            for member in self.group.members() {
+                let clock = self.context.clock;
+                ntex::rt::spawn(async move { member.maintain_pool(view.term, clock).await });
+            }
+        }
+    }
+
+    fn primary_changed(&self, primary: Option<&PrimaryView>) {
+        match primary {
+            Some(view) => {
+                log::info!(
+                    "gateway: primary of {} is {} in term {}",
+                    self.name,
+                    view.member,
+                    view.term
+                );
+                // Members close the streams of earlier terms.
+                for member in self.group.members() {
+                    member.pool.reset();
+                }
+            }
+            None => log::info!("gateway: {} has no primary", self.name),
+        }
+        self.update_members();
+    }
+}
+
+/// Encodes the response for the caller.
+pub(super) fn answer_body(
+    baton: Option<String>,
+    results: Vec<StreamResult>,
+) -> Result<Vec<u8>, RequestError> {
+    let body = PipelineRespBody {
+        baton,
+        base_url: None,
+        results,
+    };
+    serde_json::to_vec(&body)
+        .map_err(|error| RequestError::run(ErrorCode::Internal, error.to_string()))
+}
+
+/// Tells whether enough members are listed for a majority among them to be one of the group.
+fn is_group_complete(listed: &[ServiceMember], known: usize) -> bool {
+    let sizes = listed
+        .iter()
+        .filter_map(|member| member.meta.get(GROUP_SIZE_KEY)?.parse().ok());
+    let size: usize = sizes.max().unwrap_or(3);
+    majority_of(known) >= majority_of(size)
+}
+
+fn group_members(
+    members: &BTreeMap<MemberId, Rc<MemberHandle>>,
+    context: &GatewayContext,
+) -> Vec<GroupMember> {
+    let state = |member: &Rc<MemberHandle>| GroupMember {
+        id: member.id.clone(),
+        zone: member.zone.borrow().clone(),
+        is_leaving: member.is_leaving.get(),
+        is_zone_out: !(context.is_zone_in)(&member.zone.borrow()),
+    };
+    members.values().map(state).collect()
+}
--- /dev/null
+++ b/crates/corianderstile/src/gateway/group_task.rs
@@ -0,0 +1,230 @@
+//! Runs the monitor of one database group: sends its calls and feeds the replies back.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::{DatabaseName, GroupStatus, InstanceId, LogPosition, MemberId};
+use coriander_failover::{
+    CallFailure, GroupAction, GroupEvent, GroupMember, GroupMonitor, MonitorSettings, PrimaryView,
+};
+use coriander_upstream::UpstreamError;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::Notify;
+
+use super::member_handle::MemberHandle;
+use crate::process_clock::ProcessClock;
+
+/// Time between calls of the monitor; well below its shortest interval of 50 ms.
+const TICK: Duration = Duration::from_millis(10);
+
+type MemberMap = BTreeMap<MemberId, Rc<MemberHandle>>;
+type StatusListener = Box<dyn Fn(&GroupStatus, bool)>;
+
+/// The monitor of one group together with the members that it calls.
+pub struct GroupTask {
+    own_id: InstanceId,
+    clock: ProcessClock,
+    monitor: RefCell<GroupMonitor>,
+    members: RefCell<MemberMap>,
+    random: RefCell<SmallRng>,
+    changed: Notify,
+    listener: RefCell<Option<StatusListener>>,
+}
+
+impl GroupTask {
+    /// Creates the task of a group without members.
+    pub fn new(database: DatabaseName, own_id: InstanceId, clock: ProcessClock) -> Rc<Self> {
+        let monitor = GroupMonitor::new(database, MonitorSettings::default(), clock.now());
+        Rc::new(Self {
+            own_id,
+            clock,
+            monitor: RefCell::new(monitor),
+            members: RefCell::default(),
+            random: RefCell::new(SmallRng::from_os_rng()),
+            changed: Notify::new(),
+            listener: RefCell::default(),
+        })
+    }
+
+    /// Sets the function that learns of each status and whether the member is the primary.
+    pub fn on_status(&self, listener: StatusListener) {
+        *self.listener.borrow_mut() = Some(listener);
+    }
+
+    /// Takes over the member list of the platform.
+    pub fn set_members(&self, members: MemberMap, listed: &[GroupMember]) {
+        *self.members.borrow_mut() = members;
+        self.monitor
+            .borrow_mut()
+            .set_members(listed, self.clock.now());
+    }
+
+    /// Sets the rank of this instance for the database.
+    pub fn set_rank(&self, rank: Option<u32>) {
+        self.monitor.borrow_mut().set_rank(rank, self.clock.now());
+    }
+
+    /// Returns the primary, if it is known and not being replaced.
+    pub fn primary(&self) -> Option<PrimaryView> {
+        self.monitor.borrow().primary().cloned()
+    }
+
+    /// Returns the primary if new writes may be sent to it.
+    pub fn write_primary(&self) -> Option<PrimaryView> {
+        let monitor = self.monitor.borrow();
+        monitor
+            .primary()
+            .filter(|_| monitor.accepts_writes())
+            .cloned()
+    }
+
+    /// Returns the client of a member.
+    pub fn member(&self, id: &MemberId) -> Option<Rc<MemberHandle>> {
+        self.members.borrow().get(id).cloned()
+    }
+
+    /// Returns all members.
+    pub fn members(&self) -> Vec<Rc<MemberHandle>> {
+        self.members.borrow().values().cloned().collect()
+    }
+
+    /// Waits until the primary may have changed, at most for one tick.
+    pub async fn wait_change(&self) {
+        let _ = tokio::time::timeout(TICK, self.changed.notified()).await;
+    }
+
+    /// Notes a position that a majority holds; no member whose log ends before it is promoted.
+    pub fn note_acknowledged(&self, position: LogPosition) {
+        self.monitor
+            .borrow_mut()
+            .note_acknowledged(position, self.clock.now());
+    }
+
+    /// Notes that a statement could not be sent or was refused because of its term.
+    pub fn statement_failed(self: &Rc<Self>, member: &MemberId) {
+        self.feed(GroupEvent::StatementFailed {
+            member: member.clone(),
+        });
+    }
+
+    /// Describes the state of the group for the dump.
+    pub fn describe(&self) -> String {
+        format!("{:?}", self.monitor.borrow())
+    }
+
+    /// Runs the monitor until the task is dropped by its owner.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            self.feed(GroupEvent::Tick);
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn feed(self: &Rc<Self>, event: GroupEvent) {
+        let before = self.primary();
+        let actions = {
+            let mut random = self.random.borrow_mut();
+            self.monitor
+                .borrow_mut()
+                .handle(event, self.clock.now(), &mut *random)
+        };
+        if self.primary() != before {
+            self.changed.notify_waiters();
+        }
+        for action in actions {
+            ntex::rt::spawn(self.clone().perform(action));
+        }
+    }
+
+    async fn perform(self: Rc<Self>, action: GroupAction) {
+        let event = match action {
+            GroupAction::Probe { member, probe } => {
+                let Some(handle) = self.member(&member) else {
+                    return;
+                };
+                match handle.client.status().await {
+                    Ok(status) => {
+                        self.report_status(&status);
+                        GroupEvent::Status {
+                            probe,
+                            member,
+                            status,
+                        }
+                    }
+                    Err(error) => {
+                        let failure = call_failure(&error);
+                        GroupEvent::ProbeFailed {
+                            probe,
+                            member,
+                            failure,
+                        }
+                    }
+                }
+            }
+            GroupAction::Fence { member, term } => {
+                let Some(handle) = self.member(&member) else {
+                    return;
+                };
+                let result = handle.client.fence(term, &self.own_id).await;
+                let result = result.map_err(|error| call_failure(&error));
+                GroupEvent::FenceDone {
+                    member,
+                    term,
+                    result,
+                }
+            }
+            GroupAction::Promote { member, term } => {
+                let Some(handle) = self.member(&member) else {
+                    return;
+                };
+                let result = handle.client.promote(term, &self.own_id).await;
+                let result = result.map_err(|error| call_failure(&error));
+                GroupEvent::PromoteDone {
+                    member,
+                    term,
+                    result,
+                }
+            }
+            GroupAction::Follow {
+                member,
+                term,
+                primary,
+            } => {
+                let Some(handle) = self.member(&member) else {
+                    return;
+                };
+                let Some(target) = self.member(&primary) else {
+                    return;
+                };
+                let address = target.client.address().to_owned();
+                let result = handle.client.follow(term, &self.own_id, &address).await;
+                let result = result.map_err(|error| call_failure(&error));
+                GroupEvent::FollowDone {
+                    member,
+                    term,
+                    result,
+                }
+            }
+        };
+        self.feed(event);
+    }
+
+    fn report_status(&self, status: &GroupStatus) {
+        let primary = self.primary();
+        let is_primary = primary.is_some_and(|view| view.member == status.member);
+        if let Some(listener) = &*self.listener.borrow() {
+            listener(status, is_primary);
+        }
+    }
+}
+
+fn call_failure(error: &UpstreamError) -> CallFailure {
+    if error.is_connection_refused() {
+        CallFailure::Refused
+    } else {
+        CallFailure::Silent
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/gateway/member_handle.rs
@@ -0,0 +1,117 @@
+//! One upstream member as the gateway uses it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::{LogPosition, MemberId, TermNumber, ZoneName};
+use coriander_upstream::{
+    PipelineRequest, StreamLease, StreamPool, StreamUse, UpstreamError, UpstreamMember,
+    close_stream_body, open_stream_body, read_baton,
+};
+use libsql_hrana::proto::{PipelineRespBody, StreamRequest, StreamResult};
+use serde::Serialize;
+
+use crate::process_clock::ProcessClock;
+
+/// Result of a pipeline on an upstream stream.
+pub struct StreamReply {
+    /// Results in the order of the requests.
+    pub results: Vec<StreamResult>,
+    /// Last entry of the member's log.
+    pub log: LogPosition,
+}
+
+/// What a request to a member must carry.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTerms {
+    /// Term in which the statements may run.
+    pub term: TermNumber,
+    /// Position that the member must have reached.
+    pub min_position: Option<LogPosition>,
+    /// Time after which the response counts as lost.
+    pub timeout: Duration,
+}
+
+#[derive(Serialize)]
+struct PipelineBody<'a> {
+    baton: Option<&'a str>,
+    requests: &'a [StreamRequest],
+}
+
+/// One upstream member with its stream pool.
+pub struct MemberHandle {
+    /// Identifier of the member.
+    pub id: MemberId,
+    /// Address of the member.
+    pub address: SocketAddr,
+    /// Availability zone of the member.
+    pub zone: RefCell<ZoneName>,
+    /// Whether the platform reports the member as leaving.
+    pub is_leaving: Cell<bool>,
+    /// Client of the member.
+    pub client: Rc<dyn UpstreamMember>,
+    /// Streams of the member.
+    pub pool: StreamPool,
+}
+
+impl MemberHandle {
+    /// Runs requests on a leased stream and moves the lease on to the next baton.
+    pub async fn run(
+        &self,
+        lease: &mut StreamLease,
+        requests: &[StreamRequest],
+        terms: CallTerms,
+    ) -> Result<StreamReply, UpstreamError> {
+        let body = serde_json::to_vec(&PipelineBody {
+            baton: lease.baton(),
+            requests,
+        })
+        .map_err(|error| UpstreamError::Malformed {
+            reason: error.to_string(),
+        })?;
+        let mut request = PipelineRequest::new(terms.term, body).with_timeout(terms.timeout);
+        if let Some(position) = terms.min_position {
+            request = request.with_min_position(position);
+        }
+        let reply = self.client.pipeline(request).await?;
+        let body: PipelineRespBody =
+            serde_json::from_slice(&reply.body).map_err(|error| UpstreamError::Malformed {
+                reason: error.to_string(),
+            })?;
+        match body.baton {
+            Some(baton) => lease.advance(baton),
+            None => lease.forget(),
+        }
+        Ok(StreamReply {
+            results: body.results,
+            log: reply.log,
+        })
+    }
+
+    /// Opens streams ahead of need and closes those that are no longer wanted.
+    pub async fn maintain_pool(&self, term: TermNumber, clock: ProcessClock) {
+        while let Some(lease) = self.pool.next_to_close(clock.now()) {
+            let body = close_stream_body(lease.baton().unwrap_or_default());
+            // A stream that cannot be closed is dropped by the member when it is idle for long.
+            let _ = self.client.pipeline(PipelineRequest::new(term, body)).await;
+        }
+        while let Some(mut lease) = self.pool.warm_up(clock.now()) {
+            let request = PipelineRequest::new(term, open_stream_body());
+            let Ok(reply) = self.client.pipeline(request).await else {
+                return;
+            };
+            let Ok(Some(baton)) = read_baton(&reply.body) else {
+                return;
+            };
+            lease.advance(baton);
+            lease.check_in(clock.now());
+        }
+    }
+
+    /// Checks out a stream; `None` if all are in use.
+    pub fn check_out(&self, purpose: StreamUse, clock: ProcessClock) -> Option<StreamLease> {
+        self.pool.check_out(purpose, clock.now())
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! Gateways: the instances that hold the connections of a database and run its requests.
+
+mod acknowledge;
+mod database_gateway;
+mod gateway_set;
+mod group_task;
+mod member_handle;
+mod pipeline_shape;
+mod run_read;
+mod run_transaction;
+mod run_write;
+mod slot_gate;
+mod transaction_table;
+
+pub use database_gateway::GatewayContext;
+pub use gateway_set::GatewaySet;
+pub(crate) use member_handle::MemberHandle;
+pub(crate) use slot_gate::SlotGate;
--- /dev/null
+++ b/crates/corianderstile/src/gateway/pipeline_shape.rs
@@ -0,0 +1,78 @@
+//! The part of a caller's pipeline that goes to the upstream.
+
+use libsql_hrana::proto::{
+    CloseStreamResp, GetAutocommitStreamReq, StreamRequest, StreamResponse, StreamResult,
+};
+
+/// A caller's requests without those that concern only the caller's own stream.
+///
+/// Closing the caller's stream must not close the pooled upstream stream, so close requests are
+/// answered by the gateway.
+pub struct PipelineShape {
+    requests: Vec<StreamRequest>,
+    is_close: Vec<bool>,
+    stores_sql: bool,
+}
+
+impl PipelineShape {
+    /// Separates the requests.
+    pub fn new(requests: Vec<StreamRequest>) -> Self {
+        let is_close = |request: &StreamRequest| matches!(request, StreamRequest::Close(_));
+        let stores_sql = |request: &StreamRequest| matches!(request, StreamRequest::StoreSql(_));
+        Self {
+            is_close: requests.iter().map(is_close).collect(),
+            stores_sql: requests.iter().any(stores_sql),
+            requests: requests
+                .into_iter()
+                .filter(|request| !is_close(request))
+                .collect(),
+        }
+    }
+
+    /// Returns the requests for the upstream.
+    pub fn requests(&self) -> &[StreamRequest] {
+        &self.requests
+    }
+
+    /// Tells whether the caller closes its stream.
+    pub fn closes(&self) -> bool {
+        self.is_close.contains(&true)
+    }
+
+    /// Tells whether the caller keeps texts on the stream for later requests.
+    pub fn keeps_stored_sql(&self) -> bool {
+        self.stores_sql && !self.closes()
+    }
+
+    /// Appends the question whether a transaction is open; `split_autocommit` takes the answer.
+    pub fn ask_autocommit(&mut self) {
+        self.requests
+            .push(StreamRequest::GetAutocommit(GetAutocommitStreamReq {}));
+    }
+
+    /// Inserts the answers to close requests into the upstream's results.
+    pub fn restore(&self, results: Vec<StreamResult>) -> Vec<StreamResult> {
+        let mut results = results.into_iter();
+        let closed = || StreamResult::Ok {
+            response: StreamResponse::Close(CloseStreamResp {}),
+        };
+        let next = |is_close: &bool| {
+            if *is_close {
+                Some(closed())
+            } else {
+                results.next()
+            }
+        };
+        self.is_close.iter().map_while(next).collect()
+    }
+}
+
+/// Removes the answer to the appended question; an unusable answer counts as an open transaction.
+pub fn split_autocommit(results: &mut Vec<StreamResult>) -> bool {
+    match results.pop() {
+        Some(StreamResult::Ok {
+            response: StreamResponse::GetAutocommit(answer),
+        }) => answer.is_autocommit,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/gateway/run_transaction.rs
@@ -0,0 +1,214 @@
+//! Interactive transactions on an exclusive upstream stream.
+
+use std::rc::Rc;
+
+use coriander_core::{ErrorCode, LogPosition, MonotonicTime, RequestError, RequestOutcome};
+use coriander_failover::PrimaryView;
+use coriander_limits::SlotRole;
+use coriander_session::TransactionBaton;
+use coriander_upstream::{StreamUse, UpstreamError};
+
+use super::acknowledge::{AckOutcome, acknowledge_write};
+use super::database_gateway::{DatabaseGateway, answer_body};
+use super::member_handle::{CallTerms, StreamReply};
+use super::pipeline_shape::{PipelineShape, split_autocommit};
+use super::run_write::not_run_error;
+use super::transaction_table::{OpenTransaction, TransactionOwner};
+use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy, SessionDemand};
+
+impl DatabaseGateway {
+    /// Starts a transaction on the primary.
+    pub(super) async fn open_transaction(
+        self: &Rc<Self>,
+        request: ForwardRequest,
+        shape: PipelineShape,
+        deadline: MonotonicTime,
+    ) -> Result<ForwardAnswer, RequestError> {
+        let view = self.wait_primary(deadline).await.ok_or_else(|| {
+            RequestError::not_run(ErrorCode::NoUpstream, "the database has no primary")
+        })?;
+        let member = self.group.member(&view.member).ok_or_else(|| {
+            RequestError::not_run(ErrorCode::NoUpstream, "the primary is not reachable")
+        })?;
+        let lease = self
+            .wait_stream(&member, StreamUse::Transaction, deadline)
+            .await?;
+        let owner = TransactionOwner {
+            account: request.account.clone(),
+            key: request.key,
+        };
+        let transaction = Box::new(OpenTransaction::new(owner, member, view.term, lease));
+        let stream = self.transactions.reserve(request.key);
+        let result = self
+            .run_in_transaction(&request, shape, stream, transaction, deadline)
+            .await;
+        self.finish_if_lost(stream, result)
+    }
+
+    /// Runs the next request of a transaction.
+    pub(super) async fn continue_transaction(
+        self: &Rc<Self>,
+        request: ForwardRequest,
+        shape: PipelineShape,
+        deadline: MonotonicTime,
+    ) -> Result<ForwardAnswer, RequestError> {
+        let (stream, sequence) = request.stream.unwrap_or_default();
+        let transaction = self.transactions.take(stream, sequence, &request.account)?;
+        let result = self
+            .run_in_transaction(&request, shape, stream, transaction, deadline)
+            .await;
+        self.finish_if_lost(stream, result)
+    }
+
+    fn finish_if_lost(
+        &self,
+        stream: u64,
+        result: Result<ForwardAnswer, RequestError>,
+    ) -> Result<ForwardAnswer, RequestError> {
+        if result.is_err() {
+            self.transactions.finish(stream);
+        }
+        result
+    }
+
+    /// Runs one request; on an error the transaction is dropped, which rolls it back.
+    async fn run_in_transaction(
+        self: &Rc<Self>,
+        request: &ForwardRequest,
+        mut shape: PipelineShape,
+        stream: u64,
+        mut transaction: Box<OpenTransaction>,
+        deadline: MonotonicTime,
+    ) -> Result<ForwardAnswer, RequestError> {
+        shape.ask_autocommit();
+        let view = PrimaryView {
+            member: transaction.member.id.clone(),
+            term: transaction.term,
+        };
+        let permit = self
+            .acquire_slot(request, SlotRole::Primary, deadline)
+            .await?;
+        (self.context.may_run)(&request.key)?;
+        let reply = self.send(&mut transaction, request, &shape, deadline).await;
+        drop(permit);
+        let mut reply = reply.map_err(|error| {
+            self.group.statement_failed(&view.member);
+            transaction_error(&error)
+        })?;
+        let is_autocommit = split_autocommit(&mut reply.results);
+        transaction.has_stored_sql |= shape.keeps_stored_sql();
+        let mut written = None;
+        if is_autocommit {
+            written = Some(
+                self.confirm_end(request, &view, reply.log, deadline)
+                    .await?,
+            );
+        }
+        let baton = self.keep_or_release(request, &shape, stream, transaction, is_autocommit)?;
+        Ok(ForwardAnswer {
+            body: answer_body(baton, shape.restore(reply.results))?,
+            written,
+            served_by: Some(ServedBy {
+                member: view.member,
+                is_primary: true,
+                age: std::time::Duration::ZERO,
+            }),
+        })
+    }
+
+    async fn send(
+        &self,
+        transaction: &mut OpenTransaction,
+        request: &ForwardRequest,
+        shape: &PipelineShape,
+        deadline: MonotonicTime,
+    ) -> Result<StreamReply, UpstreamError> {
+        let timeout = deadline.since(self.context.clock.now());
+        let terms = CallTerms {
+            term: transaction.term,
+            min_position: match request.session {
+                SessionDemand::AtLeast(position) => Some(position),
+                SessionDemand::Unwritten | SessionDemand::Unknown => None,
+            },
+            timeout: timeout.min(self.context.bounds.upstream_timeout),
+        };
+        let lost = || UpstreamError::Malformed {
+            reason: "the stream was released".to_owned(),
+        };
+        let (member, lease) = transaction.stream().ok_or_else(lost)?;
+        member.clone().run(lease, shape.requests(), terms).await
+    }
+
+    /// Waits until the entries written so far are confirmed, because a commit may be among them.
+    async fn confirm_end(
+        &self,
+        request: &ForwardRequest,
+        view: &PrimaryView,
+        log: LogPosition,
+        deadline: MonotonicTime,
+    ) -> Result<LogPosition, RequestError> {
+        let certainty = (self.context.class_target)(&request.class).certainty;
+        let members = self.group.members();
+        let clock = self.context.clock;
+        match acknowledge_write(view, log, &members, certainty, deadline, clock).await {
+            AckOutcome::Acknowledged => {
+                self.group.note_acknowledged(log);
+                Ok(log)
+            }
+            AckOutcome::Uncertain => {
+                let message = "the commit was not confirmed by enough members";
+                Err(RequestError::unknown(ErrorCode::OutcomeUnknown, message))
+            }
+        }
+    }
+
+    /// Keeps the stream if it is still needed and returns the baton for the next request.
+    fn keep_or_release(
+        &self,
+        request: &ForwardRequest,
+        shape: &PipelineShape,
+        stream: u64,
+        mut transaction: Box<OpenTransaction>,
+        is_autocommit: bool,
+    ) -> Result<Option<String>, RequestError> {
+        let now = self.context.clock.now();
+        let is_done = is_autocommit && !transaction.has_stored_sql;
+        if is_done || shape.closes() {
+            self.transactions.finish(stream);
+            if is_done {
+                transaction.release(now);
+            }
+            // Otherwise dropping the transaction rolls back what the caller left open.
+            return Ok(None);
+        }
+        transaction.sequence += 1;
+        let baton = TransactionBaton {
+            account: request.account.clone(),
+            key: request.key,
+            database: self.name.clone(),
+            gateway: self.context.own_id.clone(),
+            stream,
+            sequence: transaction.sequence,
+        };
+        if self
+            .transactions
+            .put_back(stream, transaction, now)
+            .is_err()
+        {
+            let message = "key was withdrawn; the transaction was rolled back";
+            return Err(RequestError::run(ErrorCode::Unauthorized, message));
+        }
+        Ok(Some(baton.encode(&self.context.secrets)))
+    }
+}
+
+fn transaction_error(error: &UpstreamError) -> RequestError {
+    match error.outcome() {
+        RequestOutcome::NotRun => {
+            let refused = not_run_error(error);
+            let message = format!("the transaction was rolled back: {}", refused.message);
+            RequestError::not_run(ErrorCode::TransactionLost, message)
+        }
+        _ => RequestError::unknown(ErrorCode::OutcomeUnknown, error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/gateway/run_write.rs
@@ -0,0 +1,315 @@
+//! Autocommit writes: executed with their record, confirmed by other members, retried by id.
+
+use std::rc::Rc;
+
+use coriander_core::{ErrorCode, LogPosition, MonotonicTime, RequestError};
+use coriander_failover::PrimaryView;
+use coriander_limits::SlotRole;
+use coriander_routing::{LoggedWrite, RequestIdentity, RequestLog, WriteResult, WriteStep};
+use coriander_session::RequestDigest;
+use coriander_upstream::{StreamLease, StreamUse, UpstreamError};
+use libsql_hrana::proto::{ExecuteStreamReq, PipelineRespBody, Stmt, StreamRequest, StreamResult};
+
+use super::acknowledge::{AckOutcome, acknowledge_write};
+use super::database_gateway::{DatabaseGateway, RETRY_PAUSE, answer_body};
+use super::member_handle::{CallTerms, MemberHandle};
+use super::pipeline_shape::PipelineShape;
+use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy};
+
+/// How one attempt of a write ended.
+enum WriteAttempt {
+    /// The request has its final result.
+    Final(Result<ForwardAnswer, RequestError>),
+    /// No statement was executed; another attempt is safe.
+    NotRun(RequestError),
+    /// The outcome is not known; another attempt finds it through the record.
+    Unknown,
+}
+
+impl DatabaseGateway {
+    /// Runs a write until its outcome is certain or the time is over.
+    ///
+    /// Attempts repeat the same request id, so that the record in the database keeps the write
+    /// from running twice.
+    pub(super) async fn run_write(
+        self: &Rc<Self>,
+        request: ForwardRequest,
+        shape: PipelineShape,
+        deadline: MonotonicTime,
+    ) -> Result<ForwardAnswer, RequestError> {
+        let write = self.prepare_write(&request, &shape)?;
+        let mut may_have_run = false;
+        loop {
+            let attempt = self.attempt_write(&request, &write, &shape, deadline).await;
+            let error = match attempt {
+                WriteAttempt::Final(result) => return result,
+                WriteAttempt::NotRun(error) => error,
+                WriteAttempt::Unknown => {
+                    may_have_run = true;
+                    let message = "the write may have been executed; retry with the same id";
+                    RequestError::unknown(ErrorCode::OutcomeUnknown, message)
+                }
+            };
+            let is_final = matches!(error.code, ErrorCode::Overloaded | ErrorCode::Unauthorized);
+            if self.context.clock.now() + RETRY_PAUSE >= deadline || (is_final && !may_have_run) {
+                return Err(with_outcome(error, may_have_run));
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+            if let Err(error) = (self.context.may_run)(&request.key) {
+                return Err(with_outcome(error, may_have_run));
+            }
+        }
+    }
+
+    fn prepare_write(
+        &self,
+        request: &ForwardRequest,
+        shape: &PipelineShape,
+    ) -> Result<LoggedWrite, RequestError> {
+        let bad = |error: &dyn std::fmt::Display| {
+            RequestError::not_run(ErrorCode::BadRequest, error.to_string())
+        };
+        let digest = RequestDigest::compute(&request.database, &request.class, &request.body);
+        let identity = RequestIdentity::new(request.account.clone(), &request.request_id, digest)
+            .map_err(|error| bad(&error))?;
+        let mut cache = self.cache.borrow_mut();
+        LoggedWrite::new(identity, shape.requests(), &mut cache).map_err(|error| bad(&error))
+    }
+
+    async fn attempt_write(
+        self: &Rc<Self>,
+        request: &ForwardRequest,
+        write: &LoggedWrite,
+        shape: &PipelineShape,
+        deadline: MonotonicTime,
+    ) -> WriteAttempt {
+        let Some(view) = self.wait_primary(deadline).await else {
+            let message = "the database has no primary";
+            return WriteAttempt::NotRun(RequestError::not_run(ErrorCode::NoUpstream, message));
+        };
+        let permit = match self
+            .acquire_slot(request, SlotRole::Primary, deadline)
+            .await
+        {
+            Ok(permit) => permit,
+            Err(error) => return WriteAttempt::NotRun(error),
+        };
+        // The request may have waited long enough for its key or the configuration to lapse.
+        if let Err(error) = (self.context.may_run)(&request.key) {
+            return WriteAttempt::NotRun(error);
+        }
+        let Some(member) = self
+            .group
+            .member(&view.member)
+            .filter(|_| *permit.member() == view.member)
+        else {
+            let message = "the primary changed";
+            return WriteAttempt::NotRun(RequestError::not_run(ErrorCode::TermChanged, message));
+        };
+        let mut lease = match self
+            .wait_stream(&member, StreamUse::Statement, deadline)
+            .await
+        {
+            Ok(lease) => lease,
+            Err(error) => return WriteAttempt::NotRun(error),
+        };
+        if let Err(error) = self.ensure_schema(&member, &mut lease, &view).await {
+            self.group.statement_failed(&member.id);
+            return WriteAttempt::NotRun(not_run_error(&error));
+        }
+        let executed = self.execute_logged(&member, &mut lease, write, &view).await;
+        let (result, log) = match executed {
+            Ok(executed) => executed,
+            Err(error) if error.outcome() == coriander_core::RequestOutcome::NotRun => {
+                match &error {
+                    UpstreamError::Refused(refusal) if refusal.status == 503 => permit.refused(),
+                    _ => self.group.statement_failed(&member.id),
+                }
+                return WriteAttempt::NotRun(not_run_error(&error));
+            }
+            Err(_) => {
+                self.group.statement_failed(&member.id);
+                return WriteAttempt::Unknown;
+            }
+        };
+        drop(permit);
+        self.finish_write(request, shape, &view, lease, result, log, deadline)
+            .await
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the last step needs all parts of the attempt"
+    )]
+    async fn finish_write(
+        self: &Rc<Self>,
+        request: &ForwardRequest,
+        shape: &PipelineShape,
+        view: &PrimaryView,
+        lease: StreamLease,
+        result: WriteResult,
+        log: LogPosition,
+        deadline: MonotonicTime,
+    ) -> WriteAttempt {
+        let now = self.context.clock.now();
+        let results = match result {
+            WriteResult::Unknown => {
+                lease.close();
+                return WriteAttempt::Unknown;
+            }
+            WriteResult::Failed {
+                results,
+                is_stream_clean,
+            } => {
+                if is_stream_clean {
+                    lease.check_in(now);
+                } else {
+                    lease.close();
+                }
+                return WriteAttempt::Final(self.plain_answer(view, shape, results));
+            }
+            WriteResult::NotRun { error } => {
+                lease.close();
+                let message = format!("{}: {}", error.code, error.message);
+                let error = RequestError::not_run(ErrorCode::NoUpstream, message);
+                return WriteAttempt::NotRun(error);
+            }
+            WriteResult::IdReused => {
+                lease.check_in(now);
+                let message = "request id was used before for another request";
+                let error = RequestError::not_run(ErrorCode::RequestIdReused, message);
+                return WriteAttempt::Final(Err(error));
+            }
+            WriteResult::Done { results } => {
+                lease.check_in(now);
+                Some(results)
+            }
+            WriteResult::AlreadyDone { results } => {
+                lease.check_in(now);
+                results
+            }
+        };
+        let certainty = (self.context.class_target)(&request.class).certainty;
+        let members = self.group.members();
+        let clock = self.context.clock;
+        match acknowledge_write(view, log, &members, certainty, deadline, clock).await {
+            AckOutcome::Acknowledged => self.group.note_acknowledged(log),
+            AckOutcome::Uncertain => return WriteAttempt::Unknown,
+        }
+        let Some(results) = results else {
+            let message = "the request ran before; its results were too large to be stored";
+            return WriteAttempt::Final(Err(RequestError::run(
+                ErrorCode::RequestIdReused,
+                message,
+            )));
+        };
+        let answer = self.plain_answer(view, shape, results);
+        WriteAttempt::Final(answer.map(|answer| ForwardAnswer {
+            written: Some(log),
+            ..answer
+        }))
+    }
+
+    fn plain_answer(
+        &self,
+        view: &PrimaryView,
+        shape: &PipelineShape,
+        results: Vec<StreamResult>,
+    ) -> Result<ForwardAnswer, RequestError> {
+        Ok(ForwardAnswer {
+            body: answer_body(None, shape.restore(results))?,
+            written: None,
+            served_by: Some(ServedBy {
+                member: view.member.clone(),
+                is_primary: true,
+                age: std::time::Duration::ZERO,
+            }),
+        })
+    }
+
+    async fn execute_logged(
+        &self,
+        member: &MemberHandle,
+        lease: &mut StreamLease,
+        write: &LoggedWrite,
+        view: &PrimaryView,
+    ) -> Result<(WriteResult, LogPosition), UpstreamError> {
+        let terms = self.call_terms(view);
+        let pipeline = write.pipeline(None);
+        let reply = member.run(lease, &pipeline.requests, terms).await?;
+        let pending = match write.interpret(response_of(reply.results)) {
+            WriteStep::Ended(result) => return Ok((result, reply.log)),
+            WriteStep::Store(pending) => pending,
+        };
+        let pipeline = pending.pipeline(None);
+        let reply = match member.run(lease, &pipeline.requests, terms).await {
+            Ok(reply) => reply,
+            // The first part may have run, so a refusal of the second is no proof of "not run".
+            Err(_) => return Ok((WriteResult::Unknown, LogPosition::default())),
+        };
+        Ok((pending.interpret(response_of(reply.results)), reply.log))
+    }
+
+    /// Creates the table of requests once per term.
+    async fn ensure_schema(
+        &self,
+        member: &MemberHandle,
+        lease: &mut StreamLease,
+        view: &PrimaryView,
+    ) -> Result<(), UpstreamError> {
+        if self.schema_term.get() == view.term.get() {
+            return Ok(());
+        }
+        let statements = RequestLog::SCHEMA
+            .iter()
+            .copied()
+            .chain([RequestLog::CLEANUP]);
+        let requests: Vec<_> = statements.map(execute).collect();
+        let reply = member.run(lease, &requests, self.call_terms(view)).await?;
+        let is_ok = |result: &StreamResult| matches!(result, StreamResult::Ok { .. });
+        if reply.results.iter().all(is_ok) {
+            self.schema_term.set(view.term.get());
+        }
+        Ok(())
+    }
+
+    pub(super) fn call_terms(&self, view: &PrimaryView) -> CallTerms {
+        CallTerms {
+            term: view.term,
+            min_position: None,
+            timeout: self.context.bounds.upstream_timeout,
+        }
+    }
+}
+
+pub(super) fn execute(sql: &str) -> StreamRequest {
+    StreamRequest::Execute(ExecuteStreamReq {
+        stmt: Stmt::new(sql, false),
+    })
+}
+
+fn response_of(results: Vec<StreamResult>) -> PipelineRespBody {
+    PipelineRespBody {
+        baton: None,
+        base_url: None,
+        results,
+    }
+}
+
+pub(super) fn not_run_error(error: &UpstreamError) -> RequestError {
+    let code = match error {
+        UpstreamError::Refused(refusal) if refusal.status == 503 => ErrorCode::Overloaded,
+        UpstreamError::Refused(_) => ErrorCode::TermChanged,
+        _ => ErrorCode::NoUpstream,
+    };
+    RequestError::not_run(code, error.to_string())
+}
+
+/// An earlier attempt may have run, so a later refusal says nothing about the request.
+fn with_outcome(mut error: RequestError, may_have_run: bool) -> RequestError {
+    if may_have_run {
+        error.outcome = coriander_core::RequestOutcome::Unknown;
+        error.code = ErrorCode::OutcomeUnknown;
+    }
+    error
+}
--- /dev/null
+++ b/crates/corianderstile/src/lib.rs
@@ -0,0 +1,34 @@
+//! Database proxy with session consistency: the process that runs on each entry instance.
+//!
+//! The library part holds everything but the command line, so that tests can check settings
+//! without starting a process.
+//!
+//! ```
+//! use corianderstile::InstanceSettings;
+//! use std::path::Path;
+//!
+//! let text = "[instance]\nname = a\nzone = elefsina\n";
+//! let error = InstanceSettings::parse(Path::new("a.ini"), text).expect_err("incomplete");
+//! assert!(error.to_string().contains("[listen] callers: missing value"));
+//! ```
+
+mod admin;
+mod caller;
+mod config;
+mod decision_log;
+mod entry;
+mod gateway;
+mod membership_service;
+mod metrics;
+mod peer;
+mod process_clock;
+mod proxy;
+mod rate_service;
+mod replica_reads;
+mod server;
+mod settings;
+mod settings_reader;
+
+pub use proxy::StartError;
+pub use server::run_server;
+pub use settings::{InstanceSettings, SettingMistake, SettingProblem, SettingsError};
--- /dev/null
+++ b/crates/corianderstile/src/membership_service.rs
@@ -0,0 +1,322 @@
+//! Heartbeats, ranks and the drain state of this instance.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::{
+    AccountName, ConfigDocument, DatabaseName, InstanceId, MonotonicTime, RequestError, ZoneName,
+};
+use coriander_membership::{
+    DrainCause, DrainState, Heartbeat, HeartbeatAck, InstanceState, OwnStatus, PeerTable,
+    RankTable, RankedInstances, WorkAdmission,
+};
+use coriander_wire::{DatagramCodec, MAX_DATAGRAM_LENGTH};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::process_clock::ProcessClock;
+
+/// Time between checks for due heartbeats and silent peers.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Silence after which a member that the platform does not list counts as lost.
+const LOST_AFTER: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Deserialize, Serialize)]
+enum Datagram {
+    Heartbeat(Heartbeat),
+    Ack(HeartbeatAck),
+}
+
+type AddressListener = Box<dyn Fn(SocketAddr)>;
+
+/// What this instance knows about the fleet.
+pub struct MembershipService {
+    own_id: InstanceId,
+    own_zone: ZoneName,
+    clock: ProcessClock,
+    codec: RefCell<DatagramCodec>,
+    peers: RefCell<PeerTable>,
+    ranks: RefCell<RankTable>,
+    drain: RefCell<DrainState>,
+    silent_since: RefCell<Vec<(InstanceId, MonotonicTime)>>,
+    ranks_changed: RefCell<Option<Box<dyn Fn()>>>,
+    fetch_hint: RefCell<Option<AddressListener>>,
+    sent_bytes: Cell<u64>,
+}
+
+impl MembershipService {
+    /// Creates the service of an instance that has no configuration yet.
+    pub fn new(
+        own_id: InstanceId,
+        own_zone: ZoneName,
+        clock: ProcessClock,
+        codec: DatagramCodec,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            peers: RefCell::new(PeerTable::new(own_id.clone())),
+            own_id,
+            own_zone,
+            clock,
+            codec: RefCell::new(codec),
+            ranks: RefCell::new(RankTable::new()),
+            drain: RefCell::new(DrainState::new()),
+            silent_since: RefCell::default(),
+            ranks_changed: RefCell::default(),
+            fetch_hint: RefCell::default(),
+            sent_bytes: Cell::new(0),
+        })
+    }
+
+    /// Sets the function that is called after ranks have changed.
+    pub fn on_ranks_changed(&self, listener: Box<dyn Fn()>) {
+        *self.ranks_changed.borrow_mut() = Some(listener);
+    }
+
+    /// Sets the function that is called with the address of a peer with a newer configuration.
+    pub fn on_newer_version(&self, listener: Box<dyn Fn(SocketAddr)>) {
+        *self.fetch_hint.borrow_mut() = Some(listener);
+    }
+
+    /// Takes over fleet and zones of a configuration.
+    pub fn apply_document(&self, document: &ConfigDocument) {
+        let now = self.clock.now();
+        self.peers.borrow_mut().apply_document(document, now);
+        self.ranks.borrow_mut().apply_document(document, now);
+        self.silent_since
+            .borrow_mut()
+            .retain(|(id, _)| document.fleet.contains_key(id));
+        let own = document.fleet.get(&self.own_id);
+        self.set_drain(DrainCause::ZoneOut, !document.is_zone_in(&self.own_zone));
+        self.set_drain(
+            DrainCause::Operator,
+            own.is_some_and(|member| member.draining),
+        );
+        self.announce_ranks();
+    }
+
+    /// Starts to leave because the process was asked to end.
+    pub fn begin_shutdown(&self) {
+        self.set_drain(DrainCause::Terminated, true);
+        self.announce_ranks();
+    }
+
+    /// Returns the gateway and the backup of a database.
+    pub fn gateways(&self, database: &DatabaseName) -> RankedInstances {
+        self.ranks.borrow_mut().gateways(database)
+    }
+
+    /// Returns the rank of this instance for a database.
+    pub fn own_rank(&self, database: &DatabaseName) -> Option<u32> {
+        let ranked = self.gateways(database);
+        let place = ranked.iter().position(|id| *id == self.own_id)?;
+        u32::try_from(place).ok()
+    }
+
+    /// Returns the owners of an account's token bucket.
+    pub fn rate_owners(&self, account: &AccountName) -> RankedInstances {
+        self.ranks.borrow_mut().rate_owners(account)
+    }
+
+    /// Tells whether this instance watches the platform for its zone.
+    pub fn is_watcher(&self) -> bool {
+        let watchers = self.ranks.borrow_mut().watchers(&self.own_zone);
+        watchers.is_empty() || watchers.contains(&self.own_id)
+    }
+
+    /// Returns the watchers of the own zone with their addresses.
+    pub fn watcher_addresses(&self) -> Vec<(InstanceId, SocketAddr)> {
+        let watchers = self.ranks.borrow_mut().watchers(&self.own_zone);
+        let peers = self.peers.borrow();
+        let address = |id: InstanceId| {
+            let address = peers.address(&id)?;
+            Some((id, address))
+        };
+        watchers.into_iter().filter_map(address).collect()
+    }
+
+    /// Returns the address of another instance of the fleet.
+    pub fn address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        self.peers.borrow().address(instance)
+    }
+
+    /// Tells whether an instance is heard.
+    pub fn is_live(&self, instance: &InstanceId) -> bool {
+        self.peers.borrow().is_live(instance)
+    }
+
+    /// Tells what to do with a new request of a caller.
+    pub fn admission(&self) -> WorkAdmission {
+        self.drain.borrow().admission(self.clock.now())
+    }
+
+    /// Returns the error for a request that is refused because of draining.
+    pub fn refusal(&self) -> RequestError {
+        self.drain.borrow().refusal()
+    }
+
+    /// Tells whether the load balancer may send work here.
+    pub fn is_ready(&self) -> bool {
+        self.drain.borrow().is_ready()
+    }
+
+    /// Tells whether draining is complete.
+    pub fn is_drained(&self, in_flight: usize) -> bool {
+        self.drain.borrow().is_finished(in_flight, self.clock.now())
+    }
+
+    /// Returns members that have been silent for long and are missing from the platform's list.
+    ///
+    /// Only the live instance with the smallest identifier returns any, so that one removes them.
+    pub fn lost_members(&self, document: &ConfigDocument, listed: &[String]) -> Vec<InstanceId> {
+        let now = self.clock.now();
+        let first_live = document.fleet.keys().find(|id| self.is_live(id));
+        if first_live != Some(&self.own_id) {
+            return Vec::new();
+        }
+        let silent = self.silent_since.borrow();
+        let is_lost = |(id, since): &&(InstanceId, MonotonicTime)| {
+            let is_listed = listed.iter().any(|name| name == id.as_str());
+            now.since(*since) >= LOST_AFTER && !is_listed && document.fleet.contains_key(id)
+        };
+        silent
+            .iter()
+            .filter(is_lost)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Returns the number of peers and of those that are heard.
+    pub fn peer_counts(&self, document: &ConfigDocument) -> (usize, usize) {
+        let live = document.fleet.keys().filter(|id| self.is_live(id)).count();
+        (document.fleet.len(), live)
+    }
+
+    /// Returns the bytes of heartbeats sent so far.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.get()
+    }
+
+    /// Returns the number of rejected datagrams.
+    pub fn rejected_datagrams(&self) -> u64 {
+        self.codec.borrow().rejected().total()
+    }
+
+    /// Sends heartbeats and detects silent peers.
+    pub async fn run(self: Rc<Self>, socket: Rc<UdpSocket>, status: Rc<dyn Fn() -> OwnStatus>) {
+        ntex::rt::spawn(self.clone().receive(socket.clone(), status.clone()));
+        loop {
+            tokio::time::sleep(TICK).await;
+            let now = self.clock.now();
+            self.ranks.borrow_mut().advance(now);
+            let changes = self.peers.borrow_mut().advance(now);
+            for change in &changes {
+                log::info!(
+                    "membership: {} live={} state={:?}",
+                    change.instance,
+                    change.live,
+                    change.state
+                );
+                self.ranks.borrow_mut().apply_change(change);
+                let mut silent = self.silent_since.borrow_mut();
+                silent.retain(|(id, _)| *id != change.instance);
+                if !change.live {
+                    silent.push((change.instance.clone(), now));
+                }
+            }
+            if !changes.is_empty() {
+                self.announce_ranks();
+            }
+            let heartbeat = self.peers.borrow_mut().next_heartbeat(status(), now);
+            let Some(heartbeat) = heartbeat else { continue };
+            let targets = self
+                .peers
+                .borrow()
+                .heartbeat_targets(&mut self.ranks.borrow_mut());
+            let datagram = Datagram::Heartbeat(heartbeat);
+            for (_, address) in targets {
+                self.send(&socket, address, &datagram).await;
+            }
+        }
+    }
+
+    async fn receive(self: Rc<Self>, socket: Rc<UdpSocket>, status: Rc<dyn Fn() -> OwnStatus>) {
+        // One byte more than allowed, so that longer datagrams are recognized.
+        let mut buffer = vec![0; MAX_DATAGRAM_LENGTH + 1];
+        loop {
+            let Ok((length, address)) = socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let decoded = self
+                .codec
+                .borrow_mut()
+                .decode::<Datagram>(&buffer[..length]);
+            let Ok(received) = decoded else { continue };
+            let now = self.clock.now();
+            let own = status();
+            let newer = match received.message {
+                Datagram::Heartbeat(heartbeat) => {
+                    let ack = self
+                        .peers
+                        .borrow_mut()
+                        .heartbeat_received(&heartbeat, own, now);
+                    if let Ok(ack) = ack {
+                        self.send(&socket, address, &Datagram::Ack(ack)).await;
+                    }
+                    heartbeat.config_version > own.config_version
+                }
+                Datagram::Ack(ack) => {
+                    // Acknowledgements of a fleet version that is not in force here are ignored.
+                    let _ = self.peers.borrow_mut().ack_received(&ack, now);
+                    ack.config_version > own.config_version
+                }
+            };
+            if newer && let Some(listener) = &*self.fetch_hint.borrow() {
+                listener(address);
+            }
+        }
+    }
+
+    async fn send(&self, socket: &UdpSocket, address: SocketAddr, datagram: &Datagram) {
+        let encoded = self.codec.borrow_mut().encode(datagram);
+        match encoded {
+            Ok(bytes) => {
+                self.sent_bytes
+                    .set(self.sent_bytes.get() + bytes.len() as u64);
+                // A lost heartbeat is followed by the next one.
+                let _ = socket.send_to(&bytes, address).await;
+            }
+            Err(error) => log::error!("membership: heartbeat not encoded: {error}"),
+        }
+    }
+
+    fn set_drain(&self, cause: DrainCause, active: bool) {
+        let mut drain = self.drain.borrow_mut();
+        let was_ready = drain.is_ready();
+        if active {
+            drain.begin(cause, self.clock.now());
+        } else {
+            drain.end(cause);
+        }
+        let is_ready = drain.is_ready();
+        self.ranks
+            .borrow_mut()
+            .set_available(&self.own_id, is_ready);
+        if was_ready != is_ready {
+            log::info!("membership: ready={is_ready} cause={cause:?}");
+        }
+    }
+
+    fn announce_ranks(&self) {
+        if let Some(listener) = &*self.ranks_changed.borrow() {
+            listener();
+        }
+    }
+
+    /// Returns the drain state to report in heartbeats.
+    pub fn own_state(&self, in_flight: usize) -> InstanceState {
+        self.drain.borrow().state(in_flight, self.clock.now())
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/peer/connection.rs
@@ -0,0 +1,161 @@
+//! One TCP connection between two instances with several requests in flight.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_wire::{DecodeError, EncodeError, FrameCodec, FrameStatus};
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{mpsc, oneshot};
+
+use super::messages::{PeerFrame, PeerReply, PeerRequest};
+
+/// Failure of a request to another instance.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// No connection could be opened, so nothing was sent.
+    #[error("peer not reachable")]
+    NotSent,
+    /// The connection was lost or the time ran out after the request was sent.
+    #[error("no reply from peer")]
+    NoReply,
+    /// The request cannot be encoded.
+    #[error("request cannot be sent: {0}")]
+    Encode(#[from] EncodeError),
+}
+
+/// Frames that may wait to be written to one peer.
+const WRITE_QUEUE_LENGTH: usize = 1024;
+
+/// Initial size of the receive buffer in bytes.
+const READ_BUFFER_LENGTH: usize = 16 * 1024;
+
+type PendingReplies = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>>;
+
+/// The requesting side of a connection.
+pub struct PeerConnection {
+    codec: FrameCodec,
+    next_id: Cell<u64>,
+    pending: PendingReplies,
+    outgoing: mpsc::Sender<Vec<u8>>,
+}
+
+impl PeerConnection {
+    /// Starts the reader and the writer of an open connection.
+    pub fn start(stream: TcpStream, codec: FrameCodec) -> Self {
+        let (read, write) = stream.into_split();
+        let pending = PendingReplies::default();
+        let outgoing = start_writer(write);
+        ntex::rt::spawn(read_replies(read, codec.clone(), pending.clone()));
+        Self {
+            codec,
+            next_id: Cell::new(1),
+            pending,
+            outgoing,
+        }
+    }
+
+    /// Tells whether the connection can still be used.
+    pub fn is_open(&self) -> bool {
+        !self.outgoing.is_closed()
+    }
+
+    /// Sends a request and waits for its reply.
+    ///
+    /// A reply that arrives after the timeout finds no waiter and is dropped; it can never reach
+    /// another request because numbers are not reused.
+    pub async fn call(
+        &self,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let frame = self.codec.encode(&PeerFrame::Request(id, request))?;
+        let (sender, receiver) = oneshot::channel();
+        self.pending.borrow_mut().insert(id, sender);
+        if self.outgoing.send(frame).await.is_err() {
+            self.pending.borrow_mut().remove(&id);
+            return Err(PeerError::NotSent);
+        }
+        let reply = tokio::time::timeout(timeout, receiver).await;
+        self.pending.borrow_mut().remove(&id);
+        match reply {
+            Ok(Ok(reply)) => Ok(reply),
+            _ => Err(PeerError::NoReply),
+        }
+    }
+}
+
+/// Starts the task that writes frames in order; it ends with the connection.
+pub fn start_writer(mut write: OwnedWriteHalf) -> mpsc::Sender<Vec<u8>> {
+    let (sender, mut receiver) = mpsc::channel::<Vec<u8>>(WRITE_QUEUE_LENGTH);
+    ntex::rt::spawn(async move {
+        while let Some(frame) = receiver.recv().await {
+            if write.write_all(&frame).await.is_err() {
+                return;
+            }
+        }
+    });
+    sender
+}
+
+async fn read_replies(read: OwnedReadHalf, codec: FrameCodec, pending: PendingReplies) {
+    let mut reader = FrameReader::new(read, codec);
+    while let Ok(Some(frame)) = reader.next().await {
+        if let PeerFrame::Reply(id, reply) = frame
+            && let Some(waiter) = pending.borrow_mut().remove(&id)
+        {
+            // The waiter may have timed out in the meantime.
+            let _ = waiter.send(reply);
+        }
+    }
+    // Dropping the senders tells every waiter that the connection is lost.
+    pending.borrow_mut().clear();
+}
+
+/// Failure to read the next frame.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The connection failed.
+    #[error("connection failed: {0}")]
+    Connection(#[from] std::io::Error),
+    /// The peer sent something that is not a valid frame.
+    #[error("invalid frame: {0}")]
+    Decode(#[from] DecodeError),
+}
+
+/// Splits a byte stream into frames.
+pub struct FrameReader {
+    read: OwnedReadHalf,
+    codec: FrameCodec,
+    buffer: Vec<u8>,
+}
+
+impl FrameReader {
+    /// Creates a reader.
+    pub fn new(read: OwnedReadHalf, codec: FrameCodec) -> Self {
+        Self {
+            read,
+            codec,
+            buffer: Vec::with_capacity(READ_BUFFER_LENGTH),
+        }
+    }
+
+    /// Returns the next frame, or `None` at the end of the connection.
+    pub async fn next(&mut self) -> Result<Option<PeerFrame>, ReadError> {
+        loop {
+            if let FrameStatus::Complete { message, consumed } = self.codec.decode(&self.buffer)? {
+                self.buffer.drain(..consumed);
+                return Ok(Some(message));
+            }
+            if self.read.read_buf(&mut self.buffer).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/peer/peer_client.rs
@@ -0,0 +1,65 @@
+//! Connections to other instances, opened on demand.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_wire::FrameCodec;
+use tokio::net::TcpStream;
+
+use super::connection::{PeerConnection, PeerError};
+use super::messages::{PeerReply, PeerRequest};
+
+/// Time within which a connection must open; well above the delay between zones.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Sends requests to other instances over one connection each.
+pub struct PeerClient {
+    codec: FrameCodec,
+    connections: RefCell<HashMap<SocketAddr, Rc<PeerConnection>>>,
+}
+
+impl PeerClient {
+    /// Creates a client without connections.
+    pub fn new(codec: FrameCodec) -> Self {
+        Self {
+            codec,
+            connections: RefCell::default(),
+        }
+    }
+
+    /// Sends a request to the instance at `address` and waits for the reply.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let connection = self.connection(address).await?;
+        let result = connection.call(request, timeout).await;
+        if !connection.is_open() {
+            self.connections.borrow_mut().remove(&address);
+        }
+        result
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Rc<PeerConnection>, PeerError> {
+        let existing = self.connections.borrow().get(&address).cloned();
+        if let Some(connection) = existing.filter(|connection| connection.is_open()) {
+            return Ok(connection);
+        }
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = stream else {
+            return Err(PeerError::NotSent);
+        };
+        // Small frames must not wait for an acknowledgement of the previous one.
+        let _ = stream.set_nodelay(true);
+        let connection = Rc::new(PeerConnection::start(stream, self.codec.clone()));
+        self.connections
+            .borrow_mut()
+            .insert(address, connection.clone());
+        Ok(connection)
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/proxy.rs
@@ -0,0 +1,468 @@
+//! All parts of one process and the tasks that connect them.
+
+use std::cell::RefCell;
+use std::net::{SocketAddr, UdpSocket as StdUdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coriander_config::Incarnation;
+use coriander_core::{FleetMember, InstanceId};
+use coriander_membership::{OwnStatus, WorkAdmission};
+use coriander_platform::{
+    ConsulStore, InstanceRegistration, MemberState, ModifyIndex, PlatformError, PlatformStore,
+};
+use coriander_session::SecretKeys;
+use coriander_wire::{DatagramCodec, FrameCodec};
+use tokio::net::{TcpListener, UdpSocket};
+
+use crate::config::{
+    ConfigService, ServiceParts, join_fleet, leave_fleet, remove_silent_members, watch_platform,
+};
+use crate::decision_log::DecisionLog;
+use crate::entry::{EntryParts, EntryService};
+use crate::gateway::{GatewayContext, GatewaySet};
+use crate::membership_service::MembershipService;
+use crate::metrics::ProxyMetrics;
+use crate::peer::{PeerClient, PeerReply, PeerRequest, PeerService, serve_peers};
+use crate::process_clock::ProcessClock;
+use crate::rate_service::RateService;
+use crate::settings::InstanceSettings;
+
+/// Name under which instances are listed by the platform.
+const INSTANCE_SERVICE: &str = "corianderstile";
+
+/// Prefix of the names under which the platform lists the members of a database group.
+const UPSTREAM_PREFIX: &str = "upstream-";
+
+/// Longest wait of a watch on a member list.
+const LIST_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause after a failed call to the platform.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Failure to start the process.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be used.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Cause reported by the operating system.
+        source: std::io::Error,
+    },
+    /// The client of the platform cannot be created.
+    #[error("platform client: {0}")]
+    Platform(#[from] PlatformError),
+    /// The fleet secret cannot be used.
+    #[error("fleet secret: {0}")]
+    Secret(#[from] coriander_session::SecretError),
+    /// The identifier of the process cannot be built from the configured name.
+    #[error("instance name: {0}")]
+    Name(#[from] coriander_core::NameError),
+}
+
+/// One process of the fleet.
+pub struct Proxy {
+    /// Settings from the file.
+    pub settings: InstanceSettings,
+    /// Identifier of this process.
+    pub own_id: InstanceId,
+    /// Clock of this process.
+    pub clock: ProcessClock,
+    /// Counters.
+    pub metrics: Rc<ProxyMetrics>,
+    /// Recent decisions.
+    pub decisions: Rc<DecisionLog>,
+    /// Configuration in force.
+    pub config: Rc<ConfigService>,
+    /// Fleet and ranks.
+    pub membership: Rc<MembershipService>,
+    /// Rate limits.
+    pub rates: Rc<RateService>,
+    /// Gateways of this instance.
+    pub gateways: Rc<GatewaySet>,
+    /// Entry of callers' requests.
+    pub entry: Rc<EntryService>,
+    store: Rc<dyn PlatformStore>,
+    listed: RefCell<Vec<String>>,
+    watched: RefCell<Vec<coriander_core::DatabaseName>>,
+}
+
+impl Proxy {
+    /// Creates all parts and starts their tasks on the current thread.
+    pub async fn start(settings: InstanceSettings) -> Result<Rc<Self>, StartError> {
+        let clock = ProcessClock::start();
+        let own_id: InstanceId =
+            format!("{}.{:08x}", settings.name, rand::random::<u32>()).parse()?;
+        let secrets = SecretKeys::derive(settings.fleet_secret.as_bytes())?;
+        let frames = FrameCodec::new(secrets.wire());
+        let epoch = rand::random();
+        let datagrams = DatagramCodec::new(secrets.wire(), own_id.clone(), epoch);
+        let (listener, socket) = bind_peer_address(settings.peer_address)?;
+        let store: Rc<dyn PlatformStore> = Rc::new(build_store(&settings).await?);
+        let peers = Rc::new(PeerClient::new(frames.clone()));
+        let config = ConfigService::new(ServiceParts {
+            own_id: own_id.clone(),
+            incarnation: Incarnation::new(epoch),
+            clock,
+            store: store.clone(),
+            peers: peers.clone(),
+        });
+        let zone = settings.zone.clone();
+        let membership = MembershipService::new(own_id.clone(), zone, clock, datagrams);
+        let rates = RateService::new(own_id.clone(), clock, membership.clone(), peers.clone());
+        let context = gateway_context(&settings, &own_id, clock, &secrets, &config);
+        let gateways = Rc::new(GatewaySet::new(Rc::new(context)));
+        let metrics = Rc::new(ProxyMetrics::new());
+        let decisions = Rc::new(DecisionLog::default());
+        let entry = EntryService::new(EntryParts {
+            own_id: own_id.clone(),
+            clock,
+            bounds: settings.bounds.clone(),
+            secrets,
+            config: config.clone(),
+            membership: membership.clone(),
+            rates: rates.clone(),
+            gateways: gateways.clone(),
+            peers: peers.clone(),
+            metrics: metrics.clone(),
+            decisions: decisions.clone(),
+        });
+        let proxy = Rc::new(Self {
+            settings,
+            own_id,
+            clock,
+            metrics,
+            decisions,
+            config,
+            membership,
+            rates,
+            gateways,
+            entry,
+            store,
+            listed: RefCell::default(),
+            watched: RefCell::default(),
+        });
+        proxy.connect_parts();
+        proxy.spawn_tasks(listener, socket, frames);
+        log::info!(
+            "proxy: instance {} started in zone {}",
+            proxy.own_id,
+            proxy.settings.zone
+        );
+        Ok(proxy)
+    }
+
+    /// Returns the number of requests and transactions in progress.
+    pub fn in_flight(&self) -> usize {
+        self.entry.in_flight() + self.gateways.in_flight()
+    }
+
+    /// Copies current state into the gauges.
+    pub fn refresh_metrics(&self) {
+        let metrics = &self.metrics;
+        let document = self.config.document();
+        let (size, live) = self.membership.peer_counts(&document);
+        let age = self.config.confirmed_age();
+        let age = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        let gateways = self.gateways.list();
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        let bytes = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        metrics.config_version.set(bytes(document.version.get()));
+        metrics.config_age.set(age);
+        metrics
+            .platform_reached
+            .set(i64::from(self.config.has_platform()));
+        metrics.fleet_size.set(count(size));
+        metrics.fleet_live.set(count(live));
+        metrics.in_flight.set(count(self.in_flight()));
+        metrics
+            .transactions
+            .set(count(gateways.iter().map(|g| g.open_transactions()).sum()));
+        metrics.gateways.set(count(
+            gateways.iter().filter(|g| g.rank() == Some(0)).count(),
+        ));
+        metrics.owned_shards.set(count(self.rates.owned_shards()));
+        metrics
+            .heartbeat_bytes
+            .set(bytes(self.membership.sent_bytes()));
+        metrics
+            .invalid_datagrams
+            .set(bytes(self.membership.rejected_datagrams()));
+    }
+
+    /// Leaves gracefully: no new work, hand over, wait for running work, leave the fleet.
+    pub async fn shut_down(self: &Rc<Self>) {
+        let started = self.clock.now();
+        let limit = self.settings.bounds.shutdown;
+        log::info!(
+            "proxy: shutting down with {} requests in progress",
+            self.in_flight()
+        );
+        self.membership.begin_shutdown();
+        // Leaving the fleet hands the shards over and moves gateways to other instances.
+        let _ = tokio::time::timeout(limit / 2, leave_fleet(&self.config)).await;
+        while !self.membership.is_drained(self.in_flight())
+            && self.clock.now().since(started) < limit
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let registration = self.registration(MemberState::Leaving);
+        // The platform removes the entry by itself when it cannot be reached now.
+        let _ = self.store.deregister_instance(&registration).await;
+        log::info!("proxy: drained, {} requests left", self.in_flight());
+    }
+
+    fn connect_parts(self: &Rc<Self>) {
+        let proxy = Rc::downgrade(self);
+        self.config.add_listener(Box::new(move |document, changes| {
+            let Some(proxy) = proxy.upgrade() else { return };
+            proxy.membership.apply_document(document);
+            proxy.gateways.apply_config(document);
+            proxy.rates.apply_document(document);
+            for change in changes {
+                if let coriander_config::ConfigChange::KeysWithdrawn(keys) = change {
+                    proxy.gateways.end_keys(keys);
+                }
+            }
+            proxy.watch_databases(document);
+            proxy.update_ranks();
+        }));
+        let proxy = Rc::downgrade(self);
+        self.membership.on_ranks_changed(Box::new(move || {
+            if let Some(proxy) = proxy.upgrade() {
+                proxy.update_ranks();
+            }
+        }));
+        let config = self.config.clone();
+        self.membership.on_newer_version(Box::new(move |address| {
+            let config = config.clone();
+            ntex::rt::spawn(async move { config.fetch_from(address).await });
+        }));
+    }
+
+    fn spawn_tasks(self: &Rc<Self>, listener: TcpListener, socket: UdpSocket, frames: FrameCodec) {
+        let peer_service: Rc<dyn PeerService> = Rc::new(PeerRequests(self.clone()));
+        ntex::rt::spawn(serve_peers(listener, frames, peer_service));
+        let proxy = self.clone();
+        let status: Rc<dyn Fn() -> OwnStatus> = Rc::new(move || proxy.own_status());
+        ntex::rt::spawn(self.membership.clone().run(Rc::new(socket), status));
+        let membership = self.membership.clone();
+        let is_watcher = Box::new(move || membership.is_watcher());
+        ntex::rt::spawn(watch_platform(self.config.clone(), is_watcher));
+        let membership = self.membership.clone();
+        let targets = Box::new(move || membership.watcher_addresses());
+        ntex::rt::spawn(self.config.clone().confirm_by_peers(targets));
+        let rates = self.rates.clone();
+        let accepted = Box::new(move |version| rates.set_accepted(version));
+        ntex::rt::spawn(self.config.clone().watch_acceptance(accepted));
+        ntex::rt::spawn(self.rates.clone().run());
+        ntex::rt::spawn(self.clone().refresh_freshness());
+        ntex::rt::spawn(self.clone().keep_registered());
+        ntex::rt::spawn(self.clone().watch_instances());
+        ntex::rt::spawn(self.clone().stay_in_fleet());
+        let proxy = self.clone();
+        let lost = Box::new(move || {
+            proxy
+                .membership
+                .lost_members(&proxy.config.document(), &proxy.listed.borrow())
+        });
+        ntex::rt::spawn(remove_silent_members(self.config.clone(), lost));
+    }
+
+    fn own_status(&self) -> OwnStatus {
+        OwnStatus {
+            fleet_version: self.config.document().fleet_version,
+            config_version: self.config.version(),
+            confirmed_age: self.config.confirmed_age(),
+            state: self.membership.own_state(self.in_flight()),
+        }
+    }
+
+    /// Passes the own ranks on to the gateways; a gateway is created when it is first needed.
+    fn update_ranks(&self) {
+        for database in &self.config.document().databases {
+            let rank = self.membership.own_rank(database);
+            self.gateways.get(database).set_rank(rank);
+        }
+    }
+
+    fn watch_databases(self: &Rc<Self>, document: &coriander_core::ConfigDocument) {
+        for database in &document.databases {
+            let mut watched = self.watched.borrow_mut();
+            if !watched.contains(database) {
+                watched.push(database.clone());
+                ntex::rt::spawn(self.clone().watch_members(database.clone()));
+            }
+        }
+    }
+
+    /// Keeps the member list of a database current.
+    async fn watch_members(self: Rc<Self>, database: coriander_core::DatabaseName) {
+        let service = format!("{UPSTREAM_PREFIX}{database}");
+        let mut index = ModifyIndex::default();
+        while self.config.document().databases.contains(&database) {
+            let listed = if index == ModifyIndex::default() {
+                self.store.list_service(&service).await
+            } else {
+                self.store.watch_service(&service, index, LIST_WAIT).await
+            };
+            match listed {
+                Ok(list) => {
+                    index = list.watch_index;
+                    self.gateways.get(&database).set_listed(list.members).await;
+                    if index == ModifyIndex::default() {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                    }
+                }
+                Err(error) => {
+                    log::debug!("proxy: members of {database} not read: {error}");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        self.watched.borrow_mut().retain(|name| *name != database);
+    }
+
+    async fn watch_instances(self: Rc<Self>) {
+        let mut index = ModifyIndex::default();
+        loop {
+            let list = self
+                .store
+                .watch_service(INSTANCE_SERVICE, index, LIST_WAIT)
+                .await;
+            match list {
+                Ok(list) => {
+                    index = list.watch_index;
+                    let ids = list.members.into_iter().map(|member| member.id).collect();
+                    *self.listed.borrow_mut() = ids;
+                }
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Limits lapse by themselves, so their confirmation is renewed often.
+    async fn refresh_freshness(self: Rc<Self>) {
+        loop {
+            self.rates.set_confirmed_age(self.config.confirmed_age());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Enters this instance into the platform's list, also after an outage.
+    async fn keep_registered(self: Rc<Self>) {
+        while self.membership.admission() == WorkAdmission::Serve {
+            let registration = self.registration(MemberState::Live);
+            match self.store.register_instance(&registration).await {
+                Ok(()) => tokio::time::sleep(LIST_WAIT).await,
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// Joins the fleet, also again after others removed this instance as lost.
+    async fn stay_in_fleet(self: Rc<Self>) {
+        while self.membership.is_ready() || self.config.version().get() == 0 {
+            let member = FleetMember {
+                zone: self.settings.zone.clone(),
+                peer_address: self.settings.peer_address,
+                draining: false,
+            };
+            join_fleet(self.config.clone(), member).await;
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn registration(&self, state: MemberState) -> InstanceRegistration {
+        InstanceRegistration {
+            service: INSTANCE_SERVICE.to_owned(),
+            instance: self.own_id.clone(),
+            address: self.settings.peer_address,
+            zone: self.settings.zone.clone(),
+            state,
+        }
+    }
+}
+
+/// Answers requests of other instances.
+struct PeerRequests(Rc<Proxy>);
+
+#[async_trait(?Send)]
+impl PeerService for PeerRequests {
+    async fn handle(&self, request: PeerRequest) -> PeerReply {
+        let proxy = &self.0;
+        match request {
+            PeerRequest::Forward(forward) => {
+                let is_open = forward.stream.is_some();
+                if !is_open && proxy.membership.admission() != WorkAdmission::Serve {
+                    return PeerReply::Forwarded(Err(proxy.membership.refusal()));
+                }
+                let gateway = proxy.gateways.get(&forward.database);
+                PeerReply::Forwarded(gateway.execute(forward).await)
+            }
+            PeerRequest::ConfirmVersion(request) => {
+                PeerReply::VersionConfirmed(proxy.config.answer_confirm(request))
+            }
+            PeerRequest::FetchConfig(request) => {
+                PeerReply::Config(proxy.config.answer_fetch(&request))
+            }
+            PeerRequest::TakeTokens(request) => PeerReply::Granted(proxy.rates.take(&request)),
+            PeerRequest::HandOver { from, hand_over } => {
+                PeerReply::HandedOver(proxy.rates.hand_over(&from, &hand_over))
+            }
+        }
+    }
+
+    fn count_invalid_frame(&self) {
+        self.0.metrics.invalid_frames.inc();
+    }
+}
+
+fn gateway_context(
+    settings: &InstanceSettings,
+    own_id: &InstanceId,
+    clock: ProcessClock,
+    secrets: &SecretKeys,
+    config: &Rc<ConfigService>,
+) -> GatewayContext {
+    let (key_config, class_config, zone_config) = (config.clone(), config.clone(), config.clone());
+    GatewayContext {
+        own_id: own_id.clone(),
+        own_zone: settings.zone.clone(),
+        clock,
+        secrets: secrets.clone(),
+        bounds: settings.bounds.clone(),
+        may_run: Box::new(move |key| key_config.check_key(key)),
+        class_target: Box::new(move |class| class_config.class_target(class)),
+        is_zone_in: Box::new(move |zone| zone_config.is_zone_in(zone)),
+    }
+}
+
+async fn build_store(settings: &InstanceSettings) -> Result<ConsulStore, PlatformError> {
+    let mut addresses = settings.platform_addresses.iter();
+    let first = addresses.next().ok_or_else(|| PlatformError::NotSent {
+        reason: "no platform address is configured".to_owned(),
+    })?;
+    let builder = addresses.fold(ConsulStore::builder(*first), |builder, address| {
+        builder.address(*address)
+    });
+    builder
+        .call_timeout(Duration::from_millis(800))
+        .build()
+        .await
+}
+
+fn bind_peer_address(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
+    let listen_error = |source| StartError::Listen { address, source };
+    let listener = std::net::TcpListener::bind(address).map_err(listen_error)?;
+    listener.set_nonblocking(true).map_err(listen_error)?;
+    let socket = StdUdpSocket::bind(address).map_err(listen_error)?;
+    socket.set_nonblocking(true).map_err(listen_error)?;
+    Ok((
+        TcpListener::from_std(listener).map_err(listen_error)?,
+        UdpSocket::from_std(socket).map_err(listen_error)?,
+    ))
+}
--- /dev/null
+++ b/crates/corianderstile/src/rate_service.rs
@@ -0,0 +1,250 @@
+//! Rate limits of client accounts on this instance.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coriander_config::FRESHNESS_PERIOD;
+use coriander_core::{
+    AccountName, ConfigDocument, ConfigVersion, InstanceId, MonotonicTime, RequestError,
+};
+use coriander_limits::{
+    AdmitDecision, FleetVersion, GrantHolder, HandOver, HandOverReply, HolderEvent, LimitPolicy,
+    OwnerTable, PlanTable, TakeTokens, TokenGrant, rate_error,
+};
+use tokio::sync::oneshot;
+
+use crate::membership_service::MembershipService;
+use crate::peer::{PeerClient, PeerReply, PeerRequest};
+use crate::process_clock::ProcessClock;
+
+/// Time within which an owner must answer.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time between checks for due wake-ups of the holder.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Attempts to hand a shard over to an owner that has not applied the version yet.
+const HAND_OVER_ATTEMPTS: usize = 20;
+
+/// Pause between two such attempts.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(100);
+
+type Waiter = oneshot::Sender<Result<(), RequestError>>;
+
+/// Spends and grants tokens of client accounts.
+pub struct RateService {
+    own_id: InstanceId,
+    clock: ProcessClock,
+    membership: Rc<MembershipService>,
+    peers: Rc<PeerClient>,
+    policy: LimitPolicy,
+    holder: RefCell<GrantHolder>,
+    owner: RefCell<OwnerTable>,
+    waiters: RefCell<HashMap<u64, Waiter>>,
+    next_ticket: Cell<u64>,
+}
+
+impl RateService {
+    /// Creates the service without accounts.
+    pub fn new(
+        own_id: InstanceId,
+        clock: ProcessClock,
+        membership: Rc<MembershipService>,
+        peers: Rc<PeerClient>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            holder: RefCell::new(GrantHolder::new(own_id.clone())),
+            owner: RefCell::new(OwnerTable::new(own_id.clone())),
+            own_id,
+            clock,
+            membership,
+            peers,
+            policy: LimitPolicy::default(),
+            waiters: RefCell::default(),
+            next_ticket: Cell::new(0),
+        })
+    }
+
+    /// Takes over accounts and fleet of a configuration.
+    pub fn apply_document(self: &Rc<Self>, document: &ConfigDocument) {
+        let now = self.clock.now();
+        let version = FleetVersion::new(document.fleet_version);
+        let owners = |account: &AccountName| self.membership.rate_owners(account);
+        let plans = Arc::new(PlanTable::new(document, version, &self.policy, owners));
+        self.holder.borrow_mut().apply(&plans, now);
+        let hand_overs = self.owner.borrow_mut().apply(&plans, now);
+        for (next, hand_over) in hand_overs {
+            ntex::rt::spawn(self.clone().send_hand_over(next, hand_over));
+        }
+        self.handle_events();
+    }
+
+    /// Notes that the fleet has accepted a version.
+    pub fn set_accepted(self: &Rc<Self>, version: ConfigVersion) {
+        let now = self.clock.now();
+        self.owner.borrow_mut().set_accepted(version, now);
+        self.holder.borrow_mut().set_accepted(version, now);
+        self.handle_events();
+    }
+
+    /// Sets the age of the configuration's confirmation; nothing is spent or granted without one.
+    pub fn set_confirmed_age(&self, age: Option<Duration>) {
+        let now = self.clock.now();
+        let until = match age {
+            Some(age) => now + FRESHNESS_PERIOD.saturating_sub(age),
+            None => MonotonicTime::ZERO,
+        };
+        self.owner.borrow_mut().set_fresh_until(until);
+        self.holder.borrow_mut().set_fresh_until(until);
+    }
+
+    /// Spends one token of an account, waiting for it until the deadline.
+    pub async fn admit(
+        self: &Rc<Self>,
+        account: &AccountName,
+        deadline: MonotonicTime,
+    ) -> Result<(), RequestError> {
+        let ticket = self.next_ticket.get() + 1;
+        self.next_ticket.set(ticket);
+        let now = self.clock.now();
+        let decision = self
+            .holder
+            .borrow_mut()
+            .admit(account, ticket, deadline, now);
+        let receiver = match decision {
+            AdmitDecision::Admitted => {
+                self.handle_events();
+                return Ok(());
+            }
+            AdmitDecision::Refused { retry_after } => {
+                self.handle_events();
+                return Err(rate_error(retry_after));
+            }
+            AdmitDecision::WaitUntil(_) => {
+                let (sender, receiver) = oneshot::channel();
+                self.waiters.borrow_mut().insert(ticket, sender);
+                receiver
+            }
+        };
+        self.handle_events();
+        receiver
+            .await
+            .unwrap_or_else(|_| Err(rate_error(Duration::from_secs(1))))
+    }
+
+    /// Serves a request for tokens.
+    pub fn take(&self, request: &TakeTokens) -> TokenGrant {
+        self.owner.borrow_mut().take(request, self.clock.now())
+    }
+
+    /// Takes over a shard of the previous owner.
+    pub fn hand_over(&self, from: &InstanceId, hand_over: &HandOver) -> HandOverReply {
+        self.owner
+            .borrow_mut()
+            .hand_over(from, hand_over, self.clock.now())
+    }
+
+    /// Returns the number of shards that this instance owns.
+    pub fn owned_shards(&self) -> usize {
+        self.owner.borrow().len()
+    }
+
+    /// Wakes waiting requests at their time.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            let now = self.clock.now();
+            let is_due = self
+                .holder
+                .borrow()
+                .next_wakeup()
+                .is_some_and(|time| time <= now);
+            if is_due {
+                self.holder.borrow_mut().poll(now);
+                self.handle_events();
+            }
+        }
+    }
+
+    fn handle_events(self: &Rc<Self>) {
+        loop {
+            let events = self.holder.borrow_mut().take_events();
+            if events.is_empty() {
+                return;
+            }
+            for event in events {
+                self.handle_event(event);
+            }
+        }
+    }
+
+    fn handle_event(self: &Rc<Self>, event: HolderEvent) {
+        match event {
+            HolderEvent::Send { owner, message } if owner == self.own_id => {
+                let grant = self.take(&message);
+                if message.amount > 0 {
+                    self.holder
+                        .borrow_mut()
+                        .grant_received(&owner, &grant, self.clock.now());
+                }
+            }
+            HolderEvent::Send { owner, message } => {
+                ntex::rt::spawn(self.clone().ask_owner(owner, message));
+            }
+            HolderEvent::Admitted { ticket } => self.wake(ticket, Ok(())),
+            HolderEvent::Refused {
+                ticket,
+                retry_after,
+            } => {
+                self.wake(ticket, Err(rate_error(retry_after)));
+            }
+        }
+    }
+
+    fn wake(&self, ticket: u64, result: Result<(), RequestError>) {
+        if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) {
+            drop(waiter.send(result));
+        }
+    }
+
+    async fn ask_owner(self: Rc<Self>, owner: InstanceId, message: TakeTokens) {
+        let Some(address) = self.membership.address(&owner) else {
+            self.holder
+                .borrow_mut()
+                .take_failed(&message, self.clock.now());
+            return self.handle_events();
+        };
+        let request = PeerRequest::TakeTokens(message.clone());
+        let reply = self.peers.call(address, request, OWNER_TIMEOUT).await;
+        let now = self.clock.now();
+        match reply {
+            Ok(PeerReply::Granted(grant)) => {
+                self.holder.borrow_mut().grant_received(&owner, &grant, now);
+            }
+            _ => self.holder.borrow_mut().take_failed(&message, now),
+        }
+        self.handle_events();
+    }
+
+    async fn send_hand_over(self: Rc<Self>, next: InstanceId, hand_over: HandOver) {
+        for _ in 0..HAND_OVER_ATTEMPTS {
+            let Some(address) = self.membership.address(&next) else {
+                return;
+            };
+            let from = self.own_id.clone();
+            let request = PeerRequest::HandOver {
+                from,
+                hand_over: hand_over.clone(),
+            };
+            match self.peers.call(address, request, OWNER_TIMEOUT).await {
+                Ok(PeerReply::HandedOver(HandOverReply::NotYet)) | Err(_) => {
+                    tokio::time::sleep(HAND_OVER_PAUSE).await;
+                }
+                Ok(_) => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/server.rs
@@ -0,0 +1,118 @@
+//! The HTTP servers of one process, on a single worker thread.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ntex::http::HttpService;
+use ntex::time::Seconds;
+use ntex::web::App;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::admin::admin_routes;
+use crate::caller::caller_routes;
+use crate::proxy::{Proxy, StartError};
+use crate::settings::InstanceSettings;
+
+thread_local! {
+    // The worker builds both HTTP services from the same process state.
+    static PROXY: RefCell<Option<Rc<Proxy>>> = const { RefCell::new(None) };
+}
+
+/// Runs the process until it is asked to end.
+pub async fn run_server(settings: InstanceSettings) -> Result<(), StartError> {
+    let (caller, admin) = (settings.caller_address, settings.admin_address);
+    let listen_error = |address: SocketAddr| move |source| StartError::Listen { address, source };
+    let caller_listener = std::net::TcpListener::bind(caller).map_err(listen_error(caller))?;
+    let admin_listener = std::net::TcpListener::bind(admin).map_err(listen_error(admin))?;
+    let (start_sender, mut start_receiver) = tokio::sync::mpsc::unbounded_channel();
+    let (stop_sender, _) = tokio::sync::broadcast::channel::<()>(1);
+    let worker_stop = stop_sender.clone();
+    let server = ntex::server::build()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(Seconds(1))
+        .on_worker_start(move || {
+            let settings = settings.clone();
+            let started = start_sender.clone();
+            let stop = worker_stop.subscribe();
+            async move {
+                let proxy = Proxy::start(settings).await;
+                match proxy {
+                    Ok(proxy) => {
+                        PROXY.set(Some(proxy.clone()));
+                        ntex::rt::spawn(wait_for_stop(proxy, stop, started.clone()));
+                        let _ = started.send(WorkerEvent::Started);
+                        Ok::<_, std::io::Error>(())
+                    }
+                    Err(error) => {
+                        let _ = started.send(WorkerEvent::Failed(error));
+                        Err(std::io::Error::other("process not started"))
+                    }
+                }
+            }
+        })
+        .listen("callers", caller_listener, async |_| {
+            let proxy = current_proxy();
+            HttpService::new(
+                App::new()
+                    .state(proxy.entry.clone())
+                    .configure(caller_routes),
+            )
+        })
+        .and_then(|builder| {
+            builder.listen("admin", admin_listener, async |_| {
+                HttpService::new(App::new().state(current_proxy()).configure(admin_routes))
+            })
+        })
+        .map_err(listen_error(caller))?
+        .run();
+    if let Some(WorkerEvent::Failed(error)) = start_receiver.recv().await {
+        return Err(error);
+    }
+    wait_for_signal().await;
+    let _ = stop_sender.send(());
+    while let Some(event) = start_receiver.recv().await {
+        if matches!(event, WorkerEvent::Drained) {
+            break;
+        }
+    }
+    server.stop(true).await;
+    Ok(())
+}
+
+enum WorkerEvent {
+    Started,
+    Failed(StartError),
+    Drained,
+}
+
+async fn wait_for_stop(
+    proxy: Rc<Proxy>,
+    mut stop: tokio::sync::broadcast::Receiver<()>,
+    events: tokio::sync::mpsc::UnboundedSender<WorkerEvent>,
+) {
+    let _ = stop.recv().await;
+    proxy.shut_down().await;
+    let _ = events.send(WorkerEvent::Drained);
+}
+
+fn current_proxy() -> Rc<Proxy> {
+    PROXY
+        .with_borrow(Clone::clone)
+        .expect("the worker has started the proxy")
+}
+
+async fn wait_for_signal() {
+    let (Ok(mut term), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        log::error!("proxy: signals cannot be received");
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/corianderstile/src/settings_reader.rs
@@ -0,0 +1,149 @@
+//! Reads typed values from an INI file and collects every mistake.
+
+use std::collections::HashMap;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+use ini::Ini;
+
+use crate::settings::{SettingMistake, SettingProblem, SettingsError};
+
+/// Values of an INI file together with the mistakes found so far.
+pub struct SettingsReader {
+    file: PathBuf,
+    values: HashMap<(String, String), String>,
+    mistakes: Vec<SettingMistake>,
+}
+
+impl SettingsReader {
+    /// Parses the text and reports unknown sections, unknown keys and duplicate keys.
+    pub fn open(file: &Path, text: &str, known: &[(&str, &[&str])]) -> Result<Self, SettingsError> {
+        let ini = Ini::load_from_str(text).map_err(|error| SettingsError::Syntax {
+            file: file.to_owned(),
+            line: error.line,
+            message: error.msg.into_owned(),
+        })?;
+        let mut reader = Self {
+            file: file.to_owned(),
+            values: HashMap::new(),
+            mistakes: Vec::new(),
+        };
+        for (section, properties) in &ini {
+            reader.take_section(section.unwrap_or_default(), properties, known);
+        }
+        Ok(reader)
+    }
+
+    fn take_section(
+        &mut self,
+        section: &str,
+        properties: &ini::Properties,
+        known: &[(&str, &[&str])],
+    ) {
+        let Some((_, keys)) = known.iter().find(|(name, _)| *name == section) else {
+            if !section.is_empty() || !properties.is_empty() {
+                let allowed = known
+                    .iter()
+                    .map(|(name, _)| *name)
+                    .collect::<Vec<_>>()
+                    .join(", ");
+                self.push(section, "", SettingProblem::UnknownSection, &allowed);
+            }
+            return;
+        };
+        for (key, value) in properties {
+            if !keys.contains(&key) {
+                self.push(section, key, SettingProblem::UnknownKey, &keys.join(", "));
+                continue;
+            }
+            let place = (section.to_owned(), key.to_owned());
+            if self.values.insert(place, value.to_owned()).is_some() {
+                self.push(section, key, SettingProblem::DuplicateKey, "each key once");
+            }
+        }
+    }
+
+    /// Returns the text of a key, or `None` if it is absent or empty.
+    pub fn text(&self, section: &str, key: &str) -> Option<String> {
+        let value = self.values.get(&(section.to_owned(), key.to_owned()))?;
+        Some(value.clone()).filter(|text| !text.is_empty())
+    }
+
+    /// Returns a required value.
+    pub fn parse<T: FromStr>(&mut self, section: &str, key: &str, allowed: &str) -> Option<T> {
+        let Some(text) = self.text(section, key) else {
+            self.push(section, key, SettingProblem::Missing, allowed);
+            return None;
+        };
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.push(section, key, SettingProblem::Invalid, allowed);
+        }
+        parsed
+    }
+
+    /// Returns a required list of values separated by commas.
+    pub fn list<T: FromStr>(&mut self, section: &str, key: &str, allowed: &str) -> Vec<T> {
+        let Some(text) = self.text(section, key) else {
+            self.push(section, key, SettingProblem::Missing, allowed);
+            return Vec::new();
+        };
+        let parsed: Result<Vec<T>, _> = text.split(',').map(|part| part.trim().parse()).collect();
+        parsed.unwrap_or_else(|_| {
+            self.push(section, key, SettingProblem::Invalid, allowed);
+            Vec::new()
+        })
+    }
+
+    /// Returns an optional number within a range.
+    pub fn number(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> u64 {
+        let Some(text) = self.text(section, key) else {
+            return default;
+        };
+        match text.parse() {
+            Ok(number) if range.contains(&number) => number,
+            _ => {
+                let allowed = format!("a number from {} to {}", range.start(), range.end());
+                self.push(section, key, SettingProblem::Invalid, &allowed);
+                default
+            }
+        }
+    }
+
+    /// Records a mistake that a check across several keys has found.
+    pub fn reject(&mut self, section: &str, key: &str, problem: SettingProblem, allowed: &str) {
+        self.push(section, key, problem, allowed);
+    }
+
+    /// Fails if any mistake was found.
+    pub fn finish(self) -> Result<(), SettingsError> {
+        if self.mistakes.is_empty() {
+            return Ok(());
+        }
+        Err(SettingsError::Mistakes(self.mistakes))
+    }
+
+    fn push(&mut self, section: &str, key: &str, problem: SettingProblem, allowed: &str) {
+        // A mistake in a secret must not print the secret.
+        let shown = if key == "secret" {
+            None
+        } else {
+            self.text(section, key)
+        };
+        self.mistakes.push(SettingMistake {
+            file: self.file.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: shown,
+            problem,
+            allowed: allowed.to_owned(),
+        });
+    }
+}
