Add property tests and focused cases for promotion

One of them found a fault: after all members had been fenced, the preference for members other than the suspect could choose a log that ends before a known acknowledged position; the preference now ends there. After another proposer's term the backup no longer adds its whole rank delay twice.

--- a/crates/coriander_failover/src/failure_assessment.rs
+++ b/crates/coriander_failover/src/failure_assessment.rs
@@ -23,9 +23,10 @@
         }
         let known = self.view.as_ref().map(|view| view.term).unwrap_or_default();
         if self.foreign_term > known && self.foreign_term > self.own_term {
-            // Another proposer is at work; it needs a few round trips.
+            // Another proposer is at work; it needs a few round trips. If it dies, the ranks follow
+            // it at different times.
             let patience = self.settings.proposer_patience
-                + self.settings.rank_delay * self.rank.unwrap_or_default();
+                + self.settings.backoff * self.rank.unwrap_or_default();
             start = start.max(self.foreign_since + patience);
         }
         Some(start.max(self.not_before))
--- a/crates/coriander_failover/src/promotion_attempt.rs
+++ b/crates/coriander_failover/src/promotion_attempt.rs
@@ -125,12 +125,14 @@
             .is_none_or(|target| self.has_vote(target));
         let can_wait =
             now < self.preference_deadline() && self.votes.len() + self.refusals.len() < size;
-        let choice = if preferred.len() >= majority && (is_target_heard || !can_wait) {
-            self.greatest(&preferred, records)
-        } else if can_wait {
-            None
-        } else {
-            self.greatest(&counted, records)
+        let is_majority = preferred.len() >= majority && (is_target_heard || !can_wait);
+        let choice = Some(&preferred)
+            .filter(|_| is_majority)
+            .and_then(|voters| self.greatest(voters, records))
+            .filter(|(_, log)| *log >= floor);
+        let choice = match choice {
+            None if !can_wait => self.greatest(&counted, records),
+            choice => choice,
         };
         match choice {
             Some((id, log)) if log >= floor || is_complete => FenceCount::Candidate(id.clone()),
--- a/crates/coriander_failover/tests/cluster/member.rs
+++ b/crates/coriander_failover/tests/cluster/member.rs
@@ -13,8 +13,8 @@
     HiddenPosition,
     /// Only one member is really fenced; the network forges the other replies.
     ForgedFence,
-    /// Members confirm entries of older terms after they were fenced.
-    ConfirmWithoutTerm,
+    /// Fenced members go on replicating from and confirming to the primary of an older term.
+    UnfencedReplication,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -71,6 +71,10 @@
         }
     }
 
+    fn is_unfenced(&self) -> bool {
+        self.breakage == Some(Breakage::UnfencedReplication)
+    }
+
     fn reply(&self, accepted: bool) -> ControlReply {
         ControlReply {
             accepted,
@@ -83,7 +87,9 @@
         let accepted = term > self.term || (term == self.term && proposer == self.proposer);
         if term > self.term {
             (self.term, self.proposer) = (term, proposer);
-            (self.role, self.primary) = (MemberRole::Fenced, None);
+            if !self.is_unfenced() || self.role == MemberRole::Primary {
+                (self.role, self.primary) = (MemberRole::Fenced, None);
+            }
         }
         let mut reply = self.reply(accepted);
         if self.breakage == Some(Breakage::HiddenPosition) {
@@ -94,10 +100,12 @@
 
     /// Returns the reply and whether the member became primary by this call.
     pub fn promote(&mut self, term: u64, proposer: u64) -> (ControlReply, bool) {
-        let accepted = term == self.term && proposer == self.proposer && self.primary.is_none();
-        let is_new = accepted && self.role == MemberRole::Fenced;
+        let accepted = term == self.term
+            && proposer == self.proposer
+            && (self.primary.is_none() || self.is_unfenced());
+        let is_new = accepted && self.role != MemberRole::Primary;
         if is_new {
-            self.role = MemberRole::Primary;
+            (self.role, self.primary) = (MemberRole::Primary, None);
             self.log.push(LogEntry { term, write: None });
         }
         (self.reply(accepted), is_new)
@@ -126,7 +134,7 @@
         let log = self.position();
         let is_held = log.term == wanted.term && log.index >= wanted.index;
         let confirmed = is_held && self.term == wanted.term.get();
-        if self.breakage == Some(Breakage::ConfirmWithoutTerm) {
+        if self.is_unfenced() {
             return ConfirmReply {
                 confirmed: is_held,
                 term: wanted.term,
@@ -141,7 +149,7 @@
     }
 
     pub fn tail_after(&self, term: u64, last: LogPosition) -> Option<LogTail> {
-        if self.role != MemberRole::Primary || term != self.term {
+        if self.role != MemberRole::Primary || (term != self.term && !self.is_unfenced()) {
             return None;
         }
         let length = usize::try_from(last.index).expect("small log");
@@ -156,7 +164,7 @@
             (0, 0)
         };
         Some(LogTail {
-            term,
+            term: self.term,
             base,
             entries: self.log[base.1..].to_vec(),
         })
@@ -164,7 +172,7 @@
 
     /// Never shortens the log within a term: replies may arrive out of order.
     pub fn append(&mut self, tail: LogTail) {
-        if tail.term != self.term || self.role != MemberRole::Replica {
+        if (tail.term != self.term && !self.is_unfenced()) || self.role != MemberRole::Replica {
             return;
         }
         let (base_term, base) = tail.base;
--- a/crates/coriander_failover/tests/failover_gap.rs
+++ b/crates/coriander_failover/tests/failover_gap.rs
@@ -12,12 +12,14 @@
 const WRITE_INTERVAL: u64 = 5_000;
 
 /// Returns the gaps in milliseconds over several phases of the probe interval.
-fn measure(name: &str, fault: Fault) -> Vec<u64> {
+fn measure(name: &str, faults: &[(u64, Fault)]) -> Vec<u64> {
     let mut gaps: Vec<u64> = (0..RUNS)
         .map(|run| {
             let mut cluster = Cluster::new(run, Network::CALM, None);
             let start = 3 * SECOND + run * 2_500;
-            cluster.inject_at(start, fault);
+            for (delay, fault) in faults {
+                cluster.inject_at(start + delay, *fault);
+            }
             cluster.run_until(start + 4 * SECOND);
             assert!(
                 cluster.violations.is_empty(),
@@ -48,24 +50,56 @@
 /// Guards against a slower detection of refused connections than three probes.
 #[test]
 fn gap_kill() {
-    assert_bound(&measure("kill", Fault::KillPrimary), 100_000 + 2 * 50_000);
+    assert_bound(
+        &measure("kill", &[(0, Fault::KillPrimary)]),
+        100_000 + 2 * 50_000,
+    );
 }
 
 /// Guards against a slower detection of silence than the floor of the timeout.
 #[test]
 fn gap_cut() {
-    assert_bound(&measure("cut", Fault::CutPrimary), 100_000 + 300_000);
+    assert_bound(
+        &measure("cut", &[(0, Fault::CutPrimary)]),
+        100_000 + 300_000,
+    );
 }
 
 /// Guards against a paused primary that keeps its role.
 #[test]
 fn gap_pause() {
     assert_bound(
-        &measure("pause", Fault::PausePrimary(2 * SECOND)),
+        &measure("pause", &[(0, Fault::PausePrimary(2 * SECOND))]),
         100_000 + 300_000,
     );
 }
 
+/// Guards against a backup that waits for longer than the rank delay.
+#[test]
+fn gap_kill_with_gateway() {
+    let faults = [
+        (0, Fault::KillPrimary),
+        (0, Fault::PauseProposer(0, 10 * SECOND)),
+    ];
+    assert_bound(
+        &measure("kill with gateway", &faults),
+        100_000 + 2 * 50_000 + 500_000,
+    );
+}
+
+/// Guards against a term that stays without a primary because its proposer died half way.
+#[test]
+fn gap_kill_with_promoter() {
+    for delay in [104_000, 106_000, 108_000, 110_000, 112_000] {
+        let pause = Fault::PauseProposer(0, 10 * SECOND);
+        let gaps = measure(
+            "kill with promoter",
+            &[(0, Fault::KillPrimary), (delay, pause)],
+        );
+        assert_bound(&gaps, 100_000 + 2 * 50_000 + 500_000 + 100_000);
+    }
+}
+
 /// Guards against interruptions of planned promotions beyond a few round trips.
 #[test]
 fn gap_planned() {
--- /dev/null
+++ b/crates/coriander_failover/tests/group_monitor.rs
@@ -0,0 +1,300 @@
+//! Focused cases of the group monitor.
+
+use std::time::Duration;
+
+use coriander_core::{
+    ControlReply, GroupStatus, LogPosition, MemberRole, MonotonicTime, TermNumber,
+};
+use coriander_failover::{
+    CallFailure, GroupAction, GroupEvent, GroupMember, GroupMonitor, MonitorSettings,
+    PromotionCause,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn position(term: u64, index: u64) -> LogPosition {
+    LogPosition::new(TermNumber::new(term), index)
+}
+
+fn member(name: &str) -> GroupMember {
+    let (id, zone) = (
+        name.parse().expect("name"),
+        "elefsina".parse().expect("name"),
+    );
+    GroupMember {
+        id,
+        zone,
+        is_leaving: false,
+        is_zone_out: false,
+    }
+}
+
+/// A monitor of the members a, b and c that is driven by hand.
+struct Bench {
+    monitor: GroupMonitor,
+    now: MonotonicTime,
+    random: SmallRng,
+}
+
+impl Bench {
+    /// Starts with the primary `a` of term 1 and equal logs.
+    fn new() -> Self {
+        let now = MonotonicTime::from_millis(1_000);
+        let settings = MonitorSettings::default();
+        let mut monitor = GroupMonitor::new("prices".parse().expect("name"), settings, now);
+        monitor.set_members(&["a", "b", "c"].map(member), now);
+        monitor.set_rank(Some(0), now);
+        let mut bench = Self {
+            monitor,
+            now,
+            random: SmallRng::seed_from_u64(7),
+        };
+        bench.answer_probes(&[("a", 1, MemberRole::Primary, position(1, 5)), B, C]);
+        bench.answer_probes(&[("a", 1, MemberRole::Primary, position(1, 5)), B, C]);
+        assert_eq!(bench.primary(), Some(("a".into(), 1)));
+        bench
+    }
+
+    fn primary(&self) -> Option<(String, u64)> {
+        self.monitor
+            .primary()
+            .map(|view| (view.member.to_string(), view.term.get()))
+    }
+
+    fn handle(&mut self, event: GroupEvent) -> Vec<GroupAction> {
+        self.monitor.handle(event, self.now, &mut self.random)
+    }
+
+    fn tick_after(&mut self, millis: u64) -> Vec<GroupAction> {
+        self.now = self.now + Duration::from_millis(millis);
+        self.handle(GroupEvent::Tick)
+    }
+
+    /// Lets a probe interval pass and answers the probes of the given members.
+    fn answer_probes(&mut self, answers: &[Answer]) -> Vec<GroupAction> {
+        let mut actions = self.tick_after(100);
+        for action in actions.clone() {
+            let GroupAction::Probe { member, probe } = action else {
+                continue;
+            };
+            let Some(&(_, term, role, log)) = answers.iter().find(|a| a.0 == member.as_str())
+            else {
+                continue;
+            };
+            let (term, primary) = (TermNumber::new(term), None);
+            let status = GroupStatus {
+                member: member.clone(),
+                term,
+                role,
+                log,
+                primary,
+            };
+            actions.extend(self.handle(GroupEvent::Status {
+                probe,
+                member,
+                status,
+            }));
+        }
+        actions
+    }
+
+    fn fenced(
+        &mut self,
+        name: &str,
+        term: u64,
+        reply: (bool, u64, LogPosition),
+    ) -> Vec<GroupAction> {
+        let (accepted, reply_term, log) = reply;
+        let result = Ok(ControlReply {
+            accepted,
+            term: TermNumber::new(reply_term),
+            log,
+        });
+        let member = name.parse().expect("name");
+        self.handle(GroupEvent::FenceDone {
+            member,
+            term: TermNumber::new(term),
+            result,
+        })
+    }
+}
+
+type Answer = (&'static str, u64, MemberRole, LogPosition);
+
+const B: Answer = (
+    "b",
+    1,
+    MemberRole::Replica,
+    LogPosition::new(TermNumber::new(1), 5),
+);
+const C: Answer = (
+    "c",
+    1,
+    MemberRole::Replica,
+    LogPosition::new(TermNumber::new(1), 5),
+);
+
+fn fences(actions: &[GroupAction]) -> usize {
+    actions
+        .iter()
+        .filter(|action| matches!(action, GroupAction::Fence { .. }))
+        .count()
+}
+
+fn promoted(actions: &[GroupAction]) -> Option<(String, u64)> {
+    actions.iter().find_map(|action| match action {
+        GroupAction::Promote { member, term } => Some((member.to_string(), term.get())),
+        _ => None,
+    })
+}
+
+/// Guards against a slow promotion of an empty primary, and against counting it as fenced.
+#[test]
+fn handle_primary_restarted_empty() {
+    let mut bench = Bench::new();
+    let actions = bench.answer_probes(&[("a", 0, MemberRole::Fenced, position(0, 0)), B, C]);
+    assert_eq!(fences(&actions), 3, "fences at once");
+    assert_eq!(bench.monitor.cause(), Some(PromotionCause::RoleLost));
+    bench.fenced("a", 2, (true, 2, position(0, 0)));
+    let actions = bench.fenced("c", 2, (true, 2, position(1, 4)));
+    assert_eq!(
+        promoted(&actions),
+        None,
+        "the empty member must not complete a majority"
+    );
+    let actions = bench.fenced("b", 2, (true, 2, position(1, 5)));
+    assert_eq!(promoted(&actions), Some(("b".into(), 2)));
+}
+
+/// Guards against a primary that resumes behind what it had shown.
+#[test]
+fn handle_primary_restarted_behind() {
+    let mut bench = Bench::new();
+    bench.answer_probes(&[("a", 1, MemberRole::Primary, position(1, 3)), B, C]);
+    assert_eq!(bench.monitor.cause(), Some(PromotionCause::EntriesLost));
+}
+
+/// Guards against votes and statuses of an earlier term.
+#[test]
+fn handle_ignores_late_replies() {
+    let mut bench = Bench::new();
+    bench.answer_probes(&[("a", 1, MemberRole::Replica, position(1, 5)), B, C]);
+    bench.fenced("b", 2, (false, 4, position(1, 5)));
+    let actions = bench.fenced("c", 2, (false, 4, position(1, 5)));
+    assert_eq!(promoted(&actions), None);
+    let mut fenced = Vec::new();
+    while fences(&fenced) == 0 {
+        fenced = bench.answer_probes(&[B, C]);
+    }
+    assert!(
+        fenced
+            .iter()
+            .any(|action| matches!(action, GroupAction::Fence { term, .. } if term.get() == 5))
+    );
+    bench.fenced("b", 2, (true, 2, position(1, 5)));
+    let actions = bench.fenced("c", 2, (true, 2, position(1, 5)));
+    assert_eq!(
+        promoted(&actions),
+        None,
+        "votes of term 2 do not count in term 5"
+    );
+}
+
+/// Guards against a second candidate in one term when the first one dies.
+#[test]
+fn handle_candidate_refuses_connection() {
+    let mut bench = Bench::new();
+    bench.answer_probes(&[("a", 1, MemberRole::Fenced, position(1, 5)), B, C]);
+    bench.fenced("b", 2, (true, 2, position(1, 6)));
+    let actions = bench.fenced("c", 2, (true, 2, position(1, 5)));
+    assert_eq!(promoted(&actions), Some(("b".into(), 2)));
+    let (member, term) = ("b".parse().expect("name"), TermNumber::new(2));
+    let result = Err(CallFailure::Refused);
+    let actions = bench.handle(GroupEvent::PromoteDone {
+        member,
+        term,
+        result,
+    });
+    assert_eq!(promoted(&actions), None);
+    assert!(
+        actions
+            .iter()
+            .all(|action| !matches!(action, GroupAction::Fence { term, .. } if term.get() != 3))
+    );
+    assert_eq!(fences(&actions), 3);
+}
+
+/// Guards against a term that a promoter left behind when it died half way.
+#[test]
+fn handle_later_term_without_primary() {
+    let mut bench = Bench::new();
+    let fenced = [
+        ("a", 1, MemberRole::Primary, position(1, 5)),
+        ("b", 2, MemberRole::Fenced, position(1, 5)),
+        ("c", 2, MemberRole::Fenced, position(1, 5)),
+    ];
+    let mut rounds = 0;
+    while fences(&bench.answer_probes(&fenced)) == 0 {
+        rounds += 1;
+        assert!(rounds < 6, "the term must not stay without a primary");
+    }
+    assert!(rounds >= 2, "the other proposer gets time to finish");
+}
+
+/// Guards against a majority of a list that omits unreachable members.
+#[test]
+fn set_members_never_shrinks_group() {
+    let mut bench = Bench::new();
+    bench.monitor.set_members(&[member("b")], bench.now);
+    bench.answer_probes(&[("a", 1, MemberRole::Fenced, position(1, 5)), B, C]);
+    let actions = bench.fenced("b", 2, (true, 2, position(1, 5)));
+    assert_eq!(
+        promoted(&actions),
+        None,
+        "one of three members is no majority"
+    );
+}
+
+/// Guards against a promotion of a member that is behind an acknowledged position.
+#[test]
+fn note_acknowledged_bounds_candidates() {
+    let mut bench = Bench::new();
+    bench.monitor.note_acknowledged(position(1, 9), bench.now);
+    bench.answer_probes(&[("a", 1, MemberRole::Fenced, position(1, 9)), B, C]);
+    bench.fenced("b", 2, (true, 2, position(1, 5)));
+    let actions = bench.fenced("c", 2, (true, 2, position(1, 5)));
+    assert_eq!(promoted(&actions), None);
+    bench.fenced("a", 2, (true, 2, position(1, 9)));
+    assert_eq!(promoted(&bench.tick_after(100)), Some(("a".into(), 2)));
+}
+
+/// Guards against taking a pause of this process for silence of the primary.
+#[test]
+fn handle_local_pause() {
+    let mut bench = Bench::new();
+    bench.tick_after(100);
+    assert_eq!(fences(&bench.tick_after(5_000)), 0);
+    assert_eq!(bench.monitor.cause(), None);
+}
+
+/// Guards against a planned promotion to a member that is behind.
+#[test]
+fn handle_planned_waits_for_target() {
+    let mut bench = Bench::new();
+    let ahead = ("a", 1, MemberRole::Primary, position(1, 8));
+    bench.answer_probes(&[ahead, B, C]);
+    let mut members = ["a", "b", "c"].map(member);
+    members[0].is_leaving = true;
+    bench.monitor.set_members(&members, bench.now);
+    for _ in 0..5 {
+        assert_eq!(fences(&bench.answer_probes(&[ahead, B, C])), 0);
+        assert!(bench.monitor.accepts_writes());
+    }
+    let caught_up = ("b", 1, MemberRole::Replica, position(1, 8));
+    bench.answer_probes(&[ahead, caught_up, C]);
+    assert!(
+        !bench.monitor.accepts_writes(),
+        "writes wait while the target catches up"
+    );
+    assert_eq!(fences(&bench.answer_probes(&[ahead, caught_up, C])), 3);
+}
