--- a/crates/coriander_config/src/change_coordinator.rs
+++ b/crates/coriander_config/src/change_coordinator.rs
@@ -7,7 +7,7 @@
 
 use coriander_core::{ConfigDocument, ConfigVersion, FleetMember, InstanceId, MonotonicTime};
 
-use crate::change_plan::ChangePlan;
+use crate::change_plan::{ChangePlan, unreferenced};
 use crate::{
     AcceptanceTally, ChangeRequest, ChangeResult, ConfigRoot, CoordinatorAction, RefusalReason,
     RootRead, VersionConfirmed, WriteResult,
@@ -95,7 +95,7 @@
         let plain = change_id
             .bytes()
             .all(|b| b.is_ascii_alphanumeric() || b == b'-');
-        let accepted = plain && valid(change_id) && valid(&request.author);
+        let accepted = plain && valid(&request.change_id) && valid(&request.author);
         let mut coordinator = Self {
             request,
             phase: ChangePhase::Reading,
@@ -150,10 +150,9 @@
         if version != self.request.expected {
             return self.lose_race(found.as_ref().map(|(root, _)| root));
         }
-        if let Some(plan) = &self.plan {
+        if self.plan.is_some() {
             // Read back after a lost response: the root is unchanged.
-            let bytes = plan.bytes.clone();
-            return self.write_root(bytes, found.map(|(_, index)| index));
+            return self.write_root();
         }
         self.base.clone_from(&found);
         match found {
@@ -229,9 +228,7 @@
             return Vec::new();
         }
         self.retry_at = None;
-        let bytes = self.plan.as_ref().map(|plan| plan.bytes.clone());
-        let unchanged = self.base.as_ref().map(|(_, index)| *index);
-        self.write_root(bytes.unwrap_or_default(), unchanged)
+        self.write_root()
     }
 
     /// Continues after writing the root.
@@ -298,11 +295,7 @@
         match &self.phase {
             ChangePhase::Reading => vec![CoordinatorAction::ReadRoot],
             ChangePhase::Storing { left } => list_sections(left),
-            ChangePhase::Writing => {
-                let bytes = self.plan.as_ref().map(|plan| plan.bytes.clone());
-                let unchanged = self.base.as_ref().map(|(_, index)| *index);
-                self.write_root(bytes.unwrap_or_default(), unchanged)
-            }
+            ChangePhase::Writing => self.write_root(),
             ChangePhase::Settling { .. } | ChangePhase::Confirming => self.ask_instances(now),
             ChangePhase::LoadingDocument | ChangePhase::LoadingFleets | ChangePhase::Finished => {
                 Vec::new()
@@ -360,25 +353,18 @@
             // The fleet of the base version is the last one.
             self.fleets.drain(..self.fleets.len().saturating_sub(1));
         }
-        let sections = plan.sections.iter();
-        let left: BTreeMap<_, _> = sections
-            .map(|section| {
-                let key = plan
-                    .root
-                    .sections
-                    .get(section.name)
-                    .platform_key(section.name);
-                (key, section.bytes.clone())
-            })
-            .collect();
+        let left = plan.section_writes();
         self.plan = Some(plan);
         let actions = list_sections(&left);
         self.phase = ChangePhase::Storing { left };
         actions
     }
 
-    fn write_root(&mut self, bytes: Vec<u8>, unchanged: Option<u64>) -> Vec<CoordinatorAction> {
+    fn write_root(&mut self) -> Vec<CoordinatorAction> {
         self.phase = ChangePhase::Writing;
+        let bytes = self.plan.as_ref().map(|plan| plan.bytes.clone());
+        let unchanged = self.base.as_ref().map(|(_, index)| *index);
+        let bytes = bytes.unwrap_or_default();
         vec![CoordinatorAction::WriteRoot { bytes, unchanged }]
     }
 
@@ -433,9 +419,7 @@
     fn accept(&mut self) -> Vec<CoordinatorAction> {
         let mut actions = Vec::new();
         if let (Some((base, _)), Some(plan)) = (&self.base, &self.plan) {
-            let kept = plan.root.platform_keys();
-            let mut superseded = base.platform_keys();
-            superseded.retain(|key| !kept.contains(key));
+            let superseded = unreferenced(base, &plan.root);
             if !superseded.is_empty() {
                 actions.push(CoordinatorAction::DeleteSections(superseded));
             }
@@ -461,10 +445,10 @@
         };
         let mut actions = Vec::new();
         if let Some(plan) = &self.plan {
-            let kept = root.platform_keys();
-            let mut orphans = plan.root.platform_keys();
+            let mut orphans = unreferenced(&plan.root, root);
+            // Sections of other changes are left to those.
             let own = format!(".{}", self.request.change_id);
-            orphans.retain(|key| key.ends_with(&own) && !kept.contains(key));
+            orphans.retain(|key| key.ends_with(&own));
             actions.push(CoordinatorAction::DeleteSections(orphans));
         }
         actions.extend(self.finish(result));
--- a/crates/coriander_config/src/change_plan.rs
+++ b/crates/coriander_config/src/change_plan.rs
@@ -1,5 +1,6 @@
 //! The version that a change produces from the version that the operator saw.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use coriander_core::ConfigDocument;
@@ -68,6 +69,27 @@
     }
 }
 
+impl ChangePlan {
+    /// Returns the sections to store by their platform keys.
+    pub fn section_writes(&self) -> BTreeMap<String, Vec<u8>> {
+        let sections = self.sections.iter();
+        let entry = |section: &EncodedSection| {
+            let name = section.name;
+            let key = self.root.sections.get(name).platform_key(name);
+            (key, section.bytes.clone())
+        };
+        sections.map(entry).collect()
+    }
+}
+
+/// Lists the stored sections to which `old` refers and `new` does not.
+pub fn unreferenced(old: &ConfigRoot, new: &ConfigRoot) -> Vec<String> {
+    let kept = new.platform_keys();
+    let mut keys = old.platform_keys();
+    keys.retain(|key| !kept.contains(key));
+    keys
+}
+
 /// Lists the fleets that must confirm a version, each once.
 fn required_fleets(
     base: Option<&ConfigRoot>,
