Add corianderctl and tests of the platform client

Change: corianderctl with documented exit codes; the same change id goes to each address, and a lost response is never reported as "nothing changed". Before: an empty main and an untested client. Conclusion: the tool can be used once an instance serves /admin.

--- a/crates/coriander_config/src/admin_messages.rs
+++ b/crates/coriander_config/src/admin_messages.rs
@@ -87,3 +87,25 @@
     /// The change id or the author is empty or too long.
     BadRequest,
 }
+
+/// Answer to `GET /admin/explain/ID`: why a request or a decision went as it did.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Explanation {
+    /// Identifier of the request, change or decision.
+    pub id: String,
+    /// Answering instance.
+    pub instance: InstanceId,
+    /// Steps in the order in which they were taken.
+    pub steps: Vec<ExplainedStep>,
+}
+
+/// One step of an [`Explanation`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ExplainedStep {
+    /// Time since the first step.
+    pub after: Duration,
+    /// Part that took the step, such as `routing`.
+    pub part: String,
+    /// What was done and why.
+    pub text: String,
+}
--- a/crates/coriander_config/src/lib.rs
+++ b/crates/coriander_config/src/lib.rs
@@ -34,7 +34,9 @@
 mod peer_messages;
 
 pub use acceptance_tally::AcceptanceTally;
-pub use admin_messages::{ChangeRequest, ChangeResult, ConfigView, RefusalReason};
+pub use admin_messages::{
+    ChangeRequest, ChangeResult, ConfigView, ExplainedStep, Explanation, RefusalReason,
+};
 pub use change_command::{ChangeCommand, CommandError};
 pub use change_coordinator::ChangeCoordinator;
 pub use config_delta::{ConfigDelta, MapDelta};
--- /dev/null
+++ b/crates/coriander_platform/tests/call_pacer.rs
@@ -0,0 +1,112 @@
+//! The rate of calls must stay bounded, above all during and after an outage.
+
+use coriander_core::MonotonicTime;
+use coriander_platform::{CallPacer, CallPermit, PacerSettings};
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+proptest! {
+    /// Fails if any sequence of calls and results exceeds burst + rate × time.
+    #[test]
+    fn request_call_keeps_the_rate(
+        steps in prop::collection::vec((0..200u64, any::<bool>(), 0.0..1.0f64), 1..400),
+    ) {
+        let settings = PacerSettings::default();
+        let mut pacer = CallPacer::new(settings);
+        let mut now = 0;
+        let mut sent = 0.0;
+        for (delay, succeeds, jitter) in steps {
+            now += delay;
+            if pacer.request_call(at(now)) == CallPermit::Send {
+                sent += 1.0;
+                if succeeds {
+                    pacer.record_success();
+                } else {
+                    pacer.record_failure(at(now), jitter);
+                }
+            }
+        }
+        prop_assert!(sent <= settings.burst + settings.rate * now as f64 / 1_000.0 + 1e-6);
+    }
+
+    /// Fails if a caller that waits as told is told to wait for ever.
+    #[test]
+    fn request_call_wait_ends(failures in 0..40u32, jitter in 0.0..1.0f64) {
+        let mut pacer = CallPacer::new(PacerSettings::default());
+        let mut now = at(0);
+        for _ in 0..failures {
+            let mut waits = 0;
+            while let CallPermit::Wait(delay) = pacer.request_call(now) {
+                now = now + delay;
+                waits += 1;
+                prop_assert!(waits <= 3);
+            }
+            pacer.record_failure(now, jitter);
+        }
+    }
+}
+
+/// Fails if an outage leads to more than one probe at a time or to short delays.
+#[test]
+fn record_failure_spaces_out_probes() {
+    let mut pacer = CallPacer::new(PacerSettings::default());
+    let mut calls = 0;
+    for millis in 0..60_000 {
+        if pacer.request_call(at(millis)) == CallPermit::Send {
+            calls += 1;
+            pacer.record_failure(at(millis), 0.5);
+        }
+    }
+    // Delays of 2.25 s on average after the first few.
+    assert!((20..40).contains(&calls), "{calls} calls in a minute");
+}
+
+/// Fails if instances that failed together also return together.
+#[test]
+fn record_failure_spreads_instances() {
+    let wait = |jitter| {
+        let mut pacer = CallPacer::new(PacerSettings::default());
+        for _ in 0..12 {
+            pacer.record_failure(at(0), jitter);
+            pacer.record_failure(at(10_000), jitter);
+        }
+        match pacer.request_call(at(10_000)) {
+            CallPermit::Wait(delay) => delay,
+            CallPermit::Send => Duration::ZERO,
+        }
+    };
+    assert!(
+        wait(1.0) >= wait(0.0) * 19 / 10,
+        "{:?} {:?}",
+        wait(0.0),
+        wait(1.0)
+    );
+}
+
+/// Fails if calls that failed together count as several failures.
+#[test]
+fn record_failure_counts_an_outage_once() {
+    let mut pacer = CallPacer::new(PacerSettings::default());
+    for _ in 0..30 {
+        pacer.record_failure(at(10), 1.0);
+    }
+    let wait = Duration::from_millis(50);
+    assert_eq!(pacer.request_call(at(10)), CallPermit::Wait(wait));
+}
+
+/// Fails if other calls are let through while a probe is under way, or never again without result.
+#[test]
+fn request_call_sends_one_probe() {
+    let mut pacer = CallPacer::new(PacerSettings::default());
+    pacer.record_failure(at(0), 1.0);
+    assert_eq!(pacer.request_call(at(50)), CallPermit::Send);
+    assert!(matches!(pacer.request_call(at(51)), CallPermit::Wait(_)));
+    assert_eq!(pacer.request_call(at(2_050)), CallPermit::Send);
+    pacer.record_success();
+    assert_eq!(pacer.request_call(at(2_051)), CallPermit::Send);
+    assert_eq!(pacer.request_call(at(2_051)), CallPermit::Send);
+}
--- /dev/null
+++ b/crates/corianderctl/src/admin_client.rs
@@ -0,0 +1,175 @@
+//! HTTP calls to the admin addresses of instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coriander_config::{ChangeRequest, ChangeResult, ConfigView, Explanation};
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientRequest, ClientResponse};
+use ntex::http::StatusCode;
+use ntex::time::{Millis, sleep, timeout};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// Time for one call; an instance answers a change within 5 s.
+const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+/// Rounds over all addresses for a change.
+const CHANGE_ROUNDS: usize = 2;
+/// Pause between two rounds.
+const ROUND_PAUSE: Millis = Millis(500);
+/// Greatest accepted body; a document consists of sections of up to 1 MB each.
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Failure of a call.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum AdminError {
+    /// No address answered.
+    #[error("no instance answered: {0}")]
+    Unreachable(String),
+    /// No instance knows the identifier.
+    #[error("no instance knows {0}")]
+    UnknownId(String),
+}
+
+/// Failure of one attempt at one address.
+enum AttemptError {
+    /// The request had no effect.
+    NotSent(String),
+    /// The request may have had an effect.
+    Lost(String),
+    /// The instance does not know the identifier.
+    NotFound,
+}
+
+/// Client that tries several addresses in turn.
+pub struct AdminClient {
+    client: Client,
+    addresses: Vec<SocketAddr>,
+}
+
+impl AdminClient {
+    /// Creates a client; opens no connection yet.
+    pub async fn new(addresses: Vec<SocketAddr>) -> Self {
+        let client = Client::new().await;
+        Self { client, addresses }
+    }
+
+    /// Reads the applied configuration of the first instance that answers.
+    pub async fn read_config(&self) -> Result<ConfigView, AdminError> {
+        self.read("/admin/config", "config").await
+    }
+
+    /// Reads the explanation of a request or decision from the first instance that knows it.
+    pub async fn explain(&self, id: &str) -> Result<Explanation, AdminError> {
+        let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        if id.is_empty() || !id.bytes().all(plain) {
+            return Err(AdminError::UnknownId(id.to_owned()));
+        }
+        self.read(&format!("/admin/explain/{id}"), id).await
+    }
+
+    /// Submits a change, with the same change id to each address until one gives a result.
+    pub async fn submit(&self, request: &ChangeRequest) -> Result<ChangeResult, AdminError> {
+        let mut last = String::new();
+        let mut open = false;
+        let mut recorded = true;
+        for round in 0..CHANGE_ROUNDS {
+            if round > 0 {
+                sleep(ROUND_PAUSE).await;
+            }
+            for address in &self.addresses {
+                match self.submit_to(*address, request).await {
+                    Ok(ChangeResult::NotRecorded) => recorded = false,
+                    Ok(ChangeResult::Undetermined) => open = true,
+                    Ok(result) => return Ok(result),
+                    Err(AttemptError::NotSent(reason)) => last = reason,
+                    Err(AttemptError::Lost(reason)) => {
+                        open = true;
+                        last = reason;
+                    }
+                    Err(AttemptError::NotFound) => last = "no admin interface".into(),
+                }
+                log::debug!("corianderctl: no result from address={address}: {last}");
+            }
+        }
+        // An attempt whose answer was lost may have made the change, whatever later ones say.
+        match (open, recorded) {
+            (true, _) => Ok(ChangeResult::Undetermined),
+            (false, false) => Ok(ChangeResult::NotRecorded),
+            (false, true) => Err(AdminError::Unreachable(last)),
+        }
+    }
+
+    async fn submit_to(
+        &self,
+        address: SocketAddr,
+        request: &ChangeRequest,
+    ) -> Result<ChangeResult, AttemptError> {
+        let url = format!("http://{address}/admin/change");
+        self.call(self.client.post(url), Some(request)).await
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str, id: &str) -> Result<T, AdminError> {
+        let mut last = None;
+        let mut unknown = false;
+        for address in &self.addresses {
+            let request = self.client.get(format!("http://{address}{path}"));
+            match self.call(request, None::<&()>).await {
+                Ok(value) => return Ok(value),
+                Err(AttemptError::NotFound) => unknown = true,
+                Err(AttemptError::NotSent(reason) | AttemptError::Lost(reason)) => {
+                    last = Some(reason);
+                }
+            }
+        }
+        if unknown {
+            return Err(AdminError::UnknownId(id.to_owned()));
+        }
+        Err(AdminError::Unreachable(last.unwrap_or_default()))
+    }
+
+    async fn call<T: DeserializeOwned, B: Serialize>(
+        &self,
+        request: ClientRequest,
+        body: Option<&B>,
+    ) -> Result<T, AttemptError> {
+        let exchange = async {
+            let request = request.timeout(CALL_TIMEOUT);
+            let response = match body {
+                Some(body) => request.send_json(body).await,
+                None => request.send().await,
+            };
+            read_response(response.map_err(|error| classify_error(&error))?).await
+        };
+        match timeout(CALL_TIMEOUT, exchange).await {
+            Ok(result) => result,
+            Err(()) => Err(AttemptError::Lost("no response in time".into())),
+        }
+    }
+}
+
+async fn read_response<T: DeserializeOwned>(response: ClientResponse) -> Result<T, AttemptError> {
+    let status = response.status();
+    if status == StatusCode::NOT_FOUND {
+        return Err(AttemptError::NotFound);
+    }
+    let body = response.body().limit(BODY_LIMIT).await;
+    let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
+    // Results other than acceptance may come with an error status; the body tells.
+    serde_json::from_slice(&body)
+        .map_err(|error| AttemptError::Lost(format!("status {status}: {error}")))
+}
+
+fn classify_error(error: &ClientError) -> AttemptError {
+    match error {
+        // The client reports a connection that closed before the response in this way.
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            AttemptError::Lost("connection closed before the response".into())
+        }
+        ClientError::Connect(_) | ClientError::Url(_) | ClientError::Http(_) => {
+            AttemptError::NotSent(error.to_string())
+        }
+        _ => AttemptError::Lost(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/corianderctl/src/exit_code.rs
@@ -0,0 +1,47 @@
+//! Exit codes of the command.
+
+use coriander_config::ChangeResult;
+
+use crate::AdminError;
+
+/// Exit code; scripts can rely on the numbers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum ExitCode {
+    /// The change is accepted, or the wanted information was shown.
+    Accepted = 0,
+    /// The change is not possible, or the identifier is unknown; nothing was changed.
+    Refused = 1,
+    /// The arguments are wrong.
+    Usage = 2,
+    /// The change is recorded, but not confirmed by a majority yet.
+    Unconfirmed = 3,
+    /// Another change came first; nothing was changed.
+    Conflict = 4,
+    /// No instance answered or none reached the platform; nothing was changed.
+    Unreachable = 5,
+    /// The change may have been made; a repetition with the same change id finds out.
+    Undetermined = 6,
+}
+
+impl From<&ChangeResult> for ExitCode {
+    fn from(result: &ChangeResult) -> Self {
+        match result {
+            ChangeResult::Accepted { .. } => Self::Accepted,
+            ChangeResult::Unconfirmed { .. } => Self::Unconfirmed,
+            ChangeResult::Conflict { .. } => Self::Conflict,
+            ChangeResult::Refused { .. } => Self::Refused,
+            ChangeResult::NotRecorded => Self::Unreachable,
+            ChangeResult::Undetermined => Self::Undetermined,
+        }
+    }
+}
+
+impl From<&AdminError> for ExitCode {
+    fn from(error: &AdminError) -> Self {
+        match error {
+            AdminError::Unreachable(_) => Self::Unreachable,
+            AdminError::UnknownId(_) => Self::Refused,
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderctl/src/lib.rs
@@ -0,0 +1,27 @@
+//! Command line tool for operators.
+//!
+//! The tool talks JSON over HTTP to the admin address of any instance. A change goes out with a
+//! random change id and the version on which it is based; if an instance does not answer, the
+//! next one gets the same change id, so that the change cannot be applied twice.
+//!
+//! ```
+//! use argh::FromArgs as _;
+//! use corianderctl::{Arguments, prepare_change};
+//!
+//! let words = ["--admin", "127.0.0.1:9101", "zone", "out", "mohammedia"];
+//! let arguments = Arguments::from_args(&["corianderctl"], &words).expect("valid arguments");
+//! assert!(prepare_change(&arguments.command).is_some());
+//! ```
+
+mod admin_client;
+pub mod arguments;
+mod change_builder;
+mod exit_code;
+mod render;
+mod run;
+
+pub use admin_client::{AdminClient, AdminError};
+pub use arguments::Arguments;
+pub use change_builder::{GivenKey, PreparedChange, prepare_change};
+pub use exit_code::ExitCode;
+pub use run::run;
--- a/crates/corianderctl/src/main.rs
+++ b/crates/corianderctl/src/main.rs
@@ -1,3 +1,23 @@
 //! Command line tool for operators.
 
-fn main() {}
+use argh::FromArgs as _;
+use corianderctl::{Arguments, ExitCode, run};
+
+#[ntex::main]
+async fn main() -> eyre::Result<()> {
+    env_logger::init();
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let code = match Arguments::from_args(&["corianderctl"], &words) {
+        Ok(arguments) => run(&arguments, &mut std::io::stdout()).await?,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            ExitCode::Accepted
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            ExitCode::Usage
+        }
+    };
+    std::process::exit(i32::from(code as u8));
+}
--- /dev/null
+++ b/crates/corianderctl/tests/scripted_server/mod.rs
@@ -0,0 +1,79 @@
+//! HTTP server that gives scripted answers, and closes the connection where there is none.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// Received request: its first line and its body.
+pub type Received = (String, String);
+
+#[derive(Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: &'static str,
+    pub body: String,
+}
+
+pub struct ScriptedServer {
+    pub address: SocketAddr,
+    received: Arc<Mutex<Vec<Received>>>,
+}
+
+impl ScriptedServer {
+    /// Starts a server that gives the answers in turn and then accepts no more.
+    pub fn start(answers: Vec<Option<Answer>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+        let address = listener.local_addr().expect("bound address");
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let log = Arc::clone(&received);
+        std::thread::spawn(move || {
+            for answer in answers {
+                let (stream, _) = listener.accept().expect("connection");
+                log.lock().expect("lock").push(read_request(&stream));
+                if let Some(answer) = answer {
+                    write_answer(&stream, &answer);
+                }
+            }
+        });
+        Self { address, received }
+    }
+
+    pub fn received(&self) -> Vec<Received> {
+        self.received.lock().expect("lock").clone()
+    }
+}
+
+fn read_request(stream: &TcpStream) -> Received {
+    let mut reader = BufReader::new(stream);
+    let mut first = String::new();
+    reader.read_line(&mut first).expect("request line");
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).expect("header");
+        let line = line.trim().to_ascii_lowercase();
+        if let Some(text) = line.strip_prefix("content-length:") {
+            length = text.trim().parse().expect("length");
+        }
+        if line.is_empty() {
+            break;
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).expect("body");
+    let body = String::from_utf8(body).expect("text");
+    (first.trim().to_owned(), body)
+}
+
+fn write_answer(mut stream: &TcpStream, answer: &Answer) {
+    let Answer {
+        status,
+        headers,
+        body,
+    } = answer;
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} X\r\ncontent-length: {length}\r\nconnection: close\r\n{headers}\r\n{body}"
+    );
+    stream.write_all(text.as_bytes()).expect("answer");
+}
