Choose members for reads by position, age and load

Change: ReplicaTable keeps position, term, role and load of each member. PositionHistory derives the age of a replica's data from the sampled positions of the primary. A sample counts only up to the time at which a majority of members still had its term, because the sampled primary may have been replaced without this instance knowing. ReadRouter takes the eligible replica with the fewest requests in flight, the own zone first among equals, else the primary. RetryBudget (10 %) and HedgePolicy limit retries and hedges.

--- /dev/null
+++ b/crates/coriander_routing/examples/simulation/mod.rs
@@ -0,0 +1,471 @@
+//! Discrete event simulation of one gateway and one database group.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use coriander_core::{LogPosition, MemberId, MonotonicTime, TermNumber, ZoneName};
+use coriander_routing::{
+    MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable, RequestTicket,
+};
+use coriander_session::SessionPosition;
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SEED: u64 = 20_240_611;
+const RUN: u64 = 120_000_000;
+const STATUS_INTERVAL: u64 = 100_000;
+const SESSIONS: usize = 200;
+const READ_SERVICE: f64 = 4_000.0;
+const WRITE_SERVICE: f64 = 6_000.0;
+const TERM: TermNumber = TermNumber::new(1);
+
+/// Sizes of section 1.3 of the design page; times in microseconds.
+pub struct Deployment {
+    pub name: &'static str,
+    pub zones: [&'static str; 3],
+    pub zone_delay: u64,
+    pub slots: u32,
+    /// Share of requests, share of writes and freshness per class.
+    pub classes: [(f64, f64, u64); 3],
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Policy {
+    PrimaryOnly,
+    RoundRobin,
+    Router,
+}
+
+enum Event {
+    Arrive,
+    Retry(Job),
+    AtMember(usize, Job),
+    Done(usize, Job),
+    /// Holds the position after execution, or nothing if the member refused.
+    Response(usize, Job, Option<u64>),
+    StatusTick,
+    Status(usize, u64),
+    StatusBack(usize, MemberReport, u64),
+    Apply(usize, u64),
+    Stall(usize, u64),
+    Slow(usize, u64),
+}
+
+struct Job {
+    start: u64,
+    class: usize,
+    session: usize,
+    is_write: bool,
+    need: SessionPosition,
+    min_position: Option<LogPosition>,
+    excluded: Vec<MemberId>,
+    ticket: Option<RequestTicket>,
+}
+
+#[derive(Default)]
+struct Member {
+    queue: VecDeque<Job>,
+    busy: u32,
+    index: u64,
+    applied: u64,
+    stalled_until: u64,
+    slow_until: u64,
+}
+
+pub struct Figures {
+    pub reads: u64,
+    pub allowed: u64,
+    pub on_replica: u64,
+    pub refused: u64,
+    pub waits: u64,
+    pub violations: u64,
+    pub latency: Histogram<u64>,
+    pub staleness: Histogram<u64>,
+}
+
+impl Figures {
+    pub fn new() -> Self {
+        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds");
+        Self {
+            reads: 0,
+            allowed: 0,
+            on_replica: 0,
+            refused: 0,
+            waits: 0,
+            violations: 0,
+            latency: histogram(),
+            staleness: histogram(),
+        }
+    }
+}
+
+pub struct Simulation<'a> {
+    deployment: &'a Deployment,
+    policy: Policy,
+    interval: f64,
+    primary: usize,
+    now: u64,
+    order: u64,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    payloads: BTreeMap<u64, Event>,
+    random: SmallRng,
+    table: ReplicaTable,
+    ids: Vec<MemberId>,
+    members: Vec<Member>,
+    /// Commit time of each log entry; entry 0 is the empty log.
+    commits: Vec<u64>,
+    sessions: Vec<Option<u64>>,
+    turn: usize,
+}
+
+impl<'a> Simulation<'a> {
+    pub fn new(deployment: &'a Deployment, policy: Policy, load: f64, primary: usize) -> Self {
+        let zones: Vec<ZoneName> = deployment
+            .zones
+            .iter()
+            .map(|z| z.parse().expect("zone"))
+            .collect();
+        let mut table = ReplicaTable::new(zones[0].clone(), deployment.slots);
+        let ids: Vec<MemberId> = ["a", "b", "c"]
+            .iter()
+            .map(|id| id.parse().expect("id"))
+            .collect();
+        for (id, zone) in ids.iter().zip(zones) {
+            let (is_leaving, is_zone_out) = (false, false);
+            table.set_member(
+                id,
+                MemberPlacement {
+                    zone,
+                    is_leaving,
+                    is_zone_out,
+                },
+            );
+        }
+        let classes = deployment.classes.iter();
+        let work: f64 = classes
+            .map(|(share, writes, _)| {
+                share * (writes * WRITE_SERVICE + (1.0 - writes) * READ_SERVICE)
+            })
+            .sum();
+        Self {
+            deployment,
+            policy,
+            interval: work / (f64::from(deployment.slots) * load),
+            primary,
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            payloads: BTreeMap::new(),
+            random: SmallRng::seed_from_u64(SEED + primary as u64),
+            table,
+            ids,
+            members: (0..3).map(|_| Member::default()).collect(),
+            commits: vec![0],
+            sessions: vec![None; SESSIONS],
+            turn: 0,
+        }
+    }
+
+    fn schedule(&mut self, delay: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((self.now + delay, self.order)));
+        self.payloads.insert(self.order, event);
+    }
+
+    fn exponential(&mut self, mean: f64) -> u64 {
+        (-mean * (1.0 - self.random.random::<f64>()).ln()) as u64
+    }
+
+    fn delay(&self, member: usize) -> u64 {
+        if member == 0 {
+            100
+        } else {
+            self.deployment.zone_delay
+        }
+    }
+
+    fn time(&self) -> MonotonicTime {
+        MonotonicTime::new(Duration::from_micros(self.now))
+    }
+
+    pub fn run(mut self, figures: &mut Figures) {
+        self.schedule(0, Event::StatusTick);
+        self.schedule(20_000, Event::Arrive);
+        for member in 0..3 {
+            self.schedule(5_000_000, Event::Stall(member, 0));
+            self.schedule(7_000_000, Event::Slow(member, 0));
+        }
+        while let Some(Reverse((time, order))) = self.events.pop() {
+            self.now = time;
+            let event = self.payloads.remove(&order).expect("payload of event");
+            self.handle(event, figures);
+        }
+    }
+
+    fn handle(&mut self, event: Event, figures: &mut Figures) {
+        match event {
+            Event::Arrive => self.arrive(figures),
+            Event::Retry(job) => self.route(job, figures),
+            Event::AtMember(member, job) => {
+                self.members[member].queue.push_back(job);
+                self.start_jobs(member, figures);
+            }
+            Event::Done(member, job) => self.done(member, job, figures),
+            Event::Response(member, job, index) => self.respond(member, job, index, figures),
+            Event::StatusTick => {
+                (0..3).for_each(|member| self.send_status(member));
+                if self.now < RUN {
+                    self.schedule(STATUS_INTERVAL, Event::StatusTick);
+                }
+            }
+            Event::Status(member, sent) => {
+                let index = self.members[member].index;
+                let log = LogPosition::new(TERM, index);
+                let report = MemberReport {
+                    term: TERM,
+                    is_primary: member == self.primary,
+                    log,
+                };
+                self.schedule(self.delay(member), Event::StatusBack(member, report, sent));
+            }
+            Event::StatusBack(member, report, sent) => {
+                let sent = MonotonicTime::new(Duration::from_micros(sent));
+                let now = self.time();
+                self.table
+                    .record_status(&self.ids[member], report, sent, now);
+            }
+            Event::Apply(member, index) => self.apply(member, index),
+            Event::Stall(member, length) => {
+                self.members[member].stalled_until = self.now + length;
+                if self.now < RUN {
+                    let length = self.random.random_range(200_000..1_500_000);
+                    let pause = self.exponential(10_000_000.0);
+                    self.schedule(pause, Event::Stall(member, length));
+                }
+            }
+            Event::Slow(member, length) => {
+                self.members[member].slow_until = self.now + length;
+                if self.now < RUN {
+                    let length = self.random.random_range(500_000..2_000_000);
+                    let pause = self.exponential(20_000_000.0);
+                    self.schedule(pause, Event::Slow(member, length));
+                }
+            }
+        }
+    }
+
+    fn send_status(&mut self, member: usize) {
+        let sent = self.now;
+        self.schedule(self.delay(member), Event::Status(member, sent));
+    }
+
+    fn apply(&mut self, member: usize, index: u64) {
+        let stalled_until = self.members[member].stalled_until;
+        if self.now < stalled_until {
+            let delay = stalled_until - self.now;
+            return self.schedule(delay, Event::Apply(member, index));
+        }
+        let state = &mut self.members[member];
+        state.index = state.index.max(index);
+    }
+
+    fn arrive(&mut self, figures: &mut Figures) {
+        if self.now < RUN {
+            let pause = self.exponential(self.interval);
+            self.schedule(pause, Event::Arrive);
+        }
+        let mut rest: f64 = self.random.random();
+        let classes = &self.deployment.classes;
+        let found = classes.iter().position(|(share, ..)| {
+            rest -= share;
+            rest < 0.0
+        });
+        let class = found.unwrap_or(2);
+        let session = self.random.random_range(0..SESSIONS);
+        let has_token = self.random.random_bool(0.95);
+        let need = match self.sessions[session] {
+            _ if !has_token => SessionPosition::Unknown,
+            Some(index) => SessionPosition::AtLeast(LogPosition::new(TERM, index)),
+            None => SessionPosition::Unwritten,
+        };
+        let is_write = self.random.random_bool(classes[class].1);
+        let start = self.now;
+        if !is_write {
+            figures.reads += 1;
+            figures.allowed += u64::from(self.is_allowed(class, need));
+        }
+        let (min_position, excluded, ticket) = (None, Vec::new(), None);
+        let job = Job {
+            start,
+            class,
+            session,
+            is_write,
+            need,
+            min_position,
+            excluded,
+            ticket,
+        };
+        self.route(job, figures);
+    }
+
+    /// Tells whether some replica satisfies the class and the session at this moment.
+    fn is_allowed(&self, class: usize, need: SessionPosition) -> bool {
+        let freshness = self.deployment.classes[class].2;
+        (0..3)
+            .filter(|member| *member != self.primary)
+            .any(|member| {
+                let index = self.members[member].index;
+                let is_seen = match need {
+                    SessionPosition::Unwritten => true,
+                    SessionPosition::AtLeast(position) => index >= position.index,
+                    SessionPosition::Unknown => false,
+                };
+                is_seen && freshness > 0 && self.staleness(index) <= freshness
+            })
+    }
+
+    fn staleness(&self, index: u64) -> u64 {
+        self.commits
+            .get(index as usize + 1)
+            .map_or(0, |commit| self.now - commit)
+    }
+
+    fn route(&mut self, mut job: Job, figures: &mut Figures) {
+        let member = match self.policy {
+            _ if job.is_write => self.primary,
+            Policy::PrimaryOnly => self.primary,
+            Policy::RoundRobin => self.next_replica(&mut job),
+            Policy::Router => match self.choose(&job) {
+                ReadChoice::Replica {
+                    member,
+                    min_position,
+                } => {
+                    job.min_position = Some(min_position);
+                    self.ids
+                        .iter()
+                        .position(|id| *id == member)
+                        .expect("known member")
+                }
+                ReadChoice::Wait {
+                    member,
+                    retry_after,
+                } => {
+                    figures.waits += 1;
+                    let replica = self.ids.iter().position(|id| *id == member);
+                    self.send_status(self.primary);
+                    self.send_status(replica.expect("known member"));
+                    let delay = retry_after.as_micros() as u64;
+                    return self.schedule(delay.max(1), Event::Retry(job));
+                }
+                ReadChoice::Primary { .. } | ReadChoice::Unavailable => self.primary,
+            },
+        };
+        let now = self.time();
+        job.ticket = Some(self.table.record_start(&self.ids[member], now));
+        self.schedule(self.delay(member), Event::AtMember(member, job));
+    }
+
+    fn choose(&self, job: &Job) -> ReadChoice {
+        let freshness = Duration::from_micros(self.deployment.classes[job.class].2);
+        let excluded = &job.excluded;
+        let request = ReadRequest {
+            freshness,
+            session: job.need,
+            excluded,
+        };
+        ReadRouter.choose(&self.table, &request, self.time())
+    }
+
+    /// Takes the replicas in turn; a replica only checks the session's position.
+    fn next_replica(&mut self, job: &mut Job) -> usize {
+        if job.need == SessionPosition::Unknown || !job.excluded.is_empty() {
+            return self.primary;
+        }
+        if let SessionPosition::AtLeast(position) = job.need {
+            job.min_position = Some(position);
+        }
+        self.turn += 1;
+        let replicas: Vec<usize> = (0..3).filter(|member| *member != self.primary).collect();
+        replicas[self.turn % replicas.len()]
+    }
+
+    fn start_jobs(&mut self, member: usize, figures: &mut Figures) {
+        while self.members[member].busy < self.deployment.slots {
+            let Some(job) = self.members[member].queue.pop_front() else {
+                return;
+            };
+            let index = self.members[member].index;
+            if job
+                .min_position
+                .is_some_and(|position| index < position.index)
+            {
+                figures.refused += 1;
+                self.schedule(self.delay(member), Event::Response(member, job, None));
+                continue;
+            }
+            if !job.is_write && member != self.primary {
+                let staleness = self.staleness(index);
+                figures.staleness.saturating_record(staleness);
+                let freshness = self.deployment.classes[job.class].2;
+                figures.violations += u64::from(staleness > freshness);
+            }
+            self.members[member].busy += 1;
+            let mean = if job.is_write {
+                WRITE_SERVICE
+            } else {
+                READ_SERVICE
+            };
+            let factor = if self.now < self.members[member].slow_until {
+                4.0
+            } else {
+                1.0
+            };
+            let service = (mean * factor / 2.0) as u64 + self.exponential(mean * factor / 2.0);
+            self.schedule(service, Event::Done(member, job));
+        }
+    }
+
+    fn done(&mut self, member: usize, job: Job, figures: &mut Figures) {
+        self.members[member].busy -= 1;
+        if job.is_write {
+            self.commits.push(self.now);
+            let index = self.commits.len() as u64 - 1;
+            self.members[member].index = index;
+            let primary = self.primary;
+            for replica in (0..3).filter(|replica| *replica != primary) {
+                // A replica applies entries in order.
+                let arrival = self.now + self.deployment.zone_delay + self.exponential(2_000.0);
+                let arrival = arrival.max(self.members[replica].applied);
+                self.members[replica].applied = arrival;
+                self.schedule(arrival - self.now, Event::Apply(replica, index));
+            }
+        }
+        let index = self.members[member].index;
+        self.schedule(
+            self.delay(member),
+            Event::Response(member, job, Some(index)),
+        );
+        self.start_jobs(member, figures);
+    }
+
+    fn respond(&mut self, member: usize, mut job: Job, index: Option<u64>, figures: &mut Figures) {
+        let ticket = job.ticket.take().expect("ticket of a sent request");
+        let Some(index) = index else {
+            self.table.record_refusal(&ticket);
+            job.excluded.push(self.ids[member].clone());
+            return self.route(job, figures);
+        };
+        let log = Some(LogPosition::new(TERM, index));
+        let now = self.time();
+        self.table.record_response(&ticket, TERM, log, now);
+        if job.is_write {
+            let session = &mut self.sessions[job.session];
+            *session = Some(session.unwrap_or(0).max(index));
+            return;
+        }
+        figures.on_replica += u64::from(member != self.primary);
+        figures.latency.saturating_record(self.now - job.start);
+    }
+}
--- /dev/null
+++ b/crates/coriander_routing/src/hedge_policy.rs
@@ -0,0 +1,84 @@
+//! When a read is sent to a second replica.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::RetryBudget;
+
+/// Latencies per measuring period; the policy uses the last complete one.
+const PERIOD_SAMPLES: u64 = 1000;
+
+/// Greatest measured latency in microseconds.
+const MAX_LATENCY_MICROS: u64 = 60_000_000;
+
+/// Hedging before this quantile would spend the budget on ordinary reads.
+const QUANTILE: f64 = 0.99;
+
+/// Share of the latency target that is left for the second attempt.
+const TARGET_SHARE: f64 = 0.5;
+
+/// Delay of hedged reads of one class, from its latency target and measured latencies.
+///
+/// ```
+/// use coriander_routing::{HedgePolicy, RetryBudget};
+/// use std::time::Duration;
+///
+/// let mut policy = HedgePolicy::new(Duration::from_millis(100));
+/// assert_eq!(policy.delay(), Duration::from_millis(50));
+/// for _ in 0..1000 {
+///     policy.record_latency(Duration::from_millis(4));
+/// }
+/// assert!(policy.delay() < Duration::from_millis(5));
+/// assert!(policy.try_hedge(Duration::from_millis(5), &mut RetryBudget::default()));
+/// ```
+#[derive(Clone, Debug)]
+pub struct HedgePolicy {
+    target: Duration,
+    current: Histogram<u32>,
+    quantile: Option<Duration>,
+}
+
+impl HedgePolicy {
+    /// Creates the policy of a class with a latency target.
+    pub fn new(target: Duration) -> Self {
+        Self {
+            target,
+            // The bounds are constants that the histogram accepts.
+            current: Histogram::new_with_bounds(1, MAX_LATENCY_MICROS, 2)
+                .expect("valid histogram bounds"),
+            quantile: None,
+        }
+    }
+
+    /// Changes the latency target of the class.
+    pub const fn set_target(&mut self, target: Duration) {
+        self.target = target;
+    }
+
+    /// Records the latency of a read that was not hedged, or of its first attempt.
+    pub fn record_latency(&mut self, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(MAX_LATENCY_MICROS);
+        self.current.saturating_record(micros.max(1));
+        if self.current.len() >= PERIOD_SAMPLES {
+            let micros = self.current.value_at_quantile(QUANTILE);
+            self.quantile = Some(Duration::from_micros(micros));
+            self.current.reset();
+        }
+    }
+
+    /// Returns the time after which an unanswered read should be hedged.
+    ///
+    /// It is the 99th percentile of the measured latencies. Half of the latency target bounds it
+    /// from above, so that the second attempt can still meet the target.
+    pub fn delay(&self) -> Duration {
+        let latest = self.target.mul_f64(TARGET_SHARE);
+        self.quantile
+            .map_or(latest, |quantile| quantile.min(latest))
+    }
+
+    /// Takes a hedge from the budget if a read has been unanswered for long enough.
+    pub fn try_hedge(&self, elapsed: Duration, budget: &mut RetryBudget) -> bool {
+        elapsed >= self.delay() && budget.try_take()
+    }
+}
--- a/crates/coriander_routing/src/lib.rs
+++ b/crates/coriander_routing/src/lib.rs
@@ -1,23 +1,68 @@
 //! Statement classification, member choice, retry budget and hedging.
+//!
+//! All types are state machines without I/O; the current time is passed in.
+//!
+//! ```
+//! use coriander_core::{LogPosition, MonotonicTime};
+//! use coriander_routing::{
+//!     MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable,
+//!     StatementCache, StatementKind,
+//! };
+//! use coriander_session::SessionPosition;
+//! use std::time::Duration;
+//!
+//! let mut cache = StatementCache::default();
+//! assert_eq!(cache.classify("SELECT price FROM articles"), StatementKind::Read);
+//!
+//! let mut table = ReplicaTable::new("piraeus".parse()?, 2);
+//! let log: LogPosition = "3.90".parse()?;
+//! let (sent, received) = (MonotonicTime::from_millis(10), MonotonicTime::from_millis(12));
+//! for (member, zone, is_primary) in [("a", "elefsina", true), ("b", "piraeus", false)] {
+//!     let place = MemberPlacement { zone: zone.parse()?, is_leaving: false, is_zone_out: false };
+//!     table.set_member(&member.parse()?, place);
+//!     let report = MemberReport { term: log.term, is_primary, log };
+//!     table.record_status(&member.parse()?, report, sent, received);
+//! }
+//! let request = ReadRequest {
+//!     freshness: Duration::from_millis(500),
+//!     session: SessionPosition::AtLeast("3.88".parse()?),
+//!     excluded: &[],
+//! };
+//! let choice = ReadRouter.choose(&table, &request, MonotonicTime::from_millis(20));
+//! assert_eq!(choice, ReadChoice::Replica { member: "b".parse()?, min_position: log });
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
+mod hedge_policy;
 mod logged_write;
+mod member_state;
+mod moving_average;
+mod position_history;
 mod read_functions;
+mod read_router;
+mod replica_table;
 mod request_kind;
 mod request_log;
 mod request_parts;
 mod request_results;
+mod retry_budget;
 mod script;
 mod sql_words;
 mod statement_cache;
 mod statement_kind;
 mod stored_outcome;
 
+pub use hedge_policy::HedgePolicy;
 pub use logged_write::{LoggedWrite, PendingStore, WriteResult, WriteStep};
+pub use member_state::{MemberPlacement, MemberReport, RequestTicket};
+pub use read_router::{ReadChoice, ReadRequest, ReadRouter};
+pub use replica_table::ReplicaTable;
 pub use request_kind::{RequestClass, RequestKind};
 pub use request_log::{
     LogEntry, MAX_REQUEST_ID_LENGTH, RequestIdError, RequestIdentity, RequestLog, StoredResults,
 };
 pub use request_parts::WrapError;
+pub use retry_budget::RetryBudget;
 pub use statement_cache::StatementCache;
 pub use statement_kind::StatementKind;
 pub use stored_outcome::MAX_OUTCOME_LENGTH;
--- /dev/null
+++ b/crates/coriander_routing/src/moving_average.rs
@@ -0,0 +1,30 @@
+//! Exponential moving average of durations.
+
+use std::time::Duration;
+
+/// Weight of a new sample is one eighth, so about 20 samples replace an old state.
+const WEIGHT: u32 = 8;
+
+/// Mean and mean deviation of recent samples.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct MovingAverage {
+    mean: Option<Duration>,
+    deviation: Duration,
+}
+
+impl MovingAverage {
+    pub(crate) fn add(&mut self, sample: Duration) {
+        let Some(mean) = self.mean else {
+            self.mean = Some(sample);
+            self.deviation = sample / 2;
+            return;
+        };
+        let distance = sample.abs_diff(mean);
+        self.deviation = (self.deviation * (WEIGHT - 1) + distance) / WEIGHT;
+        self.mean = Some((mean * (WEIGHT - 1) + sample) / WEIGHT);
+    }
+
+    pub(crate) const fn mean(&self) -> Option<Duration> {
+        self.mean
+    }
+}
--- /dev/null
+++ b/crates/coriander_routing/src/position_history.rs
@@ -0,0 +1,93 @@
+//! Positions of the primary over the recent past, from which the data age of replicas follows.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use coriander_core::{LogPosition, MonotonicTime};
+
+/// Samples kept; with one every 100 ms the history covers at least 25 s.
+const MAX_SAMPLES: usize = 256;
+
+/// Samples that follow closer than this add nothing to the precision of an age.
+const MIN_SPACING: Duration = Duration::from_millis(2);
+
+#[derive(Clone, Copy, Debug)]
+struct PositionSample {
+    /// Time before which everything acknowledged lies at or before `position`.
+    time: MonotonicTime,
+    position: LogPosition,
+}
+
+/// Samples of the primary's position.
+///
+/// A sample alone does not prove an age: the sampled primary may have been replaced without this
+/// instance knowing. A new primary needs a fenced majority, so a majority of members that still
+/// had the term at some time proves that no other primary existed before. Samples count only up
+/// to that time.
+#[derive(Debug, Default)]
+pub(crate) struct PositionHistory {
+    samples: VecDeque<PositionSample>,
+    /// Time until which the current term is known to be the newest.
+    confirmed: MonotonicTime,
+}
+
+impl PositionHistory {
+    /// Adds the position that the primary of the current term reported to a request sent at `sent`.
+    pub(crate) fn add(&mut self, sent: MonotonicTime, position: LogPosition) {
+        if let Some(last) = self.samples.back_mut() {
+            if last.position == position {
+                last.time = last.time.max(sent);
+                return;
+            }
+            if sent.since(last.time) < MIN_SPACING {
+                return;
+            }
+        }
+        if self.samples.len() == MAX_SAMPLES {
+            // Dropping a sample only makes an age greater, so old ones are thinned out.
+            let mut index = 0;
+            self.samples.retain(|_| {
+                index += 1;
+                index > MAX_SAMPLES / 2 || index % 2 == 1
+            });
+        }
+        let time = sent;
+        self.samples.push_back(PositionSample { time, position });
+    }
+
+    /// Records that a majority of members had the current term at `time`.
+    pub(crate) fn confirm(&mut self, time: MonotonicTime) {
+        self.confirmed = self.confirmed.max(time);
+    }
+
+    /// Ends the current term: its samples keep what was confirmed, later confirmations concern
+    /// the next term only.
+    pub(crate) fn end_term(&mut self) {
+        for sample in &mut self.samples {
+            sample.time = sample.time.min(self.confirmed);
+        }
+        self.confirmed = MonotonicTime::ZERO;
+        for sample in &self.samples {
+            self.confirmed = self.confirmed.max(sample.time);
+        }
+    }
+
+    /// Returns the newest position of the primary.
+    pub(crate) fn newest(&self) -> Option<LogPosition> {
+        self.samples.back().map(|sample| sample.position)
+    }
+
+    /// Returns the time up to which a log that ends at `position` holds everything acknowledged,
+    /// and the position that proves it.
+    pub(crate) fn current_until(
+        &self,
+        position: LogPosition,
+    ) -> Option<(MonotonicTime, LogPosition)> {
+        let sample = self
+            .samples
+            .iter()
+            .rev()
+            .find(|sample| position.includes(sample.position))?;
+        Some((sample.time.min(self.confirmed), sample.position))
+    }
+}
--- /dev/null
+++ b/crates/coriander_routing/src/replica_table.rs
@@ -0,0 +1,258 @@
+//! What an instance knows about the members of one database group.
+
+use std::time::Duration;
+
+use coriander_core::{LogPosition, MemberId, MonotonicTime, TermNumber, ZoneName};
+use smallvec::SmallVec;
+
+use crate::member_state::{MemberPlacement, MemberReport, MemberState, RequestTicket};
+use crate::position_history::PositionHistory;
+
+/// Members of a database group with their positions, roles and loads.
+///
+/// ```
+/// use coriander_core::MonotonicTime;
+/// use coriander_routing::{MemberPlacement, MemberReport, ReplicaTable};
+/// use std::time::Duration;
+///
+/// let zone: coriander_core::ZoneName = "piraeus".parse()?;
+/// let mut table = ReplicaTable::new(zone.clone(), 2);
+/// let (a, b) = ("a".parse()?, "b".parse()?);
+/// let place = MemberPlacement { zone, is_leaving: false, is_zone_out: false };
+/// table.set_member(&a, place.clone());
+/// table.set_member(&b, place);
+///
+/// let report = MemberReport { term: "1.7".parse::<coriander_core::LogPosition>()?.term,
+///     is_primary: true, log: "1.7".parse()? };
+/// let (sent, received) = (MonotonicTime::from_millis(100), MonotonicTime::from_millis(102));
+/// table.record_status(&a, report, sent, received);
+/// table.record_status(&b, MemberReport { is_primary: false, ..report }, sent, received);
+/// assert_eq!(table.primary(), Some(&a));
+/// assert_eq!(table.data_age(&b, MonotonicTime::from_millis(150)), Some(Duration::from_millis(50)));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct ReplicaTable {
+    own_zone: ZoneName,
+    slots: u32,
+    members: SmallVec<[MemberState; 3]>,
+    term: TermNumber,
+    primary: Option<MemberId>,
+    history: PositionHistory,
+}
+
+impl ReplicaTable {
+    /// Creates an empty table for an instance in `own_zone`, with the slots of each member.
+    pub fn new(own_zone: ZoneName, slots: u32) -> Self {
+        Self {
+            own_zone,
+            slots: slots.max(1),
+            members: SmallVec::new(),
+            term: TermNumber::default(),
+            primary: None,
+            history: PositionHistory::default(),
+        }
+    }
+
+    /// Adds a member or changes its placement.
+    pub fn set_member(&mut self, id: &MemberId, placement: MemberPlacement) {
+        match self.find_mut(id) {
+            Some(member) => member.placement = placement,
+            None => self.members.push(MemberState::new(id.clone(), placement)),
+        }
+    }
+
+    /// Removes a member that has left the group.
+    pub fn remove_member(&mut self, id: &MemberId) {
+        self.members.retain(|member| member.id != *id);
+        if self.primary.as_ref() == Some(id) {
+            self.primary = None;
+        }
+    }
+
+    /// Records the answer to a status request.
+    pub fn record_status(
+        &mut self,
+        id: &MemberId,
+        report: MemberReport,
+        sent: MonotonicTime,
+        received: MonotonicTime,
+    ) {
+        if let Some(member) = self.find_mut(id) {
+            member.measure_status(received.since(sent));
+        }
+        if report.is_primary {
+            self.record_promotion(id, report.term);
+        }
+        self.record_position(id, report.term, Some(report.log), sent);
+    }
+
+    /// Records that `id` is the primary of a term, for example after this instance promoted it.
+    pub fn record_promotion(&mut self, id: &MemberId, term: TermNumber) {
+        self.raise_term(term);
+        if term == self.term && self.find(id).is_some() {
+            self.primary = Some(id.clone());
+        }
+    }
+
+    /// Counts a request that is sent to a member.
+    pub fn record_start(&mut self, id: &MemberId, now: MonotonicTime) -> RequestTicket {
+        let slots = self.slots;
+        let waiting = self.find_mut(id).map_or(0, |member| {
+            let waiting = member.waiting(slots);
+            member.in_flight += 1;
+            waiting
+        });
+        RequestTicket {
+            member: id.clone(),
+            sent: now,
+            waiting,
+        }
+    }
+
+    /// Records the response to a request, with the term and position in its headers.
+    pub fn record_response(
+        &mut self,
+        ticket: &RequestTicket,
+        term: TermNumber,
+        log: Option<LogPosition>,
+        now: MonotonicTime,
+    ) {
+        let slots = self.slots;
+        if let Some(member) = self.finish(ticket) {
+            member.measure_response(now.since(ticket.sent), ticket.waiting, slots);
+        }
+        self.record_position(&ticket.member, term, log, ticket.sent);
+    }
+
+    /// Records that a member refused a request because of its minimum position.
+    ///
+    /// The table then knows too much about the member, for example after its log was cut back, so
+    /// it gets no reads until it reports again.
+    pub fn record_refusal(&mut self, ticket: &RequestTicket) {
+        if let Some(member) = self.finish(ticket) {
+            member.forget_position();
+        }
+    }
+
+    /// Records that a request got no response; the member gets no reads for a short time.
+    pub fn record_failure(&mut self, ticket: &RequestTicket, now: MonotonicTime) {
+        if let Some(member) = self.finish(ticket) {
+            member.pause(now);
+        }
+    }
+
+    /// Ends a request whose result does not matter, for example the slower one of a hedged read.
+    pub fn record_cancel(&mut self, ticket: &RequestTicket) {
+        self.finish(ticket);
+    }
+
+    /// Returns the newest known term.
+    pub const fn term(&self) -> TermNumber {
+        self.term
+    }
+
+    /// Returns the primary of the newest known term.
+    pub const fn primary(&self) -> Option<&MemberId> {
+        self.primary.as_ref()
+    }
+
+    /// Returns the last known log position of a member.
+    pub fn position(&self, id: &MemberId) -> Option<LogPosition> {
+        self.find(id).map(|member| member.position)
+    }
+
+    /// Returns the number of requests in flight to a member.
+    pub fn in_flight(&self, id: &MemberId) -> u32 {
+        self.find(id).map_or(0, |member| member.in_flight)
+    }
+
+    /// Returns an upper bound of the age of a member's data, or `None` if nothing is known.
+    pub fn data_age(&self, id: &MemberId, now: MonotonicTime) -> Option<Duration> {
+        let member = self.find(id)?;
+        let (time, _) = self.history.current_until(member.position)?;
+        Some(now.since(time))
+    }
+
+    pub(crate) const fn own_zone(&self) -> &ZoneName {
+        &self.own_zone
+    }
+
+    pub(crate) const fn history(&self) -> &PositionHistory {
+        &self.history
+    }
+
+    pub(crate) fn replicas(&self) -> impl Iterator<Item = &MemberState> {
+        let primary = self.primary.as_ref();
+        self.members
+            .iter()
+            .filter(move |member| Some(&member.id) != primary)
+    }
+
+    pub(crate) fn find(&self, id: &MemberId) -> Option<&MemberState> {
+        self.members.iter().find(|member| member.id == *id)
+    }
+
+    fn find_mut(&mut self, id: &MemberId) -> Option<&mut MemberState> {
+        self.members.iter_mut().find(|member| member.id == *id)
+    }
+
+    fn finish(&mut self, ticket: &RequestTicket) -> Option<&mut MemberState> {
+        let member = self.find_mut(&ticket.member)?;
+        member.in_flight = member.in_flight.saturating_sub(1);
+        Some(member)
+    }
+
+    fn raise_term(&mut self, term: TermNumber) {
+        if term > self.term {
+            self.history.end_term();
+            self.term = term;
+            self.primary = None;
+        }
+    }
+
+    fn record_position(
+        &mut self,
+        id: &MemberId,
+        term: TermNumber,
+        log: Option<LogPosition>,
+        sent: MonotonicTime,
+    ) {
+        let Some(member) = self.find_mut(id) else {
+            return;
+        };
+        if !member.report(term, log, sent) {
+            return;
+        }
+        self.raise_term(term);
+        if term < self.term {
+            return;
+        }
+        let is_primary = self.primary.as_ref() == Some(id);
+        if let (true, Some(log)) = (is_primary, log) {
+            self.history.add(sent, log);
+        }
+        self.confirm_term();
+        if let (false, Some(log)) = (is_primary, log) {
+            self.measure_lag(id, log, sent);
+        }
+    }
+
+    /// Finds the time at which a majority still had the current term.
+    fn confirm_term(&mut self) {
+        let current = self.members.iter().filter(|m| m.term == self.term);
+        let mut times: SmallVec<[MonotonicTime; 8]> = current.map(|m| m.reported).collect();
+        let majority = self.members.len() / 2 + 1;
+        if times.len() >= majority {
+            times.sort_unstable();
+            self.history.confirm(times[times.len() - majority]);
+        }
+    }
+
+    fn measure_lag(&mut self, id: &MemberId, log: LogPosition, sent: MonotonicTime) {
+        let known = self.history.current_until(log);
+        if let (Some((time, _)), Some(member)) = (known, self.find_mut(id)) {
+            member.lag.add(sent.since(time));
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_routing/src/retry_budget.rs
@@ -0,0 +1,68 @@
+//! Limit of retries and hedged reads.
+
+/// Requests that pay for one retry: retries are limited to 10 % of requests.
+const REQUESTS_PER_RETRY: u32 = 10;
+
+/// Saved retries; covers the requests in flight at a failover.
+const MAX_SAVED_RETRIES: u32 = 100;
+
+/// Budget that every request fills a little and every retry or hedge empties.
+///
+/// ```
+/// use coriander_routing::RetryBudget;
+///
+/// let mut budget = RetryBudget::default();
+/// while budget.try_take() {}
+/// for _ in 0..10 {
+///     budget.record_request();
+/// }
+/// assert!(budget.try_take());
+/// assert!(!budget.try_take());
+/// ```
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    /// Balance in requests.
+    balance: u32,
+    refused: u64,
+}
+
+impl Default for RetryBudget {
+    /// A full budget, so that a new instance can retry as well.
+    fn default() -> Self {
+        Self {
+            balance: MAX_SAVED_RETRIES * REQUESTS_PER_RETRY,
+            refused: 0,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a request of a caller; retries and hedges do not count.
+    pub fn record_request(&mut self) {
+        self.balance = (self.balance + 1).min(MAX_SAVED_RETRIES * REQUESTS_PER_RETRY);
+    }
+
+    /// Takes one retry or hedge from the budget, if it allows one.
+    pub fn try_take(&mut self) -> bool {
+        match self.balance.checked_sub(REQUESTS_PER_RETRY) {
+            Some(balance) => {
+                self.balance = balance;
+                true
+            }
+            None => {
+                self.refused += 1;
+                false
+            }
+        }
+    }
+
+    /// Returns the number of retries that can be taken now.
+    pub const fn available(&self) -> u32 {
+        self.balance / REQUESTS_PER_RETRY
+    }
+
+    /// Returns how often a retry was refused.
+    pub const fn refused(&self) -> u64 {
+        self.refused
+    }
+}
