--- /dev/null
+++ b/crates/coriander_routing/tests/replica_table.rs
@@ -0,0 +1,249 @@
+//! Single cases of the member table and the router.
+
+use std::time::Duration;
+
+use coriander_core::{LogPosition, MemberId, MonotonicTime};
+use coriander_routing::{
+    HedgePolicy, MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable,
+    RetryBudget,
+};
+use coriander_session::SessionPosition;
+
+fn id(name: &str) -> MemberId {
+    name.parse().expect("valid name")
+}
+
+fn place(zone: &str) -> MemberPlacement {
+    let zone = zone.parse().expect("valid name");
+    MemberPlacement {
+        zone,
+        is_leaving: false,
+        is_zone_out: false,
+    }
+}
+
+fn millis(time: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(time)
+}
+
+fn log(text: &str) -> LogPosition {
+    text.parse().expect("valid position")
+}
+
+fn report(table: &mut ReplicaTable, name: &str, position: &str, is_primary: bool, sent: u64) {
+    let log = log(position);
+    let report = MemberReport {
+        term: log.term,
+        is_primary,
+        log,
+    };
+    table.record_status(&id(name), report, millis(sent), millis(sent + 2));
+}
+
+/// A group of `a` (primary), `b` and `c` that all reported position 1.5 at 100 ms.
+fn group() -> ReplicaTable {
+    let mut table = ReplicaTable::new("z1".parse().expect("valid name"), 2);
+    for (name, zone) in [("a", "z1"), ("b", "z2"), ("c", "z3")] {
+        table.set_member(&id(name), place(zone));
+        report(&mut table, name, "1.5", name == "a", 100);
+    }
+    table
+}
+
+fn choose(
+    table: &ReplicaTable,
+    freshness: u64,
+    session: SessionPosition,
+    now: u64,
+) -> Option<String> {
+    let freshness = Duration::from_millis(freshness);
+    let request = ReadRequest {
+        freshness,
+        session,
+        excluded: &[],
+    };
+    match ReadRouter.choose(table, &request, millis(now)) {
+        ReadChoice::Replica { member, .. } | ReadChoice::Primary { member, .. } => {
+            Some(member.to_string())
+        }
+        ReadChoice::Wait { .. } | ReadChoice::Unavailable => None,
+    }
+}
+
+const ANY: SessionPosition = SessionPosition::Unwritten;
+
+/// Guards against trusting an isolated primary: its samples must not make replicas look fresh
+/// when a majority may already follow another primary.
+#[test]
+fn data_age_unconfirmed_primary() {
+    let mut table = group();
+    report(&mut table, "a", "1.5", true, 500);
+    assert_eq!(
+        table.data_age(&id("b"), millis(500)),
+        Some(Duration::from_millis(400))
+    );
+    report(&mut table, "c", "1.5", false, 450);
+    assert_eq!(
+        table.data_age(&id("b"), millis(500)),
+        Some(Duration::from_millis(50))
+    );
+}
+
+/// Guards against samples of a replaced primary becoming valid by confirmations of a later term.
+#[test]
+fn data_age_after_promotion() {
+    let mut table = group();
+    report(&mut table, "a", "1.5", true, 500);
+    report(&mut table, "c", "2.6", true, 600);
+    report(&mut table, "b", "2.6", false, 610);
+    assert_eq!(table.primary(), Some(&id("c")));
+    assert_eq!(
+        table.data_age(&id("b"), millis(700)),
+        Some(Duration::from_millis(100))
+    );
+    assert_eq!(
+        table.data_age(&id("a"), millis(700)),
+        Some(Duration::from_millis(600))
+    );
+}
+
+/// Guards against reads of entries that the new primary does not have.
+#[test]
+fn read_router_uncertain_log() {
+    let mut table = group();
+    report(&mut table, "b", "1.9", false, 200);
+    report(&mut table, "c", "2.6", true, 210);
+    assert_eq!(
+        choose(&table, 10_000, ANY, 220).as_deref(),
+        Some("c"),
+        "b and a are of term 1"
+    );
+    report(&mut table, "b", "2.6", false, 230);
+    assert_eq!(choose(&table, 10_000, ANY, 240).as_deref(), Some("b"));
+}
+
+/// Guards against an answer that was overtaken replacing newer knowledge.
+#[test]
+fn record_status_overtaken() {
+    let mut table = group();
+    report(&mut table, "b", "1.9", false, 300);
+    report(&mut table, "b", "1.7", false, 200);
+    assert_eq!(table.position(&id("b")), Some(log("1.9")));
+    report(&mut table, "b", "2.6", false, 250);
+    assert_eq!(
+        table.position(&id("b")),
+        Some(log("2.6")),
+        "a greater term is always newer"
+    );
+    report(&mut table, "a", "1.9", true, 400);
+    assert_eq!(
+        table.primary(),
+        None,
+        "a primary of an earlier term does not count"
+    );
+}
+
+/// Guards against work for members that are leaving, out of service, failing or refusing.
+#[test]
+fn read_router_excluded_members() {
+    let mut table = group();
+    assert_eq!(choose(&table, 1000, ANY, 110).as_deref(), Some("b"));
+    table.set_member(
+        &id("b"),
+        MemberPlacement {
+            is_leaving: true,
+            ..place("z2")
+        },
+    );
+    assert_eq!(choose(&table, 1000, ANY, 110).as_deref(), Some("c"));
+    table.set_member(
+        &id("c"),
+        MemberPlacement {
+            is_zone_out: true,
+            ..place("z3")
+        },
+    );
+    assert_eq!(choose(&table, 1000, ANY, 110).as_deref(), Some("a"));
+    table.set_member(&id("b"), place("z2"));
+    let ticket = table.record_start(&id("b"), millis(110));
+    table.record_failure(&ticket, millis(112));
+    assert_eq!(choose(&table, 1000, ANY, 120).as_deref(), Some("a"));
+    assert_eq!(
+        choose(&table, 1000, ANY, 400).as_deref(),
+        Some("b"),
+        "after the pause"
+    );
+    let ticket = table.record_start(&id("b"), millis(400));
+    table.record_refusal(&ticket);
+    assert_eq!(
+        choose(&table, 1000, ANY, 401).as_deref(),
+        Some("a"),
+        "until its next report"
+    );
+    report(&mut table, "b", "1.5", false, 402);
+    assert_eq!(choose(&table, 1000, ANY, 410).as_deref(), Some("b"));
+    assert_eq!(table.in_flight(&id("b")), 0);
+    table.remove_member(&id("a"));
+    assert_eq!(table.primary(), None);
+}
+
+/// Guards against reads at a primary that the session's own position proves to be replaced.
+#[test]
+fn read_router_later_term() {
+    let table = group();
+    let later = SessionPosition::AtLeast(log("2.3"));
+    assert_eq!(choose(&table, 1000, later, 110), None);
+    assert_eq!(
+        choose(&table, 1000, SessionPosition::Unknown, 110).as_deref(),
+        Some("a")
+    );
+    assert_eq!(
+        choose(&table, 0, ANY, 100).as_deref(),
+        Some("a"),
+        "the newest data was asked for"
+    );
+}
+
+/// Guards against unbounded memory, and an age below the true one after thinning out.
+#[test]
+fn data_age_long_history() {
+    let mut table = group();
+    for step in 1..5000u64 {
+        report(
+            &mut table,
+            "a",
+            &format!("1.{}", 5 + step),
+            true,
+            100 + 10 * step,
+        );
+    }
+    let now = 100 + 10 * 4999;
+    report(&mut table, "c", "1.5004", false, now);
+    report(&mut table, "b", "1.4900", false, now);
+    let age = table
+        .data_age(&id("b"), millis(now))
+        .expect("known age")
+        .as_millis();
+    assert!((1040..1200).contains(&age), "{age}");
+}
+
+/// Guards against retries or hedges beyond the budget.
+#[test]
+fn retry_budget_share() {
+    let mut budget = RetryBudget::default();
+    let policy = HedgePolicy::new(Duration::from_millis(20));
+    assert!(!policy.try_hedge(Duration::from_millis(9), &mut budget));
+    assert_eq!(budget.available(), 100);
+    let mut taken = 0;
+    for _ in 0..10_000 {
+        budget.record_request();
+        taken += u32::from(policy.try_hedge(Duration::from_millis(10), &mut budget));
+    }
+    // The first request finds the budget full and adds nothing to it.
+    assert_eq!(
+        taken,
+        100 + 9_999 / 10,
+        "the saved retries and 10 % of the requests"
+    );
+    assert_eq!(budget.refused(), 10_000 - 1_099);
+}
