Add load driver

Change: module load and example load_driver with deployment profiles, sessions with tokens, retries by outcome, a ledger of writes compared with the databases, a JSON report and an SVG plot; 6 tests against a front that loses, doubles or denies writes. Before: no load. After: the tests find every lost, doubled and denied write of their runs of 2 s and nothing in the run without a fault. Not yet run against corianderstile. Conclusion: fleet runs can be measured once the server is there.

--- a/crates/coriander_standin/src/lib.rs
+++ b/crates/coriander_standin/src/lib.rs
@@ -15,6 +15,10 @@
 //! assert!(state.confirms(TermNumber::new(1), 1));
 //! ```
 
+mod deployment_profile;
+pub mod load;
 pub mod member;
 pub mod platform;
 pub mod process;
+
+pub use deployment_profile::{AccountProfile, ClassProfile, DeploymentProfile, UnknownDeployment};
--- /dev/null
+++ b/crates/coriander_standin/src/load/driver_settings.rs
@@ -0,0 +1,58 @@
+//! Arguments of the load driver.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use crate::DeploymentProfile;
+
+/// Plays a deployment against instances and checks the results.
+#[derive(Clone, Debug, FromArgs)]
+pub struct DriverSettings {
+    /// deployment to play: bennani or karamanlis
+    #[argh(option)]
+    pub deployment: DeploymentProfile,
+    /// caller address of an instance, repeated for each
+    #[argh(option)]
+    pub instance: Vec<SocketAddr>,
+    /// length of the run in seconds (default 30)
+    #[argh(option, default = "30")]
+    pub seconds: u32,
+    /// part of the accounts' rates that is offered, in percent (default 70)
+    #[argh(option, default = "70")]
+    pub load_percent: u32,
+    /// account that offers five times its rate
+    #[argh(option)]
+    pub greedy: Option<String>,
+    /// seed of the arrivals (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// part of the writes that are interactive transactions, in percent (default 5)
+    #[argh(option, default = "5")]
+    pub transaction_percent: u32,
+    /// longest time for a request with its retries, in milliseconds (default 10000)
+    #[argh(option, default = "10_000")]
+    pub request_limit_ms: u64,
+    /// key of an account as ACCOUNT=KEY; the default is test-key-of-ACCOUNT
+    #[argh(option)]
+    pub key: Vec<String>,
+    /// file for the JSON report
+    #[argh(option)]
+    pub json: Option<PathBuf>,
+    /// file for the SVG plot
+    #[argh(option)]
+    pub svg: Option<PathBuf>,
+}
+
+impl DriverSettings {
+    /// Returns the key of an account.
+    pub fn account_key(&self, account: &str) -> String {
+        let given = self.key.iter().filter_map(|pair| pair.split_once('='));
+        let mut given = given.filter(|(name, _)| *name == account);
+        match given.next() {
+            Some((_, key)) => key.to_owned(),
+            None => DeploymentProfile::account_key(account),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/load/instance_balancer.rs
@@ -0,0 +1,67 @@
+//! The platform's load balancer as the driver sees it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use tokio::time::sleep;
+
+use crate::process::HttpCaller;
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Chooses an instance for each request among those that report ready.
+pub struct InstanceBalancer {
+    instances: Vec<SocketAddr>,
+    ready: RefCell<Vec<SocketAddr>>,
+    is_running: Cell<bool>,
+}
+
+impl InstanceBalancer {
+    /// Creates a balancer that takes all instances as ready until they are checked.
+    pub fn new(instances: Vec<SocketAddr>) -> Rc<Self> {
+        Rc::new(Self {
+            ready: RefCell::new(instances.clone()),
+            instances,
+            is_running: Cell::new(true),
+        })
+    }
+
+    /// Returns a random ready instance, or any if none is ready.
+    pub fn choose(&self) -> SocketAddr {
+        let ready = self.ready.borrow();
+        let mut rng = rand::rng();
+        let chosen = ready.choose(&mut rng).or(self.instances.choose(&mut rng));
+        *chosen.expect("at least one instance")
+    }
+
+    /// Checks every instance repeatedly until the balancer is stopped.
+    pub async fn run_checks(self: Rc<Self>) {
+        let caller = HttpCaller::create(CHECK_INTERVAL).await;
+        while self.is_running.get() {
+            for address in &self.instances {
+                let (balancer, caller, address) = (self.clone(), caller.clone(), *address);
+                ntex::rt::spawn(async move {
+                    let reply = caller.get(&format!("http://{address}/ready")).await;
+                    balancer.note(address, reply.is_ok_and(|reply| reply.status == 200));
+                });
+            }
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Ends the checks.
+    pub fn stop(&self) {
+        self.is_running.set(false);
+    }
+
+    fn note(&self, address: SocketAddr, is_ready: bool) {
+        let mut ready = self.ready.borrow_mut();
+        ready.retain(|found| *found != address);
+        if is_ready {
+            ready.push(address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/load/load_driver.rs
@@ -0,0 +1,387 @@
+//! The run: sends the arrivals, checks each result and compares the databases at the end.
+
+use std::cell::{Cell, RefCell};
+use std::fs;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eyre::{WrapErr, eyre};
+use serde_json::{Value, json};
+use tokio::time::{sleep, sleep_until};
+
+use super::arrival_schedule::{ArrivalSchedule, LoadArrival, RequestKind};
+use super::driver_settings::DriverSettings;
+use super::instance_balancer::InstanceBalancer;
+use super::load_metrics::{LoadMetrics, RequestRecord};
+use super::load_plot::draw_plot;
+use super::load_report::LoadReport;
+use super::load_session::{LoadSession, SessionPool};
+use super::request_sender::{
+    CallFailure, CallReply, CallSpec, FailureKind, RequestSender, execute, first_value, integer,
+    statement_failure, text,
+};
+use super::write_ledger::{SessionKey, WriteLedger, WriteOutcome};
+
+const CREATE_TABLE: &str = "CREATE TABLE IF NOT EXISTS load_writes \
+    (request_id TEXT, session_key INTEGER, sequence INTEGER, payload TEXT)";
+const CREATE_INDEX: &str =
+    "CREATE INDEX IF NOT EXISTS load_writes_key ON load_writes (session_key, sequence)";
+const INSERT: &str = "INSERT INTO load_writes VALUES (?, ?, ?, ?)";
+const SELECT_KEY: &str = "SELECT max(sequence) FROM load_writes WHERE session_key = ?";
+const SELECT_PAGE: &str =
+    "SELECT rowid, request_id FROM load_writes WHERE rowid > ? ORDER BY rowid LIMIT 500";
+/// Pause before the databases are compared, for writes whose response was lost.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+struct DriverState {
+    settings: DriverSettings,
+    sender: RequestSender,
+    /// Sends the requests before and after the load, which do not count.
+    checker: RequestSender,
+    sessions: RefCell<SessionPool>,
+    ledger: RefCell<WriteLedger>,
+    metrics: RefCell<LoadMetrics>,
+    start: Instant,
+    open: Cell<usize>,
+    run_id: u32,
+}
+
+/// Result of a request that changed something.
+struct WriteResult {
+    result: Result<CallReply, CallFailure>,
+    outcome: WriteOutcome,
+    is_within: bool,
+}
+
+/// Runs the load and returns its report.
+pub async fn run_driver(settings: DriverSettings) -> eyre::Result<LoadReport> {
+    if settings.instance.is_empty() {
+        return Err(eyre!("no --instance given"));
+    }
+    let balancer = InstanceBalancer::new(settings.instance.clone());
+    ntex::rt::spawn(balancer.clone().run_checks());
+    let schedule = draw_schedule(&settings);
+    let checker = RequestSender::create(settings.clone(), balancer.clone(), Instant::now()).await;
+    create_tables(&checker, &settings).await?;
+    let start = Instant::now();
+    let state = Rc::new(DriverState {
+        sender: RequestSender::create(settings.clone(), balancer.clone(), start).await,
+        checker,
+        sessions: RefCell::default(),
+        ledger: RefCell::default(),
+        metrics: RefCell::default(),
+        start,
+        open: Cell::new(0),
+        run_id: rand::random(),
+        settings,
+    });
+    state.play(&schedule).await;
+    let length = Duration::from_secs(u64::from(state.settings.seconds));
+    state.metrics.borrow_mut().finish(length);
+    sleep(SETTLE_TIME).await;
+    let verified = state.read_back().await;
+    if let Err(error) = &verified {
+        log::error!("driver: databases were not compared: {error}");
+    }
+    balancer.stop();
+    let ledger = state.ledger.borrow().summarize(verified.is_ok());
+    let sessions = state.sessions.borrow().created();
+    let metrics = state.metrics.borrow();
+    let report = LoadReport::new(&state.settings, &metrics, &state.sender, ledger, sessions);
+    write_files(&state.settings, &report)?;
+    Ok(report)
+}
+
+fn draw_schedule(settings: &DriverSettings) -> ArrivalSchedule {
+    let length = Duration::from_secs(u64::from(settings.seconds));
+    let greedy = (settings.seed, settings.greedy.as_deref());
+    ArrivalSchedule::draw_greedy(&settings.deployment, length, settings.load_percent, greedy)
+        .with_transactions(settings.transaction_percent, settings.seed)
+}
+
+fn write_files(settings: &DriverSettings, report: &LoadReport) -> eyre::Result<()> {
+    if let Some(path) = &settings.json {
+        fs::write(path, serde_json::to_string_pretty(report)?).wrap_err("JSON report")?;
+    }
+    if let Some(path) = &settings.svg {
+        draw_plot(report, path).map_err(|error| eyre!("plot: {error}"))?;
+    }
+    Ok(())
+}
+
+/// Returns a class whose requests need the newest data.
+fn strict_class(settings: &DriverSettings) -> String {
+    let classes = &settings.deployment.classes;
+    let strict = classes.iter().find(|class| class.freshness_ms == 0);
+    strict.unwrap_or(&classes[0]).name.to_owned()
+}
+
+async fn create_tables(sender: &RequestSender, settings: &DriverSettings) -> eyre::Result<()> {
+    for database in settings.deployment.databases {
+        for sql in [CREATE_TABLE, CREATE_INDEX] {
+            let call = CallSpec {
+                class: strict_class(settings),
+                database: database.to_owned(),
+                request_id: Some(format!("setup-{:016x}", rand::random::<u64>())),
+                body: json!({"requests": [execute(sql, &[]), {"type": "close"}]}),
+                ..CallSpec::default()
+            };
+            let (result, _) = sender.send(&call).await;
+            let reply = result.map_err(|failure| eyre!("setup of {database}: {failure:?}"))?;
+            if let Some(code) = statement_failure(&reply) {
+                return Err(eyre!("setup of {database}: {code}"));
+            }
+        }
+    }
+    Ok(())
+}
+
+impl DriverState {
+    /// Sends each request at its time and waits for the last response.
+    async fn play(self: &Rc<Self>, schedule: &ArrivalSchedule) {
+        for arrival in schedule.arrivals() {
+            sleep_until((self.start + arrival.at).into()).await;
+            self.open.set(self.open.get() + 1);
+            let (state, arrival) = (self.clone(), *arrival);
+            ntex::rt::spawn(async move {
+                state.serve(arrival).await;
+                state.open.set(state.open.get() - 1);
+            });
+        }
+        while self.open.get() > 0 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn serve(&self, arrival: LoadArrival) {
+        let (account, database) = (arrival.account, arrival.database);
+        let mut session = self.sessions.borrow_mut().take(account, database);
+        if arrival.kind.is_read() {
+            self.serve_read(arrival, &mut session).await;
+        } else {
+            self.serve_write(arrival, &mut session).await;
+        }
+        let mut sessions = self.sessions.borrow_mut();
+        sessions.put_back(account, database, session);
+    }
+
+    fn call(&self, arrival: LoadArrival, session: &LoadSession, requests: &Value) -> CallSpec {
+        let profile = &self.settings.deployment;
+        CallSpec {
+            account: arrival.account,
+            class: profile.classes[arrival.class].name.to_owned(),
+            database: profile.databases[arrival.database].to_owned(),
+            token: session.token.clone(),
+            request_id: None,
+            body: json!({"requests": requests}),
+        }
+    }
+
+    fn record(
+        &self,
+        arrival: LoadArrival,
+        is_within: bool,
+        error: Option<String>,
+    ) -> RequestRecord {
+        let profile = &self.settings.deployment;
+        RequestRecord {
+            account: profile.accounts[arrival.account].name.to_owned(),
+            class: profile.classes[arrival.class].name.to_owned(),
+            database: arrival.database,
+            is_read: arrival.kind.is_read(),
+            is_within,
+            intended: arrival.at,
+            finished: self.start.elapsed(),
+            error,
+            served_by: None,
+            staleness: None,
+            is_too_old: false,
+        }
+    }
+
+    async fn serve_read(&self, arrival: LoadArrival, session: &mut LoadSession) {
+        let own: SessionKey = (arrival.database, session.key);
+        let other = || {
+            let ledger = self.ledger.borrow();
+            ledger.choose_key(arrival.database, &mut rand::rng())
+        };
+        let key = match arrival.kind {
+            RequestKind::ReadOther => other().unwrap_or(own),
+            _ => own,
+        };
+        let select = execute(SELECT_KEY, &[integer(key.1)]);
+        let call = self.call(arrival, session, &json!([select, {"type": "close"}]));
+        let sent = self.start.elapsed();
+        let (result, is_within) = self.sender.send(&call).await;
+        let error = match &result {
+            Ok(reply) => statement_failure(reply),
+            Err(failure) => Some(failure.code.clone()),
+        };
+        let mut record = self.record(arrival, is_within, error);
+        if let Ok(reply) = result {
+            let found = first_value(&reply).and_then(Value::as_str);
+            let sequence = found.and_then(|text| text.parse().ok()).unwrap_or(0);
+            let freshness = self.settings.deployment.classes[arrival.class].freshness_ms;
+            let staleness = self.ledger.borrow().staleness(key, sequence, sent);
+            let is_answered = record.error.is_none();
+            record.staleness = Some(staleness);
+            record.is_too_old = is_answered && staleness > Duration::from_millis(freshness);
+            if is_answered && key == own && sequence < session.acknowledged_sequence {
+                log::error!(
+                    "driver: session {} in {} wrote {} but read {sequence} from {:?}",
+                    key.1,
+                    call.database,
+                    session.acknowledged_sequence,
+                    reply.served_by
+                );
+                self.metrics.borrow_mut().own_write_misses += 1;
+            }
+            record.served_by = reply.served_by;
+            session.token = reply.token.or(session.token.take());
+        }
+        self.metrics.borrow_mut().add(&record);
+    }
+
+    async fn serve_write(&self, arrival: LoadArrival, session: &mut LoadSession) {
+        session.sent_sequence += 1;
+        let (key, sequence) = (session.key, session.sent_sequence);
+        let request_id = format!("{:08x}-{}-{key}-{sequence}", self.run_id, arrival.database);
+        let payload = self.settings.deployment.classes[arrival.class].payload_bytes;
+        let args = [
+            text(&request_id),
+            integer(key),
+            integer(sequence),
+            text(&"x".repeat(payload)),
+        ];
+        let insert = execute(INSERT, &args);
+        let write = match arrival.kind {
+            RequestKind::Transaction => {
+                self.send_transaction(arrival, session, insert, &request_id)
+                    .await
+            }
+            _ => {
+                let mut call = self.call(arrival, session, &json!([insert, {"type": "close"}]));
+                call.request_id = Some(request_id.clone());
+                let (result, is_within) = self.sender.send(&call).await;
+                let outcome = write_outcome(&result);
+                WriteResult {
+                    result,
+                    outcome,
+                    is_within,
+                }
+            }
+        };
+        self.ledger.borrow_mut().record(&request_id, write.outcome);
+        let error = match &write.result {
+            Ok(reply) => statement_failure(reply),
+            Err(failure) => Some(failure.code.clone()),
+        };
+        let record = self.record(arrival, write.is_within, error);
+        if write.outcome == WriteOutcome::Acknowledged {
+            session.acknowledged_sequence = sequence;
+            let mut ledger = self.ledger.borrow_mut();
+            ledger.record_acknowledged((arrival.database, key), sequence, record.finished);
+        }
+        if let Ok(reply) = write.result {
+            session.token = reply.token.or(session.token.take());
+        }
+        self.metrics.borrow_mut().add(&record);
+    }
+
+    /// Sends BEGIN with the statement, and COMMIT in a second request that may reach another
+    /// instance.
+    async fn send_transaction(
+        &self,
+        arrival: LoadArrival,
+        session: &LoadSession,
+        insert: Value,
+        request_id: &str,
+    ) -> WriteResult {
+        let requests = json!([execute("BEGIN", &[]), insert]);
+        let begin = self.call(arrival, session, &requests);
+        let (result, is_within) = self.sender.send(&begin).await;
+        // Without COMMIT nothing may remain, whatever became of the first request.
+        let absent = |result| WriteResult {
+            result,
+            outcome: WriteOutcome::NotRun,
+            is_within,
+        };
+        let reply = match result {
+            Ok(reply) => reply,
+            Err(failure) => return absent(Err(failure)),
+        };
+        let end = if statement_failure(&reply).is_some() {
+            "ROLLBACK"
+        } else {
+            "COMMIT"
+        };
+        let requests = json!([execute(end, &[]), {"type": "close"}]);
+        let mut call = self.call(arrival, session, &requests);
+        call.body["baton"] = json!(reply.baton);
+        call.request_id = Some(request_id.to_owned());
+        let (result, _) = self.sender.send(&call).await;
+        if end == "ROLLBACK" {
+            return absent(Ok(reply));
+        }
+        let outcome = write_outcome(&result);
+        WriteResult {
+            result,
+            outcome,
+            is_within,
+        }
+    }
+
+    /// Reads all rows of the run from every database.
+    async fn read_back(&self) -> eyre::Result<()> {
+        for (index, database) in self.settings.deployment.databases.iter().enumerate() {
+            let prefix = format!("{:08x}-{index}-", self.run_id);
+            let mut after = 0;
+            loop {
+                let select = execute(SELECT_PAGE, &[integer(after)]);
+                let call = CallSpec {
+                    class: strict_class(&self.settings),
+                    database: (*database).to_owned(),
+                    body: json!({"requests": [select, {"type": "close"}]}),
+                    ..CallSpec::default()
+                };
+                let reply = self.send_patiently(&call).await?;
+                let rows = &reply.results[0]["response"]["result"]["rows"];
+                let rows = rows.as_array().ok_or_else(|| eyre!("no rows: {reply:?}"))?;
+                for row in rows {
+                    let rowid = row[0]["value"].as_str().and_then(|text| text.parse().ok());
+                    after = rowid.ok_or_else(|| eyre!("row without rowid"))?;
+                    let id = row[1]["value"].as_str().unwrap_or_default();
+                    if id.starts_with(&prefix) {
+                        self.ledger.borrow_mut().record_found(id);
+                    }
+                }
+                if rows.is_empty() {
+                    break;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a read again while the account's rate is spent.
+    async fn send_patiently(&self, call: &CallSpec) -> eyre::Result<CallReply> {
+        for _ in 0..50 {
+            match self.checker.send(call).await.0 {
+                Ok(reply) => return Ok(reply),
+                Err(failure) => log::warn!("driver: reading back: {}", failure.code),
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        Err(eyre!("no response while reading back"))
+    }
+}
+
+fn write_outcome(result: &Result<CallReply, CallFailure>) -> WriteOutcome {
+    match result {
+        Ok(reply) if statement_failure(reply).is_none() => WriteOutcome::Acknowledged,
+        // A statement that failed has been rolled back.
+        Ok(_) => WriteOutcome::NotRun,
+        Err(failure) if failure.kind == FailureKind::NotRun => WriteOutcome::NotRun,
+        Err(_) => WriteOutcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/load/rate_mirror.rs
@@ -0,0 +1,46 @@
+//! The driver's own account of rate and burst.
+
+use std::time::Duration;
+
+/// A token bucket that tells which requests were within an account's rate.
+#[derive(Clone, Debug)]
+pub struct RateMirror {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    filled_at: Duration,
+}
+
+impl RateMirror {
+    /// Creates a full bucket.
+    pub fn new(rate: u32, burst: u32) -> Self {
+        Self {
+            rate: f64::from(rate),
+            burst: f64::from(burst),
+            tokens: f64::from(burst),
+            filled_at: Duration::ZERO,
+        }
+    }
+
+    /// Counts a request at a time since the start; `true` if it is within the rate.
+    ///
+    /// ```
+    /// use coriander_standin::load::RateMirror;
+    /// use std::time::Duration;
+    ///
+    /// let mut mirror = RateMirror::new(10, 1);
+    /// assert!(mirror.count(Duration::ZERO));
+    /// assert!(!mirror.count(Duration::from_millis(50)));
+    /// assert!(mirror.count(Duration::from_millis(160)));
+    /// ```
+    pub fn count(&mut self, now: Duration) -> bool {
+        let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + self.rate * elapsed).min(self.burst);
+        self.filled_at = self.filled_at.max(now);
+        let is_within = self.tokens >= 1.0;
+        if is_within {
+            self.tokens -= 1.0;
+        }
+        is_within
+    }
+}
--- /dev/null
+++ b/crates/coriander_standin/src/load/request_sender.rs
@@ -0,0 +1,287 @@
+//! Sending of requests with their retries.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use ntex::http::Method;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::driver_settings::DriverSettings;
+use super::instance_balancer::InstanceBalancer;
+use super::rate_mirror::RateMirror;
+use crate::process::{HttpCaller, HttpReply, ProcessError};
+
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+
+/// A request of one account.
+#[derive(Clone, Debug, Default)]
+pub struct CallSpec {
+    /// Index of the account in the deployment.
+    pub account: usize,
+    /// Name of the class.
+    pub class: String,
+    /// Name of the database.
+    pub database: String,
+    /// Session token.
+    pub token: Option<String>,
+    /// Idempotency key; only requests with one are repeated after an unknown outcome.
+    pub request_id: Option<String>,
+    /// Body of the pipeline.
+    pub body: Value,
+}
+
+/// Which member served a request, from the header `x-served-by`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServedBy {
+    /// Identifier of the member.
+    pub member: String,
+    /// Whether the member was a replica.
+    pub is_replica: bool,
+    /// Age of the data as stated by the proxy, in milliseconds.
+    pub age_ms: Option<u64>,
+}
+
+impl ServedBy {
+    /// Parses `MEMBER;role=replica|primary[;age_ms=N]`.
+    fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split(';');
+        let member = parts.next()?.to_owned();
+        let fields: BTreeMap<_, _> = parts.filter_map(|part| part.split_once('=')).collect();
+        Some(Self {
+            member,
+            is_replica: *fields.get("role")? == "replica",
+            age_ms: fields.get("age_ms").and_then(|age| age.parse().ok()),
+        })
+    }
+}
+
+/// A successful response.
+#[derive(Debug)]
+pub struct CallReply {
+    /// Results of the pipeline.
+    pub results: Vec<Value>,
+    /// Baton of the stream.
+    pub baton: Option<String>,
+    /// New session token.
+    pub token: Option<String>,
+    /// Member that served the request.
+    pub served_by: Option<ServedBy>,
+}
+
+/// What is known about a failed request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailureKind {
+    /// No attempt was executed.
+    NotRun,
+    /// An attempt may have been executed.
+    Unknown,
+}
+
+/// A failed request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallFailure {
+    /// Code of the last error.
+    pub code: String,
+    /// What is known.
+    pub kind: FailureKind,
+    retry_after: Option<Duration>,
+    is_final: bool,
+}
+
+/// Attempts that were refused, by code and by whether they were within the account's rate.
+pub type RefusalCounts = BTreeMap<(String, bool), u64>;
+
+/// Sends requests of all accounts.
+pub struct RequestSender {
+    /// Refused attempts.
+    pub refusals: RefCell<RefusalCounts>,
+    /// Attempts by whether they were within the account's rate.
+    pub attempts: RefCell<BTreeMap<bool, u64>>,
+    settings: DriverSettings,
+    balancer: Rc<InstanceBalancer>,
+    caller: HttpCaller,
+    mirrors: RefCell<Vec<RateMirror>>,
+    keys: Vec<String>,
+    start: Instant,
+}
+
+impl RequestSender {
+    /// Creates a sender; times count from `start`.
+    pub async fn create(
+        settings: DriverSettings,
+        balancer: Rc<InstanceBalancer>,
+        start: Instant,
+    ) -> Self {
+        let accounts = &settings.deployment.accounts;
+        let mirrors = accounts
+            .iter()
+            .map(|account| RateMirror::new(account.rate, account.burst));
+        let keys = accounts
+            .iter()
+            .map(|account| settings.account_key(account.name));
+        let timeout = Duration::from_millis(settings.request_limit_ms);
+        Self {
+            refusals: RefCell::default(),
+            attempts: RefCell::default(),
+            mirrors: RefCell::new(mirrors.collect()),
+            keys: keys.collect(),
+            caller: HttpCaller::create(timeout).await,
+            balancer,
+            start,
+            settings,
+        }
+    }
+
+    /// Sends a request and repeats it while that is safe and the time is not over.
+    ///
+    /// Also returns whether the first attempt was within the account's rate.
+    pub async fn send(&self, call: &CallSpec) -> (Result<CallReply, CallFailure>, bool) {
+        let deadline = Instant::now() + Duration::from_millis(self.settings.request_limit_ms);
+        let mut pause = FIRST_PAUSE;
+        let mut may_have_run = false;
+        let mut is_within = None;
+        loop {
+            let within = self.mirrors.borrow_mut()[call.account].count(self.start.elapsed());
+            let within_first = *is_within.get_or_insert(within);
+            *self.attempts.borrow_mut().entry(within).or_default() += 1;
+            let mut failure = match self.attempt(call).await {
+                Ok(reply) => return (Ok(reply), within_first),
+                Err(failure) => failure,
+            };
+            if failure.kind == FailureKind::NotRun {
+                let key = (failure.code.clone(), within);
+                *self.refusals.borrow_mut().entry(key).or_default() += 1;
+            } else {
+                may_have_run = true;
+            }
+            let wait = failure.retry_after.unwrap_or(pause);
+            let is_safe = !may_have_run || call.request_id.is_some();
+            if failure.is_final || !is_safe || Instant::now() + wait >= deadline {
+                if may_have_run {
+                    failure.kind = FailureKind::Unknown;
+                }
+                return (Err(failure), within_first);
+            }
+            sleep(wait).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        }
+    }
+
+    async fn attempt(&self, call: &CallSpec) -> Result<CallReply, CallFailure> {
+        let address = self.balancer.choose();
+        let url = format!("http://{address}/v3/pipeline");
+        let key = format!("Bearer {}", self.keys[call.account]);
+        let mut headers = vec![
+            ("authorization", key.as_str()),
+            ("content-type", "application/json"),
+            ("x-namespace", &call.database),
+            ("x-corianderstile-class", &call.class),
+        ];
+        headers.extend(
+            call.token
+                .as_ref()
+                .map(|t| ("x-corianderstile-session", t.as_str())),
+        );
+        headers.extend(
+            call.request_id
+                .as_ref()
+                .map(|id| ("x-request-id", id.as_str())),
+        );
+        let body = call.body.to_string().into_bytes();
+        let delay = self.settings.deployment.client_delay;
+        sleep(delay).await;
+        let result = self.caller.call(Method::POST, &url, &headers, body).await;
+        sleep(delay).await;
+        read_reply(result)
+    }
+}
+
+fn failure(code: &str, kind: FailureKind) -> CallFailure {
+    CallFailure {
+        code: code.to_owned(),
+        kind,
+        retry_after: None,
+        is_final: false,
+    }
+}
+
+fn read_reply(result: Result<HttpReply, ProcessError>) -> Result<CallReply, CallFailure> {
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(ProcessError::NotSent(_)) => {
+            return Err(failure("CONNECTION_REFUSED", FailureKind::NotRun));
+        }
+        Err(_) => return Err(failure("NO_RESPONSE", FailureKind::Unknown)),
+    };
+    let body: Value = reply.json().unwrap_or_default();
+    if reply.status != 200 {
+        return Err(read_error(&reply, &body));
+    }
+    let served_by = reply.header("x-served-by").and_then(ServedBy::parse);
+    let token = reply.header("x-corianderstile-session").map(str::to_owned);
+    Ok(CallReply {
+        results: body["results"].as_array().cloned().unwrap_or_default(),
+        baton: body["baton"].as_str().map(str::to_owned),
+        token,
+        served_by,
+    })
+}
+
+fn read_error(reply: &HttpReply, body: &Value) -> CallFailure {
+    let code = body["code"].as_str().unwrap_or("NO_CODE");
+    let kind = match body["outcome"].as_str() {
+        Some("not_run") => FailureKind::NotRun,
+        _ => FailureKind::Unknown,
+    };
+    let mut failure = failure(code, kind);
+    failure.retry_after = body["retry_after_ms"].as_u64().map(Duration::from_millis);
+    // Repeating these cannot help, and repeating rate-limited requests would raise the rate.
+    let is_hopeless = matches!(
+        code,
+        "RATE_LIMITED"
+            | "UNAUTHORIZED"
+            | "NOT_FOUND"
+            | "BAD_REQUEST"
+            | "BAD_BATON"
+            | "BAD_SESSION"
+            | "REQUEST_ID_REUSED"
+            | "TRANSACTION_LOST"
+    );
+    failure.is_final = is_hopeless || reply.status == 404;
+    failure
+}
+
+/// Returns the code of the first statement that failed.
+pub fn statement_failure(reply: &CallReply) -> Option<String> {
+    let mut failed = reply
+        .results
+        .iter()
+        .filter(|result| result["type"] == "error");
+    let code = failed.next()?["error"]["code"].as_str();
+    Some(code.unwrap_or("STATEMENT_ERROR").to_owned())
+}
+
+/// Returns the first value of the first row of the first statement.
+pub fn first_value(reply: &CallReply) -> Option<&Value> {
+    let rows = &reply.results.first()?["response"]["result"]["rows"];
+    Some(&rows.get(0)?.get(0)?["value"])
+}
+
+/// Returns a request that executes a statement.
+pub fn execute(sql: &str, args: &[Value]) -> Value {
+    json!({"type": "execute", "stmt": {"sql": sql, "args": args}})
+}
+
+/// Returns an integer argument.
+pub fn integer(value: u64) -> Value {
+    json!({"type": "integer", "value": value.to_string()})
+}
+
+/// Returns a text argument.
+pub fn text(value: &str) -> Value {
+    json!({"type": "text", "value": value})
+}
--- a/crates/coriander_standin/src/process/http_caller.rs
+++ b/crates/coriander_standin/src/process/http_caller.rs
@@ -2,15 +2,19 @@
 
 use std::time::Duration;
 
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, Connector};
 use ntex::http::{HeaderMap, Method};
-use ntex::time::Millis;
+use ntex::time::{Millis, Seconds};
 use serde::de::DeserializeOwned;
 
 use super::process_error::ProcessError;
 
 const RESPONSE_LIMIT: usize = 1 << 28;
-const CONNECTIONS_PER_HOST: usize = 1024;
+const CONNECTIONS_PER_HOST: usize = 4096;
+/// Shorter than the keep-alive of the servers (5 s), so that no connection is reused while the
+/// server closes it.
+const KEEP_ALIVE: Seconds = Seconds(4);
 
 /// A client with connections that are kept open.
 #[derive(Clone)]
@@ -50,7 +54,9 @@
 impl HttpCaller {
     /// Creates a client whose requests fail after a timeout.
     pub async fn create(timeout: Duration) -> Self {
-        let connector = Connector::default().limit(CONNECTIONS_PER_HOST);
+        let connector = Connector::default()
+            .limit(CONNECTIONS_PER_HOST)
+            .keep_alive(KEEP_ALIVE);
         let client = Client::builder()
             .connector::<()>(connector)
             .disable_timeout()
@@ -96,7 +102,13 @@
         }
         let exchange = async {
             let response = request.send_body(body).await;
-            let response = response.map_err(|error| failed(error.to_string()))?;
+            let response = response.map_err(|error| match &error {
+                // The client reports a connection that closes before the response in the same
+                // type as a failed connect, but without a cause.
+                ClientError::Connect(ConnectError::Disconnected(None)) => failed(error.to_string()),
+                ClientError::Connect(_) => ProcessError::NotSent(url.to_owned()),
+                _ => failed(error.to_string()),
+            })?;
             let body = response.body().limit(RESPONSE_LIMIT).timeout(Millis::ZERO);
             Ok(HttpReply {
                 status: response.status().as_u16(),
--- a/crates/coriander_standin/src/process/process_error.rs
+++ b/crates/coriander_standin/src/process/process_error.rs
@@ -26,6 +26,9 @@
     /// No loopback port was unused.
     #[error("found no unused port")]
     NoPort,
+    /// No connection could be opened, so the request was not sent.
+    #[error("no connection for {0}")]
+    NotSent(String),
     /// A request got no response.
     #[error("request to {url} failed: {reason}")]
     Request {
--- a/crates/coriander_standin/tests/common/mod.rs
+++ b/crates/coriander_standin/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers of the member tests.
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub mod forwarder;
+
 use coriander_standin::process::{HttpReply, MemberClient, ProcessGroup};
 use serde_json::{Value, json};
 
