Check the rate ceiling under faults; fix four faults found

Change: a virtual-time fleet over the real owners and holders, property tests against an ideal bucket, and focused cases of shards, queue and slots. The checks find a missing expiry, a missing waiting period and a repeated hand-over. Fixed: an instance outside the fleet had a reserve (5 requests over the ceiling with 8 holders in a fleet of 6); an acceptance learned before the version was applied got lost, so that the shard never granted; a shard kept over a fleet change lost its waiting period; a longer expiry was in force before the smaller capacity that belongs to it. Before: no tests.

--- /dev/null
+++ b/crates/coriander_limits/examples/support/fleet_simulation.rs
@@ -0,0 +1,522 @@
+//! Virtual-time fleet of owners and holders, shared by the property tests and the examples.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use coriander_core::{
+    AccountLimits, AccountName, ConfigDocument, ConfigVersion, FleetMember, InstanceId,
+    MonotonicTime,
+};
+use coriander_limits::{
+    AdmitDecision, FleetVersion, GrantHolder, HandOver, HandOverReply, HolderEvent, LimitPolicy,
+    OwnerTable, PlanTable, TakeTokens, TokenGrant,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::usage_record::UsageRecord;
+
+/// Freshness period of the configuration, in microseconds.
+const FRESHNESS: u64 = 2_000_000;
+const CONFIRM_PERIOD: u64 = 100_000;
+
+/// A deliberate fault, to show that the checks find it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    None,
+    /// Holders keep grants for ever.
+    NoHolderExpiry,
+    /// New owners grant at once.
+    NoWaiting,
+    /// A repeated hand-over counts again.
+    DuplicateHandOver,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub seed: u64,
+    pub limits: Vec<AccountLimits>,
+    pub policy: LimitPolicy,
+    /// Shortest and longest one-way delay in microseconds.
+    pub delay: (u64, u64),
+    pub loss: f64,
+    pub duplicate: f64,
+    /// Time for which a request may wait for a token, in microseconds.
+    pub patience: u64,
+    pub fault: Fault,
+}
+
+#[derive(Clone, Debug)]
+pub enum Action {
+    Request {
+        instance: usize,
+        account: usize,
+    },
+    Pause(usize),
+    Resume(usize),
+    Isolate(usize),
+    Rejoin(usize),
+    /// Writes a new fleet section with these instances.
+    ChangeFleet(Vec<usize>),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Take(TakeTokens),
+    Grant(TokenGrant),
+    HandOver(HandOver),
+    HandOverReply(HandOver, HandOverReply),
+}
+
+#[derive(Debug)]
+enum Event {
+    Act(Action),
+    Deliver {
+        from: usize,
+        to: usize,
+        message: Message,
+    },
+    Poll(usize),
+    Confirm(usize),
+    Apply(usize, usize),
+    Accepted(usize, usize),
+    RepeatHandOver {
+        from: usize,
+        to: usize,
+        hand_over: HandOver,
+        left: u32,
+    },
+}
+
+struct Instance {
+    id: InstanceId,
+    /// Start of the own clock in microseconds; clocks of instances are not comparable.
+    clock: u64,
+    owner: OwnerTable,
+    holder: GrantHolder,
+    applied: usize,
+    fresh_until: u64,
+    paused: bool,
+    isolated: bool,
+    held_up: VecDeque<Event>,
+    owner_before: Option<OwnerTable>,
+    waiting: BTreeMap<u64, (usize, u64)>,
+    /// Earliest scheduled poll.
+    next_poll: Option<u64>,
+}
+
+struct Version {
+    plans: Arc<PlanTable>,
+    fleet: Vec<usize>,
+    accepted: bool,
+}
+
+pub struct Simulation {
+    settings: Settings,
+    random: SmallRng,
+    now: u64,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    bodies: BTreeMap<u64, Event>,
+    last_event: u64,
+    last_ticket: u64,
+    accounts: Vec<AccountName>,
+    instances: Vec<Instance>,
+    versions: Vec<Version>,
+    handed_over: BTreeSet<(usize, AccountName, u64)>,
+    pub usage: UsageRecord,
+}
+
+impl Simulation {
+    /// Starts a fleet of the first `fleet` of `instances` instances; the others can join later.
+    pub fn new(settings: Settings, instances: usize, fleet: usize) -> Self {
+        let random = SmallRng::seed_from_u64(settings.seed);
+        let accounts = (0..settings.limits.len()).map(|n| name(&format!("account-{n}")));
+        let mut simulation = Self {
+            random,
+            now: 0,
+            events: BinaryHeap::new(),
+            bodies: BTreeMap::new(),
+            last_event: 0,
+            last_ticket: 0,
+            accounts: accounts.collect(),
+            instances: Vec::new(),
+            versions: Vec::new(),
+            handed_over: BTreeSet::new(),
+            usage: UsageRecord::new(&settings.limits),
+            settings,
+        };
+        for number in 0..instances {
+            let id: InstanceId = format!("i-{number}").parse().expect("valid name");
+            let clock = simulation.random.random_range(0..1_000_000_000);
+            simulation.instances.push(Instance {
+                clock,
+                owner: OwnerTable::new(id.clone()),
+                holder: GrantHolder::new(id.clone()),
+                applied: usize::MAX,
+                fresh_until: 0,
+                paused: false,
+                isolated: false,
+                held_up: VecDeque::new(),
+                owner_before: None,
+                waiting: BTreeMap::new(),
+                next_poll: None,
+                id,
+            });
+            simulation.push(1_000 + 7 * number as u64, Event::Confirm(number));
+        }
+        simulation.change_fleet((0..fleet).collect());
+        simulation
+    }
+
+    /// Schedules an action at a time in microseconds.
+    pub fn act(&mut self, time: u64, action: Action) {
+        self.push(time, Event::Act(action));
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while let Some(Reverse((time, number))) = self.events.peek().copied() {
+            if time > end {
+                break;
+            }
+            self.events.pop();
+            self.now = time;
+            if let Some(event) = self.bodies.remove(&number) {
+                self.handle(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Index of the rank-th owner of an account in the newest fleet.
+    pub fn owner(&self, account: usize, rank: usize) -> usize {
+        let plans = &self.versions.last().expect("a version").plans;
+        let plan = plans.get(&self.accounts[account]).expect("a plan");
+        self.index(&plan.owners[rank % plan.owners.len()])
+    }
+
+    fn push(&mut self, time: u64, event: Event) {
+        self.last_event += 1;
+        self.bodies.insert(self.last_event, event);
+        self.events.push(Reverse((time, self.last_event)));
+    }
+
+    fn index(&self, id: &InstanceId) -> usize {
+        id.as_str()[2..].parse().expect("a number")
+    }
+
+    fn clock(&self, instance: usize) -> MonotonicTime {
+        MonotonicTime::new(Duration::from_micros(
+            self.instances[instance].clock + self.now,
+        ))
+    }
+
+    fn change_fleet(&mut self, fleet: Vec<usize>) {
+        let number = self.versions.len() as u64 + 1;
+        let mut document = ConfigDocument {
+            version: ConfigVersion::new(number),
+            ..ConfigDocument::default()
+        };
+        for &instance in &fleet {
+            let member = FleetMember {
+                zone: format!("zone-{}", instance % 3)
+                    .parse()
+                    .expect("valid name"),
+                peer_address: ([127, 0, 0, 1], 7000).into(),
+                draining: false,
+            };
+            document
+                .fleet
+                .insert(self.instances[instance].id.clone(), member);
+        }
+        for (account, limits) in self.accounts.iter().zip(&self.settings.limits) {
+            document.accounts.insert(account.clone(), *limits);
+        }
+        let ids: Vec<InstanceId> = document.fleet.keys().cloned().collect();
+        let mut policy = self.settings.policy.clone();
+        if self.settings.fault == Fault::NoWaiting {
+            policy = policy.with_freshness(Duration::ZERO);
+        }
+        let plans = PlanTable::new(&document, FleetVersion::new(number), &policy, |account| {
+            let mut ranked = ids.clone();
+            ranked.sort_by_key(|id| hash(&(id, account)));
+            ranked.truncate(3);
+            ranked.into()
+        });
+        let plans = Arc::new(plans);
+        self.versions.push(Version {
+            plans,
+            fleet,
+            accepted: false,
+        });
+    }
+
+    fn handle(&mut self, event: Event) {
+        let target = match &event {
+            Event::Act(action) => return self.handle_action(action.clone()),
+            Event::Deliver { to, .. } => *to,
+            Event::Poll(i) | Event::Confirm(i) | Event::Apply(i, _) | Event::Accepted(i, _) => *i,
+            Event::RepeatHandOver { from, .. } => *from,
+        };
+        if self.instances[target].paused {
+            self.instances[target].held_up.push_back(event);
+            return;
+        }
+        match event {
+            Event::Act(_) => {}
+            Event::Deliver { from, to, message } => self.deliver(from, to, message),
+            Event::Poll(i) => {
+                let now = self.clock(i);
+                self.instances[i].next_poll = None;
+                self.instances[i].holder.poll(now);
+            }
+            Event::Confirm(i) => self.confirm(i),
+            Event::Apply(i, version) => self.apply(i, version),
+            Event::Accepted(i, version) => {
+                let now = self.clock(i);
+                let version = self.versions[version].plans.config_version;
+                self.instances[i].owner.set_accepted(version, now);
+                self.instances[i].holder.set_accepted(version, now);
+            }
+            Event::RepeatHandOver {
+                from,
+                to,
+                hand_over,
+                left,
+            } => {
+                self.send_hand_over(from, to, hand_over, left);
+            }
+        }
+        self.handle_events(target);
+    }
+
+    fn handle_action(&mut self, action: Action) {
+        match action {
+            Action::Request { instance, account } => self.request(instance, account),
+            Action::Pause(i) => self.instances[i].paused = true,
+            Action::Resume(i) => {
+                self.instances[i].paused = false;
+                let held_up = std::mem::take(&mut self.instances[i].held_up);
+                for event in held_up {
+                    self.handle(event);
+                }
+            }
+            Action::Isolate(i) => self.instances[i].isolated = true,
+            Action::Rejoin(i) => self.instances[i].isolated = false,
+            Action::ChangeFleet(fleet) => self.change_fleet(fleet),
+        }
+    }
+
+    fn request(&mut self, instance: usize, account: usize) {
+        self.usage.offered(account, self.now);
+        if self.instances[instance].paused || self.now >= self.instances[instance].fresh_until {
+            return self.usage.unavailable(account);
+        }
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        let now = self.clock(instance);
+        let patience = Duration::from_micros(self.settings.patience);
+        let deadline = now + patience;
+        let entry = &mut self.instances[instance];
+        match entry
+            .holder
+            .admit(&self.accounts[account], ticket, deadline, now)
+        {
+            AdmitDecision::Admitted => self.usage.admitted(account, self.now, 0),
+            AdmitDecision::WaitUntil(_) => {
+                entry.waiting.insert(ticket, (account, self.now));
+            }
+            AdmitDecision::Refused { .. } => self.usage.refused(account),
+        }
+        self.handle_events(instance);
+    }
+
+    fn confirm(&mut self, i: usize) {
+        self.push(self.now + CONFIRM_PERIOD, Event::Confirm(i));
+        let newest = self.versions.len() - 1;
+        if self.instances[i].isolated {
+            return;
+        }
+        if self.instances[i].applied == newest {
+            let until = self.now + FRESHNESS;
+            let time = self.clock(i) + Duration::from_micros(FRESHNESS);
+            let instance = &mut self.instances[i];
+            instance.fresh_until = until;
+            instance.owner.set_fresh_until(time);
+            instance.holder.set_fresh_until(time);
+        } else {
+            let fetched = self.now + self.random.random_range(5_000..300_000);
+            self.push(fetched, Event::Apply(i, newest));
+        }
+    }
+
+    fn apply(&mut self, i: usize, version: usize) {
+        let applied = self.instances[i].applied;
+        if applied != usize::MAX && applied >= version {
+            return;
+        }
+        let now = self.clock(i);
+        let mut plans = Arc::clone(&self.versions[version].plans);
+        let instance = &mut self.instances[i];
+        instance.applied = version;
+        instance.owner_before = None;
+        let hand_overs = instance.owner.apply(&plans, now);
+        if self.settings.fault == Fault::NoHolderExpiry {
+            let mut endless = (*plans).clone();
+            endless.policy = endless.policy.with_grant_expiry(Duration::from_secs(3_600));
+            plans = Arc::new(endless);
+        }
+        instance.holder.apply(&plans, now);
+        for (next, hand_over) in hand_overs {
+            let to = self.index(&next);
+            self.send_hand_over(i, to, hand_over, 20);
+        }
+        self.check_accepted(version);
+    }
+
+    fn check_accepted(&mut self, version: usize) {
+        for known in 0..=version {
+            if self.versions[known].accepted {
+                continue;
+            }
+            let applied = |i: &&usize| {
+                let applied = self.instances[**i].applied;
+                applied != usize::MAX && applied >= known
+            };
+            let majority = |fleet: &[usize]| fleet.iter().filter(applied).count() * 2 > fleet.len();
+            let old = &self.versions[known.saturating_sub(1)].fleet;
+            if majority(old) && majority(&self.versions[known].fleet) {
+                self.versions[known].accepted = true;
+                for i in 0..self.instances.len() {
+                    let learned = self.now + self.random.random_range(0..50_000);
+                    self.push(learned, Event::Accepted(i, known));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        let now = self.clock(to);
+        match message {
+            Message::Take(take) => {
+                let reply = self.instances[to].owner.take(&take, now);
+                if take.amount > 0 {
+                    self.send(to, from, &Message::Grant(reply));
+                }
+            }
+            Message::Grant(mut grant) => {
+                if self.settings.fault == Fault::NoHolderExpiry {
+                    grant.expiry = Duration::from_secs(3_600);
+                }
+                let owner = self.instances[from].id.clone();
+                self.instances[to]
+                    .holder
+                    .grant_received(&owner, &grant, now);
+            }
+            Message::HandOver(hand_over) => {
+                let sender = self.instances[from].id.clone();
+                let instance = &mut self.instances[to];
+                if self.settings.fault == Fault::DuplicateHandOver {
+                    // Going back to the state before the first hand-over makes the real code
+                    // accept the repeated one.
+                    match &instance.owner_before {
+                        Some(before) => instance.owner = before.clone(),
+                        None => instance.owner_before = Some(instance.owner.clone()),
+                    }
+                }
+                let reply = instance.owner.hand_over(&sender, &hand_over, now);
+                if reply == HandOverReply::NotYet {
+                    instance.owner_before = None;
+                }
+                self.send(to, from, &Message::HandOverReply(hand_over, reply));
+            }
+            Message::HandOverReply(hand_over, reply) => {
+                if reply != HandOverReply::NotYet {
+                    let version = hand_over.fleet_version.get();
+                    self.handed_over.insert((to, hand_over.account, version));
+                }
+            }
+        }
+    }
+
+    fn send_hand_over(&mut self, from: usize, to: usize, hand_over: HandOver, left: u32) {
+        let version = hand_over.fleet_version.get();
+        let key = (from, hand_over.account.clone(), version);
+        if left == 0 || self.handed_over.contains(&key) {
+            return;
+        }
+        self.usage.hand_overs += 1;
+        self.send(from, to, &Message::HandOver(hand_over.clone()));
+        let left = left - 1;
+        let again = Event::RepeatHandOver {
+            from,
+            to,
+            hand_over,
+            left,
+        };
+        self.push(self.now + 50_000, again);
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: &Message) {
+        if from != to {
+            self.usage.messages += 1;
+            let (a, b) = (&self.instances[from], &self.instances[to]);
+            if a.isolated || b.isolated || self.random.random_bool(self.settings.loss) {
+                return;
+            }
+        }
+        let mut copies = 1;
+        if from != to && self.random.random_bool(self.settings.duplicate) {
+            copies += 1;
+        }
+        for _ in 0..copies {
+            let (shortest, longest) = self.settings.delay;
+            let delay = self.random.random_range(shortest..=longest);
+            let delay = if from == to { 0 } else { delay };
+            let message = message.clone();
+            self.push(self.now + delay, Event::Deliver { from, to, message });
+        }
+    }
+
+    fn handle_events(&mut self, i: usize) {
+        for event in self.instances[i].holder.take_events() {
+            match event {
+                HolderEvent::Send { owner, message } => {
+                    let to = self.index(&owner);
+                    self.send(i, to, &Message::Take(message));
+                }
+                HolderEvent::Admitted { ticket } => {
+                    if let Some((account, since)) = self.instances[i].waiting.remove(&ticket) {
+                        self.usage.admitted(account, self.now, self.now - since);
+                    }
+                }
+                HolderEvent::Refused { ticket, .. } => {
+                    if let Some((account, _)) = self.instances[i].waiting.remove(&ticket) {
+                        self.usage.refused(account);
+                    }
+                }
+            }
+        }
+        if let Some(time) = self.instances[i].holder.next_wakeup() {
+            let start = self.instances[i].clock;
+            let time = (time.since_start().as_nanos().div_ceil(1_000) as u64).saturating_sub(start);
+            let time = time.max(self.now + 100);
+            if self.instances[i].next_poll.is_none_or(|next| next > time) {
+                self.instances[i].next_poll = Some(time);
+                self.push(time, Event::Poll(i));
+            }
+        }
+    }
+}
+
+pub fn name(text: &str) -> AccountName {
+    text.parse().expect("valid name")
+}
+
+fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/coriander_limits/src/account_grants.rs
+++ b/crates/coriander_limits/src/account_grants.rs
@@ -105,6 +105,7 @@
     pub fn apply(&mut self, plan: &AccountPlan, plans: &PlanTable, keep: bool, now: MonotonicTime) {
         let version = plans.config_version;
         if keep {
+            self.reserve.settle(plans.policy.freshness, now);
             self.reserve.set_target(plan.reserve, version, now);
         } else {
             self.reserve = PhasedBucket::new(plan.reserve, version, now);
--- a/crates/coriander_limits/src/bucket_shard.rs
+++ b/crates/coriander_limits/src/bucket_shard.rs
@@ -6,7 +6,7 @@
 use coriander_core::{ConfigVersion, MonotonicTime};
 
 use crate::token_bucket::PhasedBucket;
-use crate::{BucketShare, GrantNumber, LimitPolicy, ReturnedTokens};
+use crate::{AccountPlan, BucketShare, GrantNumber, LimitPolicy, PlanTable, ReturnedTokens};
 
 /// Most grants whose unused tokens can be returned. Later returns of older grants are ignored,
 /// which loses tokens and never creates any.
@@ -27,34 +27,29 @@
 pub struct BucketShard {
     bucket: PhasedBucket,
     expiry: Duration,
+    /// Expiry that goes with the bucket's target. A longer one is in force only with the target.
+    planned_expiry: Duration,
     outstanding: VecDeque<OutstandingGrant>,
 }
 
 impl BucketShard {
     /// Creates an empty shard that grants after the waiting period.
-    pub fn new(
-        share: BucketShare,
-        expiry: Duration,
-        version: ConfigVersion,
-        now: MonotonicTime,
-    ) -> Self {
+    pub fn new(plan: &AccountPlan, plans: &PlanTable, now: MonotonicTime) -> Self {
         Self {
-            bucket: PhasedBucket::new(share, version, now),
-            expiry,
+            bucket: PhasedBucket::new(plan.shard, plans.config_version, now),
+            expiry: plan.expiry,
+            planned_expiry: plan.expiry,
             outstanding: VecDeque::new(),
         }
     }
 
     /// Changes the share; a greater one is in force after the waiting period.
-    pub fn set_share(
-        &mut self,
-        share: BucketShare,
-        expiry: Duration,
-        version: ConfigVersion,
-        now: MonotonicTime,
-    ) {
-        self.bucket.set_target(share, version, now);
-        self.expiry = expiry;
+    pub fn apply(&mut self, plan: &AccountPlan, plans: &PlanTable, now: MonotonicTime) {
+        self.bucket.settle(plans.policy.freshness, now);
+        self.bucket
+            .set_target(plan.shard, plans.config_version, now);
+        self.expiry = self.expiry.min(plan.expiry);
+        self.planned_expiry = plan.expiry;
     }
 
     /// Notes that a version has been accepted, which starts the waiting period.
@@ -71,6 +66,9 @@
         now: MonotonicTime,
     ) -> u32 {
         self.bucket.settle(policy.freshness, now);
+        if self.bucket.is_settled() {
+            self.expiry = self.planned_expiry;
+        }
         let whole = self.bucket.tokens(now) / crate::token_bucket::MICROS;
         // One holder must not empty the shard while others are about to ask.
         let most = (whole * u64::from(policy.grant_share_percent)).div_ceil(100);
--- a/crates/coriander_limits/src/grant_holder.rs
+++ b/crates/coriander_limits/src/grant_holder.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::account_grants::{AccountGrants, HolderContext};
-use crate::{PlanTable, TakeTokens, TokenGrant};
+use crate::{AccountPlan, BucketShare, PlanTable, TakeTokens, TokenGrant};
 
 /// Retry time of requests for accounts without a plan.
 const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
@@ -143,6 +143,8 @@
         self.context.policy = plans.policy.clone();
         self.context.fleet_version = plans.fleet_version;
         self.plans = Arc::clone(plans);
+        let in_fleet = plans.has_instance(&self.own);
+        let accepted = self.accepted;
         let events = &mut self.context.events;
         self.accounts.retain(|account, entry| {
             let Some(plan) = plans.get(account) else {
@@ -155,7 +157,11 @@
                 }
                 return false;
             };
-            entry.grants.apply(plan, plans, follows, now);
+            let plan = own_plan(plan, in_fleet);
+            entry.grants.apply(&plan, plans, follows, now);
+            if let Some((version, time)) = accepted {
+                entry.grants.reserve_mut().set_accepted(version, time);
+            }
             true
         });
         let accounts = &self.accounts;
@@ -270,7 +276,8 @@
         let Some(plan) = self.plans.get(account) else {
             return false;
         };
-        let mut grants = AccountGrants::new(account, plan, &self.plans, now);
+        let plan = own_plan(plan, self.plans.has_instance(&self.own));
+        let mut grants = AccountGrants::new(account, &plan, &self.plans, now);
         if let Some((version, time)) = self.accepted {
             grants.reserve_mut().set_accepted(version, time);
         }
@@ -302,3 +309,13 @@
         Some(result)
     }
 }
+
+/// Returns the plan as it holds for this instance. The reserves are split between the instances of
+/// the fleet, so that an instance outside it has none.
+fn own_plan(plan: &AccountPlan, in_fleet: bool) -> AccountPlan {
+    let mut plan = plan.clone();
+    if !in_fleet {
+        plan.reserve = BucketShare::default();
+    }
+    plan
+}
--- a/crates/coriander_limits/src/owner_table.rs
+++ b/crates/coriander_limits/src/owner_table.rs
@@ -57,6 +57,9 @@
     own: InstanceId,
     plans: Arc<PlanTable>,
     shards: HashMap<AccountName, OwnedShard>,
+    /// Newest accepted version and when this instance learned of it, possibly before it had
+    /// applied the version itself.
+    accepted: Option<(ConfigVersion, MonotonicTime)>,
     fresh_until: MonotonicTime,
     last_grant: u64,
 }
@@ -68,6 +71,7 @@
             own,
             plans: Arc::default(),
             shards: HashMap::new(),
+            accepted: None,
             fresh_until: MonotonicTime::ZERO,
             last_grant: 0,
         }
@@ -92,7 +96,10 @@
                 .filter(|old| follows && same_count(old, plan));
             let old_shard = old_shards.remove(account).filter(|_| old_plan.is_some());
             if plan.owners.contains(&self.own) {
-                let owned = self.next_shard(old_shard, old_plan, plan, now);
+                let mut owned = self.next_shard(old_shard, old_plan, plan, now);
+                if let Some((version, time)) = self.accepted {
+                    owned.shard.set_accepted(version, time);
+                }
                 self.shards.insert(account.clone(), owned);
             } else if let (Some(mut owned), Some(old_plan)) = (old_shard, old_plan) {
                 // A shard in its waiting period is not handed over: its previous owner may
@@ -116,6 +123,10 @@
 
     /// Notes that a configuration version has been accepted by the fleet.
     pub fn set_accepted(&mut self, version: ConfigVersion, now: MonotonicTime) {
+        if self.accepted.is_some_and(|(newest, _)| newest >= version) {
+            return;
+        }
+        self.accepted = Some((version, now));
         for owned in self.shards.values_mut() {
             owned.shard.set_accepted(version, now);
         }
@@ -199,13 +210,12 @@
         plan: &AccountPlan,
         now: MonotonicTime,
     ) -> OwnedShard {
-        let version = self.plans.config_version;
         if let Some(mut owned) = old_shard {
-            owned.shard.set_share(plan.shard, plan.expiry, version, now);
+            owned.shard.apply(plan, &self.plans, now);
             return owned;
         }
         OwnedShard {
-            shard: BucketShard::new(plan.shard, plan.expiry, version, now),
+            shard: BucketShard::new(plan, &self.plans, now),
             predecessor: old_plan.and_then(|old| successor(&self.own, plan, old)),
         }
     }
--- a/crates/coriander_limits/src/token_bucket.rs
+++ b/crates/coriander_limits/src/token_bucket.rs
@@ -58,6 +58,8 @@
     }
 
     /// Sets a new target. A smaller share is in force at once.
+    ///
+    /// To be called after `settle`, or a waiting period that has passed would not count.
     pub fn set_target(&mut self, target: BucketShare, version: ConfigVersion, now: MonotonicTime) {
         if target != self.target {
             self.target = target;
@@ -97,6 +99,11 @@
         self.usable.rate > 0 || self.usable.capacity > 0
     }
 
+    /// Tells whether the target is in force.
+    pub fn is_settled(&self) -> bool {
+        self.usable == self.target
+    }
+
     pub fn share(&self) -> BucketShare {
         self.usable
     }
