Test peer liveness, ranks and draining

Cause: wrong ranks move work for nothing, and wrong liveness takes healthy peers out of service. A peer paused at 2.95 s was reported silent within 1 s; 256 random runs with half a period of jitter and single losses gave no false alarm.

--- /dev/null
+++ b/crates/coriander_membership/tests/peers.rs
@@ -0,0 +1,188 @@
+//! Liveness, notices, heartbeat targets and draining.
+
+use std::time::Duration;
+
+use coriander_core::{ConfigDocument, FleetMember, InstanceId, MonotonicTime};
+use coriander_membership::{
+    DrainCause, DrainState, Heartbeat, HeartbeatError, InstanceState, OwnStatus, PeerChange,
+    PeerTable, RankTable, WorkAdmission,
+};
+use proptest::prelude::*;
+
+fn id(number: usize) -> InstanceId {
+    format!("i-{number}").parse().expect("valid name")
+}
+
+fn millis(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn fleet(count: usize, zones: usize) -> ConfigDocument {
+    let mut document = ConfigDocument::default();
+    for number in 0..count {
+        let member = FleetMember {
+            zone: format!("zone-{}", number % zones)
+                .parse()
+                .expect("valid name"),
+            peer_address: ([127, 0, 0, 1], 7000).into(),
+            draining: false,
+        };
+        document.fleet.insert(id(number), member);
+    }
+    document
+}
+
+fn table(own: usize, document: &ConfigDocument) -> PeerTable {
+    let mut table = PeerTable::new(id(own));
+    table.apply_document(document, millis(0));
+    table
+}
+
+fn beat(table: &mut PeerTable, now: MonotonicTime) -> Heartbeat {
+    let status = OwnStatus::default();
+    table.next_heartbeat(status, now).expect("a round is due")
+}
+
+#[test]
+fn heartbeat_received_rejects_old_and_unknown() {
+    // Guards against a late datagram that takes a draining instance back into service.
+    let document = fleet(6, 3);
+    let (mut a, mut b) = (table(0, &document), table(1, &document));
+    let first = beat(&mut b, millis(10));
+    let mut second = beat(&mut b, millis(300));
+    second.state = InstanceState::Draining;
+    let status = OwnStatus::default();
+    assert!(a.heartbeat_received(&second, status, millis(301)).is_ok());
+    let late = a.heartbeat_received(&first, status, millis(302));
+    assert_eq!(late, Err(HeartbeatError::OldSequence));
+    assert_eq!(a.state(&id(1)), Some(InstanceState::Draining));
+    let stranger = Heartbeat {
+        instance: id(77),
+        ..first
+    };
+    let unknown = a.heartbeat_received(&stranger, status, millis(303));
+    assert_eq!(unknown, Err(HeartbeatError::Unknown));
+}
+
+#[test]
+fn advance_reports_silence_and_return_once() {
+    let document = fleet(6, 3);
+    let (mut a, mut b) = (table(0, &document), table(1, &document));
+    let mut silent_at = None;
+    for step in 1..200 {
+        let now = millis(step * 50);
+        // The peer is paused between 3 s and 6 s; all others are silent from the start.
+        if !(60..120).contains(&step) && b.next_round() <= now {
+            let heartbeat = beat(&mut b, now);
+            let _ = a.heartbeat_received(&heartbeat, OwnStatus::default(), now);
+        }
+        for PeerChange { instance, live, .. } in a.advance(now) {
+            if instance == id(1) {
+                assert_eq!(live, silent_at.is_some(), "each change once");
+                silent_at.get_or_insert(now);
+            }
+        }
+    }
+    let detection = silent_at.expect("silence found").since(millis(2_950));
+    assert!(detection <= Duration::from_millis(1_000), "{detection:?}");
+    assert!(a.is_live(&id(1)));
+}
+
+#[test]
+fn notice_spreads_death_but_not_over_own_evidence() {
+    // Guards against one instance with a broken link that takes a healthy peer out of the ranks.
+    let document = fleet(6, 3);
+    let (mut a, mut b) = (table(0, &document), table(1, &document));
+    let mut c = table(2, &document);
+    let now = millis(2_000);
+    let heartbeat = beat(&mut c, now);
+    a.heartbeat_received(&heartbeat, OwnStatus::default(), now)
+        .expect("accepted");
+    assert_eq!(b.advance(now).len(), 5);
+    let news = beat(&mut b, now);
+    assert!(!news.notices.is_empty());
+    a.heartbeat_received(&news, OwnStatus::default(), now)
+        .expect("accepted");
+    a.advance(now);
+    assert!(a.is_live(&id(2)), "heard directly");
+    assert!(!a.is_live(&id(3)));
+}
+
+#[test]
+fn ack_received_measures_delay() {
+    let document = fleet(6, 3);
+    let (mut a, mut b) = (table(0, &document), table(1, &document));
+    let heartbeat = beat(&mut a, millis(1_000));
+    let status = OwnStatus::default();
+    let ack = b
+        .heartbeat_received(&heartbeat, status, millis(77))
+        .expect("accepted");
+    a.ack_received(&ack, millis(1_006)).expect("accepted");
+    assert_eq!(a.delay(&id(1)), Some(Duration::from_millis(3)));
+}
+
+#[test]
+fn heartbeat_targets_stay_few_in_large_fleet() {
+    // Guards against control traffic that grows with the square of the fleet.
+    let document = fleet(400, 10);
+    let mut ranks = RankTable::new();
+    ranks.apply_document(&document, millis(0));
+    let mut received = vec![0; 400];
+    for number in 0..400 {
+        let targets = table(number, &document).heartbeat_targets(&mut ranks);
+        assert!(targets.len() <= 25, "{}", targets.len());
+        for (target, _) in targets {
+            received[target.as_str()[2..].parse::<usize>().expect("a number")] += 1;
+        }
+    }
+    assert!(received.iter().all(|count| (3..=70).contains(count)));
+}
+
+#[test]
+fn drain_state_follows_limits() {
+    let mut drain = DrainState::new();
+    assert_eq!(drain.admission(millis(5)), WorkAdmission::Serve);
+    drain.begin(DrainCause::ZoneOut, millis(1_000));
+    assert!(!drain.is_ready());
+    assert_eq!(drain.admission(millis(3_999)), WorkAdmission::Forward);
+    assert_eq!(drain.admission(millis(4_000)), WorkAdmission::Refuse);
+    // Guards against an interrupted request (G13) and against an instance that never ends.
+    assert!(!drain.is_finished(1, millis(30_000)));
+    assert!(drain.is_finished(1, millis(31_000)));
+    drain.end(DrainCause::ZoneOut);
+    assert_eq!(drain.state(0, millis(40_000)), InstanceState::Serving);
+    drain.begin(DrainCause::Terminated, millis(50_000));
+    drain.begin(DrainCause::Operator, millis(52_000));
+    drain.end(DrainCause::Terminated);
+    drain.end(DrainCause::Operator);
+    assert!(
+        drain.is_terminating() && !drain.is_ready(),
+        "termination stays"
+    );
+    assert_eq!(drain.state(0, millis(53_000)), InstanceState::Stopped);
+}
+
+proptest! {
+    // Guards against false alarms: jitter of half a period and single losses.
+    #[test]
+    fn advance_tolerates_jitter_and_single_loss(seed in any::<u64>()) {
+        let document = fleet(2, 2);
+        let (mut a, mut b) = (table(0, &document), table(1, &document));
+        let mut random = seed | 1;
+        let mut lost = true;
+        let mut arrivals = Vec::new();
+        for round in 1..300u64 {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let heartbeat = beat(&mut b, millis(round * 200));
+            lost = !lost && random >> 60 == 0;
+            if !lost {
+                arrivals.push((round * 200 + (random >> 33) % 100, heartbeat));
+            }
+        }
+        for (time, heartbeat) in arrivals {
+            let before = a.advance(millis(time));
+            prop_assert!(before.is_empty(), "{:?}", before);
+            let _ = a.heartbeat_received(&heartbeat, OwnStatus::default(), millis(time));
+        }
+    }
+}
