Serve reads from replicas and learn positions from confirmations

Cause: reads went to the primary only. Change: the read router chooses the member; replies to confirm calls and the primary's replies to writes go into the replica table. Conclusion: confirmations are the earliest proof that a replica caught up.

--- a/crates/coriander_config/tests/applied_configuration.rs
+++ b/crates/coriander_config/tests/applied_configuration.rs
@@ -39,6 +39,7 @@
         version: document.version,
         author: document.author.clone(),
         change_id: document.change_id.clone(),
+        fleet_version: document.fleet_version,
         fleets: vec![sections.fleet.clone()],
         sections,
         recent: vec![],
--- a/crates/coriander_config/tests/change_coordinator.rs
+++ b/crates/coriander_config/tests/change_coordinator.rs
@@ -37,6 +37,7 @@
         version: document.version,
         author: document.author.clone(),
         change_id: document.change_id.clone(),
+        fleet_version: document.fleet_version,
         fleets: vec![sections.fleet.clone()],
         sections,
         recent: vec![],
--- a/crates/coriander_routing/src/replica_table.rs
+++ b/crates/coriander_routing/src/replica_table.rs
@@ -174,6 +174,11 @@
         Some(now.since(time))
     }
 
+    /// Returns the known members.
+    pub fn member_ids(&self) -> impl Iterator<Item = &MemberId> {
+        self.members.iter().map(|member| &member.id)
+    }
+
     pub(crate) const fn own_zone(&self) -> &ZoneName {
         &self.own_zone
     }
@@ -211,7 +216,8 @@
         }
     }
 
-    fn record_position(
+    /// Records term and position from any reply to a request that was sent at `sent`.
+    pub fn record_position(
         &mut self,
         id: &MemberId,
         term: TermNumber,
--- a/crates/coriander_session/src/session_token.rs
+++ b/crates/coriander_session/src/session_token.rs
@@ -16,7 +16,7 @@
 const TOKEN_VERSION: u8 = 1;
 
 /// What a session requires of the member that serves its read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum SessionPosition {
     /// The session has written nothing to the database, so every member satisfies it.
     Unwritten,
--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -9,7 +9,7 @@
 };
 use coriander_membership::WorkAdmission;
 use coriander_routing::{RequestClass, RequestKind, StatementCache};
-use coriander_session::{SecretKeys, SessionToken, TransactionBaton};
+use coriander_session::{SecretKeys, SessionPosition, SessionToken, TransactionBaton};
 use libsql_hrana::proto::PipelineReqBody;
 
 use crate::caller::{CallerEndpoint, CallerRequest, pipeline_of_cursor};
@@ -20,7 +20,6 @@
 use crate::metrics::{ProxyMetrics, RequestLabels};
 use crate::peer::{
     ForwardAnswer, ForwardRequest, PeerClient, PeerError, PeerReply, PeerRequest, ServedBy,
-    SessionDemand,
 };
 use crate::process_clock::ProcessClock;
 use crate::rate_service::RateService;
@@ -196,12 +195,12 @@
             Some(text) => {
                 let token = SessionToken::decode(text, &self.parts.secrets, &verified.account)
                     .map_err(|error| bad_session(&error))?;
-                let demand = token.position(&database).into();
+                let demand = token.position(&database);
                 (token, demand)
             }
             None => (
                 SessionToken::new(verified.account.clone()),
-                SessionDemand::Unknown,
+                SessionPosition::Unknown,
             ),
         };
         let class = RequestClass::of_requests(&body.requests, &mut self.cache.borrow_mut());
--- a/crates/corianderstile/src/gateway/acknowledge.rs
+++ b/crates/corianderstile/src/gateway/acknowledge.rs
@@ -7,8 +7,7 @@
 use coriander_failover::{AckState, PrimaryView, WriteAcknowledgement};
 use tokio::sync::mpsc;
 
-use super::member_handle::MemberHandle;
-use crate::process_clock::ProcessClock;
+use super::database_gateway::DatabaseGateway;
 
 /// Longest time that one confirm call waits at a member.
 const CONFIRM_WAIT: Duration = Duration::from_millis(1000);
@@ -25,48 +24,57 @@
     Uncertain,
 }
 
-/// Asks all other members for confirmation until enough have replied.
-///
-/// Calls run in parallel and end when the returned future is dropped or decided.
-pub async fn acknowledge_write(
-    view: &PrimaryView,
-    position: LogPosition,
-    members: &[Rc<MemberHandle>],
-    certainty: WriteCertainty,
-    deadline: MonotonicTime,
-    clock: ProcessClock,
-) -> AckOutcome {
-    let ids: Vec<MemberId> = members.iter().map(|member| member.id.clone()).collect();
-    let mut write = WriteAcknowledgement::new(view, position, &ids, certainty);
-    let (sender, mut replies) = mpsc::unbounded_channel();
-    let mut calls = tokio::task::JoinSet::new();
-    for member in members.iter().filter(|member| member.id != view.member) {
-        let member = member.clone();
-        let sender = sender.clone();
-        calls.spawn_local(async move {
-            loop {
-                match member.client.confirm(position, CONFIRM_WAIT).await {
-                    Ok(reply) if sender.send((member.id.clone(), reply)).is_err() => return,
-                    Ok(reply) if reply.confirmed || reply.term > position.term => return,
-                    Ok(_) => {}
-                    Err(_) => tokio::time::sleep(CONFIRM_RETRY).await,
+impl DatabaseGateway {
+    /// Asks all other members for confirmation until enough have replied.
+    ///
+    /// Calls run in parallel and end when the returned future is dropped or decided.
+    pub(super) async fn acknowledge(
+        self: &Rc<Self>,
+        view: &PrimaryView,
+        position: LogPosition,
+        certainty: WriteCertainty,
+        deadline: MonotonicTime,
+    ) -> AckOutcome {
+        let members = self.group.members();
+        let ids: Vec<MemberId> = members.iter().map(|member| member.id.clone()).collect();
+        let mut write = WriteAcknowledgement::new(view, position, &ids, certainty);
+        let (sender, mut replies) = mpsc::unbounded_channel();
+        let mut calls = tokio::task::JoinSet::new();
+        for member in members
+            .into_iter()
+            .filter(|member| member.id != view.member)
+        {
+            let gateway = self.clone();
+            let sender = sender.clone();
+            calls.spawn_local(async move {
+                loop {
+                    let sent = gateway.context.clock.now();
+                    let Ok(reply) = member.client.confirm(position, CONFIRM_WAIT).await else {
+                        tokio::time::sleep(CONFIRM_RETRY).await;
+                        continue;
+                    };
+                    gateway.reads.record_confirm(&member.id, &reply, sent);
+                    let is_final = reply.confirmed || reply.term > position.term;
+                    if sender.send((member.id.clone(), reply)).is_err() || is_final {
+                        return;
+                    }
                 }
-            }
-        });
-    }
-    drop(sender);
-    loop {
-        match write.state() {
-            AckState::Acknowledged => return AckOutcome::Acknowledged,
-            AckState::Impossible => return AckOutcome::Uncertain,
-            AckState::Waiting => {}
+            });
         }
-        let remaining = deadline.since(clock.now());
-        match tokio::time::timeout(remaining, replies.recv()).await {
-            Ok(Some((member, reply))) => {
-                write.record(&member, &reply);
+        drop(sender);
+        loop {
+            match write.state() {
+                AckState::Acknowledged => return AckOutcome::Acknowledged,
+                AckState::Impossible => return AckOutcome::Uncertain,
+                AckState::Waiting => {}
+            }
+            let remaining = deadline.since(self.context.clock.now());
+            match tokio::time::timeout(remaining, replies.recv()).await {
+                Ok(Some((member, reply))) => {
+                    write.record(&member, &reply);
+                }
+                _ => return AckOutcome::Uncertain,
             }
-            _ => return AckOutcome::Uncertain,
         }
     }
 }
--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -81,7 +81,11 @@
         let group = GroupTask::new(name.clone(), context.own_id.clone(), context.clock);
         let gateway = Rc::new(Self {
             gate: SlotGate::new(context.clock, context.bounds.slots_per_member),
-            reads: ReplicaReads::new(context.own_zone.clone(), context.clock),
+            reads: ReplicaReads::new(
+                context.own_zone.clone(),
+                context.clock,
+                context.bounds.slots_per_member,
+            ),
             name,
             group: group.clone(),
             context,
@@ -93,9 +97,9 @@
             in_flight: Cell::new(0),
         });
         let weak = Rc::downgrade(&gateway);
-        group.on_status(Box::new(move |status, is_primary| {
+        group.on_status(Box::new(move |status, sent| {
             if let Some(gateway) = weak.upgrade() {
-                gateway.reads.record_status(status, is_primary);
+                gateway.reads.record_status(status, sent);
             }
         }));
         ntex::rt::spawn(group.run());
@@ -305,10 +309,23 @@
         }
     }
 
-    /// Waits until a primary accepts requests, for example during a promotion.
+    /// Waits until a primary accepts writes, for example during a promotion.
+    pub(super) async fn wait_write_primary(&self, deadline: MonotonicTime) -> Option<PrimaryView> {
+        self.wait_view(deadline, GroupTask::write_primary).await
+    }
+
+    /// Waits until the primary is known; reads go on while a planned promotion holds writes back.
     pub(super) async fn wait_primary(&self, deadline: MonotonicTime) -> Option<PrimaryView> {
+        self.wait_view(deadline, GroupTask::primary).await
+    }
+
+    async fn wait_view(
+        &self,
+        deadline: MonotonicTime,
+        view: impl Fn(&GroupTask) -> Option<PrimaryView>,
+    ) -> Option<PrimaryView> {
         loop {
-            if let Some(view) = self.group.write_primary() {
+            if let Some(view) = view(&self.group) {
                 return Some(view);
             }
             if self.context.clock.now() >= deadline {
@@ -365,7 +382,7 @@
             !member.is_leaving.get() && (self.context.is_zone_in)(&member.zone.borrow())
         };
         let handles = self.group.members();
-        self.reads.set_members(&handles, &in_use);
+        self.reads.set_members(&handles, &*self.context.is_zone_in);
         let is_primary = |id: &MemberId| primary.as_ref().is_some_and(|view| view.member == *id);
         let replicas = handles
             .iter()
@@ -413,6 +430,7 @@
                     view.member,
                     view.term
                 );
+                self.reads.set_primary(view);
                 // Members close the streams of earlier terms.
                 for member in self.group.members() {
                     member.pool.reset();
--- a/crates/corianderstile/src/gateway/group_task.rs
+++ b/crates/corianderstile/src/gateway/group_task.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coriander_core::{DatabaseName, GroupStatus, InstanceId, LogPosition, MemberId};
+use coriander_core::{DatabaseName, GroupStatus, InstanceId, LogPosition, MemberId, MonotonicTime};
 use coriander_failover::{
     CallFailure, GroupAction, GroupEvent, GroupMember, GroupMonitor, MonitorSettings, PrimaryView,
 };
@@ -21,7 +21,7 @@
 const TICK: Duration = Duration::from_millis(10);
 
 type MemberMap = BTreeMap<MemberId, Rc<MemberHandle>>;
-type StatusListener = Box<dyn Fn(&GroupStatus, bool)>;
+type StatusListener = Box<dyn Fn(&GroupStatus, MonotonicTime)>;
 
 /// The monitor of one group together with the members that it calls.
 pub struct GroupTask {
@@ -49,7 +49,7 @@
         })
     }
 
-    /// Sets the function that learns of each status and whether the member is the primary.
+    /// Sets the function that learns of each status and when it was asked for.
     pub fn on_status(&self, listener: StatusListener) {
         *self.listener.borrow_mut() = Some(listener);
     }
@@ -145,9 +145,10 @@
                 let Some(handle) = self.member(&member) else {
                     return;
                 };
+                let sent = self.clock.now();
                 match handle.client.status().await {
                     Ok(status) => {
-                        self.report_status(&status);
+                        self.report_status(&status, sent);
                         GroupEvent::Status {
                             probe,
                             member,
@@ -212,11 +213,9 @@
         self.feed(event);
     }
 
-    fn report_status(&self, status: &GroupStatus) {
-        let primary = self.primary();
-        let is_primary = primary.is_some_and(|view| view.member == status.member);
+    fn report_status(&self, status: &GroupStatus, sent: MonotonicTime) {
         if let Some(listener) = &*self.listener.borrow() {
-            listener(status, is_primary);
+            listener(status, sent);
         }
     }
 }
--- a/crates/corianderstile/src/gateway/mod.rs
+++ b/crates/corianderstile/src/gateway/mod.rs
@@ -15,4 +15,3 @@
 pub use database_gateway::GatewayContext;
 pub use gateway_set::GatewaySet;
 pub(crate) use member_handle::MemberHandle;
-pub(crate) use slot_gate::SlotGate;
--- a/crates/corianderstile/src/gateway/run_read.rs
+++ b/crates/corianderstile/src/gateway/run_read.rs
@@ -8,15 +8,21 @@
 };
 use coriander_failover::PrimaryView;
 use coriander_limits::SlotRole;
-use coriander_upstream::{StreamUse, UpstreamError};
+use coriander_routing::ReadChoice;
+use coriander_session::SessionPosition;
+use coriander_upstream::{StreamLease, StreamUse, UpstreamError};
 
-use super::acknowledge::{AckOutcome, acknowledge_write};
+use super::acknowledge::AckOutcome;
 use super::database_gateway::{DatabaseGateway, RETRY_PAUSE, answer_body};
 use super::member_handle::{CallTerms, MemberHandle, StreamReply};
 use super::pipeline_shape::PipelineShape;
 use super::run_write::not_run_error;
-use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy, SessionDemand};
-use crate::replica_reads::{ReadChoice, ReadDemand};
+use super::slot_gate::SlotPermit;
+use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy};
+use crate::replica_reads::ReadDemand;
+
+/// Shortest wait for a replica before the choice is repeated.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
 
 impl DatabaseGateway {
     /// Runs a read; a failed attempt is repeated, because reads change nothing.
@@ -51,36 +57,35 @@
         let view = self.wait_primary(deadline).await.ok_or_else(|| {
             RequestError::not_run(ErrorCode::NoUpstream, "the database has no primary")
         })?;
-        let target = (self.context.class_target)(&request.class);
         let demand = ReadDemand {
             session: request.session,
-            freshness: target.freshness,
-            latency: target.latency,
-        };
-        let choice = self.reads.choose(&demand, &view, &self.gate).await;
-        let role = match choice {
-            ReadChoice::Replica => SlotRole::Replica,
-            ReadChoice::Primary => SlotRole::Primary,
+            freshness: (self.context.class_target)(&request.class).freshness,
         };
-        let mut permit = self.acquire_slot(request, role, deadline).await?;
-        if *permit.member() != view.member && !self.reads.allows(permit.member(), &demand, &view) {
-            // The free replica is not the one that the choice was about.
-            drop(permit);
-            permit = self
-                .acquire_slot(request, SlotRole::Primary, deadline)
-                .await?;
-        }
+        let (permit, min_position) = self.place_read(request, &demand, &view, deadline).await?;
         (self.context.may_run)(&request.key)?;
         let member = self.group.member(permit.member()).ok_or_else(|| {
             RequestError::not_run(ErrorCode::NoUpstream, "the member has left the group")
         })?;
-        let result = self
-            .read_from(&member, &view, shape, &demand, deadline)
-            .await;
+        let lease = self.wait_stream(&member, StreamUse::Statement, deadline);
+        let lease = lease.await?;
+        let ticket = self.reads.record_start(&member.id);
+        let is_primary = member.id == view.member;
+        let checks_term = is_primary && needs_current_primary(&demand);
+        let timeout = deadline.since(self.context.clock.now());
+        let terms = CallTerms {
+            term: view.term,
+            min_position,
+            timeout: timeout.min(self.context.bounds.upstream_timeout),
+        };
+        let result = if checks_term {
+            self.read_current(&member, lease, shape, terms, &view).await
+        } else {
+            self.read_from(&member, lease, shape, terms).await
+        };
         let reply = match result {
             Ok(reply) => reply,
             Err(error) => {
-                self.reads.record_failure(&member.id, &error);
+                self.reads.record_failure(&ticket, &error);
                 match &error {
                     UpstreamError::Refused(refusal) if refusal.status == 503 => permit.refused(),
                     _ => self.group.statement_failed(&member.id),
@@ -88,8 +93,7 @@
                 return Err(read_error(&error));
             }
         };
-        let is_primary = member.id == view.member;
-        self.reads.record_reply(&member.id, reply.log, is_primary);
+        self.reads.record_reply(&ticket, &view, reply.log);
         let age = if is_primary {
             Duration::ZERO
         } else {
@@ -106,72 +110,93 @@
         })
     }
 
-    async fn read_from(
-        self: &Rc<Self>,
-        member: &Rc<MemberHandle>,
-        view: &PrimaryView,
-        shape: &PipelineShape,
+    /// Chooses a member, waits for one of its slots and returns the position to demand.
+    async fn place_read(
+        &self,
+        request: &ForwardRequest,
         demand: &ReadDemand,
+        view: &PrimaryView,
         deadline: MonotonicTime,
-    ) -> Result<StreamReply, UpstreamError> {
-        let no_stream = |error: RequestError| UpstreamError::Refused(overload(&error));
-        let lease = self
-            .wait_stream(member, StreamUse::Statement, deadline)
-            .await;
-        let mut lease = lease.map_err(no_stream)?;
-        let is_primary = member.id == view.member;
-        let timeout = deadline.since(self.context.clock.now());
-        let terms = CallTerms {
-            term: view.term,
-            min_position: match demand.session {
-                SessionDemand::AtLeast(position) => Some(position),
-                SessionDemand::Unwritten | SessionDemand::Unknown => {
-                    self.reads.least_position(demand).filter(|_| !is_primary)
-                }
-            },
-            timeout: timeout.min(self.context.bounds.upstream_timeout),
-        };
-        let run = member.run(&mut lease, shape.requests(), terms);
-        let reply = if is_primary && needs_current_primary(demand) {
-            let (reply, is_current) = tokio::join!(run, self.is_current(view, deadline));
-            if !is_current {
-                let reason = "the primary was replaced during the read".to_owned();
-                return Err(UpstreamError::NoResponse { reason });
+    ) -> Result<(SlotPermit, Option<LogPosition>), RequestError> {
+        let mut choice = self.reads.choose(demand);
+        while let ReadChoice::Wait { retry_after, .. } = choice {
+            if self.context.clock.now() + retry_after >= deadline {
+                break;
             }
-            reply?
-        } else {
-            run.await?
-        };
+            tokio::time::sleep(retry_after.max(LEAST_WAIT)).await;
+            choice = self.reads.choose(demand);
+        }
+        if matches!(choice, ReadChoice::Replica { .. }) {
+            let role = SlotRole::Replica;
+            let permit = self.acquire_slot(request, role, deadline).await?;
+            if *permit.member() == view.member {
+                return Ok((permit, session_position(demand)));
+            }
+            if let Some(position) = self.reads.proof_for(permit.member(), demand) {
+                return Ok((permit, Some(position)));
+            }
+            // The free replica is not the one that the choice was about.
+        }
+        let permit = self
+            .acquire_slot(request, SlotRole::Primary, deadline)
+            .await?;
+        Ok((permit, session_position(demand)))
+    }
+
+    async fn read_from(
+        &self,
+        member: &MemberHandle,
+        mut lease: StreamLease,
+        shape: &PipelineShape,
+        terms: CallTerms,
+    ) -> Result<StreamReply, UpstreamError> {
+        let reply = member.run(&mut lease, shape.requests(), terms).await?;
         lease.check_in(self.context.clock.now());
         Ok(reply)
     }
 
+    /// Reads from the primary and checks in parallel that it has not been replaced.
+    async fn read_current(
+        self: &Rc<Self>,
+        member: &MemberHandle,
+        lease: StreamLease,
+        shape: &PipelineShape,
+        terms: CallTerms,
+        view: &PrimaryView,
+    ) -> Result<StreamReply, UpstreamError> {
+        let deadline = self.context.clock.now() + terms.timeout;
+        let read = self.read_from(member, lease, shape, terms);
+        let (reply, is_current) = tokio::join!(read, self.is_current(view, deadline));
+        if !is_current {
+            let reason = "the primary was replaced during the read".to_owned();
+            return Err(UpstreamError::NoResponse { reason });
+        }
+        reply
+    }
+
     /// Tells whether a majority still accepts the primary's term.
     ///
     /// An old primary that is cut off from its group would otherwise serve old data to a session
     /// whose writes are not known here.
-    async fn is_current(&self, view: &PrimaryView, deadline: MonotonicTime) -> bool {
+    async fn is_current(self: &Rc<Self>, view: &PrimaryView, deadline: MonotonicTime) -> bool {
         let start = LogPosition::new(view.term, 0);
-        let members = self.group.members();
-        let clock = self.context.clock;
         let majority = WriteCertainty::Majority;
-        acknowledge_write(view, start, &members, majority, deadline, clock).await
-            == AckOutcome::Acknowledged
+        self.acknowledge(view, start, majority, deadline).await == AckOutcome::Acknowledged
     }
 }
 
+/// Tells whether an answer of an old primary could miss something that the read must see.
 fn needs_current_primary(demand: &ReadDemand) -> bool {
-    let is_known = matches!(demand.session, SessionDemand::AtLeast(_));
-    matches!(demand.session, SessionDemand::Unknown) || (!is_known && demand.freshness.is_zero())
+    match demand.session {
+        SessionPosition::Unknown => true,
+        SessionPosition::AtLeast(_) | SessionPosition::Unwritten => demand.freshness.is_zero(),
+    }
 }
 
-fn overload(error: &RequestError) -> coriander_upstream::UpstreamRefusal {
-    coriander_upstream::UpstreamRefusal {
-        status: 503,
-        code: error.code.to_string(),
-        message: error.message.clone(),
-        term: None,
-        log: None,
+fn session_position(demand: &ReadDemand) -> Option<LogPosition> {
+    match demand.session {
+        SessionPosition::AtLeast(position) => Some(position),
+        SessionPosition::Unwritten | SessionPosition::Unknown => None,
     }
 }
 
--- a/crates/corianderstile/src/gateway/run_transaction.rs
+++ b/crates/corianderstile/src/gateway/run_transaction.rs
@@ -5,16 +5,16 @@
 use coriander_core::{ErrorCode, LogPosition, MonotonicTime, RequestError, RequestOutcome};
 use coriander_failover::PrimaryView;
 use coriander_limits::SlotRole;
-use coriander_session::TransactionBaton;
+use coriander_session::{SessionPosition, TransactionBaton};
 use coriander_upstream::{StreamUse, UpstreamError};
 
-use super::acknowledge::{AckOutcome, acknowledge_write};
+use super::acknowledge::AckOutcome;
 use super::database_gateway::{DatabaseGateway, answer_body};
 use super::member_handle::{CallTerms, StreamReply};
 use super::pipeline_shape::{PipelineShape, split_autocommit};
 use super::run_write::not_run_error;
 use super::transaction_table::{OpenTransaction, TransactionOwner};
-use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy, SessionDemand};
+use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy};
 
 impl DatabaseGateway {
     /// Starts a transaction on the primary.
@@ -24,7 +24,7 @@
         shape: PipelineShape,
         deadline: MonotonicTime,
     ) -> Result<ForwardAnswer, RequestError> {
-        let view = self.wait_primary(deadline).await.ok_or_else(|| {
+        let view = self.wait_write_primary(deadline).await.ok_or_else(|| {
             RequestError::not_run(ErrorCode::NoUpstream, "the database has no primary")
         })?;
         let member = self.group.member(&view.member).ok_or_else(|| {
@@ -127,8 +127,8 @@
         let terms = CallTerms {
             term: transaction.term,
             min_position: match request.session {
-                SessionDemand::AtLeast(position) => Some(position),
-                SessionDemand::Unwritten | SessionDemand::Unknown => None,
+                SessionPosition::AtLeast(position) => Some(position),
+                SessionPosition::Unwritten | SessionPosition::Unknown => None,
             },
             timeout: timeout.min(self.context.bounds.upstream_timeout),
         };
@@ -141,16 +141,14 @@
 
     /// Waits until the entries written so far are confirmed, because a commit may be among them.
     async fn confirm_end(
-        &self,
+        self: &Rc<Self>,
         request: &ForwardRequest,
         view: &PrimaryView,
         log: LogPosition,
         deadline: MonotonicTime,
     ) -> Result<LogPosition, RequestError> {
         let certainty = (self.context.class_target)(&request.class).certainty;
-        let members = self.group.members();
-        let clock = self.context.clock;
-        match acknowledge_write(view, log, &members, certainty, deadline, clock).await {
+        match self.acknowledge(view, log, certainty, deadline).await {
             AckOutcome::Acknowledged => {
                 self.group.note_acknowledged(log);
                 Ok(log)
--- a/crates/corianderstile/src/gateway/run_write.rs
+++ b/crates/corianderstile/src/gateway/run_write.rs
@@ -10,7 +10,7 @@
 use coriander_upstream::{StreamLease, StreamUse, UpstreamError};
 use libsql_hrana::proto::{ExecuteStreamReq, PipelineRespBody, Stmt, StreamRequest, StreamResult};
 
-use super::acknowledge::{AckOutcome, acknowledge_write};
+use super::acknowledge::AckOutcome;
 use super::database_gateway::{DatabaseGateway, RETRY_PAUSE, answer_body};
 use super::member_handle::{CallTerms, MemberHandle};
 use super::pipeline_shape::PipelineShape;
@@ -83,7 +83,7 @@
         shape: &PipelineShape,
         deadline: MonotonicTime,
     ) -> WriteAttempt {
-        let Some(view) = self.wait_primary(deadline).await else {
+        let Some(view) = self.wait_write_primary(deadline).await else {
             let message = "the database has no primary";
             return WriteAttempt::NotRun(RequestError::not_run(ErrorCode::NoUpstream, message));
         };
@@ -117,7 +117,13 @@
             self.group.statement_failed(&member.id);
             return WriteAttempt::NotRun(not_run_error(&error));
         }
+        let ticket = self.reads.record_start(&member.id);
         let executed = self.execute_logged(&member, &mut lease, write, &view).await;
+        match &executed {
+            // The position of the primary bounds the age of what replicas hold.
+            Ok((_, log)) => self.reads.record_reply(&ticket, &view, *log),
+            Err(error) => self.reads.record_failure(&ticket, error),
+        }
         let (result, log) = match executed {
             Ok(executed) => executed,
             Err(error) if error.outcome() == coriander_core::RequestOutcome::NotRun => {
@@ -190,9 +196,7 @@
             }
         };
         let certainty = (self.context.class_target)(&request.class).certainty;
-        let members = self.group.members();
-        let clock = self.context.clock;
-        match acknowledge_write(view, log, &members, certainty, deadline, clock).await {
+        match self.acknowledge(view, log, certainty, deadline).await {
             AckOutcome::Acknowledged => self.group.note_acknowledged(log),
             AckOutcome::Uncertain => return WriteAttempt::Unknown,
         }
--- a/crates/corianderstile/src/peer/connection.rs
+++ b/crates/corianderstile/src/peer/connection.rs
@@ -75,7 +75,9 @@
     ) -> Result<PeerReply, PeerError> {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        let frame = self.codec.encode(&PeerFrame::Request(id, request))?;
+        let frame = self
+            .codec
+            .encode(&PeerFrame::Request(id, Box::new(request)))?;
         let (sender, receiver) = oneshot::channel();
         self.pending.borrow_mut().insert(id, sender);
         if self.outgoing.send(frame).await.is_err() {
--- a/crates/corianderstile/src/peer/mod.rs
+++ b/crates/corianderstile/src/peer/mod.rs
@@ -6,8 +6,6 @@
 mod peer_server;
 
 pub use connection::PeerError;
-pub use messages::{
-    ForwardAnswer, ForwardRequest, PeerReply, PeerRequest, ServedBy, SessionDemand,
-};
+pub use messages::{ForwardAnswer, ForwardRequest, PeerReply, PeerRequest, ServedBy};
 pub use peer_client::PeerClient;
 pub use peer_server::{PeerService, serve_peers};
--- a/crates/corianderstile/src/peer/peer_server.rs
+++ b/crates/corianderstile/src/peer/peer_server.rs
@@ -47,7 +47,7 @@
                 let outgoing = outgoing.clone();
                 let codec = codec.clone();
                 ntex::rt::spawn(async move {
-                    let reply = service.handle(request).await;
+                    let reply = service.handle(*request).await;
                     match codec.encode(&PeerFrame::Reply(id, reply)) {
                         // A closed connection has no waiter any more.
                         Ok(frame) => drop(outgoing.send(frame).await),
--- a/crates/corianderstile/src/replica_reads.rs
+++ b/crates/corianderstile/src/replica_reads.rs
@@ -1,98 +1,183 @@
 //! Choice of the member that serves a read.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use coriander_core::{GroupStatus, LogPosition, MemberId, ZoneName};
+use coriander_core::{
+    ConfirmReply, GroupStatus, LogPosition, MemberId, MemberRole, MonotonicTime, ZoneName,
+};
 use coriander_failover::PrimaryView;
+use coriander_routing::{
+    MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable,
+    RequestTicket, RetryBudget,
+};
+use coriander_session::SessionPosition;
 use coriander_upstream::UpstreamError;
 
 use crate::gateway::MemberHandle;
-use crate::gateway::SlotGate;
-use crate::peer::SessionDemand;
 use crate::process_clock::ProcessClock;
 
 /// What a read demands.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadDemand {
-    /// Demand of the session.
-    pub session: SessionDemand,
+    /// Position that the session requires.
+    pub session: SessionPosition,
     /// Greatest accepted data age.
     pub freshness: Duration,
-    /// Latency target of the class.
-    pub latency: Duration,
-}
-
-/// Where a read goes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReadChoice {
-    /// To a replica.
-    Replica,
-    /// To the primary.
-    Primary,
 }
 
 /// Positions and delays of the members of one group.
-pub struct ReplicaReads {}
+pub struct ReplicaReads {
+    clock: ProcessClock,
+    table: RefCell<ReplicaTable>,
+    budget: RefCell<RetryBudget>,
+    router: ReadRouter,
+}
 
 impl ReplicaReads {
-    /// Creates the table.
-    pub fn new(_own_zone: ZoneName, _clock: ProcessClock) -> Self {
-        Self {}
+    /// Creates the table of a group without members.
+    pub fn new(own_zone: ZoneName, clock: ProcessClock, slots_per_member: usize) -> Self {
+        let slots = u32::try_from(slots_per_member).unwrap_or(u32::MAX);
+        Self {
+            clock,
+            table: RefCell::new(ReplicaTable::new(own_zone, slots)),
+            budget: RefCell::default(),
+            router: ReadRouter,
+        }
+    }
+
+    /// Records a reply to a status request that was sent at `sent`.
+    pub fn record_status(&self, status: &GroupStatus, sent: MonotonicTime) {
+        let report = MemberReport {
+            is_primary: status.role == MemberRole::Primary,
+            term: status.term,
+            log: status.log,
+        };
+        let now = self.clock.now();
+        let mut table = self.table.borrow_mut();
+        table.record_status(&status.member, report, sent, now);
+    }
+
+    /// Records the position in a reply to a confirm call that was sent at `sent`.
+    ///
+    /// It shows that a replica has caught up well before the next status reply does.
+    pub fn record_confirm(&self, member: &MemberId, reply: &ConfirmReply, sent: MonotonicTime) {
+        let mut table = self.table.borrow_mut();
+        table.record_position(member, reply.term, Some(reply.log), sent);
     }
 
-    /// Records a status reply.
-    pub fn record_status(&self, _status: &GroupStatus, _is_primary: bool) {}
+    /// Takes over the primary of the group.
+    pub fn set_primary(&self, view: &PrimaryView) {
+        self.table
+            .borrow_mut()
+            .record_promotion(&view.member, view.term);
+    }
 
-    /// Takes over the members and whether they are in use.
+    /// Takes over the members and whether operators and the platform keep them in use.
     pub fn set_members(
         &self,
-        _members: &[Rc<MemberHandle>],
-        _in_use: &dyn Fn(&Rc<MemberHandle>) -> bool,
+        members: &[Rc<MemberHandle>],
+        is_zone_in: &dyn Fn(&ZoneName) -> bool,
     ) {
+        let mut table = self.table.borrow_mut();
+        for member in members {
+            let zone = member.zone.borrow().clone();
+            let placement = MemberPlacement {
+                is_leaving: member.is_leaving.get(),
+                is_zone_out: !is_zone_in(&zone),
+                zone,
+            };
+            table.set_member(&member.id, placement);
+        }
     }
 
     /// Counts a request for the retry budget.
-    pub fn count_request(&self) {}
+    pub fn count_request(&self) {
+        self.budget.borrow_mut().record_request();
+    }
 
     /// Takes a retry from the budget.
     pub fn may_retry(&self) -> bool {
-        true
+        self.budget.borrow_mut().try_take()
     }
 
-    /// Chooses between replicas and the primary.
-    pub async fn choose(
-        &self,
-        _demand: &ReadDemand,
-        _view: &PrimaryView,
-        _gate: &SlotGate,
-    ) -> ReadChoice {
-        ReadChoice::Primary
+    /// Chooses the member for a read.
+    pub fn choose(&self, demand: &ReadDemand) -> ReadChoice {
+        self.choose_among(demand, &[])
     }
 
-    /// Tells whether a replica may serve a read.
-    pub fn allows(&self, _member: &MemberId, _demand: &ReadDemand, _view: &PrimaryView) -> bool {
-        false
+    /// Returns the position to demand from a replica if it may serve the read.
+    pub fn proof_for(&self, member: &MemberId, demand: &ReadDemand) -> Option<LogPosition> {
+        let others: Vec<MemberId> = {
+            let table = self.table.borrow();
+            let ids = table.member_ids().filter(|id| *id != member);
+            ids.cloned().collect()
+        };
+        match self.choose_among(demand, &others) {
+            ReadChoice::Replica { min_position, .. } => Some(min_position),
+            _ => None,
+        }
     }
 
-    /// Returns the position that a replica must have for the freshness target.
-    pub fn least_position(&self, _demand: &ReadDemand) -> Option<LogPosition> {
-        None
+    /// Notes that a request is sent to a member.
+    pub fn record_start(&self, member: &MemberId) -> RequestTicket {
+        let now = self.clock.now();
+        self.table.borrow_mut().record_start(member, now)
     }
 
-    /// Records the position in a response.
-    pub fn record_reply(&self, _member: &MemberId, _log: LogPosition, _is_primary: bool) {}
+    /// Records a response.
+    pub fn record_reply(&self, ticket: &RequestTicket, view: &PrimaryView, log: LogPosition) {
+        let now = self.clock.now();
+        let mut table = self.table.borrow_mut();
+        table.record_response(ticket, view.term, Some(log), now);
+    }
 
     /// Records a failed call.
-    pub fn record_failure(&self, _member: &MemberId, _error: &UpstreamError) {}
+    pub fn record_failure(&self, ticket: &RequestTicket, error: &UpstreamError) {
+        let mut table = self.table.borrow_mut();
+        match error {
+            UpstreamError::Refused(_) => table.record_refusal(ticket),
+            _ => table.record_failure(ticket, self.clock.now()),
+        }
+    }
 
-    /// Returns the bound of the data age of a replica.
-    pub fn age(&self, _member: &MemberId) -> Duration {
-        Duration::ZERO
+    /// Returns the bound of the data age of a member.
+    pub fn age(&self, member: &MemberId) -> Duration {
+        let now = self.clock.now();
+        self.table
+            .borrow()
+            .data_age(member, now)
+            .unwrap_or_default()
     }
 
     /// Describes the table for the state dump.
     pub fn describe(&self) -> serde_json::Value {
-        serde_json::Value::Null
+        let table = self.table.borrow();
+        let now = self.clock.now();
+        let members: Vec<_> = table
+            .member_ids()
+            .map(|id| {
+                serde_json::json!({
+                    "member": id, "log": table.position(id).map(|log| log.to_string()),
+                    "in_flight": table.in_flight(id),
+                    "age_ms": table.data_age(id, now).map(|age| age.as_millis() as u64),
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "term": table.term(), "primary": table.primary(), "members": members,
+            "retries_available": self.budget.borrow().available(),
+        })
+    }
+
+    fn choose_among(&self, demand: &ReadDemand, excluded: &[MemberId]) -> ReadChoice {
+        let request = ReadRequest {
+            freshness: demand.freshness,
+            session: demand.session,
+            excluded,
+        };
+        self.router
+            .choose(&self.table.borrow(), &request, self.clock.now())
     }
 }
