Choose the replica with the least expected latency

Cause: the fewest requests in flight says nothing about distance and slow members.

Change: the choice compares measured round trip plus measured execution time, scaled by the requests that wait for a slot; the own zone breaks ties.

--- a/crates/coriander_routing/src/member_state.rs
+++ b/crates/coriander_routing/src/member_state.rs
@@ -9,6 +9,9 @@
 /// Time for which a member that failed gets no reads.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Assumed time of execution before any was measured.
+const DEFAULT_SERVICE: Duration = Duration::from_millis(2);
+
 /// Place and availability of a member, from the platform's list and the operators' zones.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemberPlacement {
@@ -135,4 +138,11 @@
     pub(crate) const fn waiting(&self, slots: u32) -> u32 {
         (self.in_flight + 1).saturating_sub(slots)
     }
+
+    /// Returns the expected time until the response to a new request.
+    pub(crate) fn expected_latency(&self, slots: u32) -> Duration {
+        let service = self.service.mean().unwrap_or(DEFAULT_SERVICE);
+        let queue = f64::from(self.waiting(slots)) / f64::from(slots.max(1));
+        self.round_trip.mean().unwrap_or_default() + service.mul_f64(1.0 + queue)
+    }
 }
--- a/crates/coriander_routing/src/read_router.rs
+++ b/crates/coriander_routing/src/read_router.rs
@@ -81,7 +81,8 @@
             .filter(|member| is_usable(table, member, request, now))
             .filter_map(|member| Some((member, proven_position(table, member, request, now)?)))
             .min_by_key(|(member, _)| {
-                (member.in_flight, member.placement.zone != *table.own_zone())
+                let is_other_zone = member.placement.zone != *table.own_zone();
+                (member.expected_latency(table.slots()), is_other_zone)
             });
         if let Some((member, min_position)) = replica {
             let member = member.id.clone();
--- a/crates/coriander_routing/src/replica_table.rs
+++ b/crates/coriander_routing/src/replica_table.rs
@@ -174,6 +174,10 @@
         Some(now.since(time))
     }
 
+    pub(crate) const fn slots(&self) -> u32 {
+        self.slots
+    }
+
     pub(crate) const fn own_zone(&self) -> &ZoneName {
         &self.own_zone
     }
