--- a/crates/coriander_routing/src/replica_table.rs
+++ b/crates/coriander_routing/src/replica_table.rs
@@ -179,6 +179,10 @@
         self.members.iter().map(|member| &member.id)
     }
 
+    pub(crate) const fn slots(&self) -> u32 {
+        self.slots
+    }
+
     pub(crate) const fn own_zone(&self) -> &ZoneName {
         &self.own_zone
     }
