Replay transactions that start with BEGIN IMMEDIATE; add run_deployment

Cause: SQLite counts BEGIN IMMEDIATE as a write, so members logged it and replicas could not replay the entry inside their own transaction. The proxy took this for stalled replication and promoted once per second. Latencies of the load driver were recorded as 0 because its histograms did not grow.

--- a/crates/coriander_standin/src/load/load_metrics.rs
+++ b/crates/coriander_standin/src/load/load_metrics.rs
@@ -154,7 +154,7 @@
             (&mut self.class_latency, &record.class),
         ] {
             let histogram = map.entry(name.clone()).or_insert_with(new_histogram);
-            histogram.saturating_record(latency.max(1));
+            histogram.record(latency.max(1)).expect("histogram grows");
         }
         if record.is_read {
             self.add_read(record);
--- a/crates/coriander_standin/src/member/statement_runner.rs
+++ b/crates/coriander_standin/src/member/statement_runner.rs
@@ -207,8 +207,9 @@
         let first = words.first().map_or("", String::as_str);
         let is_rollback_to = first == "ROLLBACK" && words.iter().any(|word| word == "TO");
         let is_savepoint = matches!(first, "SAVEPOINT" | "RELEASE") || is_rollback_to;
-        // These statements do not change the replicated data.
-        let is_local = matches!(first, "PRAGMA" | "VACUUM" | "ATTACH" | "DETACH");
+        // These statements do not change the replicated data; SQLite counts BEGIN IMMEDIATE as a
+        // write, but the replay of an entry has its own transaction.
+        let is_local = matches!(first, "BEGIN" | "PRAGMA" | "VACUUM" | "ATTACH" | "DETACH");
         let pending = &mut self.stream.pending;
         if is_savepoint || (!is_read && !is_local) {
             pending.push(logged);
--- a/crates/coriander_standin/src/process/mod.rs
+++ b/crates/coriander_standin/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! Processes for tests and scripts: start, signal, wait and stop.
 
+mod admin_client;
+mod deployment_run;
 mod http_caller;
 mod instance_spec;
 mod member_client;
@@ -9,6 +11,8 @@
 mod unused_address;
 mod wait_until;
 
+pub use admin_client::AdminClient;
+pub use deployment_run::{DeploymentRun, RunMember, RunOptions};
 pub use http_caller::{HttpCaller, HttpReply};
 pub use instance_spec::InstanceSpec;
 pub use member_client::MemberClient;
--- a/crates/coriander_standin/src/process/process_error.rs
+++ b/crates/coriander_standin/src/process/process_error.rs
@@ -40,6 +40,12 @@
     /// A response has another form than expected.
     #[error("unexpected response: {0}")]
     Body(#[from] serde_json::Error),
+    /// An instance did not make a configuration change.
+    #[error("configuration change failed: {0}")]
+    Change(String),
+    /// A name in a profile is not valid.
+    #[error(transparent)]
+    Name(#[from] coriander_core::NameError),
     /// A condition did not hold in time.
     #[error("{what} did not happen within {limit:?}")]
     Timeout {
--- a/crates/coriander_standin/src/process/process_group.rs
+++ b/crates/coriander_standin/src/process/process_group.rs
@@ -28,6 +28,7 @@
     directory: PathBuf,
     processes: Vec<GroupProcess>,
     caller: HttpCaller,
+    keeps_directory: bool,
 }
 
 impl ProcessGroup {
@@ -40,6 +41,7 @@
             directory,
             processes: Vec::new(),
             caller: HttpCaller::create(Duration::from_secs(5)).await,
+            keeps_directory: false,
         })
     }
 
@@ -48,6 +50,11 @@
         &self.directory
     }
 
+    /// Keeps logs and settings after the group was dropped.
+    pub fn keep_directory(&mut self) {
+        self.keeps_directory = true;
+    }
+
     /// Returns the client with which the group waits for its processes.
     pub fn caller(&self) -> &HttpCaller {
         &self.caller
@@ -119,7 +126,7 @@
     pub async fn start_instance(&mut self, spec: &InstanceSpec) -> Result<(), ProcessError> {
         let path = self.directory.join(format!("{}.ini", spec.name));
         fs::write(&path, spec.to_ini()).map_err(ProcessError::system("write settings"))?;
-        let args = vec!["--settings".to_owned(), path.display().to_string()];
+        let args = vec!["--config".to_owned(), path.display().to_string()];
         self.start(&spec.name, &program_path("corianderstile")?, args)?;
         self.wait_for_url(&format!("http://{}/health", spec.callers))
             .await
@@ -262,7 +269,7 @@
             }
         }
         // Logs are kept after a failure.
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.keeps_directory {
             let _ = fs::remove_dir_all(&self.directory);
         }
     }
--- a/crates/coriander_standin/src/process/program_paths.rs
+++ b/crates/coriander_standin/src/process/program_paths.rs
@@ -4,9 +4,16 @@
 
 use super::process_error::ProcessError;
 
+/// Environment variable with the directory of the shipped binaries, if it is another one.
+const BINARY_DIRECTORY: &str = "CORIANDER_BINARY_DIRECTORY";
+
 /// Returns the path of a shipped binary of this workspace.
 pub fn program_path(name: &str) -> Result<PathBuf, ProcessError> {
-    existing(profile_directory()?.join(name))
+    let directory = match std::env::var_os(BINARY_DIRECTORY) {
+        Some(directory) => directory.into(),
+        None => profile_directory()?,
+    };
+    existing(directory.join(name))
 }
 
 /// Returns the path of an example of this workspace.
--- a/crates/coriander_standin/tests/member_group.rs
+++ b/crates/coriander_standin/tests/member_group.rs
@@ -95,7 +95,7 @@
     .await
     .unwrap();
     let steps = [
-        "BEGIN",
+        "BEGIN IMMEDIATE",
         "INSERT INTO t (r) VALUES (random())",
         "SAVEPOINT s",
         "INSERT INTO t (r) VALUES (1)",
