Measure grant policies in virtual time

Cause: shares, prefetch and grant size must be chosen by measurement. Change: examples/limits_policy.rs compares policies with an equal fixed split and with one common bucket, over 6 instances, 8 accounts at 80 % of their rate (one at five times) and 30 s, seed 42.

--- /dev/null
+++ b/crates/coriander_limits/examples/limits_policy.rs
@@ -0,0 +1,295 @@
+//! Measures grant policies in virtual time with a fixed seed and prints a table.
+
+#[path = "support/mod.rs"]
+mod support;
+
+use std::env;
+use std::time::Duration;
+
+use coriander_core::AccountLimits;
+use coriander_limits::LimitPolicy;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::{Action, Fault, IdealBucket, Settings, Simulation};
+
+const SECOND: u64 = 1_000_000;
+const INSTANCES: usize = 6;
+const START: u64 = 6 * SECOND;
+const END: u64 = 36 * SECOND;
+const SEED: u64 = 42;
+
+/// How an account's requests spread over the instances.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Spread {
+    Even,
+    /// Nine of ten requests at one instance.
+    Uneven,
+    /// All requests at one instance, another one every two seconds.
+    Shifting,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Failure {
+    None,
+    /// The first owner of account 0 is paused for the rest of the run.
+    OwnerLost,
+    /// An instance is replaced with a graceful hand-over.
+    OwnerReplaced,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    time: u64,
+    instance: usize,
+    account: usize,
+}
+
+/// Eight accounts, a few large, as in the deployments. Account 7 sends five times its rate.
+fn limits() -> Vec<AccountLimits> {
+    let rates = [300, 200, 100, 40, 20, 10, 5, 100];
+    let limit = |rate| AccountLimits { rate, burst: rate };
+    rates.map(limit).to_vec()
+}
+
+/// Poisson arrivals at 80 % of the rate, and at five times the rate for account 7.
+fn requests(spread: Spread) -> Vec<Request> {
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let mut requests = Vec::new();
+    for (account, limits) in limits().iter().enumerate() {
+        let factor = if account == 7 { 5.0 } else { 0.8 };
+        let mean = 1e6 / (f64::from(limits.rate) * factor);
+        let mut time = START as f64;
+        while time < END as f64 {
+            let instance = match spread {
+                Spread::Uneven if random.random_bool(0.9) => account % INSTANCES,
+                Spread::Even | Spread::Uneven => random.random_range(0..INSTANCES),
+                Spread::Shifting => (account + time as usize / 2_000_000) % INSTANCES,
+            };
+            requests.push(Request {
+                time: time as u64,
+                instance,
+                account,
+            });
+            time -= mean * random.random::<f64>().max(1e-12).ln();
+        }
+    }
+    requests.sort_by_key(|request| request.time);
+    requests
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    /// Refusals within rate of accounts 0 to 6, in percent of their requests within rate.
+    refused: f64,
+    /// Least share of its entitlement that one account got, in percent.
+    worst: f64,
+    /// Share of its entitlement that account 7 got, in percent.
+    greedy: f64,
+    /// 99th percentile of the wait of admitted requests of accounts 0 to 6, in ms.
+    wait: f64,
+    /// Share of admitted requests of accounts 0 to 6 that waited, in percent.
+    waited: f64,
+    messages_per_second: f64,
+    messages_per_request: f64,
+    exceeded: u64,
+}
+
+fn measure(policy: &LimitPolicy, spread: Spread, failure: Failure) -> Outcome {
+    let settings = Settings {
+        seed: SEED,
+        limits: limits(),
+        policy: policy.clone(),
+        delay: (1_000, 1_500),
+        loss: 0.0,
+        duplicate: 0.0,
+        patience: 200_000,
+        fault: Fault::None,
+    };
+    let mut simulation = Simulation::new(settings, INSTANCES + 1, INSTANCES);
+    let owner = simulation.owner(0, 0);
+    match failure {
+        Failure::None => {}
+        Failure::OwnerLost => simulation.act(START + 5 * SECOND, Action::Pause(owner)),
+        Failure::OwnerReplaced => {
+            let fleet = (0..=INSTANCES).filter(|i| *i != owner).collect();
+            simulation.act(START + 5 * SECOND, Action::ChangeFleet(fleet));
+        }
+    }
+    let requests = requests(spread);
+    for request in &requests {
+        let mut instance = request.instance;
+        // The load balancer sends nothing to an instance that is gone.
+        if failure != Failure::None && instance == owner && request.time > START + 5 * SECOND {
+            instance = (instance + 1) % INSTANCES;
+        }
+        let account = request.account;
+        simulation.act(request.time, Action::Request { instance, account });
+    }
+    simulation.run_until(START);
+    let messages = simulation.usage.messages;
+    simulation.run_until(END + SECOND);
+    let usage = &simulation.usage;
+    let mut outcome = Outcome {
+        worst: 100.0,
+        exceeded: usage.exceeded(),
+        ..Outcome::default()
+    };
+    let (mut entitled, mut missed, mut waits) = (0, 0, Vec::new());
+    for (number, account) in usage.accounts.iter().enumerate() {
+        let share = 100.0 * account.admitted as f64 / account.entitled as f64;
+        if number == 7 {
+            outcome.greedy = share;
+            continue;
+        }
+        outcome.worst = outcome.worst.min(share);
+        entitled += account.entitled;
+        missed += account.entitled.saturating_sub(account.admitted);
+        waits.extend(account.waits.iter().copied());
+    }
+    waits.sort_unstable();
+    let waited = waits.iter().filter(|wait| **wait > 0).count();
+    outcome.wait = waits.get(waits.len() * 99 / 100).copied().unwrap_or(0) as f64 / 1e3;
+    outcome.waited = 100.0 * waited as f64 / waits.len().max(1) as f64;
+    outcome.refused = 100.0 * missed as f64 / entitled as f64;
+    let seconds = (END - START) as f64 / 1e6;
+    outcome.messages_per_second = (usage.messages - messages) as f64 / seconds;
+    outcome.messages_per_request = (usage.messages - messages) as f64 / requests.len() as f64;
+    outcome
+}
+
+/// Baseline: every instance has an equal fixed part of rate and burst.
+fn measure_split(spread: Spread) -> Outcome {
+    let mut entitled: Vec<_> = limits().into_iter().map(IdealBucket::new).collect();
+    let part = |limits: AccountLimits| {
+        let scaled = limits.burst / INSTANCES as u32;
+        let limits = AccountLimits {
+            rate: limits.rate,
+            burst: scaled.max(1) * INSTANCES as u32,
+        };
+        (0..INSTANCES)
+            .map(|_| IdealBucket::part(limits, INSTANCES as u32))
+            .collect::<Vec<_>>()
+    };
+    let mut parts: Vec<Vec<_>> = limits().into_iter().map(part).collect();
+    count_baseline(spread, |request| {
+        let within = entitled[request.account].take(request.time);
+        let bucket: &mut IdealBucket = &mut parts[request.account][request.instance];
+        (within, bucket.take(request.time))
+    })
+}
+
+/// Baseline: one bucket for all accounts together, first come first served.
+fn measure_common() -> Outcome {
+    let mut entitled: Vec<_> = limits().into_iter().map(IdealBucket::new).collect();
+    let sum = limits().iter().map(|limits| limits.rate).sum();
+    let mut common = IdealBucket::new(AccountLimits {
+        rate: sum,
+        burst: sum,
+    });
+    count_baseline(Spread::Even, |request| {
+        let within = entitled[request.account].take(request.time);
+        (within, common.take(request.time))
+    })
+}
+
+fn count_baseline(spread: Spread, mut admit: impl FnMut(&Request) -> (bool, bool)) -> Outcome {
+    let mut counts = [(0u64, 0u64); 8];
+    for request in requests(spread) {
+        let (within, admitted) = admit(&request);
+        let (entitled, got) = &mut counts[request.account];
+        *entitled += u64::from(within);
+        *got += u64::from(admitted);
+    }
+    let share = |(entitled, got): (u64, u64)| 100.0 * got as f64 / entitled as f64;
+    let within = &counts[..7];
+    let entitled: u64 = within.iter().map(|count| count.0).sum();
+    let missed: u64 = within.iter().map(|(e, got)| e.saturating_sub(*got)).sum();
+    Outcome {
+        refused: 100.0 * missed as f64 / entitled as f64,
+        worst: within.iter().copied().map(share).fold(100.0, f64::min),
+        greedy: share(counts[7]),
+        ..Outcome::default()
+    }
+}
+
+fn print(name: &str, case: &str, outcome: &Outcome) {
+    println!(
+        "{name:<26} {case:<16} {:>8.3} {:>7.2} {:>7.1} {:>8.1} {:>7.1} {:>8.0} {:>8.3} {:>5}",
+        outcome.refused,
+        outcome.worst,
+        outcome.greedy,
+        outcome.wait,
+        outcome.waited,
+        outcome.messages_per_second,
+        outcome.messages_per_request,
+        outcome.exceeded,
+    );
+}
+
+fn policies() -> Vec<(String, LimitPolicy)> {
+    let base = LimitPolicy::default;
+    let mut policies = vec![("default".to_owned(), base())];
+    if env::args().any(|arg| arg == "--all") {
+        for (rate, burst) in [(50, 50), (20, 20), (5, 20), (0, 20), (0, 10), (0, 0)] {
+            let name = format!("reserve {rate}/{burst} %");
+            policies.push((name, base().with_reserve_percent(rate, burst)));
+        }
+        for millis in [0, 20, 50, 200, 400] {
+            let prefetch = Duration::from_millis(millis);
+            policies.push((
+                format!("prefetch {millis} ms"),
+                base().with_prefetch(prefetch),
+            ));
+        }
+        for percent in [20, 34, 100] {
+            let name = format!("grant share {percent} %");
+            policies.push((name, base().with_grant_share_percent(percent)));
+        }
+        for millis in [100, 200, 1_000] {
+            let expiry = Duration::from_millis(millis);
+            policies.push((
+                format!("expiry {millis} ms"),
+                base().with_grant_expiry(expiry),
+            ));
+        }
+    }
+    policies
+}
+
+fn main() {
+    println!("refused: requests within rate that were refused, accounts 0 to 6, %");
+    println!("worst: least part of its entitlement that one of accounts 0 to 6 got, %");
+    println!("greedy: part of its entitlement that account 7 got at five times its rate, %");
+    println!("wait: 99th percentile, ms; waited: part of the admitted requests, %");
+    println!(
+        "{:<26} {:<16} {:>8} {:>7} {:>7} {:>8} {:>7} {:>8} {:>8} {:>5}",
+        "policy",
+        "case",
+        "refused",
+        "worst",
+        "greedy",
+        "wait",
+        "waited",
+        "msg/s",
+        "msg/req",
+        "over"
+    );
+    for spread in [Spread::Even, Spread::Uneven, Spread::Shifting] {
+        print(
+            "equal fixed split",
+            &format!("{spread:?}"),
+            &measure_split(spread),
+        );
+    }
+    print("first come first served", "Even", &measure_common());
+    for (name, policy) in policies() {
+        for spread in [Spread::Even, Spread::Uneven, Spread::Shifting] {
+            let outcome = measure(&policy, spread, Failure::None);
+            print(&name, &format!("{spread:?}"), &outcome);
+        }
+        for failure in [Failure::OwnerLost, Failure::OwnerReplaced] {
+            let outcome = measure(&policy, Spread::Uneven, failure);
+            print(&name, &format!("{failure:?}"), &outcome);
+        }
+    }
+}
--- a/crates/coriander_limits/examples/support/usage_record.rs
+++ b/crates/coriander_limits/examples/support/usage_record.rs
@@ -5,16 +5,24 @@
 /// A token bucket in virtual time, as the guarantee G7 states it.
 #[derive(Clone, Debug)]
 pub struct IdealBucket {
-    limits: AccountLimits,
+    rate: f64,
+    burst: f64,
     tokens: f64,
     updated: u64,
 }
 
 impl IdealBucket {
     pub fn new(limits: AccountLimits) -> Self {
+        Self::part(limits, 1)
+    }
+
+    /// An equal part of the limits, at one of `parts` instances.
+    pub fn part(limits: AccountLimits, parts: u32) -> Self {
+        let burst = f64::from(limits.burst) / f64::from(parts);
         Self {
-            limits,
-            tokens: f64::from(limits.burst),
+            rate: f64::from(limits.rate) / f64::from(parts),
+            burst,
+            tokens: burst,
             updated: 0,
         }
     }
@@ -22,8 +30,7 @@
     /// Takes a token at a time in microseconds; false if there is none.
     pub fn take(&mut self, now: u64) -> bool {
         let passed = (now - self.updated) as f64 / 1e6;
-        let most = f64::from(self.limits.burst);
-        self.tokens = (self.tokens + passed * f64::from(self.limits.rate)).min(most);
+        self.tokens = (self.tokens + passed * self.rate).min(self.burst);
         self.updated = now;
         // Far less than a token and far more than the rounding error of the sum.
         let enough = self.tokens >= 1.0 - 1e-6;
