Serve accounts with small rates better

The last prefetched token was never returned but expired, and a partial grant or the retry time of a whole batch made the holder refuse at once. Change: surplus is rounded to the nearest; only an owner that has run out counts as scarce; the retry time is that of 50 ms of refill, and at least of one token.

--- a/crates/coriander_limits/src/account_grants.rs
+++ b/crates/coriander_limits/src/account_grants.rs
@@ -76,7 +76,7 @@
     next_try: SmallVec<[MonotonicTime; 3]>,
     demand: RateEstimate,
     supply: RateEstimate,
-    /// Whether the last reply granted less than was wanted.
+    /// Whether the owner that replied last has run out of tokens.
     scarce: bool,
 }
 
@@ -173,8 +173,9 @@
                 expires: take.sent + expiry,
             });
         }
-        self.scarce = amount < take.amount;
-        if self.scarce
+        // A partial grant without a retry time means that the owner kept tokens for others.
+        self.scarce = amount < take.amount && !grant.retry_after.is_zero();
+        if amount < take.amount
             && let Some(place) = self.plan.owners.iter().position(|id| id == owner)
         {
             self.next_try[place] = now + grant.retry_after.max(context.policy.empty_retry);
@@ -271,13 +272,14 @@
     /// Expected wait of a request behind `ahead` others; zero while tokens are not known to be
     /// scarce.
     fn expected_wait(&self, ahead: usize, now: MonotonicTime) -> Duration {
-        if !self.scarce || self.plan.rate == 0 {
+        if !self.scarce {
             return Duration::ZERO;
         }
-        // A holder without recent grants can count on a small part of the rate only.
-        let least = f64::from(self.plan.rate) / 20.0;
+        let next = self.next_try.iter().min().copied().unwrap_or(now);
+        // A holder without recent grants can count on a part of the rate only.
+        let least = f64::from(self.plan.rate.max(1)) / 10.0;
         let supply = self.supply.per_second(now).max(least);
-        Duration::from_secs_f64((ahead + 1) as f64 / supply)
+        next.since(now) + Duration::from_secs_f64(ahead as f64 / supply)
     }
 
     fn check_timeouts(&mut self, context: &mut HolderContext, now: MonotonicTime) {
@@ -317,7 +319,8 @@
             let grant = &mut self.grants[place];
             grant.review = grant.expires;
             let needed = demand * grant.expires.since(now).as_secs_f64();
-            let surplus = (held - needed.ceil()).max(0.0) as u32;
+            // Rounded to the nearest, so that a small demand does not keep the last token.
+            let surplus = (held - needed.round()).max(0.0) as u32;
             let amount = surplus.min(grant.amount);
             if amount == 0 {
                 continue;
--- a/crates/coriander_limits/src/bucket_shard.rs
+++ b/crates/coriander_limits/src/bucket_shard.rs
@@ -5,7 +5,7 @@
 
 use coriander_core::{ConfigVersion, MonotonicTime};
 
-use crate::token_bucket::PhasedBucket;
+use crate::token_bucket::{MICROS, PhasedBucket};
 use crate::{AccountPlan, BucketShare, GrantNumber, LimitPolicy, PlanTable, ReturnedTokens};
 
 /// Most grants whose unused tokens can be returned. Later returns of older grants are ignored,
@@ -69,7 +69,7 @@
         if self.bucket.is_settled() {
             self.expiry = self.planned_expiry;
         }
-        let whole = self.bucket.tokens(now) / crate::token_bucket::MICROS;
+        let whole = self.bucket.tokens(now) / MICROS;
         // One holder must not empty the shard while others are about to ask.
         let most = (whole * u64::from(policy.grant_share_percent)).div_ceil(100);
         let most = u32::try_from(most).unwrap_or(u32::MAX);
@@ -111,6 +111,12 @@
         self.bucket.time_until(count, now)
     }
 
+    /// Whole tokens that the shard gains in a time.
+    pub fn tokens_in(&self, time: Duration) -> u32 {
+        let gained = time.as_secs_f64() * self.bucket.share().rate as f64 / MICROS as f64;
+        gained as u32
+    }
+
     /// Tells whether the shard may grant; a shard in its waiting period may not.
     pub fn is_active(&mut self, policy: &LimitPolicy, now: MonotonicTime) -> bool {
         self.bucket.settle(policy.freshness, now);
--- a/crates/coriander_limits/src/owner_table.rs
+++ b/crates/coriander_limits/src/owner_table.rs
@@ -14,6 +14,10 @@
 /// Retry time in replies of an instance that cannot grant at all now.
 const IDLE_RETRY: Duration = Duration::from_millis(500);
 
+/// Time for whose refill a holder waits before it asks again. It bounds the requests that a busy
+/// account without tokens causes.
+const RETRY_BATCH: Duration = Duration::from_millis(50);
+
 #[derive(Clone, Debug)]
 struct OwnedShard {
     shard: BucketShard,
@@ -234,8 +238,13 @@
     joining.nth(place).cloned()
 }
 
+/// Time until it is worth asking again: until there is a token, or a few for a fast account.
 fn retry_time(shard: &mut BucketShard, missing: u32, now: MonotonicTime) -> Duration {
-    let wait = shard.time_until(missing.max(1), now);
+    if missing == 0 {
+        return Duration::ZERO;
+    }
+    let batch = shard.tokens_in(RETRY_BATCH).clamp(1, missing);
+    let wait = shard.time_until(batch, now);
     let next = wait.or_else(|| shard.time_until(1, now));
     next.unwrap_or(IDLE_RETRY).min(IDLE_RETRY)
 }
