Reduce the local reserves to 5 % of the rate and 20 % of the burst

Cause: traffic that comes through few instances cannot use the reserves of the others, so that half of the rate was out of reach. Change: default of LimitPolicy; the reserve still bridges a change of all owners with a fifth of the burst. A lost owner costs its third of the rate until the fleet section no longer lists it.

--- a/crates/coriander_limits/examples/limits_policy.rs
+++ b/crates/coriander_limits/examples/limits_policy.rs
@@ -230,11 +230,11 @@
     let base = LimitPolicy::default;
     let mut policies = vec![("default".to_owned(), base())];
     if env::args().any(|arg| arg == "--all") {
-        for (rate, burst) in [(50, 50), (20, 20), (5, 20), (0, 20), (0, 10), (0, 0)] {
+        for (rate, burst) in [(50, 50), (20, 20), (5, 20), (5, 10), (2, 10), (0, 0)] {
             let name = format!("reserve {rate}/{burst} %");
             policies.push((name, base().with_reserve_percent(rate, burst)));
         }
-        for millis in [0, 20, 50, 200, 400] {
+        for millis in [0, 20, 50, 100, 200] {
             let prefetch = Duration::from_millis(millis);
             policies.push((
                 format!("prefetch {millis} ms"),
--- a/crates/coriander_limits/src/limit_policy.rs
+++ b/crates/coriander_limits/src/limit_policy.rs
@@ -36,8 +36,8 @@
 impl Default for LimitPolicy {
     fn default() -> Self {
         Self {
-            reserve_rate_percent: 50,
-            reserve_burst_percent: 50,
+            reserve_rate_percent: 5,
+            reserve_burst_percent: 20,
             grant_expiry: Duration::from_millis(500),
             freshness: Duration::from_secs(2),
             prefetch: Duration::from_millis(100),
