Let open transactions run past the slot queue and wait longer for their rate

Cause: requests of an open transaction waited for a slot behind statements that waited for the transaction's locks, and were refused by the rate limit while the locks stayed held until the member's idle limit of 5 s. Ruled out: a change of primary (one term during the whole run). Conclusion: a holder of locks must not queue behind those who wait for them.

--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -159,11 +159,13 @@
         self.parts
             .rates
             .set_confirmed_age(self.parts.config.confirmed_age());
+        // Refusing a request of an open transaction would leave its locks held, so it waits longer.
+        let patience = match checked.forward.stream {
+            Some(_) => REQUEST_LIMIT / 2,
+            None => target.latency,
+        };
         let account = &checked.forward.account;
-        self.parts
-            .rates
-            .admit(account, start + target.latency)
-            .await?;
+        self.parts.rates.admit(account, start + patience).await?;
         let waited = self.parts.clock.now().since(start);
         record.steps.push(DecisionStep::Admitted {
             waited_ms: millis(waited),
--- a/crates/corianderstile/src/gateway/run_transaction.rs
+++ b/crates/corianderstile/src/gateway/run_transaction.rs
@@ -85,9 +85,15 @@
             member: transaction.member.id.clone(),
             term: transaction.term,
         };
-        let permit = self
-            .acquire_slot(request, SlotRole::Primary, deadline)
-            .await?;
+        // A transaction that is open may hold locks for which requests with a slot are waiting, so
+        // its next request must not wait for a slot behind them.
+        let permit = match request.stream {
+            Some(_) => None,
+            None => Some(
+                self.acquire_slot(request, SlotRole::Primary, deadline)
+                    .await?,
+            ),
+        };
         (self.context.may_run)(&request.key)?;
         let reply = self.send(&mut transaction, request, &shape, deadline).await;
         drop(permit);
