Count the expected queue into the data age of a read

Cause: the age was checked when a replica was chosen, but the data ages on until the replica executes the read.

Change: the age is taken at the expected start of execution, which adds half the round trip and the time for requests that wait for a slot.

--- a/crates/coriander_routing/src/member_state.rs
+++ b/crates/coriander_routing/src/member_state.rs
@@ -141,8 +141,20 @@
 
     /// Returns the expected time until the response to a new request.
     pub(crate) fn expected_latency(&self, slots: u32) -> Duration {
-        let service = self.service.mean().unwrap_or(DEFAULT_SERVICE);
-        let queue = f64::from(self.waiting(slots)) / f64::from(slots.max(1));
-        self.round_trip.mean().unwrap_or_default() + service.mul_f64(1.0 + queue)
+        self.expected_start(slots) + self.round_trip() / 2 + self.expected_service()
+    }
+
+    /// Returns the expected time until the member executes a new request.
+    pub(crate) fn expected_start(&self, slots: u32) -> Duration {
+        let queue = f64::from(self.waiting(slots)) / f64::from(slots);
+        self.round_trip() / 2 + self.expected_service().mul_f64(queue)
+    }
+
+    pub(crate) fn round_trip(&self) -> Duration {
+        self.round_trip.mean().unwrap_or_default()
+    }
+
+    fn expected_service(&self) -> Duration {
+        self.service.mean().unwrap_or(DEFAULT_SERVICE)
     }
 }
--- a/crates/coriander_routing/src/read_router.rs
+++ b/crates/coriander_routing/src/read_router.rs
@@ -140,7 +140,9 @@
     now: MonotonicTime,
 ) -> Option<LogPosition> {
     let (time, proof) = table.history().current_until(member.position)?;
-    let is_fresh = now.since(time) <= request.freshness && !request.freshness.is_zero();
+    // The data ages further until the member executes the read.
+    let age = (now + member.expected_start(table.slots())).since(time);
+    let is_fresh = age <= request.freshness && !request.freshness.is_zero();
     if !is_fresh {
         return None;
     }
