Wait for a replica that is expected before the primary

Cause: a read that no replica can serve yet joined the primary's queue even when a replica would have qualified sooner.

Change: ReadRouter returns Wait when the usual delay of a replica, or one round of status requests for a replica that has caught up, plus its expected latency is below the primary's. ReadRequest holds the expected wait in the caller's own queue and the time already waited, which ends waiting after the usual delay. The program also measures load 0.1.

--- a/crates/coriander_routing/examples/routing_policy.rs
+++ b/crates/coriander_routing/examples/routing_policy.rs
@@ -34,7 +34,7 @@
         "deployment  load policy       replica% allowed%  p50ms   p99ms  rep99ms  stale99ms stalemax violations refused waits"
     );
     for deployment in &DEPLOYMENTS {
-        for load in [0.7, 1.6] {
+        for load in [0.1, 0.7, 1.6] {
             for policy in [Policy::PrimaryOnly, Policy::RoundRobin, Policy::Router] {
                 let mut figures = Figures::new();
                 for primary in 0..3 {
--- a/crates/coriander_routing/examples/simulation/mod.rs
+++ b/crates/coriander_routing/examples/simulation/mod.rs
@@ -378,6 +378,8 @@
         let request = ReadRequest {
             freshness,
             session: job.need,
+            primary_wait: Duration::ZERO,
+            waited: Duration::from_micros(self.now - job.start),
             excluded,
         };
         ReadRouter.choose(&self.table, &request, self.time())
--- a/crates/coriander_routing/src/lib.rs
+++ b/crates/coriander_routing/src/lib.rs
@@ -26,6 +26,8 @@
 //! let request = ReadRequest {
 //!     freshness: Duration::from_millis(500),
 //!     session: SessionPosition::AtLeast("3.88".parse()?),
+//!     primary_wait: Duration::ZERO,
+//!     waited: Duration::ZERO,
 //!     excluded: &[],
 //! };
 //! let choice = ReadRouter.choose(&table, &request, MonotonicTime::from_millis(20));
--- a/crates/coriander_routing/src/moving_average.rs
+++ b/crates/coriander_routing/src/moving_average.rs
@@ -27,4 +27,9 @@
     pub(crate) const fn mean(&self) -> Option<Duration> {
         self.mean
     }
+
+    /// Returns a bound that most samples stay under.
+    pub(crate) fn usual_bound(&self) -> Option<Duration> {
+        self.mean.map(|mean| mean + self.deviation)
+    }
 }
--- a/crates/coriander_routing/src/read_router.rs
+++ b/crates/coriander_routing/src/read_router.rs
@@ -15,6 +15,10 @@
     pub freshness: Duration,
     /// What the session requires; without a token it is `Unknown`.
     pub session: SessionPosition,
+    /// Expected time in the caller's own queue before the primary could get the read.
+    pub primary_wait: Duration,
+    /// Time that the read has waited for replicas since its first choice.
+    pub waited: Duration,
     /// Members that must not be chosen, because they failed or refused this read before.
     pub excluded: &'a [MemberId],
 }
@@ -65,6 +69,8 @@
     /// let request = ReadRequest {
     ///     freshness: Duration::from_secs(1),
     ///     session: SessionPosition::Unwritten,
+    ///     primary_wait: Duration::ZERO,
+    ///     waited: Duration::ZERO,
     ///     excluded: &[],
     /// };
     /// let choice = ReadRouter.choose(&table, &request, MonotonicTime::from_millis(10));
@@ -91,7 +97,14 @@
                 min_position,
             };
         }
-        choose_primary(table, request)
+        let primary = choose_primary(table, request);
+        match choose_wait(table, request, &primary, now) {
+            Some((member, retry_after)) => ReadChoice::Wait {
+                member,
+                retry_after,
+            },
+            None => primary,
+        }
     }
 }
 
@@ -114,6 +127,51 @@
     }
 }
 
+/// Returns a replica that is expected to answer sooner than the primary after a short wait.
+fn choose_wait(
+    table: &ReplicaTable,
+    request: &ReadRequest<'_>,
+    primary: &ReadChoice,
+    now: MonotonicTime,
+) -> Option<(MemberId, Duration)> {
+    let ReadChoice::Primary { member: id, .. } = primary else {
+        return None;
+    };
+    let limit = request.primary_wait + table.find(id)?.expected_latency(table.slots());
+    let (wait, member) = table
+        .replicas()
+        .filter(|member| is_usable(table, member, request, now))
+        .filter_map(|member| Some((expected_wait(table, member, request, id)?, member)))
+        .min_by_key(|(wait, member)| *wait + member.expected_latency(table.slots()))?;
+    let is_sooner = wait + member.expected_latency(table.slots()) < limit;
+    is_sooner.then(|| (member.id.clone(), wait))
+}
+
+/// Returns the time until a replica is expected to satisfy the request, if it will.
+fn expected_wait(
+    table: &ReplicaTable,
+    member: &MemberState,
+    request: &ReadRequest<'_>,
+    primary: &MemberId,
+) -> Option<Duration> {
+    if request.session == SessionPosition::Unknown {
+        return None;
+    }
+    // New answers to status requests are needed in any case.
+    let probe = member.round_trip().max(table.find(primary)?.round_trip());
+    let age = probe + member.expected_start(table.slots());
+    if age >= request.freshness {
+        return None;
+    }
+    let is_caught_up = Some(member.position) == table.history().newest();
+    if is_caught_up {
+        return (request.waited < probe).then_some(probe);
+    }
+    // After the usual delay without success there is no reason to expect the replica soon.
+    let remaining = member.lag.usual_bound()?.saturating_sub(request.waited);
+    (!remaining.is_zero()).then(|| remaining.max(probe))
+}
+
 /// Tells whether a replica may get work at all.
 fn is_usable(
     table: &ReplicaTable,
--- a/crates/coriander_routing/tests/read_router.rs
+++ b/crates/coriander_routing/tests/read_router.rs
@@ -242,6 +242,8 @@
         let request = ReadRequest {
             freshness: target,
             session,
+            primary_wait: Duration::from_millis(50),
+            waited: Duration::ZERO,
             excluded: &[],
         };
         match choose(&self.table, &request, self.time(self.now)) {
--- a/crates/coriander_routing/tests/replica_table.rs
+++ b/crates/coriander_routing/tests/replica_table.rs
@@ -60,6 +60,8 @@
     let request = ReadRequest {
         freshness,
         session,
+        primary_wait: Duration::ZERO,
+        waited: Duration::ZERO,
         excluded: &[],
     };
     match ReadRouter.choose(table, &request, millis(now)) {
@@ -247,3 +249,43 @@
     );
     assert_eq!(budget.refused(), 10_000 - 1_099);
 }
+
+/// Guards against waiting for a replica although the primary is free, without end, or for one
+/// that cannot qualify.
+#[test]
+fn read_router_wait() {
+    let mut table = group();
+    let _ticket = table.record_start(&id("c"), millis(110));
+    let session = SessionPosition::AtLeast(log("1.6"));
+    let choose = |freshness: u64, session, primary_wait: u64, waited: u64| {
+        let request = ReadRequest {
+            freshness: Duration::from_millis(freshness),
+            session,
+            primary_wait: Duration::from_millis(primary_wait),
+            waited: Duration::from_millis(waited),
+            excluded: &[],
+        };
+        ReadRouter.choose(&table, &request, millis(110))
+    };
+    let is_wait = |choice| matches!(choice, ReadChoice::Wait { member, .. } if member == id("b"));
+    assert!(is_wait(choose(1000, session, 50, 0)));
+    assert!(!is_wait(choose(1000, session, 0, 0)), "the primary is free");
+    assert!(
+        !is_wait(choose(1000, session, 50, 20)),
+        "the expectation has failed"
+    );
+    assert!(
+        !is_wait(choose(0, session, 50, 0)),
+        "the newest data was asked for"
+    );
+    assert!(
+        !is_wait(choose(3, session, 50, 0)),
+        "the target is below the round trip"
+    );
+    assert!(
+        !is_wait(choose(1000, SessionPosition::Unknown, 50, 0)),
+        "no token"
+    );
+    let later = SessionPosition::AtLeast(log("2.6"));
+    assert_eq!(choose(1000, later, 50, 0), ReadChoice::Unavailable);
+}
