Ask for status answers ahead of time for tight freshness targets

Cause: with status answers every 100 ms a target of 50 ms is rarely provable when there is little traffic.

Change: ReplicaTable::wants_status asks for a round of status requests when a read finds the newest sample older than half of its target, at most once per half target and per 10 ms.

--- a/crates/coriander_routing/examples/simulation/mod.rs
+++ b/crates/coriander_routing/examples/simulation/mod.rs
@@ -80,6 +80,8 @@
     pub on_replica: u64,
     pub refused: u64,
     pub waits: u64,
+    /// Rounds of status requests that reads asked for.
+    pub probes: u64,
     pub violations: u64,
     pub latency: Histogram<u64>,
     /// Latency of reads served by replicas.
@@ -96,6 +98,7 @@
             on_replica: 0,
             refused: 0,
             waits: 0,
+            probes: 0,
             violations: 0,
             latency: histogram(),
             replica_latency: histogram(),
@@ -299,6 +302,12 @@
         let start = self.now;
         if !is_write {
             figures.reads += 1;
+            let freshness = Duration::from_micros(self.deployment.classes[class].2);
+            let now = self.time();
+            if self.policy == Policy::Router && self.table.wants_status(freshness, now) {
+                figures.probes += 1;
+                (0..3).for_each(|member| self.send_status(member));
+            }
             figures.allowed += u64::from(self.is_allowed(class, need));
         }
         let (min_position, excluded, ticket) = (None, Vec::new(), None);
--- a/crates/coriander_routing/src/position_history.rs
+++ b/crates/coriander_routing/src/position_history.rs
@@ -77,6 +77,12 @@
         self.samples.back().map(|sample| sample.position)
     }
 
+    /// Returns the latest time up to which the state of the primary is known.
+    pub(crate) fn newest_time(&self) -> MonotonicTime {
+        let newest = self.samples.back().map(|sample| sample.time);
+        newest.unwrap_or_default().min(self.confirmed)
+    }
+
     /// Returns the time up to which a log that ends at `position` holds everything acknowledged,
     /// and the position that proves it.
     pub(crate) fn current_until(
--- a/crates/coriander_routing/src/replica_table.rs
+++ b/crates/coriander_routing/src/replica_table.rs
@@ -8,6 +8,9 @@
 use crate::member_state::{MemberPlacement, MemberReport, MemberState, RequestTicket};
 use crate::position_history::PositionHistory;
 
+/// Least time between status requests that reads ask for.
+const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Members of a database group with their positions, roles and loads.
 ///
 /// ```
@@ -39,6 +42,7 @@
     term: TermNumber,
     primary: Option<MemberId>,
     history: PositionHistory,
+    last_wanted: MonotonicTime,
 }
 
 impl ReplicaTable {
@@ -51,6 +55,7 @@
             term: TermNumber::default(),
             primary: None,
             history: PositionHistory::default(),
+            last_wanted: MonotonicTime::ZERO,
         }
     }
 
@@ -147,6 +152,20 @@
         self.finish(ticket);
     }
 
+    /// Tells whether status requests should be sent to all members now, ahead of the regular ones.
+    ///
+    /// It is asked for each read. Reads of a class with a freshness target below the interval of
+    /// the regular requests would otherwise find that all data is too old to be proven fresh.
+    pub fn wants_status(&mut self, freshness: Duration, now: MonotonicTime) -> bool {
+        let half = freshness / 2;
+        let is_due = now.since(self.history.newest_time()) >= half
+            && now.since(self.last_wanted) >= half.max(MIN_STATUS_INTERVAL);
+        if is_due {
+            self.last_wanted = now;
+        }
+        is_due && !freshness.is_zero()
+    }
+
     /// Returns the newest known term.
     pub const fn term(&self) -> TermNumber {
         self.term
--- a/crates/coriander_routing/tests/replica_table.rs
+++ b/crates/coriander_routing/tests/replica_table.rs
@@ -289,3 +289,24 @@
     let later = SessionPosition::AtLeast(log("2.6"));
     assert_eq!(choose(1000, later, 50, 0), ReadChoice::Unavailable);
 }
+
+/// Guards against a flood of status requests, and against none for tight freshness targets.
+#[test]
+fn wants_status_rate() {
+    let mut table = group();
+    let tight = Duration::from_millis(60);
+    assert!(
+        !table.wants_status(tight, millis(110)),
+        "the sample is new enough"
+    );
+    assert!(table.wants_status(tight, millis(140)));
+    assert!(!table.wants_status(tight, millis(160)), "asked for already");
+    assert!(table.wants_status(tight, millis(171)));
+    assert!(
+        !table.wants_status(Duration::ZERO, millis(900)),
+        "no sample is ever new enough"
+    );
+    let wanted =
+        (1000..2000).filter(|now| table.wants_status(Duration::from_millis(1), millis(*now)));
+    assert_eq!(wanted.count(), 100);
+}
