--- a/crates/coriander_wire/src/datagram_codec.rs
+++ b/crates/coriander_wire/src/datagram_codec.rs
@@ -73,7 +73,7 @@
             let bound = MAX_DATAGRAM_LENGTH;
             return Err(EncodeError::TooLong { length, bound });
         }
-        self.mac.append(&mut datagram);
+        self.mac.append(&mut datagram, 0);
         Ok(datagram)
     }
 
--- a/crates/coriander_wire/src/frame_codec.rs
+++ b/crates/coriander_wire/src/frame_codec.rs
@@ -57,10 +57,8 @@
             let bound = MAX_FRAME_LENGTH;
             return Err(EncodeError::TooLong { length, bound });
         }
-        let mut signed = frame.split_off(PREFIX_LENGTH);
-        self.mac.append(&mut signed);
-        frame.copy_from_slice(&(length as u32).to_be_bytes());
-        frame.extend_from_slice(&signed);
+        self.mac.append(&mut frame, PREFIX_LENGTH);
+        frame[..PREFIX_LENGTH].copy_from_slice(&(length as u32).to_be_bytes());
         Ok(frame)
     }
 
--- a/crates/coriander_wire/src/message_mac.rs
+++ b/crates/coriander_wire/src/message_mac.rs
@@ -24,9 +24,9 @@
         Self(keyed(&derived))
     }
 
-    /// Appends the code of `message` to it.
-    pub(crate) fn append(&self, message: &mut Vec<u8>) {
-        let code = self.0.clone().chain_update(&*message).finalize();
+    /// Appends the code of the bytes from `start` on.
+    pub(crate) fn append(&self, message: &mut Vec<u8>, start: usize) {
+        let code = self.0.clone().chain_update(&message[start..]).finalize();
         message.extend_from_slice(&code.into_bytes()[..MAC_LENGTH]);
     }
 
