Log transactions that arrive as one complete batch

Cause: client libraries send a whole transaction as one batch of BEGIN, statements, COMMIT and ROLLBACK. It ran without a record, so a lost response left its outcome unknown.

Change: LoggedWrite accepts such a batch if every statement and COMMIT need the one before. The log's transaction takes the place of BEGIN and COMMIT, and the caller gets results for all steps. Batches in which COMMIT does not need every statement are refused as before and need a stream of their own.

Conclusion: at most once now covers transactions in one batch; pipelines that keep a transaction open still need the record before their COMMIT.

--- /dev/null
+++ b/crates/coriander_routing/src/batch_transaction.rs
@@ -0,0 +1,75 @@
+//! Recognition of batches that are one complete transaction.
+
+use libsql_hrana::proto::{Batch, BatchCond, BatchStep, StreamRequest};
+
+use crate::request_kind::find_sql;
+use crate::sql_words::SqlWords;
+use crate::{StatementCache, StatementKind};
+
+/// A batch of BEGIN, statements that each need the one before, COMMIT, and ROLLBACK if that fails.
+///
+/// This is the form in which client libraries send a transaction in one request. It is all or
+/// nothing, like a logged write.
+pub(crate) struct BatchTransaction<'a> {
+    /// Statements between BEGIN and COMMIT.
+    pub(crate) inner: &'a [BatchStep],
+    /// Number of steps after COMMIT.
+    pub(crate) rollbacks: usize,
+}
+
+impl<'a> BatchTransaction<'a> {
+    pub(crate) fn find(
+        batch: &'a Batch,
+        stored: &[StreamRequest],
+        cache: &mut StatementCache,
+    ) -> Option<Self> {
+        let steps = &*batch.steps;
+        let word = |step: &BatchStep| {
+            let sql = find_sql(step.stmt.sql.as_deref(), step.stmt.sql_id, stored)?;
+            Some(SqlWords::new(sql).next()?.to_ascii_uppercase())
+        };
+        let mut kind = |step: &BatchStep| {
+            let sql = find_sql(step.stmt.sql.as_deref(), step.stmt.sql_id, stored);
+            sql.map(|sql| cache.classify(sql))
+        };
+        let (first, rest) = steps.split_first()?;
+        let is_begin = kind(first) == Some(StatementKind::Begin)
+            && word(first).as_deref() == Some("BEGIN")
+            && first.condition.is_none();
+        let length = rest
+            .iter()
+            .position(|step| kind(step).is_none_or(StatementKind::is_control))?;
+        let (inner, tail) = rest.split_at(length);
+        let (commit, rollbacks) = tail.split_first()?;
+        let is_commit = kind(commit) == Some(StatementKind::End)
+            && word(commit).is_some_and(|word| word == "COMMIT" || word == "END");
+        let mut links = inner.iter().chain([commit]).zip(0..);
+        let is_chain = links.all(|(step, before)| needs(step.condition.as_ref(), before));
+        let mut is_rollback = |step: &BatchStep| {
+            kind(step) == Some(StatementKind::End)
+                && word(step).as_deref() == Some("ROLLBACK")
+                && step.condition.is_some()
+        };
+        let is_complete = is_begin && is_commit && is_chain && !inner.is_empty();
+        let rollbacks = rollbacks.iter().filter(|step| is_rollback(step)).count();
+        (is_complete && 1 + length + 1 + rollbacks == steps.len())
+            .then_some(Self { inner, rollbacks })
+    }
+}
+
+/// Tells whether a condition is that the step `before` succeeded and the transaction is open.
+fn needs(condition: Option<&BatchCond>, before: u32) -> bool {
+    match condition {
+        Some(BatchCond::Ok { step }) => *step == before,
+        Some(BatchCond::And(list)) => {
+            let is_open = |cond: &BatchCond| match cond {
+                BatchCond::Not { cond } => matches!(**cond, BatchCond::IsAutocommit {}),
+                _ => false,
+            };
+            let others = list.conds.iter().filter(|cond| !is_open(cond));
+            let mut others = others.map(|cond| needs(Some(cond), before));
+            others.next() == Some(true) && others.next().is_none()
+        }
+        _ => false,
+    }
+}
--- a/crates/coriander_routing/src/lib.rs
+++ b/crates/coriander_routing/src/lib.rs
@@ -35,6 +35,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod batch_transaction;
 mod hedge_policy;
 mod logged_write;
 mod member_state;
--- a/crates/coriander_routing/src/logged_write.rs
+++ b/crates/coriander_routing/src/logged_write.rs
@@ -100,7 +100,11 @@
 }
 
 impl LoggedWrite {
-    /// Wraps the requests of a pipeline, which must be a write outside of a transaction.
+    /// Wraps the requests of a pipeline that starts a new stream.
+    ///
+    /// A batch that is a complete transaction is accepted as well; the log's transaction takes
+    /// its place. Other requests that control a transaction are refused with
+    /// [`WrapError::Transaction`] and need a stream of their own.
     pub fn new(
         identity: RequestIdentity,
         requests: &[StreamRequest],
--- a/crates/coriander_routing/src/request_parts.rs
+++ b/crates/coriander_routing/src/request_parts.rs
@@ -3,6 +3,7 @@
 use libsql_hrana::proto::{BatchCond, BatchCondList, BatchStep, Stmt, StreamRequest};
 use thiserror::Error;
 
+use crate::batch_transaction::BatchTransaction;
 use crate::request_kind::find_sql;
 use crate::script::split_script;
 use crate::{RequestLog, StatementCache, StatementKind};
@@ -42,6 +43,13 @@
     Execute,
     /// Holds the number of steps.
     Batch(usize),
+    /// A batch that is a transaction of its own; the log's transaction takes its place.
+    Transaction {
+        /// Steps between BEGIN and COMMIT.
+        inner: usize,
+        /// Steps after COMMIT.
+        rollbacks: usize,
+    },
     /// Holds the number of statements.
     Sequence(usize),
     StoreSql,
@@ -98,6 +106,16 @@
                 RequestPart::Execute
             }
             StreamRequest::Batch(batch) => {
+                let transaction = BatchTransaction::find(&batch.batch, stored, cache);
+                if let Some(BatchTransaction { inner, rollbacks }) = transaction {
+                    for step in inner {
+                        self.add_step(None, &step.stmt, stored, cache)?;
+                    }
+                    let inner = inner.len();
+                    self.parts
+                        .push(RequestPart::Transaction { inner, rollbacks });
+                    return Ok(());
+                }
                 for step in &batch.batch.steps {
                     self.add_batch_step(step, start, stored, cache)?;
                 }
--- a/crates/coriander_routing/src/request_results.rs
+++ b/crates/coriander_routing/src/request_results.rs
@@ -47,6 +47,18 @@
     let results = parts.parts.iter().map(|part| match part {
         RequestPart::Execute => execute_result(outcomes.next(), rolled_back),
         RequestPart::Batch(steps) => batch_result(outcomes.by_ref().take(*steps)),
+        RequestPart::Transaction { inner, rollbacks } => {
+            let begin = StepOutcome::Done(StmtResult::default());
+            let inner = outcomes.by_ref().take(*inner);
+            // COMMIT has an effect if and only if the ROLLBACK after it has none.
+            let (commit, rollback) = match rolled_back {
+                None => (begin.clone(), StepOutcome::Skipped),
+                Some(_) => (StepOutcome::Skipped, begin.clone()),
+            };
+            let rollbacks = std::iter::repeat_n(rollback, *rollbacks);
+            let steps = std::iter::once(begin).chain(inner);
+            batch_result(steps.chain([commit]).chain(rollbacks))
+        }
         RequestPart::Sequence(steps) => {
             let steps = outcomes.by_ref().take(*steps);
             sequence_result(steps.collect(), rolled_back)
--- a/crates/coriander_routing/tests/request_log.rs
+++ b/crates/coriander_routing/tests/request_log.rs
@@ -351,6 +351,77 @@
     );
 }
 
+/// Guards against a transaction in one batch running twice after its response was lost.
+#[test]
+fn logged_write_batch_transaction() {
+    let ok = |step: u32| format!(r#""condition":{{"type":"ok","step":{step}}},"#);
+    let open_and_ok = r#""condition":{"type":"and","conds":[{"type":"ok","step":2},{"type":"not","cond":{"type":"is_autocommit"}}]},"#;
+    let request = |second: &str, commit: &str| {
+        format!(
+            r#"{{"type":"batch","batch":{{"steps":[
+            {{"stmt":{{"sql":"BEGIN IMMEDIATE"}}}},
+            {{{}"stmt":{{"sql":"INSERT INTO t (id) VALUES (1)"}}}},
+            {{{}"stmt":{{"sql":"{second}"}}}},
+            {{{commit}"stmt":{{"sql":"COMMIT"}}}},
+            {{"condition":{{"type":"not","cond":{{"type":"ok","step":3}}}},"stmt":{{"sql":"ROLLBACK"}}}}]}}}}"#,
+            ok(0),
+            ok(1)
+        )
+    };
+    let shape = |results: &[StreamResult]| match results {
+        [
+            StreamResult::Ok {
+                response: StreamResponse::Batch(batch),
+            },
+        ] => {
+            let results = batch.result.step_results.iter().map(Option::is_some);
+            (
+                results.collect::<Vec<_>>(),
+                batch.result.step_errors.iter().flatten().count(),
+            )
+        }
+        _ => panic!("one batch"),
+    };
+    for commit in [&*ok(2), open_and_ok] {
+        let connection = open();
+        let write = wrap("1", &request("UPDATE t SET a = 'x'", commit)).expect("can be wrapped");
+        assert!(write.is_single_pass());
+        let WriteResult::Done { results } = execute(&connection, &write) else {
+            panic!("not done")
+        };
+        assert_eq!(shape(&results), (vec![true, true, true, true, false], 0));
+        let again = execute(&connection, &write);
+        let WriteResult::AlreadyDone {
+            results: Some(again),
+        } = again
+        else {
+            panic!("not found")
+        };
+        assert_eq!(json(&results), json(&again));
+        assert_eq!(count(&connection, "t"), 1);
+        let connection = open();
+        let write =
+            wrap("2", &request("INSERT INTO t (id) VALUES (1)", commit)).expect("can be wrapped");
+        let WriteResult::Failed { results, .. } = execute(&connection, &write) else {
+            panic!("not failed")
+        };
+        // The errors are the one of the second statement and that the first was rolled back.
+        assert_eq!(shape(&results), (vec![true, false, false, false, true], 2));
+        assert_eq!(
+            (
+                count(&connection, "t"),
+                count(&connection, "corianderstile_requests")
+            ),
+            (0, 0)
+        );
+    }
+    // A COMMIT that does not need every statement would keep half of a failed transaction.
+    for commit in ["", &ok(1)] {
+        let write = wrap("1", &request("UPDATE t SET a = 'x'", commit));
+        assert_eq!(write.err(), Some(WrapError::Transaction));
+    }
+}
+
 /// Guards against requests that would break the record's transaction or read other records.
 #[test]
 fn logged_write_refused() {
