Hedge reads only to replicas with a free slot

Cause: the hedge delay and budget existed, but their effect was not measured, and a hedge that waits for a slot delays other reads.

Change: ReadRouter::choose_hedge chooses a second replica that is not busy. The program measures the router with and without hedging and prints the 99.9th percentile of replica reads.

The simulation has no replica that stops answering at all, for which hedging is mainly meant.

--- a/crates/coriander_routing/examples/routing_policy.rs
+++ b/crates/coriander_routing/examples/routing_policy.rs
@@ -31,11 +31,16 @@
 
 fn main() {
     println!(
-        "deployment  load policy       replica% allowed%  p50ms   p99ms  rep99ms  stale99ms stalemax violations refused waits probes"
+        "deployment  load policy       replica% allowed%  p50ms   p99ms  rep99ms rep999ms  stale99ms stalemax violations refused waits probes hedges"
     );
     for deployment in &DEPLOYMENTS {
         for load in [0.1, 0.7, 1.6] {
-            for policy in [Policy::PrimaryOnly, Policy::RoundRobin, Policy::Router] {
+            for policy in [
+                Policy::PrimaryOnly,
+                Policy::RoundRobin,
+                Policy::Router,
+                Policy::HedgedRouter,
+            ] {
                 let mut figures = Figures::new();
                 for primary in 0..3 {
                     Simulation::new(deployment, policy, load, primary).run(&mut figures);
@@ -43,7 +48,7 @@
                 let share = |part: u64| 100.0 * part as f64 / figures.reads as f64;
                 let millis = |micros: u64| micros as f64 / 1000.0;
                 println!(
-                    "{:<11} {load:<4} {:<12} {:>8.1} {:>8.1} {:>6.1} {:>8.1} {:>8.1} {:>9.1} {:>8.1} {:>10} {:>7} {:>6} {:>6}",
+                    "{:<11} {load:<4} {:<12} {:>8.1} {:>8.1} {:>6.1} {:>8.1} {:>8.1} {:>8.1} {:>9.1} {:>8.1} {:>10} {:>7} {:>6} {:>6} {:>6}",
                     deployment.name,
                     format!("{policy:?}"),
                     share(figures.on_replica),
@@ -51,12 +56,14 @@
                     millis(figures.latency.value_at_quantile(0.5)),
                     millis(figures.latency.value_at_quantile(0.99)),
                     millis(figures.replica_latency.value_at_quantile(0.99)),
+                    millis(figures.replica_latency.value_at_quantile(0.999)),
                     millis(figures.staleness.value_at_quantile(0.99)),
                     millis(figures.staleness.max()),
                     figures.violations,
                     figures.refused,
                     figures.waits,
                     figures.probes,
+                    figures.hedges,
                 );
             }
         }
--- /dev/null
+++ b/crates/coriander_routing/examples/simulation/deployment.rs
@@ -0,0 +1,19 @@
+//! Sizes and policies that are compared.
+
+/// Sizes of section 1.3 of the design page; times in microseconds.
+pub struct Deployment {
+    pub name: &'static str,
+    pub zones: [&'static str; 3],
+    pub zone_delay: u64,
+    pub slots: u32,
+    /// Share of requests, share of writes and freshness per class.
+    pub classes: [(f64, f64, u64); 3],
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq, PartialOrd)]
+pub enum Policy {
+    PrimaryOnly,
+    RoundRobin,
+    Router,
+    HedgedRouter,
+}
--- /dev/null
+++ b/crates/coriander_routing/examples/simulation/figures.rs
@@ -0,0 +1,39 @@
+//! What a simulation counts.
+
+use hdrhistogram::Histogram;
+
+/// Counts and latencies of reads, in microseconds.
+pub struct Figures {
+    pub reads: u64,
+    pub allowed: u64,
+    pub on_replica: u64,
+    pub refused: u64,
+    pub waits: u64,
+    pub hedges: u64,
+    /// Rounds of status requests that reads asked for.
+    pub probes: u64,
+    pub violations: u64,
+    pub latency: Histogram<u64>,
+    /// Latency of reads served by replicas.
+    pub replica_latency: Histogram<u64>,
+    pub staleness: Histogram<u64>,
+}
+
+impl Figures {
+    pub fn new() -> Self {
+        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds");
+        Self {
+            reads: 0,
+            allowed: 0,
+            on_replica: 0,
+            refused: 0,
+            waits: 0,
+            hedges: 0,
+            probes: 0,
+            violations: 0,
+            latency: histogram(),
+            replica_latency: histogram(),
+            staleness: histogram(),
+        }
+    }
+}
--- a/crates/coriander_routing/examples/simulation/mod.rs
+++ b/crates/coriander_routing/examples/simulation/mod.rs
@@ -1,112 +1,37 @@
 //! Discrete event simulation of one gateway and one database group.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::rc::Rc;
 use std::time::Duration;
 
 use coriander_core::{LogPosition, MemberId, MonotonicTime, TermNumber, ZoneName};
 use coriander_routing::{
-    MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable, RequestTicket,
+    HedgePolicy, MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable,
+    RetryBudget,
 };
 use coriander_session::SessionPosition;
-use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+mod deployment;
+mod events;
+mod figures;
+
+pub use deployment::{Deployment, Policy};
+pub use figures::Figures;
+
+use events::{Event, Job, Member};
+
 const SEED: u64 = 20_240_611;
 const RUN: u64 = 300_000_000;
 const STATUS_INTERVAL: u64 = 100_000;
 const SESSIONS: usize = 200;
+const LATENCY_TARGET: Duration = Duration::from_millis(100);
 const READ_SERVICE: f64 = 4_000.0;
 const WRITE_SERVICE: f64 = 6_000.0;
 const TERM: TermNumber = TermNumber::new(1);
 
-/// Sizes of section 1.3 of the design page; times in microseconds.
-pub struct Deployment {
-    pub name: &'static str,
-    pub zones: [&'static str; 3],
-    pub zone_delay: u64,
-    pub slots: u32,
-    /// Share of requests, share of writes and freshness per class.
-    pub classes: [(f64, f64, u64); 3],
-}
-
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Policy {
-    PrimaryOnly,
-    RoundRobin,
-    Router,
-}
-
-enum Event {
-    Arrive,
-    Retry(Job),
-    AtMember(usize, Job),
-    Done(usize, Job),
-    /// Holds the position after execution, or nothing if the member refused.
-    Response(usize, Job, Option<u64>),
-    StatusTick,
-    Status(usize, u64),
-    StatusBack(usize, MemberReport, u64),
-    Apply(usize, u64),
-    Stall(usize, u64),
-    Slow(usize, u64),
-}
-
-struct Job {
-    start: u64,
-    class: usize,
-    session: usize,
-    is_write: bool,
-    need: SessionPosition,
-    min_position: Option<LogPosition>,
-    excluded: Vec<MemberId>,
-    ticket: Option<RequestTicket>,
-}
-
-#[derive(Default)]
-struct Member {
-    queue: VecDeque<Job>,
-    busy: u32,
-    index: u64,
-    applied: u64,
-    stalled_until: u64,
-    slow_until: u64,
-}
-
-pub struct Figures {
-    pub reads: u64,
-    pub allowed: u64,
-    pub on_replica: u64,
-    pub refused: u64,
-    pub waits: u64,
-    /// Rounds of status requests that reads asked for.
-    pub probes: u64,
-    pub violations: u64,
-    pub latency: Histogram<u64>,
-    /// Latency of reads served by replicas.
-    pub replica_latency: Histogram<u64>,
-    pub staleness: Histogram<u64>,
-}
-
-impl Figures {
-    pub fn new() -> Self {
-        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds");
-        Self {
-            reads: 0,
-            allowed: 0,
-            on_replica: 0,
-            refused: 0,
-            waits: 0,
-            probes: 0,
-            violations: 0,
-            latency: histogram(),
-            replica_latency: histogram(),
-            staleness: histogram(),
-        }
-    }
-}
-
 pub struct Simulation<'a> {
     deployment: &'a Deployment,
     policy: Policy,
@@ -126,6 +51,11 @@
     /// Commit time of each log entry; entry 0 is the empty log.
     commits: Vec<u64>,
     sessions: Vec<Option<u64>>,
+    /// Unanswered reads on replicas.
+    open: HashMap<u64, (usize, Job)>,
+    hedges: Vec<HedgePolicy>,
+    budget: RetryBudget,
+    jobs: u64,
     turn: usize,
 }
 
@@ -176,6 +106,10 @@
             members: (0..3).map(|_| Member::default()).collect(),
             commits: vec![0],
             sessions: vec![None; SESSIONS],
+            open: HashMap::new(),
+            hedges: vec![HedgePolicy::new(LATENCY_TARGET); 3],
+            budget: RetryBudget::default(),
+            jobs: 0,
             turn: 0,
         }
     }
@@ -216,6 +150,7 @@
         match event {
             Event::Arrive => self.arrive(figures),
             Event::Retry(job) => self.route(job, figures),
+            Event::Hedge(id) => self.hedge(id, figures),
             Event::AtMember(member, job) => {
                 self.members[member].queue.push_back(job);
                 self.start_jobs(member, figures);
@@ -304,14 +239,18 @@
             figures.reads += 1;
             let freshness = Duration::from_micros(self.deployment.classes[class].2);
             let now = self.time();
-            if self.policy == Policy::Router && self.table.wants_status(freshness, now) {
+            if self.policy >= Policy::Router && self.table.wants_status(freshness, now) {
                 figures.probes += 1;
                 (0..3).for_each(|member| self.send_status(member));
             }
             figures.allowed += u64::from(self.is_allowed(class, need));
         }
         let (min_position, excluded, ticket) = (None, Vec::new(), None);
+        self.jobs += 1;
+        self.budget.record_request();
         let job = Job {
+            id: self.jobs,
+            is_hedge: false,
             start,
             class,
             session,
@@ -351,47 +290,77 @@
             _ if job.is_write => self.primary,
             Policy::PrimaryOnly => self.primary,
             Policy::RoundRobin => self.next_replica(&mut job),
-            Policy::Router => match self.choose(&job) {
-                ReadChoice::Replica {
-                    member,
-                    min_position,
-                } => {
-                    job.min_position = Some(min_position);
-                    self.ids
-                        .iter()
-                        .position(|id| *id == member)
-                        .expect("known member")
-                }
-                ReadChoice::Wait {
-                    member,
-                    retry_after,
-                } => {
-                    figures.waits += 1;
-                    let replica = self.ids.iter().position(|id| *id == member);
-                    self.send_status(self.primary);
-                    self.send_status(replica.expect("known member"));
-                    let delay = retry_after.as_micros() as u64;
-                    return self.schedule(delay.max(1), Event::Retry(job));
+            Policy::Router | Policy::HedgedRouter => {
+                match ReadRouter.choose(&self.table, &self.request(&job), self.time()) {
+                    ReadChoice::Replica {
+                        member,
+                        min_position,
+                    } => {
+                        job.min_position = Some(min_position);
+                        self.ids
+                            .iter()
+                            .position(|id| *id == member)
+                            .expect("known member")
+                    }
+                    ReadChoice::Wait {
+                        member,
+                        retry_after,
+                    } => {
+                        figures.waits += 1;
+                        let replica = self.ids.iter().position(|id| *id == member);
+                        self.send_status(self.primary);
+                        self.send_status(replica.expect("known member"));
+                        let delay = retry_after.as_micros() as u64;
+                        return self.schedule(delay.max(1), Event::Retry(job));
+                    }
+                    ReadChoice::Primary { .. } | ReadChoice::Unavailable => self.primary,
                 }
-                ReadChoice::Primary { .. } | ReadChoice::Unavailable => self.primary,
-            },
+            }
         };
+        if self.policy == Policy::HedgedRouter && !job.is_write && member != self.primary {
+            let delay = self.hedges[job.class].delay().as_micros() as u64;
+            self.schedule(delay, Event::Hedge(job.id));
+            self.open.insert(job.id, (member, job.clone()));
+        }
+        self.send(member, job);
+    }
+
+    fn send(&mut self, member: usize, mut job: Job) {
         let now = self.time();
-        job.ticket = Some(self.table.record_start(&self.ids[member], now));
+        job.ticket = Some(Rc::new(self.table.record_start(&self.ids[member], now)));
         self.schedule(self.delay(member), Event::AtMember(member, job));
     }
 
-    fn choose(&self, job: &Job) -> ReadChoice {
-        let freshness = Duration::from_micros(self.deployment.classes[job.class].2);
-        let excluded = &job.excluded;
-        let request = ReadRequest {
-            freshness,
+    /// Sends an unanswered read to a second replica.
+    fn hedge(&mut self, id: u64, figures: &mut Figures) {
+        let Some((first, job)) = self.open.get(&id) else {
+            return;
+        };
+        let mut job = job.clone();
+        job.is_hedge = true;
+        job.excluded.push(self.ids[*first].clone());
+        let request = self.request(&job);
+        let choice = ReadRouter.choose_hedge(&self.table, &request, self.time());
+        let Some((member, min_position)) = choice else {
+            return;
+        };
+        let elapsed = Duration::from_micros(self.now - job.start);
+        if self.hedges[job.class].try_hedge(elapsed, &mut self.budget) {
+            figures.hedges += 1;
+            job.min_position = Some(min_position);
+            let member = self.ids.iter().position(|id| *id == member);
+            self.send(member.expect("known member"), job);
+        }
+    }
+
+    fn request<'b>(&self, job: &'b Job) -> ReadRequest<'b> {
+        ReadRequest {
+            freshness: Duration::from_micros(self.deployment.classes[job.class].2),
             session: job.need,
             primary_wait: Duration::ZERO,
             waited: Duration::from_micros(self.now - job.start),
-            excluded,
-        };
-        ReadRouter.choose(&self.table, &request, self.time())
+            excluded: &job.excluded,
+        }
     }
 
     /// Takes the replicas in turn; a replica only checks the session's position.
@@ -473,6 +442,9 @@
         let ticket = job.ticket.take().expect("ticket of a sent request");
         let Some(index) = index else {
             self.table.record_refusal(&ticket);
+            if job.is_hedge {
+                return;
+            }
             job.excluded.push(self.ids[member].clone());
             return self.route(job, figures);
         };
@@ -485,6 +457,14 @@
             return;
         }
         let latency = self.now - job.start;
+        if self.policy == Policy::HedgedRouter && member != self.primary {
+            if !job.is_hedge {
+                self.hedges[job.class].record_latency(Duration::from_micros(latency));
+            }
+            if self.open.remove(&job.id).is_none() {
+                return;
+            }
+        }
         figures.latency.saturating_record(latency);
         if member != self.primary {
             figures.on_replica += 1;
--- a/crates/coriander_routing/src/read_router.rs
+++ b/crates/coriander_routing/src/read_router.rs
@@ -82,16 +82,7 @@
         request: &ReadRequest<'_>,
         now: MonotonicTime,
     ) -> ReadChoice {
-        let replica = table
-            .replicas()
-            .filter(|member| is_usable(table, member, request, now))
-            .filter_map(|member| Some((member, proven_position(table, member, request, now)?)))
-            .min_by_key(|(member, _)| {
-                let is_other_zone = member.placement.zone != *table.own_zone();
-                (member.expected_latency(table.slots()), is_other_zone)
-            });
-        if let Some((member, min_position)) = replica {
-            let member = member.id.clone();
+        if let Some((member, min_position)) = choose_replica(table, request, now, u32::MAX) {
             return ReadChoice::Replica {
                 member,
                 min_position,
@@ -106,6 +97,39 @@
             None => primary,
         }
     }
+
+    /// Chooses a second replica for a read that has been unanswered for long, with the position
+    /// below which it must refuse the read.
+    ///
+    /// `request.excluded` names the first replica. Only a replica with a free slot qualifies:
+    /// under overload a hedge would delay the reads that wait there.
+    pub fn choose_hedge(
+        &self,
+        table: &ReplicaTable,
+        request: &ReadRequest<'_>,
+        now: MonotonicTime,
+    ) -> Option<(MemberId, LogPosition)> {
+        choose_replica(table, request, now, 0)
+    }
+}
+
+/// Returns the eligible replica with the least expected latency.
+fn choose_replica(
+    table: &ReplicaTable,
+    request: &ReadRequest<'_>,
+    now: MonotonicTime,
+    most_waiting: u32,
+) -> Option<(MemberId, LogPosition)> {
+    let (member, min_position) = table
+        .replicas()
+        .filter(|member| is_usable(table, member, request, now))
+        .filter(|member| member.waiting(table.slots()) <= most_waiting)
+        .filter_map(|member| Some((member, proven_position(table, member, request, now)?)))
+        .min_by_key(|(member, _)| {
+            let is_other_zone = member.placement.zone != *table.own_zone();
+            (member.expected_latency(table.slots()), is_other_zone)
+        })?;
+    Some((member.id.clone(), min_position))
 }
 
 fn choose_primary(table: &ReplicaTable, request: &ReadRequest<'_>) -> ReadChoice {
--- a/crates/coriander_routing/tests/replica_table.rs
+++ b/crates/coriander_routing/tests/replica_table.rs
@@ -310,3 +310,29 @@
         (1000..2000).filter(|now| table.wants_status(Duration::from_millis(1), millis(*now)));
     assert_eq!(wanted.count(), 100);
 }
+
+/// Guards against hedges that queue at a busy replica or repeat the first choice.
+#[test]
+fn choose_hedge_free_replica() {
+    let mut table = group();
+    let excluded = [id("b")];
+    let request = ReadRequest {
+        freshness: Duration::from_secs(1),
+        session: ANY,
+        primary_wait: Duration::ZERO,
+        waited: Duration::ZERO,
+        excluded: &excluded,
+    };
+    let expected = Some((id("c"), log("1.5")));
+    assert_eq!(
+        ReadRouter.choose_hedge(&table, &request, millis(110)),
+        expected
+    );
+    let _first = table.record_start(&id("c"), millis(110));
+    assert_eq!(
+        ReadRouter.choose_hedge(&table, &request, millis(110)),
+        expected
+    );
+    let _second = table.record_start(&id("c"), millis(110));
+    assert_eq!(ReadRouter.choose_hedge(&table, &request, millis(110)), None);
+}
