Send read transactions in one batch to replicas

Cause: client libraries send several reads as one batch of BEGIN, statements and COMMIT, which counted as a transaction and went to the primary.

Change: a complete batch transaction whose BEGIN takes no lock and whose statements are all proven reads is read only.

Conclusion: such batches now count for the replica share.

--- a/crates/coriander_routing/src/batch_transaction.rs
+++ b/crates/coriander_routing/src/batch_transaction.rs
@@ -11,6 +11,7 @@
 /// This is the form in which client libraries send a transaction in one request. It is all or
 /// nothing, like a logged write.
 pub(crate) struct BatchTransaction<'a> {
+    begin: &'a BatchStep,
     /// Statements between BEGIN and COMMIT.
     pub(crate) inner: &'a [BatchStep],
     /// Number of steps after COMMIT.
@@ -52,8 +53,25 @@
         };
         let is_complete = is_begin && is_commit && is_chain && !inner.is_empty();
         let rollbacks = rollbacks.iter().filter(|step| is_rollback(step)).count();
-        (is_complete && 1 + length + 1 + rollbacks == steps.len())
-            .then_some(Self { inner, rollbacks })
+        (is_complete && 1 + length + 1 + rollbacks == steps.len()).then_some(Self {
+            begin: first,
+            inner,
+            rollbacks,
+        })
+    }
+
+    /// Tells whether the transaction only reads and takes no lock, so that a replica can run it.
+    pub(crate) fn is_read(&self, cache: &mut StatementCache, stored: &[StreamRequest]) -> bool {
+        let sql = |step: &'a BatchStep| step.stmt.sql.as_deref();
+        let takes_lock = |sql: &str| {
+            let lock_words = ["IMMEDIATE", "EXCLUSIVE", "CONCURRENT"];
+            SqlWords::new(sql).any(|word| lock_words.iter().any(|w| word.eq_ignore_ascii_case(w)))
+        };
+        sql(self.begin).is_some_and(|sql| !takes_lock(sql))
+            && self.inner.iter().all(|step| {
+                let sql = find_sql(sql(step), step.stmt.sql_id, stored);
+                sql.is_some_and(|sql| cache.classify(sql) == StatementKind::Read)
+            })
     }
 }
 
--- a/crates/coriander_routing/src/request_kind.rs
+++ b/crates/coriander_routing/src/request_kind.rs
@@ -2,6 +2,7 @@
 
 use libsql_hrana::proto::{Batch, Stmt, StreamRequest};
 
+use crate::batch_transaction::BatchTransaction;
 use crate::script::split_script;
 use crate::{StatementCache, StatementKind};
 
@@ -97,6 +98,10 @@
     }
 
     fn add_batch(&mut self, batch: &Batch, stored: &[StreamRequest], cache: &mut StatementCache) {
+        let transaction = BatchTransaction::find(batch, stored, cache);
+        if transaction.is_some_and(|transaction| transaction.is_read(cache, stored)) {
+            return;
+        }
         let mut opened = false;
         for step in &batch.steps {
             let kind = classify_statement(&step.stmt, stored, cache);
--- a/crates/coriander_routing/src/request_parts.rs
+++ b/crates/coriander_routing/src/request_parts.rs
@@ -107,7 +107,10 @@
             }
             StreamRequest::Batch(batch) => {
                 let transaction = BatchTransaction::find(&batch.batch, stored, cache);
-                if let Some(BatchTransaction { inner, rollbacks }) = transaction {
+                if let Some(BatchTransaction {
+                    inner, rollbacks, ..
+                }) = transaction
+                {
                     for step in inner {
                         self.add_step(None, &step.stmt, stored, cache)?;
                     }
--- a/crates/coriander_routing/tests/classification.rs
+++ b/crates/coriander_routing/tests/classification.rs
@@ -182,6 +182,34 @@
     assert_eq!(class.kind, RequestKind::ReadOnly);
 }
 
+/// Guards against a transaction that writes or locks being sent to a replica, and against sending
+/// one that only reads to the primary.
+#[test]
+fn classify_read_transaction() {
+    let kind = |begin: &str, sql: &str| {
+        let mut batch = Batch::transactional([Stmt::new("SELECT 1", true), Stmt::new(sql, true)]);
+        batch.steps[0].stmt = Stmt::new(begin, false);
+        RequestClass::of_batch(&batch, &mut StatementCache::default())
+    };
+    let read = kind("BEGIN DEFERRED", "SELECT 2");
+    assert_eq!(
+        (read.kind, read.may_stay_open),
+        (RequestKind::ReadOnly, false)
+    );
+    for (begin, sql) in [
+        ("BEGIN IMMEDIATE", "SELECT 2"),
+        ("BEGIN /* */ exclusive", "SELECT 2"),
+        ("BEGIN", "SELECT load_extension('x')"),
+        ("SAVEPOINT a", "SELECT 2"),
+    ] {
+        assert_eq!(
+            kind(begin, sql).kind,
+            RequestKind::Transaction,
+            "{begin}; {sql}"
+        );
+    }
+}
+
 /// Guards against unbounded growth of the cache and a wrong answer after eviction.
 #[test]
 fn statement_cache_bounded() {
