Mark requests that name the request log table

Cause: the table holds stored results of all accounts, and a caller could read or change it with an ordinary statement.

Change: StatementKind::Reserved and RequestKind::Reserved mark such requests so that the gateway refuses them; LoggedWrite refuses them as before.

Conclusion: the gateway has to refuse Reserved also on streams with an open transaction.

--- a/crates/coriander_routing/src/request_kind.rs
+++ b/crates/coriander_routing/src/request_kind.rs
@@ -15,6 +15,9 @@
     AutocommitWrite,
     /// Some statement controls a transaction, so the request needs its own stream.
     Transaction,
+    /// Some statement names the table of executed requests. The request must be refused, also on
+    /// a stream with an open transaction, because the table holds results of other accounts.
+    Reserved,
 }
 
 /// Classification of a request.
@@ -37,6 +40,7 @@
         let needed = match kind {
             StatementKind::Read => RequestKind::ReadOnly,
             StatementKind::Change | StatementKind::Write => RequestKind::AutocommitWrite,
+            StatementKind::Reserved => RequestKind::Reserved,
             _ => RequestKind::Transaction,
         };
         self.kind = self.kind.max(needed);
@@ -50,7 +54,7 @@
     /// Classifies the requests of a pipeline that starts a new stream.
     ///
     /// A request on a stream with an open transaction belongs to that transaction, whatever its
-    /// statements are, and needs no classification.
+    /// statements are; only [`RequestKind::Reserved`] matters there.
     ///
     /// ```
     /// use coriander_routing::{RequestClass, RequestKind, StatementCache};
@@ -119,6 +123,10 @@
             return self.add(StatementKind::Write);
         };
         match split_script(sql) {
+            // A reserved name counts wherever it is in the script.
+            _ if cache.classify(sql) == StatementKind::Reserved => {
+                self.add(StatementKind::Reserved);
+            }
             Some(statements) => {
                 for statement in statements {
                     self.add(cache.classify(statement));
--- a/crates/coriander_routing/src/request_parts.rs
+++ b/crates/coriander_routing/src/request_parts.rs
@@ -6,7 +6,7 @@
 use crate::batch_transaction::BatchTransaction;
 use crate::request_kind::find_sql;
 use crate::script::split_script;
-use crate::{RequestLog, StatementCache, StatementKind};
+use crate::{StatementCache, StatementKind};
 
 /// Greatest number of statements in one logged request.
 const MAX_STEPS: usize = 4096;
@@ -166,10 +166,10 @@
     ) -> Result<(), WrapError> {
         let sql = find_sql(statement.sql.as_deref(), statement.sql_id, stored);
         let sql = sql.ok_or(WrapError::UnknownText)?;
-        if RequestLog::is_used_by(sql) {
+        let kind = cache.classify(sql);
+        if kind == StatementKind::Reserved {
             return Err(WrapError::ReservedTable);
         }
-        let kind = cache.classify(sql);
         if kind.is_control() {
             return Err(WrapError::Transaction);
         }
--- a/crates/coriander_routing/src/statement_kind.rs
+++ b/crates/coriander_routing/src/statement_kind.rs
@@ -11,6 +11,7 @@
 use sqlparser::dialect::SQLiteDialect;
 use sqlparser::parser::Parser;
 
+use crate::RequestLog;
 use crate::read_functions::{is_read_function, is_read_pragma, is_read_table_function};
 use crate::script::split_script;
 use crate::sql_words::{SqlWords, contains_write_word};
@@ -34,11 +35,16 @@
     End,
     /// RELEASE or ROLLBACK TO; the transaction may remain open.
     Savepoint,
+    /// A statement that names the table of executed requests, which callers must not touch.
+    Reserved,
 }
 
 impl StatementKind {
     /// Classifies a text that should hold one statement.
     pub fn of(sql: &str) -> Self {
+        if RequestLog::is_used_by(sql) {
+            return Self::Reserved;
+        }
         let first = SqlWords::new(sql).next().unwrap_or_default();
         let is_proven = match &*first.to_ascii_uppercase() {
             "SELECT" | "VALUES" | "WITH" | "EXPLAIN" => is_query(sql),
--- a/crates/coriander_routing/tests/classification.rs
+++ b/crates/coriander_routing/tests/classification.rs
@@ -210,6 +210,19 @@
     }
 }
 
+/// Guards against reading the stored results of other accounts.
+#[test]
+fn classify_reserved_table() {
+    for requests in [
+        r#"{"type":"execute","stmt":{"sql":"SELECT * FROM corianderstile_requests"}}"#,
+        r#"{"type":"execute","stmt":{"sql":"SELECT 1 FROM t, main.\"CorianderStile_Requests\""}}"#,
+        r#"{"type":"sequence","sql":"SELECT 1; CREATE TRIGGER x AFTER INSERT ON corianderstile_requests BEGIN SELECT 1; END"}"#,
+        r#"{"type":"batch","batch":{"steps":[{"stmt":{"sql":"BEGIN"}},{"stmt":{"sql":"DELETE FROM corianderstile_requests"}}]}}"#,
+    ] {
+        assert_eq!(class_of(requests).kind, RequestKind::Reserved, "{requests}");
+    }
+}
+
 /// Guards against unbounded growth of the cache and a wrong answer after eviction.
 #[test]
 fn statement_cache_bounded() {
