--- a/crates/coriander_routing/src/read_router.rs
+++ b/crates/coriander_routing/src/read_router.rs
@@ -15,6 +15,10 @@
     pub freshness: Duration,
     /// What the session requires; without a token it is `Unknown`.
     pub session: SessionPosition,
+    /// Expected time in the caller's own queue before the primary could get the read.
+    pub primary_wait: Duration,
+    /// Time that the read has waited for replicas since its first choice.
+    pub waited: Duration,
     /// Members that must not be chosen, because they failed or refused this read before.
     pub excluded: &'a [MemberId],
 }
@@ -65,6 +69,8 @@
     /// let request = ReadRequest {
     ///     freshness: Duration::from_secs(1),
     ///     session: SessionPosition::Unwritten,
+    ///     primary_wait: Duration::ZERO,
+    ///     waited: Duration::ZERO,
     ///     excluded: &[],
     /// };
     /// let choice = ReadRouter.choose(&table, &request, MonotonicTime::from_millis(10));
@@ -76,25 +82,56 @@
         request: &ReadRequest<'_>,
         now: MonotonicTime,
     ) -> ReadChoice {
-        let replica = table
-            .replicas()
-            .filter(|member| is_usable(table, member, request, now))
-            .filter_map(|member| Some((member, proven_position(table, member, request, now)?)))
-            .min_by_key(|(member, _)| {
-                let is_other_zone = member.placement.zone != *table.own_zone();
-                (member.expected_latency(table.slots()), is_other_zone)
-            });
-        if let Some((member, min_position)) = replica {
-            let member = member.id.clone();
+        if let Some((member, min_position)) = choose_replica(table, request, now, u32::MAX) {
             return ReadChoice::Replica {
                 member,
                 min_position,
             };
         }
-        choose_primary(table, request)
+        let primary = choose_primary(table, request);
+        match choose_wait(table, request, &primary, now) {
+            Some((member, retry_after)) => ReadChoice::Wait {
+                member,
+                retry_after,
+            },
+            None => primary,
+        }
+    }
+
+    /// Chooses a second replica for a read that has been unanswered for long, with the position
+    /// below which it must refuse the read.
+    ///
+    /// `request.excluded` names the first replica. Only a replica with a free slot qualifies:
+    /// under overload a hedge would delay the reads that wait there.
+    pub fn choose_hedge(
+        &self,
+        table: &ReplicaTable,
+        request: &ReadRequest<'_>,
+        now: MonotonicTime,
+    ) -> Option<(MemberId, LogPosition)> {
+        choose_replica(table, request, now, 0)
     }
 }
 
+/// Returns the eligible replica with the least expected latency.
+fn choose_replica(
+    table: &ReplicaTable,
+    request: &ReadRequest<'_>,
+    now: MonotonicTime,
+    most_waiting: u32,
+) -> Option<(MemberId, LogPosition)> {
+    let (member, min_position) = table
+        .replicas()
+        .filter(|member| is_usable(table, member, request, now))
+        .filter(|member| member.waiting(table.slots()) <= most_waiting)
+        .filter_map(|member| Some((member, proven_position(table, member, request, now)?)))
+        .min_by_key(|(member, _)| {
+            let is_other_zone = member.placement.zone != *table.own_zone();
+            (member.expected_latency(table.slots()), is_other_zone)
+        })?;
+    Some((member.id.clone(), min_position))
+}
+
 fn choose_primary(table: &ReplicaTable, request: &ReadRequest<'_>) -> ReadChoice {
     let min_position = match request.session {
         SessionPosition::AtLeast(position) => Some(position),
@@ -114,6 +151,51 @@
     }
 }
 
+/// Returns a replica that is expected to answer sooner than the primary after a short wait.
+fn choose_wait(
+    table: &ReplicaTable,
+    request: &ReadRequest<'_>,
+    primary: &ReadChoice,
+    now: MonotonicTime,
+) -> Option<(MemberId, Duration)> {
+    let ReadChoice::Primary { member: id, .. } = primary else {
+        return None;
+    };
+    let limit = request.primary_wait + table.find(id)?.expected_latency(table.slots());
+    let (wait, member) = table
+        .replicas()
+        .filter(|member| is_usable(table, member, request, now))
+        .filter_map(|member| Some((expected_wait(table, member, request, id)?, member)))
+        .min_by_key(|(wait, member)| *wait + member.expected_latency(table.slots()))?;
+    let is_sooner = wait + member.expected_latency(table.slots()) < limit;
+    is_sooner.then(|| (member.id.clone(), wait))
+}
+
+/// Returns the time until a replica is expected to satisfy the request, if it will.
+fn expected_wait(
+    table: &ReplicaTable,
+    member: &MemberState,
+    request: &ReadRequest<'_>,
+    primary: &MemberId,
+) -> Option<Duration> {
+    if request.session == SessionPosition::Unknown {
+        return None;
+    }
+    // New answers to status requests are needed in any case.
+    let probe = member.round_trip().max(table.find(primary)?.round_trip());
+    let age = probe + member.expected_start(table.slots());
+    if age >= request.freshness {
+        return None;
+    }
+    let is_caught_up = Some(member.position) == table.history().newest();
+    if is_caught_up {
+        return (request.waited < probe).then_some(probe);
+    }
+    // After the usual delay without success there is no reason to expect the replica soon.
+    let remaining = member.lag.usual_bound()?.saturating_sub(request.waited);
+    (!remaining.is_zero()).then(|| remaining.max(probe))
+}
+
 /// Tells whether a replica may get work at all.
 fn is_usable(
     table: &ReplicaTable,
@@ -140,7 +222,9 @@
     now: MonotonicTime,
 ) -> Option<LogPosition> {
     let (time, proof) = table.history().current_until(member.position)?;
-    let is_fresh = now.since(time) <= request.freshness && !request.freshness.is_zero();
+    // The data ages further until the member executes the read.
+    let age = (now + member.expected_start(table.slots())).since(time);
+    let is_fresh = age <= request.freshness && !request.freshness.is_zero();
     if !is_fresh {
         return None;
     }
--- a/crates/coriander_routing/tests/classification.rs
+++ b/crates/coriander_routing/tests/classification.rs
@@ -182,6 +182,47 @@
     assert_eq!(class.kind, RequestKind::ReadOnly);
 }
 
+/// Guards against a transaction that writes or locks being sent to a replica, and against sending
+/// one that only reads to the primary.
+#[test]
+fn classify_read_transaction() {
+    let kind = |begin: &str, sql: &str| {
+        let mut batch = Batch::transactional([Stmt::new("SELECT 1", true), Stmt::new(sql, true)]);
+        batch.steps[0].stmt = Stmt::new(begin, false);
+        RequestClass::of_batch(&batch, &mut StatementCache::default())
+    };
+    let read = kind("BEGIN DEFERRED", "SELECT 2");
+    assert_eq!(
+        (read.kind, read.may_stay_open),
+        (RequestKind::ReadOnly, false)
+    );
+    for (begin, sql) in [
+        ("BEGIN IMMEDIATE", "SELECT 2"),
+        ("BEGIN /* */ exclusive", "SELECT 2"),
+        ("BEGIN", "SELECT load_extension('x')"),
+        ("SAVEPOINT a", "SELECT 2"),
+    ] {
+        assert_eq!(
+            kind(begin, sql).kind,
+            RequestKind::Transaction,
+            "{begin}; {sql}"
+        );
+    }
+}
+
+/// Guards against reading the stored results of other accounts.
+#[test]
+fn classify_reserved_table() {
+    for requests in [
+        r#"{"type":"execute","stmt":{"sql":"SELECT * FROM corianderstile_requests"}}"#,
+        r#"{"type":"execute","stmt":{"sql":"SELECT 1 FROM t, main.\"CorianderStile_Requests\""}}"#,
+        r#"{"type":"sequence","sql":"SELECT 1; CREATE TRIGGER x AFTER INSERT ON corianderstile_requests BEGIN SELECT 1; END"}"#,
+        r#"{"type":"batch","batch":{"steps":[{"stmt":{"sql":"BEGIN"}},{"stmt":{"sql":"DELETE FROM corianderstile_requests"}}]}}"#,
+    ] {
+        assert_eq!(class_of(requests).kind, RequestKind::Reserved, "{requests}");
+    }
+}
+
 /// Guards against unbounded growth of the cache and a wrong answer after eviction.
 #[test]
 fn statement_cache_bounded() {
--- a/crates/coriander_routing/tests/request_log.rs
+++ b/crates/coriander_routing/tests/request_log.rs
@@ -1,129 +1,20 @@
 //! Logged writes against SQLite: at most once, the same answer to a retry, all or nothing.
 
+mod support;
+
 use coriander_routing::{
     LogEntry, LoggedWrite, MAX_OUTCOME_LENGTH, RequestIdentity, RequestLog, StatementCache,
     WrapError, WriteResult, WriteStep,
 };
 use coriander_session::RequestDigest;
 use libsql_hrana::proto::{
-    Batch, BatchCond, BatchResult, BatchStreamResp, Col, Error, PipelineReqBody, PipelineRespBody,
-    Row, Stmt, StmtResult, StreamRequest, StreamResponse, StreamResult, Value,
+    Batch, BatchResult, BatchStreamResp, Error, PipelineReqBody, PipelineRespBody, Stmt,
+    StmtResult, StreamResponse, StreamResult,
 };
 use proptest::prelude::*;
 use rusqlite::Connection;
-use rusqlite::types::ValueRef;
-
-fn open() -> Connection {
-    let connection = Connection::open_in_memory().expect("in-memory database");
-    for sql in RequestLog::SCHEMA {
-        connection.execute_batch(sql).expect("schema");
-    }
-    let schema = "CREATE TABLE t (id INTEGER PRIMARY KEY, a TEXT UNIQUE)";
-    connection.execute_batch(schema).expect("schema");
-    connection
-}
-
-fn count(connection: &Connection, table: &str) -> i64 {
-    let sql = format!("SELECT count(*) FROM {table}");
-    connection
-        .query_row(&sql, [], |row| row.get(0))
-        .expect("count")
-}
-
-fn run_statement(connection: &Connection, stmt: &Stmt) -> rusqlite::Result<StmtResult> {
-    let mut prepared = connection.prepare(stmt.sql.as_deref().expect("text"))?;
-    for (index, arg) in stmt.args.iter().enumerate() {
-        match arg {
-            Value::Text { value } => prepared.raw_bind_parameter(index + 1, &**value)?,
-            Value::Integer { value } => prepared.raw_bind_parameter(index + 1, value)?,
-            _ => prepared.raw_bind_parameter(index + 1, rusqlite::types::Null)?,
-        }
-    }
-    let names = prepared
-        .column_names()
-        .into_iter()
-        .map(|name| Some(name.to_owned()));
-    let cols: Vec<Col> = names
-        .map(|name| Col {
-            name,
-            decltype: None,
-        })
-        .collect();
-    let mut result = StmtResult {
-        rows_read: 3,
-        query_duration_ms: 0.7,
-        ..StmtResult::default()
-    };
-    let mut rows = prepared.raw_query();
-    while let Some(row) = rows.next()? {
-        let value = |index| match row.get_ref_unwrap(index) {
-            ValueRef::Integer(value) => Value::Integer { value },
-            ValueRef::Real(value) => Value::Float { value },
-            ValueRef::Text(text) => Value::Text {
-                value: String::from_utf8_lossy(text).into(),
-            },
-            _ => Value::Null,
-        };
-        result.rows.push(Row {
-            values: (0..cols.len()).map(value).collect(),
-        });
-    }
-    result.cols = cols;
-    result.affected_row_count = connection.changes();
-    result.last_insert_rowid = Some(connection.last_insert_rowid());
-    Ok(result)
-}
 
-fn holds(connection: &Connection, result: &BatchResult, condition: &BatchCond) -> bool {
-    match condition {
-        BatchCond::Ok { step } => result.step_results[*step as usize].is_some(),
-        BatchCond::Error { step } => result.step_errors[*step as usize].is_some(),
-        BatchCond::Not { cond } => !holds(connection, result, cond),
-        BatchCond::And(list) => list
-            .conds
-            .iter()
-            .all(|cond| holds(connection, result, cond)),
-        BatchCond::Or(list) => list
-            .conds
-            .iter()
-            .any(|cond| holds(connection, result, cond)),
-        BatchCond::IsAutocommit {} => connection.is_autocommit(),
-        BatchCond::None => false,
-    }
-}
-
-/// Executes a pipeline of one batch like a member does, up to `steps` steps.
-fn run(connection: &Connection, pipeline: &PipelineReqBody, steps: usize) -> PipelineRespBody {
-    let [StreamRequest::Batch(request)] = &*pipeline.requests else {
-        panic!("one batch")
-    };
-    let mut result = BatchResult::default();
-    for step in request.batch.steps.iter().take(steps) {
-        let is_due = step
-            .condition
-            .as_ref()
-            .is_none_or(|cond| holds(connection, &result, cond));
-        let (done, error) = match is_due.then(|| run_statement(connection, &step.stmt)) {
-            Some(Ok(done)) => (Some(done), None),
-            Some(Err(error)) => (
-                None,
-                Some(Error {
-                    message: error.to_string(),
-                    code: "SQL".to_owned(),
-                }),
-            ),
-            None => (None, None),
-        };
-        result.step_results.push(done);
-        result.step_errors.push(error);
-    }
-    let response = StreamResponse::Batch(BatchStreamResp { result });
-    PipelineRespBody {
-        baton: None,
-        base_url: None,
-        results: vec![StreamResult::Ok { response }],
-    }
-}
+use support::{count, open, run, run_statement};
 
 fn wrap(id: &str, requests: &str) -> Result<LoggedWrite, WrapError> {
     let body = format!(r#"{{"baton": null, "requests": [{requests}]}}"#);
@@ -351,6 +242,77 @@
     );
 }
 
+/// Guards against a transaction in one batch running twice after its response was lost.
+#[test]
+fn logged_write_batch_transaction() {
+    let ok = |step: u32| format!(r#""condition":{{"type":"ok","step":{step}}},"#);
+    let open_and_ok = r#""condition":{"type":"and","conds":[{"type":"ok","step":2},{"type":"not","cond":{"type":"is_autocommit"}}]},"#;
+    let request = |second: &str, commit: &str| {
+        format!(
+            r#"{{"type":"batch","batch":{{"steps":[
+            {{"stmt":{{"sql":"BEGIN IMMEDIATE"}}}},
+            {{{}"stmt":{{"sql":"INSERT INTO t (id) VALUES (1)"}}}},
+            {{{}"stmt":{{"sql":"{second}"}}}},
+            {{{commit}"stmt":{{"sql":"COMMIT"}}}},
+            {{"condition":{{"type":"not","cond":{{"type":"ok","step":3}}}},"stmt":{{"sql":"ROLLBACK"}}}}]}}}}"#,
+            ok(0),
+            ok(1)
+        )
+    };
+    let shape = |results: &[StreamResult]| match results {
+        [
+            StreamResult::Ok {
+                response: StreamResponse::Batch(batch),
+            },
+        ] => {
+            let results = batch.result.step_results.iter().map(Option::is_some);
+            (
+                results.collect::<Vec<_>>(),
+                batch.result.step_errors.iter().flatten().count(),
+            )
+        }
+        _ => panic!("one batch"),
+    };
+    for commit in [&*ok(2), open_and_ok] {
+        let connection = open();
+        let write = wrap("1", &request("UPDATE t SET a = 'x'", commit)).expect("can be wrapped");
+        assert!(write.is_single_pass());
+        let WriteResult::Done { results } = execute(&connection, &write) else {
+            panic!("not done")
+        };
+        assert_eq!(shape(&results), (vec![true, true, true, true, false], 0));
+        let again = execute(&connection, &write);
+        let WriteResult::AlreadyDone {
+            results: Some(again),
+        } = again
+        else {
+            panic!("not found")
+        };
+        assert_eq!(json(&results), json(&again));
+        assert_eq!(count(&connection, "t"), 1);
+        let connection = open();
+        let write =
+            wrap("2", &request("INSERT INTO t (id) VALUES (1)", commit)).expect("can be wrapped");
+        let WriteResult::Failed { results, .. } = execute(&connection, &write) else {
+            panic!("not failed")
+        };
+        // The errors are the one of the second statement and that the first was rolled back.
+        assert_eq!(shape(&results), (vec![true, false, false, false, true], 2));
+        assert_eq!(
+            (
+                count(&connection, "t"),
+                count(&connection, "corianderstile_requests")
+            ),
+            (0, 0)
+        );
+    }
+    // A COMMIT that does not need every statement would keep half of a failed transaction.
+    for commit in ["", &ok(1)] {
+        let write = wrap("1", &request("UPDATE t SET a = 'x'", commit));
+        assert_eq!(write.err(), Some(WrapError::Transaction));
+    }
+}
+
 /// Guards against requests that would break the record's transaction or read other records.
 #[test]
 fn logged_write_refused() {
@@ -425,6 +387,37 @@
 }
 
 proptest! {
+    /// Guards against a lost or second execution when the gateway or the stream is lost at any
+    /// step of the first attempt.
+    #[test]
+    fn logged_write_lost_at_any_step(first in 0..12usize, second in 0..4usize, kind in 0..3usize) {
+        let connection = open();
+        let requests = [INSERT, RETURNING, &format!("{INSERT},{RETURNING}")][kind].to_owned();
+        let write = wrap("1", &requests).expect("can be wrapped");
+        let step = write.interpret(run(&connection, &write.pipeline(None), first));
+        let known = match step {
+            WriteStep::Ended(result) => result,
+            WriteStep::Store(store) => {
+                let response = run(&connection, &store.pipeline(None), second);
+                store.interpret(response)
+            }
+        };
+        // The member rolls back the transaction of a stream that was lost.
+        if !connection.is_autocommit() {
+            connection.execute_batch("ROLLBACK").expect("open transaction");
+        }
+        let is_committed = count(&connection, "t") > 0;
+        match (known, execute(&connection, &write)) {
+            (WriteResult::Done { results }, WriteResult::AlreadyDone { results: Some(again) }) => {
+                prop_assert_eq!(json(&results), json(&again));
+            }
+            (WriteResult::Unknown, WriteResult::AlreadyDone { results: Some(_) }) => prop_assert!(is_committed),
+            (WriteResult::Unknown, WriteResult::Done { .. }) => prop_assert!(!is_committed),
+            (known, again) => prop_assert!(false, "{:?}, then {:?}", known, again),
+        }
+        prop_assert_eq!(count(&connection, "t"), if kind == 2 { 2 } else { 1 });
+    }
+
     /// Guards against panics and false success on any pattern of step results.
     #[test]
     fn logged_write_arbitrary_response(steps in prop::collection::vec(0..3u8, 0..10), is_returning: bool) {
