Probe sooner after lost probes and document the public functions

Cause: a probe that ends with a closed connection says little, but is often the first sign of a killed process; and a monitor that starts while the primary is down probed refusing members at the slow interval.

Change: any failed probe of the primary, and refused probes while no primary is known, are repeated after the refusal interval. GroupAction turns into the event to pass back (into_done, into_failure). Public functions have examples.

--- a/crates/coriander_failover/src/group_event.rs
+++ b/crates/coriander_failover/src/group_event.rs
@@ -21,6 +21,15 @@
 
 impl GroupMember {
     /// Tells whether the member should become or stay primary.
+    ///
+    /// ```
+    /// use coriander_failover::GroupMember;
+    ///
+    /// let (id, zone) = ("a".parse()?, "acharnes".parse()?);
+    /// let member = GroupMember { id, zone, is_leaving: false, is_zone_out: true };
+    /// assert!(!member.is_eligible());
+    /// # Ok::<(), coriander_core::NameError>(())
+    /// ```
     pub fn is_eligible(&self) -> bool {
         !self.is_leaving && !self.is_zone_out
     }
@@ -129,6 +138,91 @@
     },
 }
 
+impl GroupAction {
+    /// Returns the member to call.
+    ///
+    /// ```
+    /// use coriander_core::TermNumber;
+    /// use coriander_failover::GroupAction;
+    ///
+    /// let action = GroupAction::Fence { member: "a".parse()?, term: TermNumber::new(2) };
+    /// assert_eq!(action.member().as_str(), "a");
+    /// # Ok::<(), coriander_core::NameError>(())
+    /// ```
+    pub fn member(&self) -> &MemberId {
+        match self {
+            Self::Probe { member, .. }
+            | Self::Fence { member, .. }
+            | Self::Promote { member, .. }
+            | Self::Follow { member, .. } => member,
+        }
+    }
+
+    /// Returns the event to pass back when the call has failed.
+    ///
+    /// ```
+    /// use coriander_core::TermNumber;
+    /// use coriander_failover::{CallFailure, GroupAction, GroupEvent};
+    ///
+    /// let action = GroupAction::Fence { member: "a".parse()?, term: TermNumber::new(2) };
+    /// let event = action.into_failure(CallFailure::Refused);
+    /// assert!(matches!(event, GroupEvent::FenceDone { result: Err(CallFailure::Refused), .. }));
+    /// # Ok::<(), coriander_core::NameError>(())
+    /// ```
+    pub fn into_failure(self, failure: CallFailure) -> GroupEvent {
+        match self {
+            Self::Probe { member, probe } => GroupEvent::ProbeFailed {
+                probe,
+                member,
+                failure,
+            },
+            action => action.into_done(Err(failure)),
+        }
+    }
+
+    /// Returns the event to pass back when a member has replied to a fence, promote or follow call.
+    ///
+    /// A probe ends with [`GroupEvent::Status`] instead; here it counts as unanswered.
+    ///
+    /// ```
+    /// use coriander_core::{ControlReply, LogPosition, TermNumber};
+    /// use coriander_failover::{GroupAction, GroupEvent};
+    ///
+    /// let term = TermNumber::new(2);
+    /// let action = GroupAction::Promote { member: "a".parse()?, term };
+    /// let reply = ControlReply { accepted: true, term, log: LogPosition::new(term, 1) };
+    /// assert!(matches!(action.into_done(Ok(reply)), GroupEvent::PromoteDone { .. }));
+    /// # Ok::<(), coriander_core::NameError>(())
+    /// ```
+    pub fn into_done(self, result: Result<ControlReply, CallFailure>) -> GroupEvent {
+        match self {
+            Self::Probe { member, probe } => {
+                let failure = result.err().unwrap_or(CallFailure::Silent);
+                GroupEvent::ProbeFailed {
+                    probe,
+                    member,
+                    failure,
+                }
+            }
+            Self::Fence { member, term } => GroupEvent::FenceDone {
+                member,
+                term,
+                result,
+            },
+            Self::Promote { member, term } => GroupEvent::PromoteDone {
+                member,
+                term,
+                result,
+            },
+            Self::Follow { member, term, .. } => GroupEvent::FollowDone {
+                member,
+                term,
+                result,
+            },
+        }
+    }
+}
+
 /// The primary of a group as far as it is known.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PrimaryView {
--- a/crates/coriander_failover/src/group_monitor.rs
+++ b/crates/coriander_failover/src/group_monitor.rs
@@ -74,6 +74,16 @@
 
 impl GroupMonitor {
     /// Creates a monitor that knows no members and has no rank.
+    ///
+    /// ```
+    /// use coriander_core::MonotonicTime;
+    /// use coriander_failover::{GroupMonitor, MonitorSettings};
+    ///
+    /// let settings = MonitorSettings::default().with_group_size(5);
+    /// let monitor = GroupMonitor::new("orders".parse()?, settings, MonotonicTime::ZERO);
+    /// assert_eq!(monitor.primary(), None);
+    /// # Ok::<(), coriander_core::NameError>(())
+    /// ```
     pub fn new(database: DatabaseName, settings: MonitorSettings, now: MonotonicTime) -> Self {
         Self {
             database,
@@ -118,6 +128,17 @@
 
     /// Sets the rank of this instance for the database; without a rank it neither probes nor
     /// promotes.
+    ///
+    /// ```
+    /// # use coriander_core::MonotonicTime;
+    /// # use coriander_failover::{GroupMonitor, MonitorSettings};
+    /// # let now = MonotonicTime::ZERO;
+    /// # let database = "orders".parse().expect("name");
+    /// # let mut monitor = GroupMonitor::new(database, MonitorSettings::default(), now);
+    /// monitor.set_rank(Some(0), now);
+    /// // After the rank is lost, the monitor stops probing.
+    /// monitor.set_rank(None, now);
+    /// ```
     pub fn set_rank(&mut self, rank: Option<u32>, now: MonotonicTime) {
         if self.rank.is_none() && rank.is_some() {
             for record in self.records.values_mut() {
@@ -137,6 +158,16 @@
     /// Takes note of a position that a majority holds, such as the one of a session token.
     ///
     /// The monitor will not promote a member whose log ends before it.
+    ///
+    /// ```
+    /// # use coriander_core::MonotonicTime;
+    /// # use coriander_failover::{GroupMonitor, MonitorSettings};
+    /// # let now = MonotonicTime::ZERO;
+    /// # let database = "orders".parse().expect("name");
+    /// # let mut monitor = GroupMonitor::new(database, MonitorSettings::default(), now);
+    /// let position = "3.41".parse().expect("position");
+    /// monitor.note_acknowledged(position, now);
+    /// ```
     pub fn note_acknowledged(&mut self, position: LogPosition, now: MonotonicTime) {
         if position > self.floor {
             self.floor = position;
@@ -183,6 +214,15 @@
     /// Tells whether new writes may be sent to the primary.
     ///
     /// Before a planned promotion writes are held back for a short time, so that none is cut off.
+    ///
+    /// ```
+    /// # use coriander_core::MonotonicTime;
+    /// # use coriander_failover::{GroupMonitor, MonitorSettings};
+    /// # let now = MonotonicTime::ZERO;
+    /// # let database = "orders".parse().expect("name");
+    /// # let mut monitor = GroupMonitor::new(database, MonitorSettings::default(), now);
+    /// assert!(!monitor.accepts_writes(), "no primary is known");
+    /// ```
     pub fn accepts_writes(&self) -> bool {
         self.handover.is_none() && self.primary().is_some()
     }
@@ -194,6 +234,16 @@
     }
 
     /// Tells whether a member answers its probes.
+    ///
+    /// ```
+    /// # use coriander_core::MonotonicTime;
+    /// # use coriander_failover::{GroupMonitor, MonitorSettings};
+    /// # let now = MonotonicTime::ZERO;
+    /// # let database = "orders".parse().expect("name");
+    /// # let mut monitor = GroupMonitor::new(database, MonitorSettings::default(), now);
+    /// let member = "a".parse().expect("name");
+    /// assert!(!monitor.is_answering(&member, now), "the member is not known");
+    /// ```
     pub fn is_answering(&self, member: &MemberId, now: MonotonicTime) -> bool {
         self.records
             .get(member)
@@ -209,6 +259,17 @@
     /// Starts the acknowledgement of a write that the current primary executed.
     ///
     /// Returns `None` if there is no primary.
+    ///
+    /// ```
+    /// use coriander_core::WriteCertainty;
+    /// # use coriander_core::MonotonicTime;
+    /// # use coriander_failover::{GroupMonitor, MonitorSettings};
+    /// # let now = MonotonicTime::ZERO;
+    /// # let database = "orders".parse().expect("name");
+    /// # let mut monitor = GroupMonitor::new(database, MonitorSettings::default(), now);
+    /// let position = "3.41".parse().expect("position");
+    /// assert!(monitor.acknowledgement(position, WriteCertainty::All).is_none());
+    /// ```
     pub fn acknowledgement(
         &self,
         position: LogPosition,
@@ -367,7 +428,9 @@
             return;
         };
         record.detector.failed(probe, failure);
-        if failure == CallFailure::Refused && is_primary {
+        // A closed connection is often the first sign of a killed process; only a refused one
+        // counts, so the next probe should find out soon.
+        if is_primary {
             record.probe_due = record.probe_due.min(now + self.settings.refused_interval);
         }
     }
--- a/crates/coriander_failover/src/probe_schedule.rs
+++ b/crates/coriander_failover/src/probe_schedule.rs
@@ -12,6 +12,15 @@
 
 impl GroupMonitor {
     /// Returns when [`GroupMonitor::handle`] must be called with a tick at the latest.
+    ///
+    /// ```
+    /// # use coriander_core::MonotonicTime;
+    /// # use coriander_failover::{GroupMonitor, MonitorSettings};
+    /// # let now = MonotonicTime::ZERO;
+    /// # let database = "orders".parse().expect("name");
+    /// # let mut monitor = GroupMonitor::new(database, MonitorSettings::default(), now);
+    /// assert!(monitor.next_wake(now) > now);
+    /// ```
     pub fn next_wake(&self, now: MonotonicTime) -> MonotonicTime {
         let mut wake = now + self.settings.probe_interval;
         for record in self.records.values() {
@@ -40,7 +49,9 @@
             let is_primary = primary.as_ref() == Some(id);
             let interval = match &self.handover {
                 Some(handover) if is_primary || handover.target == *id => HANDOVER_PROBE,
-                _ if is_primary && record.detector.refusals() > 0 => self.settings.refused_interval,
+                _ if (is_primary || primary.is_none()) && record.detector.refusals() > 0 => {
+                    self.settings.refused_interval
+                }
                 _ if is_primary || !is_calm => self.settings.probe_interval,
                 _ => self.settings.replica_probe_interval,
             };
--- a/crates/coriander_failover/src/promotion_cause.rs
+++ b/crates/coriander_failover/src/promotion_cause.rs
@@ -25,6 +25,12 @@
 
 impl PromotionCause {
     /// Returns the cause as it appears in logs and metrics.
+    ///
+    /// ```
+    /// use coriander_failover::PromotionCause;
+    ///
+    /// assert_eq!(PromotionCause::RoleLost.as_str(), "role_lost");
+    /// ```
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoPrimary => "no_primary",
--- a/crates/coriander_upstream/src/http_member.rs
+++ b/crates/coriander_upstream/src/http_member.rs
@@ -56,6 +56,17 @@
     /// # Errors
     ///
     /// Fails if the HTTP client cannot be created.
+    ///
+    /// ```no_run
+    /// use coriander_upstream::{HttpMember, MemberSettings, UpstreamMember};
+    ///
+    /// # async fn example() -> Result<(), coriander_upstream::UpstreamError> {
+    /// let address = "127.0.0.1:8080".parse().expect("address");
+    /// let member = HttpMember::new(address, MemberSettings::default()).await?;
+    /// println!("{:?}", member.status().await?.role);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn new(address: SocketAddr, settings: MemberSettings) -> Result<Self, UpstreamError> {
         Ok(Self {
             address: address.to_string(),
--- a/crates/coriander_upstream/src/stream_pool.rs
+++ b/crates/coriander_upstream/src/stream_pool.rs
@@ -147,6 +147,16 @@
     ///
     /// Returns an idle stream, else a lease without baton whose first request opens a stream, or
     /// `None` if the limit is reached.
+    ///
+    /// ```
+    /// use coriander_core::MonotonicTime;
+    /// use coriander_upstream::{PoolSettings, StreamPool, StreamUse};
+    ///
+    /// let pool = StreamPool::new(PoolSettings::default().with_max_streams(1));
+    /// let lease = pool.check_out(StreamUse::Statement, MonotonicTime::ZERO);
+    /// assert!(lease.is_some());
+    /// assert!(pool.check_out(StreamUse::Statement, MonotonicTime::ZERO).is_none());
+    /// ```
     pub fn check_out(&self, purpose: StreamUse, now: MonotonicTime) -> Option<StreamLease> {
         let mut state = self.0.borrow_mut();
         state.observe_demand(1, now);
@@ -171,6 +181,16 @@
     /// Returns a lease for opening a stream ahead of need, or `None` if enough are open.
     ///
     /// The holder sends an empty pipeline, calls [`StreamLease::advance`] and checks it in.
+    ///
+    /// ```
+    /// use coriander_core::MonotonicTime;
+    /// use coriander_upstream::{PoolSettings, StreamPool};
+    ///
+    /// let pool = StreamPool::new(PoolSettings::default().with_min_streams(1));
+    /// let lease = pool.warm_up(MonotonicTime::ZERO).expect("one stream is kept open");
+    /// assert!(pool.warm_up(MonotonicTime::ZERO).is_none());
+    /// # drop(lease);
+    /// ```
     pub fn warm_up(&self, now: MonotonicTime) -> Option<StreamLease> {
         let mut state = self.0.borrow_mut();
         let wanted = state.wanted_streams(now);
@@ -204,6 +224,18 @@
     /// Forgets all streams, because the member restarted or lost its role.
     ///
     /// Leases that are checked out end with their next check-in.
+    ///
+    /// ```
+    /// use coriander_core::MonotonicTime;
+    /// use coriander_upstream::{PoolSettings, StreamPool, StreamUse};
+    ///
+    /// let pool = StreamPool::new(PoolSettings::default());
+    /// let mut lease = pool.check_out(StreamUse::Statement, MonotonicTime::ZERO).expect("room");
+    /// lease.advance("baton".into());
+    /// pool.reset();
+    /// lease.check_in(MonotonicTime::ZERO);
+    /// assert_eq!(pool.counts().total(), 0);
+    /// ```
     pub fn reset(&self) {
         let mut state = self.0.borrow_mut();
         state.generation += 1;
@@ -270,6 +302,16 @@
     }
 
     /// Turns a statement's stream into that of a transaction that the statement began.
+    ///
+    /// ```
+    /// use coriander_core::MonotonicTime;
+    /// use coriander_upstream::{PoolSettings, StreamPool, StreamUse};
+    ///
+    /// let pool = StreamPool::new(PoolSettings::default());
+    /// let mut lease = pool.check_out(StreamUse::Statement, MonotonicTime::ZERO).expect("room");
+    /// lease.begin_transaction();
+    /// assert_eq!(pool.counts().transactions, 1);
+    /// ```
     pub fn begin_transaction(&mut self) {
         let mut state = self.pool.0.borrow_mut();
         *state.leased_count(self.purpose) -= 1;
@@ -299,6 +341,19 @@
     /// Gives up a stream whose baton is still valid and has it closed at the member.
     ///
     /// Closing also rolls back a transaction that is open on the stream.
+    ///
+    /// ```
+    /// use coriander_core::MonotonicTime;
+    /// use coriander_upstream::{PoolSettings, StreamPool, StreamUse};
+    ///
+    /// let pool = StreamPool::new(PoolSettings::default());
+    /// let now = MonotonicTime::ZERO;
+    /// let mut lease = pool.check_out(StreamUse::Transaction, now).expect("room");
+    /// lease.advance("baton".into());
+    /// lease.close();
+    /// let closing = pool.next_to_close(now).expect("the stream has to be closed");
+    /// assert_eq!(closing.baton(), Some("baton"));
+    /// ```
     pub fn close(mut self) {
         if let Some(baton) = self.baton.take()
             && self.pool.0.borrow().generation == self.generation
