Test a primary that restarts with an empty disk

Cause: the focused case drives the monitor by hand; the simulation had the fault but no test used it.

Change: gap_wiped_primary injects it under load and checks all acknowledgements. The log line of a promotion names the database.

--- a/crates/coriander_failover/src/promotion_steps.rs
+++ b/crates/coriander_failover/src/promotion_steps.rs
@@ -54,7 +54,11 @@
         match result {
             Ok(reply) if reply.accepted && reply.term == term => {
                 let took = step.now.since(attempt.started).as_millis();
-                log::info!("failover: promoted member={member} term={term} took_ms={took}");
+                let database = &self.database;
+                log::info!(
+                    "failover: promoted database={database} member={member} term={term} \
+                     took_ms={took}"
+                );
                 self.adopt(member, term, step.now);
                 // The first follow calls may have come before the member was primary.
                 self.follow_all(member, term, step);
--- a/crates/coriander_failover/tests/failover_gap.rs
+++ b/crates/coriander_failover/tests/failover_gap.rs
@@ -3,6 +3,7 @@
 mod cluster;
 
 use cluster::{Cluster, Fault, Network};
+use coriander_core::MemberId;
 
 const SECOND: u64 = 1_000_000;
 const RUNS: u64 = 40;
@@ -39,6 +40,18 @@
     gaps
 }
 
+/// Returns a cluster after 3 s and its primary.
+fn settled(run: u64) -> (Cluster, usize, MemberId) {
+    let mut cluster = Cluster::new(run, Network::CALM, None);
+    cluster.run_until(3 * SECOND);
+    let primary = cluster.primary().expect("primary").member;
+    (
+        cluster,
+        usize::from(primary.as_str().as_bytes()[0] - b'a'),
+        primary,
+    )
+}
+
 fn assert_bound(gaps: &[u64], detection: u64) {
     let bound = detection + PROMOTION_BOUND + WRITE_INTERVAL;
     assert!(
@@ -108,15 +121,33 @@
     assert_bound(&measure("restart", &faults), 60_000 + 100_000);
 }
 
+/// Guards against losing writes to a primary that restarts with an empty disk.
+#[test]
+fn gap_wiped_primary() {
+    let gaps: Vec<u64> = (0..RUNS)
+        .map(|run| {
+            let (mut cluster, name, _) = settled(run);
+            let start = 3 * SECOND + run * 2_500;
+            cluster.inject_at(start, Fault::WipeMember(name));
+            cluster.run_until(6 * SECOND);
+            assert!(
+                cluster.violations.is_empty(),
+                "run {run}: {:?}",
+                cluster.violations
+            );
+            cluster.gap_after(start).expect("service resumes")
+        })
+        .collect();
+    println!("wiped primary: max {:?} us", gaps.iter().max());
+    assert_bound(&gaps, 100_000);
+}
+
 /// Guards against interruptions of planned promotions beyond a few round trips.
 #[test]
 fn gap_planned() {
     let mut worst = 0;
     for run in 0..RUNS {
-        let mut cluster = Cluster::new(run, Network::CALM, None);
-        cluster.run_until(3 * SECOND);
-        let primary = cluster.primary().expect("primary").member;
-        let name = usize::from(primary.as_str().as_bytes()[0] - b'a');
+        let (mut cluster, name, primary) = settled(run);
         cluster.inject_at(3 * SECOND + 1, Fault::TakeOutZone(name));
         cluster.run_until(6 * SECOND);
         assert!(
