Repeat rate-limited requests of open transactions in the load driver

Cause: the driver gave up on RATE_LIMITED also for COMMIT, so the transaction kept its write lock until the member closed it after 5 s, and all writes of the database waited. Change: requests that continue a transaction are repeated after RATE_LIMITED.

--- a/crates/coriander_standin/src/load/load_driver.rs
+++ b/crates/coriander_standin/src/load/load_driver.rs
@@ -173,6 +173,7 @@
             database: profile.databases[arrival.database].to_owned(),
             token: session.token.clone(),
             request_id: None,
+            in_transaction: false,
             body: json!({"requests": requests}),
         }
     }
@@ -318,6 +319,7 @@
         let requests = json!([execute(end, &[]), {"type": "close"}]);
         let mut call = self.call(arrival, session, &requests);
         call.body["baton"] = json!(reply.baton);
+        call.in_transaction = true;
         call.request_id = Some(request_id.to_owned());
         let (result, _) = self.sender.send(&call).await;
         if end == "ROLLBACK" {
--- a/crates/coriander_standin/src/load/request_sender.rs
+++ b/crates/coriander_standin/src/load/request_sender.rs
@@ -15,6 +15,7 @@
 use crate::process::{HttpCaller, HttpReply, ProcessError};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const RATE_LIMITED: &str = "RATE_LIMITED";
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
 /// A request of one account.
@@ -30,6 +31,11 @@
     pub token: Option<String>,
     /// Idempotency key; only requests with one are repeated after an unknown outcome.
     pub request_id: Option<String>,
+    /// Whether the request continues an open transaction.
+    ///
+    /// Such a request is repeated after `RATE_LIMITED`, because the open transaction keeps its
+    /// locks until it ends.
+    pub in_transaction: bool,
     /// Body of the pipeline.
     pub body: Value,
 }
@@ -152,6 +158,7 @@
                 Ok(reply) => return (Ok(reply), within_first),
                 Err(failure) => failure,
             };
+            failure.is_final &= !(call.in_transaction && failure.code == RATE_LIMITED);
             if failure.kind == FailureKind::NotRun {
                 let key = (failure.code.clone(), within);
                 *self.refusals.borrow_mut().entry(key).or_default() += 1;
@@ -242,7 +249,7 @@
     // Repeating these cannot help, and repeating rate-limited requests would raise the rate.
     let is_hopeless = matches!(
         code,
-        "RATE_LIMITED"
+        RATE_LIMITED
             | "UNAUTHORIZED"
             | "NOT_FOUND"
             | "BAD_REQUEST"
--- a/crates/coriander_standin/tests/load_driver.rs
+++ b/crates/coriander_standin/tests/load_driver.rs
@@ -67,7 +67,10 @@
     );
     assert_eq!(report.write_gaps.len(), 3);
     let latency = &report.class_latency["tracking-reads"];
-    assert!(latency.p50_ms >= 2.0 && latency.max_ms >= latency.p99_ms, "{latency:?}");
+    assert!(
+        latency.p50_ms >= 2.0 && latency.max_ms >= latency.p99_ms,
+        "{latency:?}"
+    );
 }
 
 /// Guards against a driver that misses lost writes and sessions that miss their own writes.
