Sleep below one millisecond in the stand-ins

Cause: the runtime's timers round up to whole milliseconds, so a member with a one-way delay of 1.5 ms (3 ms for a round trip) answered a status request after 6.6 ms in the median. An upper bound is not tested, because it depends on the load of the machine.

--- a/crates/coriander_standin/src/lib.rs
+++ b/crates/coriander_standin/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load;
 pub mod member;
 pub mod platform;
+mod precise_sleep;
 pub mod process;
 
 pub use deployment_profile::{AccountProfile, ClassProfile, DeploymentProfile, UnknownDeployment};
--- a/crates/coriander_standin/src/load/request_sender.rs
+++ b/crates/coriander_standin/src/load/request_sender.rs
@@ -12,6 +12,7 @@
 use super::driver_settings::DriverSettings;
 use super::instance_balancer::InstanceBalancer;
 use super::rate_mirror::RateMirror;
+use crate::precise_sleep::precise_sleep;
 use crate::process::{HttpCaller, HttpReply, ProcessError};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
@@ -200,9 +201,9 @@
         );
         let body = call.body.to_string().into_bytes();
         let delay = self.settings.deployment.client_delay;
-        sleep(delay).await;
+        precise_sleep(delay).await;
         let result = self.caller.call(Method::POST, &url, &headers, body).await;
-        sleep(delay).await;
+        precise_sleep(delay).await;
         read_reply(result)
     }
 }
--- a/crates/coriander_standin/src/member/member_server.rs
+++ b/crates/coriander_standin/src/member/member_server.rs
@@ -21,6 +21,7 @@
 use super::member_settings::MemberSettings;
 use super::replication::start_replication;
 use super::request_record::ReceivedRequest;
+use crate::precise_sleep::precise_sleep;
 
 const MAX_BODY: usize = 16 << 20;
 const IGNORE_TIME: Duration = Duration::from_secs(60);
@@ -72,9 +73,7 @@
         return cut_connection(&request, mode).await;
     }
     let delay = node.settings.network_delay();
-    if !delay.is_zero() {
-        sleep(delay).await;
-    }
+    precise_sleep(delay).await;
     let is_statement = !request.path().starts_with("/group/");
     let response = serve(&node, &request, body.clone()).await;
     let response = response.unwrap_or_else(|refusal| refuse(&node, &refusal));
@@ -89,9 +88,7 @@
     if is_statement && node.faults.borrow_mut().take_drop() {
         return close_connection(&request);
     }
-    if !delay.is_zero() {
-        sleep(delay).await;
-    }
+    precise_sleep(delay).await;
     response
 }
 
--- a/crates/coriander_standin/src/member/statement_runner.rs
+++ b/crates/coriander_standin/src/member/statement_runner.rs
@@ -16,6 +16,7 @@
 use super::sql_functions::StatementClock;
 use super::sql_value::LoggedValue;
 use super::stream_table::SqlStream;
+use crate::precise_sleep::precise_sleep;
 
 /// Pause before a statement that met a lock is tried again.
 const LOCK_RETRY: Duration = Duration::from_millis(1);
@@ -121,9 +122,7 @@
 
     async fn run_sql(&mut self, sql: &str, request: &Stmt) -> Result<StmtResult, HranaError> {
         let settings = &self.node.settings;
-        if settings.statement_time_us > 0 {
-            sleep(Duration::from_micros(settings.statement_time_us)).await;
-        }
+        precise_sleep(Duration::from_micros(settings.statement_time_us)).await;
         let deadline = Instant::now() + Duration::from_millis(settings.lock_wait_ms);
         loop {
             match self.attempt(sql, request) {
--- /dev/null
+++ b/crates/coriander_standin/tests/network_delay.rs
@@ -0,0 +1,26 @@
+//! Delays that the stand-ins add.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::start_members;
+use coriander_standin::process::ProcessGroup;
+
+/// Guards against responses that arrive before two one-way delays and the service time.
+#[ntex::test]
+async fn delay_not_shorter_than_setting() {
+    let mut group = ProcessGroup::create("network-delay").await.unwrap();
+    let args = ["--network-delay-us", "1500", "--statement-time-us", "700"];
+    let members = start_members(&mut group, &["a"], &args).await;
+    members[0].lead(1, &[]).await.unwrap();
+    for _ in 0..50 {
+        let start = Instant::now();
+        members[0].status().await.unwrap();
+        assert!(start.elapsed() >= Duration::from_micros(3_000));
+        let start = Instant::now();
+        members[0].execute(1, "SELECT 1").await.unwrap();
+        assert!(start.elapsed() >= Duration::from_micros(3_700));
+    }
+}
