Close streams whose caller has disconnected

Cause: a caller that gives up while its statement waits for a lock never gets the next baton of its stream. When the lock became free, the statement ran and the unreachable stream held the write lock until it expired after 5 s. The load driver reads back for at most 30 s per page and logs refusals at debug level. After: it succeeds at once. Conclusion: abandoned statements no longer block a database.

--- a/crates/coriander_standin/src/load/load_driver.rs
+++ b/crates/coriander_standin/src/load/load_driver.rs
@@ -32,6 +32,8 @@
     "SELECT rowid, request_id FROM load_writes WHERE rowid > ? ORDER BY rowid LIMIT 500";
 /// Pause before the databases are compared, for writes whose response was lost.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Longest time for one page of the rows that are read back.
+const READ_BACK_LIMIT: Duration = Duration::from_secs(30);
 
 struct DriverState {
     settings: DriverSettings,
@@ -365,16 +367,20 @@
         Ok(())
     }
 
-    /// Sends a read again while the account's rate is spent.
+    /// Sends a read again while the account's rate is spent, up to a limit.
     async fn send_patiently(&self, call: &CallSpec) -> eyre::Result<CallReply> {
-        for _ in 0..50 {
+        let start = Instant::now();
+        while start.elapsed() < READ_BACK_LIMIT {
             match self.checker.send(call).await.0 {
                 Ok(reply) => return Ok(reply),
                 Err(failure) => log::warn!("driver: reading back: {}", failure.code),
             }
             sleep(Duration::from_millis(200)).await;
         }
-        Err(eyre!("no response while reading back"))
+        Err(eyre!(
+            "no response from {} while reading back",
+            call.database
+        ))
     }
 }
 
--- a/crates/coriander_standin/src/load/request_sender.rs
+++ b/crates/coriander_standin/src/load/request_sender.rs
@@ -166,6 +166,14 @@
             } else {
                 may_have_run = true;
             }
+            log::debug!(
+                "driver: request {:?} of {} in transaction={}: {} {:?}",
+                call.request_id,
+                call.database,
+                call.in_transaction,
+                failure.code,
+                failure.kind
+            );
             let wait = failure.retry_after.unwrap_or(pause);
             let is_safe = !may_have_run || call.request_id.is_some();
             if failure.is_final || !is_safe || Instant::now() + wait >= deadline {
@@ -204,6 +212,13 @@
         precise_sleep(delay).await;
         let result = self.caller.call(Method::POST, &url, &headers, body).await;
         precise_sleep(delay).await;
+        if let Err(error) = &result {
+            log::debug!(
+                "driver: request {:?} of {}: {error}",
+                call.request_id,
+                call.database
+            );
+        }
         read_reply(result)
     }
 }
--- a/crates/coriander_standin/src/member/hrana_service.rs
+++ b/crates/coriander_standin/src/member/hrana_service.rs
@@ -11,9 +11,9 @@
     PipelineReqBody, PipelineRespBody, SequenceStreamResp, StepBeginEntry, StepEndEntry,
     StepErrorEntry, StoreSqlStreamResp, StreamRequest, StreamResponse, StreamResult,
 };
-use ntex::http::HeaderMap;
+use ntex::io::IoRef;
 use ntex::util::Bytes;
-use ntex::web::HttpResponse;
+use ntex::web::{HttpRequest, HttpResponse};
 use serde::Serialize;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep;
@@ -24,16 +24,22 @@
 use super::statement_runner::{StatementRunner, sqlite_error, statement_error};
 use super::stream_table::{SqlStream, StreamTable};
 
-/// Headers that decide whether a request may be executed.
+/// Headers that decide whether a request may be executed, and the caller's connection.
 pub struct StatementHeaders {
     term: TermNumber,
     min_position: Option<LogPosition>,
+    connection: Option<IoRef>,
 }
 
 impl StatementHeaders {
     /// Reads the headers.
-    pub fn parse(headers: &HeaderMap) -> Result<Self, MemberRefusal> {
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    pub fn parse(request: &HttpRequest) -> Result<Self, MemberRefusal> {
+        let text = |name: &str| {
+            request
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
         let term = text("x-group-term").and_then(|term| term.parse().ok());
         let term = term.ok_or_else(|| MemberRefusal::malformed("x-group-term is missing"))?;
         let min_position = text("x-min-position")
@@ -43,8 +49,14 @@
         Ok(Self {
             term: TermNumber::new(term),
             min_position,
+            connection: request.io().cloned(),
         })
     }
+
+    /// Tells whether the caller has closed its connection, so that no response can reach it.
+    fn is_abandoned(&self) -> bool {
+        self.connection.as_ref().is_some_and(IoRef::is_closed)
+    }
 }
 
 /// Executes a pipeline.
@@ -69,7 +81,7 @@
     let position = runner.committed.unwrap_or(start);
     drop(runner);
     let reply = PipelineRespBody {
-        baton: end_request(&node, stream, is_closed),
+        baton: end_request(&node, stream, is_closed, &headers),
         base_url: None,
         results,
     };
@@ -95,7 +107,7 @@
     let position = runner.committed.unwrap_or(start);
     drop(runner);
     let head = CursorRespBody {
-        baton: end_request(&node, stream, false),
+        baton: end_request(&node, stream, false, &headers),
         base_url: None,
     };
     let mut text = json_line(&head);
@@ -193,10 +205,18 @@
     Ok((StreamTable::create(id, connection, node.epoch()), permit))
 }
 
-/// Keeps the stream open unless it was closed or its term has passed.
-fn end_request(node: &MemberNode, stream: Box<SqlStream>, is_closed: bool) -> Option<String> {
+/// Keeps the stream open unless it was closed, its term has passed or nobody gets its baton.
+///
+/// A stream whose next baton is lost could only hold its locks until it expires.
+fn end_request(
+    node: &MemberNode,
+    stream: Box<SqlStream>,
+    is_closed: bool,
+    headers: &StatementHeaders,
+) -> Option<String> {
     let mut streams = node.streams.borrow_mut();
-    if is_closed || stream.epoch != node.epoch() {
+    let is_abandoned = !node.settings.keep_abandoned && headers.is_abandoned();
+    if is_closed || is_abandoned || stream.epoch != node.epoch() {
         streams.close(&stream);
         return None;
     }
--- a/crates/coriander_standin/src/member/member_server.rs
+++ b/crates/coriander_standin/src/member/member_server.rs
@@ -153,13 +153,13 @@
     match (request.method().as_str(), request.path()) {
         ("GET", "/v2" | "/v3") => Ok(HttpResponse::Ok().finish()),
         ("POST", "/v2/pipeline" | "/v3/pipeline") => {
-            let headers = StatementHeaders::parse(request.headers())?;
+            let headers = StatementHeaders::parse(request)?;
             // A separate task finishes the request even if the connection is closed meanwhile.
             let task = ntex::rt::spawn(serve_pipeline(node.clone(), headers, body));
             task.await.expect("pipeline task")
         }
         ("POST", "/v3/cursor") => {
-            let headers = StatementHeaders::parse(request.headers())?;
+            let headers = StatementHeaders::parse(request)?;
             let task = ntex::rt::spawn(serve_cursor(node.clone(), headers, body));
             task.await.expect("cursor task")
         }
--- a/crates/coriander_standin/src/member/member_settings.rs
+++ b/crates/coriander_standin/src/member/member_settings.rs
@@ -58,6 +58,9 @@
     /// longest wait for a lock of another transaction in milliseconds (default 2000)
     #[argh(option, default = "2000")]
     pub lock_wait_ms: u64,
+    /// keep a stream whose response could not be delivered until it expires, with its locks
+    #[argh(switch)]
+    pub keep_abandoned: bool,
     /// received requests kept for /debug/received, per kind (default 5000)
     #[argh(option, default = "5000")]
     pub record_limit: usize,
--- a/crates/coriander_standin/tests/member_limits.rs
+++ b/crates/coriander_standin/tests/member_limits.rs
@@ -7,7 +7,7 @@
 
 use common::{assert_refused, baton, pipeline, rows, start_members, statement_code};
 use coriander_standin::member::FaultUpdate;
-use coriander_standin::process::{HttpCaller, ProcessGroup};
+use coriander_standin::process::{HttpCaller, MemberClient, ProcessGroup};
 use ntex::http::Method;
 use serde_json::{Value, json};
 
@@ -106,6 +106,36 @@
     assert_eq!(found.as_array().unwrap().len(), 2);
 }
 
+/// Guards against a caller that gives up and leaves its transaction with the write lock.
+#[ntex::test]
+async fn abandoned_stream_closed() {
+    let mut group = ProcessGroup::create("member-abandoned").await.unwrap();
+    let args = ["--statement-time-us", "150000"];
+    let members = start_members(&mut group, &["a"], &args).await;
+    let a = &members[0];
+    a.lead(1, &[]).await.unwrap();
+    a.execute(1, "CREATE TABLE t (v)").await.unwrap();
+    let impatient = HttpCaller::create(Duration::from_millis(200)).await;
+    let impatient = MemberClient::new(a.address, impatient);
+    let begin = pipeline(
+        None,
+        &["BEGIN IMMEDIATE", "INSERT INTO t VALUES (1)"],
+        false,
+    );
+    assert!(impatient.pipeline(1, &begin).await.is_err());
+    let start = Instant::now();
+    assert_eq!(
+        statement_code(&a.execute(1, "INSERT INTO t VALUES (2)").await.unwrap()),
+        ""
+    );
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "less than the lock wait"
+    );
+    let found = rows(&a.execute(1, "SELECT v FROM t").await.unwrap());
+    assert_eq!(found, json!([[{"type": "integer", "value": "2"}]]));
+}
+
 /// Guards against a lost response that also loses the write, or a record without all headers.
 #[ntex::test]
 async fn dropped_response_write_kept() {
