--- a/crates/coriander_config/src/change_plan.rs
+++ b/crates/coriander_config/src/change_plan.rs
@@ -1,5 +1,6 @@
 //! The version that a change produces from the version that the operator saw.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use coriander_core::ConfigDocument;
@@ -43,6 +44,11 @@
         let (sections, changed) =
             encode_changes(refs, &document).map_err(|error| refuse_section(&error))?;
         let fleets = required_fleets(base, &sections.fleet, settled)?;
+        let same_fleet = base.is_some_and(|root| {
+            root.sections.fleet.digest == sections.fleet.digest
+                && root.sections.zones.digest == sections.zones.digest
+        });
+        document.fleet_version = base_document.fleet_version + u64::from(!same_fleet);
         let mut recent = base.map_or_else(Vec::new, |root| root.recent.clone());
         recent.push(RecentChange {
             version: document.version,
@@ -55,6 +61,7 @@
             version: document.version,
             author: request.author.clone(),
             change_id: request.change_id.clone(),
+            fleet_version: document.fleet_version,
             sections,
             fleets,
             recent,
@@ -68,6 +75,27 @@
     }
 }
 
+impl ChangePlan {
+    /// Returns the sections to store by their platform keys.
+    pub fn section_writes(&self) -> BTreeMap<String, Vec<u8>> {
+        let sections = self.sections.iter();
+        let entry = |section: &EncodedSection| {
+            let name = section.name;
+            let key = self.root.sections.get(name).platform_key(name);
+            (key, section.bytes.clone())
+        };
+        sections.map(entry).collect()
+    }
+}
+
+/// Lists the stored sections to which `old` refers and `new` does not.
+pub fn unreferenced(old: &ConfigRoot, new: &ConfigRoot) -> Vec<String> {
+    let kept = new.platform_keys();
+    let mut keys = old.platform_keys();
+    keys.retain(|key| !kept.contains(key));
+    keys
+}
+
 /// Lists the fleets that must confirm a version, each once.
 fn required_fleets(
     base: Option<&ConfigRoot>,
--- /dev/null
+++ b/crates/corianderstile/src/gateway/run_read.rs
@@ -0,0 +1,209 @@
+//! Reads on replicas or the primary.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::{
+    ErrorCode, LogPosition, MonotonicTime, RequestError, RequestOutcome, WriteCertainty,
+};
+use coriander_failover::PrimaryView;
+use coriander_limits::SlotRole;
+use coriander_routing::ReadChoice;
+use coriander_session::SessionPosition;
+use coriander_upstream::{StreamLease, StreamUse, UpstreamError};
+
+use super::acknowledge::AckOutcome;
+use super::database_gateway::{DatabaseGateway, RETRY_PAUSE, answer_body};
+use super::member_handle::{CallTerms, MemberHandle, StreamReply};
+use super::pipeline_shape::PipelineShape;
+use super::run_write::not_run_error;
+use super::slot_gate::SlotPermit;
+use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy};
+use crate::replica_reads::ReadDemand;
+
+/// Shortest wait for a replica before the choice is repeated.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
+
+impl DatabaseGateway {
+    /// Runs a read; a failed attempt is repeated, because reads change nothing.
+    pub(super) async fn run_read(
+        self: &Rc<Self>,
+        request: ForwardRequest,
+        shape: PipelineShape,
+        deadline: MonotonicTime,
+    ) -> Result<ForwardAnswer, RequestError> {
+        self.reads.count_request();
+        loop {
+            let error = match self.attempt_read(&request, &shape, deadline).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let is_final = matches!(error.code, ErrorCode::Overloaded | ErrorCode::Unauthorized);
+            let is_late = self.context.clock.now() + RETRY_PAUSE >= deadline;
+            if is_final || is_late || !self.reads.may_retry() {
+                return Err(error);
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+            (self.context.may_run)(&request.key)?;
+        }
+    }
+
+    async fn attempt_read(
+        self: &Rc<Self>,
+        request: &ForwardRequest,
+        shape: &PipelineShape,
+        deadline: MonotonicTime,
+    ) -> Result<ForwardAnswer, RequestError> {
+        let view = self.wait_primary(deadline).await.ok_or_else(|| {
+            RequestError::not_run(ErrorCode::NoUpstream, "the database has no primary")
+        })?;
+        let demand = ReadDemand {
+            session: request.session,
+            freshness: (self.context.class_target)(&request.class).freshness,
+        };
+        let (permit, min_position) = self.place_read(request, &demand, &view, deadline).await?;
+        (self.context.may_run)(&request.key)?;
+        let member = self.group.member(permit.member()).ok_or_else(|| {
+            RequestError::not_run(ErrorCode::NoUpstream, "the member has left the group")
+        })?;
+        let lease = self.wait_stream(&member, StreamUse::Statement, deadline);
+        let lease = lease.await?;
+        let ticket = self.reads.record_start(&member.id);
+        let is_primary = member.id == view.member;
+        let checks_term = is_primary && needs_current_primary(&demand);
+        let timeout = deadline.since(self.context.clock.now());
+        let terms = CallTerms {
+            term: view.term,
+            min_position,
+            timeout: timeout.min(self.context.bounds.upstream_timeout),
+        };
+        let result = if checks_term {
+            self.read_current(&member, lease, shape, terms, &view).await
+        } else {
+            self.read_from(&member, lease, shape, terms).await
+        };
+        let reply = match result {
+            Ok(reply) => reply,
+            Err(error) => {
+                self.reads.record_failure(&ticket, &error);
+                match &error {
+                    UpstreamError::Refused(refusal) if refusal.status == 503 => permit.refused(),
+                    _ => self.group.statement_failed(&member.id),
+                }
+                return Err(read_error(&error));
+            }
+        };
+        self.reads.record_reply(&ticket, &view, reply.log);
+        let age = if is_primary {
+            Duration::ZERO
+        } else {
+            self.reads.age(&member.id)
+        };
+        Ok(ForwardAnswer {
+            body: answer_body(None, shape.restore(reply.results))?,
+            written: None,
+            served_by: Some(ServedBy {
+                member: member.id.clone(),
+                is_primary,
+                age,
+            }),
+        })
+    }
+
+    /// Chooses a member, waits for one of its slots and returns the position to demand.
+    async fn place_read(
+        &self,
+        request: &ForwardRequest,
+        demand: &ReadDemand,
+        view: &PrimaryView,
+        deadline: MonotonicTime,
+    ) -> Result<(SlotPermit, Option<LogPosition>), RequestError> {
+        let mut choice = self.reads.choose(demand);
+        while let ReadChoice::Wait { retry_after, .. } = choice {
+            if self.context.clock.now() + retry_after >= deadline {
+                break;
+            }
+            tokio::time::sleep(retry_after.max(LEAST_WAIT)).await;
+            choice = self.reads.choose(demand);
+        }
+        if matches!(choice, ReadChoice::Replica { .. }) {
+            let role = SlotRole::Replica;
+            let permit = self.acquire_slot(request, role, deadline).await?;
+            if *permit.member() == view.member {
+                return Ok((permit, session_position(demand)));
+            }
+            if let Some(position) = self.reads.proof_for(permit.member(), demand) {
+                return Ok((permit, Some(position)));
+            }
+            // The free replica is not the one that the choice was about.
+        }
+        let permit = self
+            .acquire_slot(request, SlotRole::Primary, deadline)
+            .await?;
+        Ok((permit, session_position(demand)))
+    }
+
+    async fn read_from(
+        &self,
+        member: &MemberHandle,
+        mut lease: StreamLease,
+        shape: &PipelineShape,
+        terms: CallTerms,
+    ) -> Result<StreamReply, UpstreamError> {
+        let reply = member.run(&mut lease, shape.requests(), terms).await?;
+        lease.check_in(self.context.clock.now());
+        Ok(reply)
+    }
+
+    /// Reads from the primary and checks in parallel that it has not been replaced.
+    async fn read_current(
+        self: &Rc<Self>,
+        member: &MemberHandle,
+        lease: StreamLease,
+        shape: &PipelineShape,
+        terms: CallTerms,
+        view: &PrimaryView,
+    ) -> Result<StreamReply, UpstreamError> {
+        let deadline = self.context.clock.now() + terms.timeout;
+        let read = self.read_from(member, lease, shape, terms);
+        let (reply, is_current) = tokio::join!(read, self.is_current(view, deadline));
+        if !is_current {
+            let reason = "the primary was replaced during the read".to_owned();
+            return Err(UpstreamError::NoResponse { reason });
+        }
+        reply
+    }
+
+    /// Tells whether a majority still accepts the primary's term.
+    ///
+    /// An old primary that is cut off from its group would otherwise serve old data to a session
+    /// whose writes are not known here.
+    async fn is_current(self: &Rc<Self>, view: &PrimaryView, deadline: MonotonicTime) -> bool {
+        let start = LogPosition::new(view.term, 0);
+        let majority = WriteCertainty::Majority;
+        self.acknowledge(view, start, majority, deadline).await == AckOutcome::Acknowledged
+    }
+}
+
+/// Tells whether an answer of an old primary could miss something that the read must see.
+fn needs_current_primary(demand: &ReadDemand) -> bool {
+    match demand.session {
+        SessionPosition::Unknown => true,
+        SessionPosition::AtLeast(_) | SessionPosition::Unwritten => demand.freshness.is_zero(),
+    }
+}
+
+fn session_position(demand: &ReadDemand) -> Option<LogPosition> {
+    match demand.session {
+        SessionPosition::AtLeast(position) => Some(position),
+        SessionPosition::Unwritten | SessionPosition::Unknown => None,
+    }
+}
+
+/// A read has no effect, so "not run" is true for the caller in every case but a lost answer.
+fn read_error(error: &UpstreamError) -> RequestError {
+    match error.outcome() {
+        RequestOutcome::NotRun => not_run_error(error),
+        _ => RequestError::unknown(ErrorCode::UpstreamTimeout, error.to_string()),
+    }
+}
