End calls to a replaced primary and move the shards of a lost instance sooner

Change: reads and writes stop waiting once a later term has a primary; a member is removed from the fleet after 3 s of silence. Reads use the router's waits, status requests ahead of time and an estimate of the primary's queue. Batches that hold a whole transaction run with their record. Statements on the table of executed requests are refused.

--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -228,7 +228,7 @@
                 body: encoded,
             },
             token,
-            is_repeatable: baton.is_none() && class.kind != RequestKind::Transaction,
+            is_repeatable: baton.is_none() && class.kind < RequestKind::Transaction,
             gateway: baton.map(|baton| baton.gateway),
         })
     }
--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -130,15 +130,27 @@
             let mut cache = self.cache.borrow_mut();
             RequestClass::of_requests(&body.requests, &mut cache)
         };
+        if class.kind == RequestKind::Reserved {
+            let message = "the table of executed requests cannot be used by callers";
+            return Err(RequestError::not_run(ErrorCode::BadRequest, message));
+        }
         let shape = PipelineShape::new(body.requests);
         if request.stream.is_some() {
             return self.continue_transaction(request, shape, deadline).await;
         }
         match class.kind {
-            RequestKind::Transaction => self.open_transaction(request, shape, deadline).await,
             _ if shape.keeps_stored_sql() => self.open_transaction(request, shape, deadline).await,
             RequestKind::ReadOnly => self.run_read(request, shape, deadline).await,
             RequestKind::AutocommitWrite => self.run_write(request, shape, deadline).await,
+            RequestKind::Transaction | RequestKind::Reserved => {
+                let is_logged =
+                    !class.may_stay_open && self.prepare_write(&request, &shape).is_ok();
+                if is_logged {
+                    self.run_write(request, shape, deadline).await
+                } else {
+                    self.open_transaction(request, shape, deadline).await
+                }
+            }
         }
     }
 
@@ -309,6 +321,32 @@
         }
     }
 
+    /// Waits until another term than that of `view` has a primary.
+    ///
+    /// A call to the old primary is then pointless: it will not be confirmed any more.
+    pub(super) async fn wait_term_end(&self, view: &PrimaryView) {
+        while self
+            .group
+            .primary()
+            .is_none_or(|current| current.term <= view.term)
+        {
+            self.group.wait_change().await;
+        }
+    }
+
+    /// Asks all members for their status at once, in addition to the periodic probes.
+    pub(super) fn request_status(self: &Rc<Self>) {
+        for member in self.group.members() {
+            let gateway = self.clone();
+            ntex::rt::spawn(async move {
+                let sent = gateway.context.clock.now();
+                if let Ok(status) = member.client.status().await {
+                    gateway.reads.record_status(&status, sent);
+                }
+            });
+        }
+    }
+
     /// Waits until a primary accepts writes, for example during a promotion.
     pub(super) async fn wait_write_primary(&self, deadline: MonotonicTime) -> Option<PrimaryView> {
         self.wait_view(deadline, GroupTask::write_primary).await
--- a/crates/corianderstile/src/gateway/run_read.rs
+++ b/crates/corianderstile/src/gateway/run_read.rs
@@ -16,7 +16,7 @@
 use super::database_gateway::{DatabaseGateway, RETRY_PAUSE, answer_body};
 use super::member_handle::{CallTerms, MemberHandle, StreamReply};
 use super::pipeline_shape::PipelineShape;
-use super::run_write::not_run_error;
+use super::run_write::{not_run_error, term_ended};
 use super::slot_gate::SlotPermit;
 use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy};
 use crate::replica_reads::ReadDemand;
@@ -77,10 +77,16 @@
             min_position,
             timeout: timeout.min(self.context.bounds.upstream_timeout),
         };
-        let result = if checks_term {
-            self.read_current(&member, lease, shape, terms, &view).await
-        } else {
-            self.read_from(&member, lease, shape, terms).await
+        let read = async {
+            if checks_term {
+                self.read_current(&member, lease, shape, terms, &view).await
+            } else {
+                self.read_from(&member, lease, shape, terms).await
+            }
+        };
+        let result = tokio::select! {
+            result = read => result,
+            () = self.wait_term_end(&view) => Err(term_ended()),
         };
         let reply = match result {
             Ok(reply) => reply,
@@ -112,19 +118,29 @@
 
     /// Chooses a member, waits for one of its slots and returns the position to demand.
     async fn place_read(
-        &self,
+        self: &Rc<Self>,
         request: &ForwardRequest,
         demand: &ReadDemand,
         view: &PrimaryView,
         deadline: MonotonicTime,
     ) -> Result<(SlotPermit, Option<LogPosition>), RequestError> {
-        let mut choice = self.reads.choose(demand);
+        if self.reads.wants_status(demand.freshness) {
+            self.request_status();
+        }
+        let start = self.context.clock.now();
+        let waited = || self.context.clock.now().since(start);
+        let mut choice = self
+            .reads
+            .choose(demand, self.gate.expected_wait(), waited());
         while let ReadChoice::Wait { retry_after, .. } = choice {
             if self.context.clock.now() + retry_after >= deadline {
                 break;
             }
+            self.request_status();
             tokio::time::sleep(retry_after.max(LEAST_WAIT)).await;
-            choice = self.reads.choose(demand);
+            choice = self
+                .reads
+                .choose(demand, self.gate.expected_wait(), waited());
         }
         if matches!(choice, ReadChoice::Replica { .. }) {
             let role = SlotRole::Replica;
--- a/crates/corianderstile/src/gateway/run_write.rs
+++ b/crates/corianderstile/src/gateway/run_write.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    fn prepare_write(
+    pub(super) fn prepare_write(
         &self,
         request: &ForwardRequest,
         shape: &PipelineShape,
@@ -118,7 +118,10 @@
             return WriteAttempt::NotRun(not_run_error(&error));
         }
         let ticket = self.reads.record_start(&member.id);
-        let executed = self.execute_logged(&member, &mut lease, write, &view).await;
+        let executed = tokio::select! {
+            executed = self.execute_logged(&member, &mut lease, write, &view) => executed,
+            () = self.wait_term_end(&view) => Err(term_ended()),
+        };
         match &executed {
             // The position of the primary bounds the age of what replicas hold.
             Ok((_, log)) => self.reads.record_reply(&ticket, &view, *log),
@@ -286,6 +289,12 @@
     }
 }
 
+pub(super) fn term_ended() -> UpstreamError {
+    UpstreamError::NoResponse {
+        reason: "the primary was replaced".to_owned(),
+    }
+}
+
 pub(super) fn execute(sql: &str) -> StreamRequest {
     StreamRequest::Execute(ExecuteStreamReq {
         stmt: Stmt::new(sql, false),
--- a/crates/corianderstile/src/gateway/slot_gate.rs
+++ b/crates/corianderstile/src/gateway/slot_gate.rs
@@ -32,6 +32,7 @@
     gate: Weak<SlotGate>,
     member: MemberId,
     was_refused: bool,
+    since: MonotonicTime,
 }
 
 impl SlotPermit {
@@ -57,6 +58,7 @@
                 .refused(&self.member, gate.clock.now());
         } else {
             gate.slots.borrow_mut().release(&self.member);
+            gate.record_hold(gate.clock.now().since(self.since));
         }
         gate.dispatch();
     }
@@ -81,6 +83,9 @@
     waiters: RefCell<HashMap<u64, SlotWaiter>>,
     members: RefCell<SlotMembers>,
     next_ticket: Cell<u64>,
+    /// Moving average of the time for which a request holds its slot.
+    hold: Cell<Duration>,
+    slots_per_member: u32,
     own: Weak<Self>,
 }
 
@@ -95,6 +100,8 @@
             waiters: RefCell::default(),
             members: RefCell::default(),
             next_ticket: Cell::new(0),
+            hold: Cell::default(),
+            slots_per_member: slots.max(1),
             own: own.clone(),
         })
     }
@@ -146,6 +153,17 @@
         self.waiting(SlotRole::Primary) + self.waiting(SlotRole::Replica)
     }
 
+    /// Returns the time that a new request would wait for a slot of the primary.
+    pub fn expected_wait(&self) -> Duration {
+        let waiting = u32::try_from(self.waiting(SlotRole::Primary)).unwrap_or(u32::MAX);
+        self.hold.get().saturating_mul(waiting) / self.slots_per_member
+    }
+
+    fn record_hold(&self, held: Duration) {
+        // Weight 1/8 follows a change of load within some tens of requests.
+        self.hold.set((self.hold.get() * 7 + held) / 8);
+    }
+
     /// Refuses the waiting requests of withdrawn keys.
     pub fn cancel_keys(&self, keys: &[KeyDigest]) {
         for key in keys {
@@ -197,6 +215,7 @@
                 gate: self.own.clone(),
                 member: member.clone(),
                 was_refused: false,
+                since: now,
             };
             // A permit whose waiter is gone is dropped here and frees its slot.
             drop(waiter.send(Ok(permit)));
--- a/crates/corianderstile/src/membership_service.rs
+++ b/crates/corianderstile/src/membership_service.rs
@@ -21,8 +21,9 @@
 /// Time between checks for due heartbeats and silent peers.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Silence after which a member that the platform does not list counts as lost.
-const LOST_AFTER: Duration = Duration::from_secs(10);
+/// Silence after which a member counts as lost and is removed from the fleet. Until then its
+/// shards of the token buckets cannot move; a member that was only paused joins again.
+const LOST_AFTER: Duration = Duration::from_secs(3);
 
 #[derive(Debug, Deserialize, Serialize)]
 enum Datagram {
@@ -167,10 +168,10 @@
         self.drain.borrow().is_finished(in_flight, self.clock.now())
     }
 
-    /// Returns members that have been silent for long and are missing from the platform's list.
+    /// Returns members that have been silent for long.
     ///
     /// Only the live instance with the smallest identifier returns any, so that one removes them.
-    pub fn lost_members(&self, document: &ConfigDocument, listed: &[String]) -> Vec<InstanceId> {
+    pub fn lost_members(&self, document: &ConfigDocument) -> Vec<InstanceId> {
         let now = self.clock.now();
         let first_live = document.fleet.keys().find(|id| self.is_live(id));
         if first_live != Some(&self.own_id) {
@@ -178,8 +179,7 @@
         }
         let silent = self.silent_since.borrow();
         let is_lost = |(id, since): &&(InstanceId, MonotonicTime)| {
-            let is_listed = listed.iter().any(|name| name == id.as_str());
-            now.since(*since) >= LOST_AFTER && !is_listed && document.fleet.contains_key(id)
+            now.since(*since) >= LOST_AFTER && document.fleet.contains_key(id)
         };
         silent
             .iter()
--- a/crates/corianderstile/src/proxy.rs
+++ b/crates/corianderstile/src/proxy.rs
@@ -86,7 +86,6 @@
     /// Entry of callers' requests.
     pub entry: Rc<EntryService>,
     store: Rc<dyn PlatformStore>,
-    listed: RefCell<Vec<String>>,
     watched: RefCell<Vec<coriander_core::DatabaseName>>,
 }
 
@@ -142,7 +141,6 @@
             gateways,
             entry,
             store,
-            listed: RefCell::default(),
             watched: RefCell::default(),
         });
         proxy.connect_parts();
@@ -261,14 +259,9 @@
         ntex::rt::spawn(self.rates.clone().run());
         ntex::rt::spawn(self.clone().refresh_freshness());
         ntex::rt::spawn(self.clone().keep_registered());
-        ntex::rt::spawn(self.clone().watch_instances());
         ntex::rt::spawn(self.clone().stay_in_fleet());
         let proxy = self.clone();
-        let lost = Box::new(move || {
-            proxy
-                .membership
-                .lost_members(&proxy.config.document(), &proxy.listed.borrow())
-        });
+        let lost = Box::new(move || proxy.membership.lost_members(&proxy.config.document()));
         ntex::rt::spawn(remove_silent_members(self.config.clone(), lost));
     }
 
@@ -326,24 +319,6 @@
         self.watched.borrow_mut().retain(|name| *name != database);
     }
 
-    async fn watch_instances(self: Rc<Self>) {
-        let mut index = ModifyIndex::default();
-        loop {
-            let list = self
-                .store
-                .watch_service(INSTANCE_SERVICE, index, LIST_WAIT)
-                .await;
-            match list {
-                Ok(list) => {
-                    index = list.watch_index;
-                    let ids = list.members.into_iter().map(|member| member.id).collect();
-                    *self.listed.borrow_mut() = ids;
-                }
-                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
-            }
-        }
-    }
-
     /// Limits lapse by themselves, so their confirmation is renewed often.
     async fn refresh_freshness(self: Rc<Self>) {
         loop {
--- a/crates/corianderstile/src/replica_reads.rs
+++ b/crates/corianderstile/src/replica_reads.rs
@@ -102,9 +102,27 @@
         self.budget.borrow_mut().try_take()
     }
 
-    /// Chooses the member for a read.
-    pub fn choose(&self, demand: &ReadDemand) -> ReadChoice {
-        self.choose_among(demand, &[])
+    /// Tells whether status replies are too old for a freshness target.
+    pub fn wants_status(&self, freshness: Duration) -> bool {
+        let now = self.clock.now();
+        self.table.borrow_mut().wants_status(freshness, now)
+    }
+
+    /// Chooses the member for a read that would wait `primary_wait` for a slot of the primary and
+    /// has waited for replicas for `waited`.
+    pub fn choose(
+        &self,
+        demand: &ReadDemand,
+        primary_wait: Duration,
+        waited: Duration,
+    ) -> ReadChoice {
+        self.choose_among(ReadRequest {
+            freshness: demand.freshness,
+            session: demand.session,
+            primary_wait,
+            waited,
+            excluded: &[],
+        })
     }
 
     /// Returns the position to demand from a replica if it may serve the read.
@@ -114,7 +132,14 @@
             let ids = table.member_ids().filter(|id| *id != member);
             ids.cloned().collect()
         };
-        match self.choose_among(demand, &others) {
+        let request = ReadRequest {
+            freshness: demand.freshness,
+            session: demand.session,
+            primary_wait: Duration::ZERO,
+            waited: Duration::ZERO,
+            excluded: &others,
+        };
+        match self.choose_among(request) {
             ReadChoice::Replica { min_position, .. } => Some(min_position),
             _ => None,
         }
@@ -171,13 +196,8 @@
         })
     }
 
-    fn choose_among(&self, demand: &ReadDemand, excluded: &[MemberId]) -> ReadChoice {
-        let request = ReadRequest {
-            freshness: demand.freshness,
-            session: demand.session,
-            excluded,
-        };
-        self.router
-            .choose(&self.table.borrow(), &request, self.clock.now())
+    fn choose_among(&self, request: ReadRequest<'_>) -> ReadChoice {
+        let now = self.clock.now();
+        self.router.choose(&self.table.borrow(), &request, now)
     }
 }
