Print the number of reads in the routing comparison

Change: the program prints the number of reads.

Under overload a few reads in a million still age over their target in a replica's queue.

--- a/crates/coriander_routing/examples/routing_policy.rs
+++ b/crates/coriander_routing/examples/routing_policy.rs
@@ -31,7 +31,7 @@
 
 fn main() {
     println!(
-        "deployment  load policy       replica% allowed%  p50ms   p99ms  rep99ms rep999ms  stale99ms stalemax violations refused waits probes hedges"
+        "deployment  load policy       replica% allowed%  p50ms   p99ms  rep99ms rep999ms  stale99ms stalemax violations refused waits probes hedges   reads"
     );
     for deployment in &DEPLOYMENTS {
         for load in [0.1, 0.7, 1.6] {
@@ -48,7 +48,7 @@
                 let share = |part: u64| 100.0 * part as f64 / figures.reads as f64;
                 let millis = |micros: u64| micros as f64 / 1000.0;
                 println!(
-                    "{:<11} {load:<4} {:<12} {:>8.1} {:>8.1} {:>6.1} {:>8.1} {:>8.1} {:>8.1} {:>9.1} {:>8.1} {:>10} {:>7} {:>6} {:>6} {:>6}",
+                    "{:<11} {load:<4} {:<12} {:>8.1} {:>8.1} {:>6.1} {:>8.1} {:>8.1} {:>8.1} {:>9.1} {:>8.1} {:>10} {:>7} {:>6} {:>6} {:>6} {:>7}",
                     deployment.name,
                     format!("{policy:?}"),
                     share(figures.on_replica),
@@ -64,6 +64,7 @@
                     figures.waits,
                     figures.probes,
                     figures.hedges,
+                    figures.reads,
                 );
             }
         }
