Halve the heartbeats that a watcher receives

Cause: a watcher in a fleet of 2,100 spent 66.5 KB/s on heartbeats, over the bound of 27 KB/s for all control messages. Change: instances send to the two watchers of their zone in turn; the period is 200 ms in a full mesh, at least 400 ms in larger fleets and 850 ms in the largest. Ring neighbours still get every heartbeat and detect failures. The measuring program now asks for the targets of each round.

--- a/crates/coriander_membership/examples/membership_slopes.rs
+++ b/crates/coriander_membership/examples/membership_slopes.rs
@@ -55,14 +55,18 @@
 ) -> Result<(f64, f64, u128), MeasureError> {
     let status = OwnStatus::default();
     let mut senders: Vec<PeerTable> = Vec::new();
+    let own_id = instance(own)?;
+    let sends_here = |sender: &PeerTable, ranks: &mut RankTable| {
+        let targets = sender.heartbeat_targets(ranks);
+        targets.iter().any(|(target, _)| *target == own_id)
+    };
     for id in document.fleet.keys() {
-        // Building a whole table per sender would only cost memory here: their targets follow
-        // from the ring and the watchers, which one table per instance knows.
         let mut table = PeerTable::new(id.clone());
         table.apply_document(document, MonotonicTime::ZERO);
-        let targets = table.heartbeat_targets(ranks);
-        let own_id = instance(own)?;
-        if targets.iter().any(|(target, _)| *target == own_id) {
+        // Watchers take turns, so that two rounds show all senders.
+        let first = sends_here(&table, ranks);
+        table.next_heartbeat(status, MonotonicTime::ZERO);
+        if first || sends_here(&table, ranks) {
             senders.push(table);
         }
     }
@@ -72,10 +76,14 @@
     let (mut spent, mut bytes) = (0.0, 0);
     for millis in (0..SECONDS * 1_000).step_by(10) {
         let now = MonotonicTime::from_millis(millis);
-        let received: Vec<Heartbeat> = senders
-            .iter_mut()
-            .filter_map(|sender| sender.next_heartbeat(status, now))
-            .collect();
+        let mut received: Vec<Heartbeat> = Vec::new();
+        for sender in &mut senders {
+            if let Some(heartbeat) = sender.next_heartbeat(status, now)
+                && sends_here(sender, ranks)
+            {
+                received.push(heartbeat);
+            }
+        }
         let begin = Instant::now();
         for heartbeat in &received {
             if let Ok(ack) = table.heartbeat_received(heartbeat, status, now) {
--- a/crates/coriander_membership/src/peer_entry.rs
+++ b/crates/coriander_membership/src/peer_entry.rs
@@ -19,6 +19,8 @@
     /// Sequence of the newest heartbeat seen directly or by notice.
     pub sequence: u64,
     pub config_version: ConfigVersion,
+    /// Whether the peer sends a heartbeat to this instance in each round.
+    pub expected: bool,
     /// Set for peers that send heartbeats to this instance.
     pub arrivals: Option<ArrivalWindow>,
     pub delay: Option<Duration>,
@@ -35,6 +37,7 @@
             live: true,
             sequence: 0,
             config_version: ConfigVersion::default(),
+            expected: false,
             arrivals: None,
             delay: None,
             reported: (InstanceState::Serving, true),
--- a/crates/coriander_membership/src/peer_table.rs
+++ b/crates/coriander_membership/src/peer_table.rs
@@ -16,11 +16,14 @@
     ArrivalWindow, Heartbeat, HeartbeatAck, InstanceState, OwnStatus, PeerNotice, RankTable,
 };
 
-/// Time between heartbeats in a small fleet.
-const SHORTEST_PERIOD: Duration = Duration::from_millis(200);
+/// Time between heartbeats in a fleet in which each instance sends to every other.
+const MESH_PERIOD: Duration = Duration::from_millis(200);
 
-/// Longest time between heartbeats; two lost ones still fit into the freshness period of 2 s.
-const LONGEST_PERIOD: Duration = Duration::from_millis(650);
+/// Shortest time between heartbeats in a larger fleet.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(400);
+
+/// Longest time between heartbeats; a lost one still fits into the freshness period of 2 s.
+const LONGEST_PERIOD: Duration = Duration::from_millis(850);
 
 /// Heartbeat time per instance of the fleet. It bounds the heartbeats that a watcher receives
 /// from its zone per second.
@@ -106,6 +109,7 @@
             let fresh = || PeerEntry::new(member);
             let entry = self.peers.entry(id.clone()).or_insert_with(fresh);
             entry.zone = member.zone.clone();
+            entry.expected = false;
             entry.address = member.peer_address;
         }
         self.ring = document.fleet.keys().cloned().collect();
@@ -113,6 +117,7 @@
         let period = self.period();
         for id in self.expected_senders() {
             if let Some(entry) = self.peers.get_mut(&id) {
+                entry.expected = true;
                 let start = || ArrivalWindow::new(period, now);
                 entry.arrivals.get_or_insert_with(start);
             }
@@ -121,6 +126,9 @@
 
     /// Time between two rounds of heartbeats.
     pub fn period(&self) -> Duration {
+        if self.ring.len() <= FULL_MESH {
+            return MESH_PERIOD;
+        }
         let peers = u32::try_from(self.ring.len()).unwrap_or(u32::MAX);
         PERIOD_PER_PEER
             .saturating_mul(peers)
@@ -155,6 +163,9 @@
 
     /// Returns the peers that get heartbeats: all in a small fleet, else the watchers of the own
     /// zone and ring neighbours. A watcher also sends to the watchers of the other zones.
+    ///
+    /// The watchers of a zone take turns, which halves what each of them receives. They need not
+    /// detect failures fast, because the ring neighbours do.
     pub fn heartbeat_targets(&self, ranks: &mut RankTable) -> Vec<(InstanceId, SocketAddr)> {
         let mut targets: SmallVec<[InstanceId; 32]> = SmallVec::new();
         if self.ring.len() <= FULL_MESH {
@@ -162,11 +173,18 @@
         } else if let Some(zone) = &self.own_zone {
             targets.extend(self.ring_successors());
             let watchers = ranks.watchers(zone);
+            let turn = usize::try_from(self.sequence % 2).unwrap_or(0);
             if watchers.contains(&self.own) {
                 let zones: Vec<ZoneName> = ranks.zones().cloned().collect();
-                targets.extend(zones.iter().flat_map(|zone| ranks.watchers(zone)));
+                let others = zones.iter().filter(|other| *other != zone);
+                targets.extend(others.filter_map(|other| {
+                    let watchers = ranks.watchers(other);
+                    watchers.get(turn % watchers.len().max(1)).cloned()
+                }));
+                targets.extend(watchers);
+            } else {
+                targets.extend(watchers.get(turn % watchers.len().max(1)).cloned());
             }
-            targets.extend(watchers);
         }
         targets.sort();
         targets.dedup();
@@ -184,7 +202,7 @@
         status: OwnStatus,
         now: MonotonicTime,
     ) -> Result<HeartbeatAck, HeartbeatError> {
-        let period = self.period();
+        let period = self.period_of(&heartbeat.instance);
         let entry = self.peers.get_mut(&heartbeat.instance);
         let entry = entry.ok_or(HeartbeatError::Unknown)?;
         if !entry.is_new(heartbeat.sequence) {
@@ -286,6 +304,16 @@
         self.peers.is_empty()
     }
 
+    /// Time between two heartbeats of a peer to this instance. Other than ring predecessors, peers
+    /// send to the two watchers of a zone in turn.
+    fn period_of(&self, peer: &InstanceId) -> Duration {
+        let entry = self.peers.get(peer);
+        if self.ring.len() <= FULL_MESH || entry.is_some_and(|entry| entry.expected) {
+            return self.period();
+        }
+        self.period() * 2
+    }
+
     /// Peers whose silence is meaningful from the start: all in a small fleet, else the ring
     /// predecessors. A watcher learns of the others in its zone by their first heartbeat.
     fn expected_senders(&self) -> SmallVec<[InstanceId; 8]> {
--- a/crates/coriander_membership/tests/peers.rs
+++ b/crates/coriander_membership/tests/peers.rs
@@ -186,3 +186,35 @@
         }
     }
 }
+
+#[test]
+fn watchers_take_turns_without_false_alarm() {
+    // Guards against a watcher that takes its half of the heartbeats for losses.
+    let document = fleet(60, 3);
+    let mut ranks = RankTable::new();
+    ranks.apply_document(&document, millis(0));
+    let zone = "zone-0".parse().expect("valid name");
+    let watchers = ranks.watchers(&zone);
+    let number = |id: &InstanceId| id.as_str()[2..].parse::<usize>().expect("a number");
+    let own = number(&watchers[0]);
+    let mut watcher = table(own, &document);
+    let mut peers: Vec<PeerTable> = (0..60).map(|number| table(number, &document)).collect();
+    let mut received = 0;
+    for step in 0..400 {
+        let now = millis(step * 50);
+        for peer in &mut peers {
+            let Some(heartbeat) = peer.next_heartbeat(OwnStatus::default(), now) else {
+                continue;
+            };
+            let targets = peer.heartbeat_targets(&mut ranks);
+            if targets.iter().any(|(target, _)| *target == id(own)) {
+                let ack = watcher.heartbeat_received(&heartbeat, OwnStatus::default(), now);
+                received += usize::from(ack.is_ok());
+            }
+        }
+        assert!(watcher.advance(now).is_empty());
+    }
+    // 20 s with 50 rounds: 18 of its zone and 2 other zones every second round, and a few more
+    // of its neighbours and the other watcher.
+    assert!((450..800).contains(&received), "{received}");
+}
