Check the ceiling under changes of limits, and slots under overload

Cause: random fault runs left out changed limits, and the queue had no check against a baseline. Change: random runs also scale all limits to 5 to 100 %; the simulation is split into smaller files. A queue test offers 300 requests/s of one account and 10/s of four others to 100 slots/s. Conclusion: the ceiling holds while limits change, and one account cannot take the slots of the others.

--- a/crates/coriander_limits/examples/support/fleet_simulation.rs
+++ b/crates/coriander_limits/examples/support/fleet_simulation.rs
@@ -2,67 +2,25 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::{
-    AccountLimits, AccountName, ConfigDocument, ConfigVersion, FleetMember, InstanceId,
-    MonotonicTime,
-};
+use coriander_core::{AccountName, InstanceId, MonotonicTime};
 use coriander_limits::{
-    AdmitDecision, FleetVersion, GrantHolder, HandOver, HandOverReply, HolderEvent, LimitPolicy,
-    OwnerTable, PlanTable, TakeTokens, TokenGrant,
+    AdmitDecision, FleetVersion, GrantHolder, HandOver, HandOverReply, HolderEvent, OwnerTable,
+    PlanTable, TakeTokens, TokenGrant,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::simulated_plans::{make_document, make_plans};
+use super::simulation_settings::{Action, Fault, Settings};
 use super::usage_record::UsageRecord;
 
 /// Freshness period of the configuration, in microseconds.
 const FRESHNESS: u64 = 2_000_000;
 const CONFIRM_PERIOD: u64 = 100_000;
 
-/// A deliberate fault, to show that the checks find it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Fault {
-    None,
-    /// Holders keep grants for ever.
-    NoHolderExpiry,
-    /// New owners grant at once.
-    NoWaiting,
-    /// A repeated hand-over counts again.
-    DuplicateHandOver,
-}
-
-#[derive(Clone, Debug)]
-pub struct Settings {
-    pub seed: u64,
-    pub limits: Vec<AccountLimits>,
-    pub policy: LimitPolicy,
-    /// Shortest and longest one-way delay in microseconds.
-    pub delay: (u64, u64),
-    pub loss: f64,
-    pub duplicate: f64,
-    /// Time for which a request may wait for a token, in microseconds.
-    pub patience: u64,
-    pub fault: Fault,
-}
-
-#[derive(Clone, Debug)]
-pub enum Action {
-    Request {
-        instance: usize,
-        account: usize,
-    },
-    Pause(usize),
-    Resume(usize),
-    Isolate(usize),
-    Rejoin(usize),
-    /// Writes a new fleet section with these instances.
-    ChangeFleet(Vec<usize>),
-}
-
 #[derive(Clone, Debug)]
 enum Message {
     Take(TakeTokens),
@@ -125,6 +83,8 @@
     accounts: Vec<AccountName>,
     instances: Vec<Instance>,
     versions: Vec<Version>,
+    fleet_version: u64,
+    scale: u32,
     handed_over: BTreeSet<(usize, AccountName, u64)>,
     pub usage: UsageRecord,
 }
@@ -133,7 +93,8 @@
     /// Starts a fleet of the first `fleet` of `instances` instances; the others can join later.
     pub fn new(settings: Settings, instances: usize, fleet: usize) -> Self {
         let random = SmallRng::seed_from_u64(settings.seed);
-        let accounts = (0..settings.limits.len()).map(|n| name(&format!("account-{n}")));
+        let accounts =
+            (0..settings.limits.len()).map(|n| format!("account-{n}").parse().expect("valid name"));
         let mut simulation = Self {
             random,
             now: 0,
@@ -144,6 +105,8 @@
             accounts: accounts.collect(),
             instances: Vec::new(),
             versions: Vec::new(),
+            fleet_version: 0,
+            scale: 100,
             handed_over: BTreeSet::new(),
             usage: UsageRecord::new(&settings.limits),
             settings,
@@ -214,38 +177,16 @@
     }
 
     fn change_fleet(&mut self, fleet: Vec<usize>) {
+        self.fleet_version += 1;
+        self.write_version(fleet);
+    }
+
+    fn write_version(&mut self, fleet: Vec<usize>) {
+        let ids = fleet.iter().map(|&i| self.instances[i].id.clone());
         let number = self.versions.len() as u64 + 1;
-        let mut document = ConfigDocument {
-            version: ConfigVersion::new(number),
-            ..ConfigDocument::default()
-        };
-        for &instance in &fleet {
-            let member = FleetMember {
-                zone: format!("zone-{}", instance % 3)
-                    .parse()
-                    .expect("valid name"),
-                peer_address: ([127, 0, 0, 1], 7000).into(),
-                draining: false,
-            };
-            document
-                .fleet
-                .insert(self.instances[instance].id.clone(), member);
-        }
-        for (account, limits) in self.accounts.iter().zip(&self.settings.limits) {
-            document.accounts.insert(account.clone(), *limits);
-        }
-        let ids: Vec<InstanceId> = document.fleet.keys().cloned().collect();
-        let mut policy = self.settings.policy.clone();
-        if self.settings.fault == Fault::NoWaiting {
-            policy = policy.with_freshness(Duration::ZERO);
-        }
-        let plans = PlanTable::new(&document, FleetVersion::new(number), &policy, |account| {
-            let mut ranked = ids.clone();
-            ranked.sort_by_key(|id| hash(&(id, account)));
-            ranked.truncate(3);
-            ranked.into()
-        });
-        let plans = Arc::new(plans);
+        let document = make_document(number, ids, &self.accounts, &self.settings, self.scale);
+        let version = FleetVersion::new(self.fleet_version);
+        let plans = Arc::new(make_plans(&document, version, &self.settings));
         self.versions.push(Version {
             plans,
             fleet,
@@ -306,6 +247,11 @@
             Action::Isolate(i) => self.instances[i].isolated = true,
             Action::Rejoin(i) => self.instances[i].isolated = false,
             Action::ChangeFleet(fleet) => self.change_fleet(fleet),
+            Action::ScaleLimits(percent) => {
+                self.scale = percent;
+                let fleet = self.versions.last().expect("a version").fleet.clone();
+                self.write_version(fleet);
+            }
         }
     }
 
@@ -518,13 +464,3 @@
         }
     }
 }
-
-pub fn name(text: &str) -> AccountName {
-    text.parse().expect("valid name")
-}
-
-fn hash(value: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/coriander_limits/tests/fair_queue.rs
+++ b/crates/coriander_limits/tests/fair_queue.rs
@@ -1,9 +1,12 @@
 //! Order, bounds, shedding and cancellation of the fair queue, and the learned slots.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use coriander_core::{ErrorCode, KeyDigest, MonotonicTime, RequestOutcome};
 use coriander_limits::{FairQueue, QueueBounds, QueuedRequest, SlotLimiter, SlotRole};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 fn millis(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
@@ -166,3 +169,47 @@
     assert_eq!(slots.free(&member, millis(10_100)), 0, "tested less often");
     assert_eq!(slots.free(&member, millis(15_002)), 1);
 }
+
+/// Random arrivals in 20 s: account 0 sends 300 requests/s, accounts 1 to 4 send 10/s
+/// each, half of a fair share of 100/s.
+fn arrivals() -> Vec<(u64, usize)> {
+    let mut random = SmallRng::seed_from_u64(5);
+    let sends = |(step, account): &(u64, usize)| {
+        let part = if *account == 0 { 0.3 } else { 0.01 };
+        *step < 20_000 && random.random_bool(part)
+    };
+    let steps = (0..20_000).flat_map(|step| (0..5).map(move |account| (step, account)));
+    steps.filter(sends).collect()
+}
+
+#[test]
+fn next_serves_small_accounts_under_overload() {
+    // Guards against a large account that takes the slots of the others. 100 requests/s are
+    // served; each may wait for 100 ms.
+    let arrivals = arrivals();
+    let small = arrivals.iter().filter(|(_, account)| *account > 0).count();
+    let mut queue = queue(QueueBounds::default());
+    let mut common = VecDeque::new();
+    let (mut fair_served, mut common_served) = (0, 0);
+    let mut coming = arrivals.iter().enumerate().peekable();
+    for step in 0..20_000 {
+        while let Some((ticket, (_, account))) = coming.next_if(|(_, (time, _))| *time == step) {
+            let name = format!("account-{account}");
+            queue.enqueue(request(ticket as u64, "orders", &name), millis(step));
+            common.push_back(ticket);
+        }
+        queue.shed(millis(step));
+        common.retain(|ticket| arrivals[*ticket].0 + 100 > step);
+        if step % 10 == 0 {
+            let is_small = |ticket: usize| usize::from(arrivals[ticket].1 > 0);
+            let fair = queue.next(SlotRole::Primary, millis(step));
+            fair_served += fair.map_or(0, |ticket| is_small(ticket as usize));
+            common_served += common.pop_front().map_or(0, is_small);
+        }
+    }
+    let percent = |served: usize| 100.0 * served as f64 / small as f64;
+    let (fair, common) = (percent(fair_served), percent(common_served));
+    println!("small accounts served: fair {fair:.2} %, first come first served {common:.2} %");
+    assert!(fair >= 99.0, "{fair} %");
+    assert!(common < 50.0, "{common} %");
+}
--- a/crates/coriander_limits/tests/rate_ceiling.rs
+++ b/crates/coriander_limits/tests/rate_ceiling.rs
@@ -181,6 +181,7 @@
         instance.prop_map(Action::Rejoin),
         proptest::sample::subsequence((0..8usize).collect::<Vec<_>>(), 3..=8)
             .prop_map(Action::ChangeFleet),
+        (5..=100u32).prop_map(Action::ScaleLimits),
     ];
     (0..14 * SECOND, action)
 }
