Judge silence only of peers that send heartbeats here

Cause: after a fleet change, former ring neighbours and watchers took peers for dead that no longer sent to them, and spread that to the whole fleet. Change: an instance drops its expectations with its duty, waits 3 s for new neighbours to apply the configuration, and refutes a notice of silence about a peer that it hears.

--- a/crates/coriander_membership/src/peer_entry.rs
+++ b/crates/coriander_membership/src/peer_entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coriander_core::{ConfigVersion, FleetMember, MonotonicTime, ZoneName};
+use coriander_core::{ConfigVersion, FleetMember, InstanceId, MonotonicTime, ZoneName};
 
 use crate::{ArrivalWindow, Heartbeat, HeartbeatAck, InstanceState, PeerNotice};
 
@@ -73,9 +73,25 @@
         }));
     }
 
+    /// Tells whether heartbeats come to this instance.
+    pub fn is_heard(&self, now: MonotonicTime) -> bool {
+        let arrivals = self.arrivals.as_ref();
+        self.live && arrivals.is_some_and(|arrivals| !arrivals.is_silent(now))
+    }
+
+    /// Returns what is known here as a notice to others.
+    pub fn as_notice(&self, instance: &InstanceId) -> PeerNotice {
+        PeerNotice {
+            instance: instance.clone(),
+            sequence: self.sequence,
+            state: self.state,
+            silent: !self.live,
+        }
+    }
+
     /// Applies a notice unless own observations are newer.
     pub fn notice(&mut self, notice: &PeerNotice, now: MonotonicTime) {
-        let heard = self.arrivals.as_ref().is_some_and(|a| !a.is_silent(now));
+        let heard = self.is_heard(now);
         if notice.silent {
             // A peer that is heard here has only lost contact with the sender of the notice.
             if !heard && notice.sequence >= self.sequence {
--- a/crates/coriander_membership/src/peer_table.rs
+++ b/crates/coriander_membership/src/peer_table.rs
@@ -35,6 +35,9 @@
 /// Following instances on the ring that get heartbeats.
 const RING_NEIGHBOURS: usize = 3;
 
+/// Time within which a configuration reaches all instances.
+const CONFIG_SPREAD: Duration = Duration::from_secs(3);
+
 /// Messages in which a change is passed on.
 const NOTICE_REPEATS: u32 = 24;
 
@@ -109,18 +112,22 @@
             let fresh = || PeerEntry::new(member);
             let entry = self.peers.entry(id.clone()).or_insert_with(fresh);
             entry.zone = member.zone.clone();
-            entry.expected = false;
             entry.address = member.peer_address;
         }
         self.ring = document.fleet.keys().cloned().collect();
         self.ring.sort_by_key(|id| (ring_hash(id), id.clone()));
         let period = self.period();
-        for id in self.expected_senders() {
-            if let Some(entry) = self.peers.get_mut(&id) {
-                entry.expected = true;
-                let start = || ArrivalWindow::new(period, now);
-                entry.arrivals.get_or_insert_with(start);
+        let senders = self.expected_senders();
+        // A new neighbour sends here only after it has applied the configuration too.
+        let start = now + CONFIG_SPREAD;
+        for (id, entry) in &mut self.peers {
+            let expected = senders.contains(id);
+            if expected && !entry.expected {
+                entry.arrivals = Some(ArrivalWindow::new(period, start));
+            } else if self.own_zone.is_none() || (entry.expected && !expected) {
+                entry.arrivals = None;
             }
+            entry.expected = expected;
         }
     }
 
@@ -166,24 +173,27 @@
     ///
     /// The watchers of a zone take turns, which halves what each of them receives. They need not
     /// detect failures fast, because the ring neighbours do.
-    pub fn heartbeat_targets(&self, ranks: &mut RankTable) -> Vec<(InstanceId, SocketAddr)> {
+    pub fn heartbeat_targets(&mut self, ranks: &mut RankTable) -> Vec<(InstanceId, SocketAddr)> {
         let mut targets: SmallVec<[InstanceId; 32]> = SmallVec::new();
         if self.ring.len() <= FULL_MESH {
             targets.extend(self.peers.keys().cloned());
-        } else if let Some(zone) = &self.own_zone {
+        } else if let Some(zone) = &self.own_zone.clone() {
             targets.extend(self.ring_successors());
             let watchers = ranks.watchers(zone);
             let turn = usize::try_from(self.sequence % 2).unwrap_or(0);
             if watchers.contains(&self.own) {
                 let zones: Vec<ZoneName> = ranks.zones().cloned().collect();
                 let others = zones.iter().filter(|other| *other != zone);
-                targets.extend(others.filter_map(|other| {
-                    let watchers = ranks.watchers(other);
-                    watchers.get(turn % watchers.len().max(1)).cloned()
-                }));
+                let others: Vec<_> = others.map(|other| ranks.watchers(other)).collect();
+                let one_each = others.iter().filter_map(|w| w.get(turn % w.len().max(1)));
+                targets.extend(one_each.cloned());
                 targets.extend(watchers);
+                self.forget_unexpected(|id, entry| {
+                    entry.zone == *zone || others.iter().any(|watchers| watchers.contains(id))
+                });
             } else {
                 targets.extend(watchers.get(turn % watchers.len().max(1)).cloned());
+                self.forget_unexpected(|_, _| false);
             }
         }
         targets.sort();
@@ -247,6 +257,7 @@
     /// Detects silent peers and returns all changes since the last call.
     pub fn advance(&mut self, now: MonotonicTime) -> Vec<PeerChange> {
         let mut changes = Vec::new();
+        let mut notices = Vec::new();
         for (id, entry) in &mut self.peers {
             if entry.advance(now) {
                 changes.push(PeerChange {
@@ -254,16 +265,12 @@
                     live: entry.live,
                     state: entry.state,
                 });
-                let notice = PeerNotice {
-                    instance: id.clone(),
-                    sequence: entry.sequence,
-                    state: entry.state,
-                    silent: !entry.live,
-                };
-                self.notices.retain(|(old, _)| old.instance != *id);
-                self.notices.push_back((notice, NOTICE_REPEATS));
+                notices.push(entry.as_notice(id));
             }
         }
+        for notice in notices {
+            self.add_notice(notice);
+        }
         changes
     }
 
@@ -339,14 +346,40 @@
             .collect()
     }
 
+    /// Stops waiting for heartbeats of peers that sent them because of a watcher's duty that has
+    /// ended, here or there.
+    fn forget_unexpected(&mut self, sends_here: impl Fn(&InstanceId, &PeerEntry) -> bool) {
+        for (id, entry) in &mut self.peers {
+            if entry.arrivals.is_some() && !entry.expected && !sends_here(id, entry) {
+                entry.arrivals = None;
+            }
+        }
+    }
+
     fn apply_notices(&mut self, notices: &[PeerNotice], now: MonotonicTime) {
         for notice in notices.iter().take(MAX_NOTICES) {
-            if let Some(entry) = self.peers.get_mut(&notice.instance) {
-                entry.notice(notice, now);
+            let Some(entry) = self.peers.get_mut(&notice.instance) else {
+                continue;
+            };
+            entry.notice(notice, now);
+            // Own evidence refutes the notice wherever it has spread.
+            if notice.silent && entry.is_heard(now) && entry.sequence > notice.sequence {
+                let refutation = entry.as_notice(&notice.instance);
+                self.add_notice(refutation);
             }
         }
     }
 
+    /// Passes a notice on; it replaces an older one about the same instance.
+    fn add_notice(&mut self, notice: PeerNotice) {
+        let known = |(old, _): &(PeerNotice, u32)| *old == notice;
+        if !self.notices.iter().any(known) {
+            self.notices
+                .retain(|(old, _)| old.instance != notice.instance);
+            self.notices.push_back((notice, NOTICE_REPEATS));
+        }
+    }
+
     /// Takes the notices for one message; each is repeated because messages can be lost.
     fn take_notices(&mut self) -> SmallVec<[PeerNotice; 2]> {
         let mut taken = SmallVec::new();
