--- a/crates/coriander_membership/src/peer_entry.rs
+++ b/crates/coriander_membership/src/peer_entry.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coriander_core::{ConfigVersion, FleetMember, MonotonicTime, ZoneName};
+use coriander_core::{ConfigVersion, FleetMember, InstanceId, MonotonicTime, ZoneName};
 
 use crate::{ArrivalWindow, Heartbeat, HeartbeatAck, InstanceState, PeerNotice};
 
@@ -19,6 +19,8 @@
     /// Sequence of the newest heartbeat seen directly or by notice.
     pub sequence: u64,
     pub config_version: ConfigVersion,
+    /// Whether the peer sends a heartbeat to this instance in each round.
+    pub expected: bool,
     /// Set for peers that send heartbeats to this instance.
     pub arrivals: Option<ArrivalWindow>,
     pub delay: Option<Duration>,
@@ -35,6 +37,7 @@
             live: true,
             sequence: 0,
             config_version: ConfigVersion::default(),
+            expected: false,
             arrivals: None,
             delay: None,
             reported: (InstanceState::Serving, true),
@@ -70,9 +73,25 @@
         }));
     }
 
+    /// Tells whether heartbeats come to this instance.
+    pub fn is_heard(&self, now: MonotonicTime) -> bool {
+        let arrivals = self.arrivals.as_ref();
+        self.live && arrivals.is_some_and(|arrivals| !arrivals.is_silent(now))
+    }
+
+    /// Returns what is known here as a notice to others.
+    pub fn as_notice(&self, instance: &InstanceId) -> PeerNotice {
+        PeerNotice {
+            instance: instance.clone(),
+            sequence: self.sequence,
+            state: self.state,
+            silent: !self.live,
+        }
+    }
+
     /// Applies a notice unless own observations are newer.
     pub fn notice(&mut self, notice: &PeerNotice, now: MonotonicTime) {
-        let heard = self.arrivals.as_ref().is_some_and(|a| !a.is_silent(now));
+        let heard = self.is_heard(now);
         if notice.silent {
             // A peer that is heard here has only lost contact with the sender of the notice.
             if !heard && notice.sequence >= self.sequence {
