Bound the cost of confirmations in large fleets

Cause: counting a majority after each answer is quadratic in the fleet, and answering FetchConfig encoded whole sections even for a small delta. Change: FreshnessGuard counts answers as they arrive, AcceptanceTally is checked after one thirty-second of the answers, and deltas of up to 16 KiB are sent without encoding sections. decode_fleet checks the digest. Before: the check sorted all answers after each one.

--- a/crates/coriander_config/src/acceptance_tally.rs
+++ b/crates/coriander_config/src/acceptance_tally.rs
@@ -7,6 +7,9 @@
 use crate::freshness_guard::majority;
 use crate::{Incarnation, VersionConfirmed};
 
+/// A check is due after answers from one `CHECK_SHARE`th of the instances that have answered.
+const CHECK_SHARE: usize = 32;
+
 /// Time during which an instance is known to have held a version.
 #[derive(Clone, Copy, Debug)]
 struct HeldInterval {
@@ -15,6 +18,12 @@
     last_sent: MonotonicTime,
 }
 
+impl HeldInterval {
+    fn is_complete(&self) -> bool {
+        self.first_received <= self.last_sent
+    }
+}
+
 /// Decides whether a version is accepted.
 ///
 /// A version is accepted once a majority of each fleet held it at one and the same moment. One
@@ -27,15 +36,25 @@
     version: ConfigVersion,
     fleets: Vec<BTreeSet<InstanceId>>,
     held: BTreeMap<InstanceId, HeldInterval>,
+    /// Instances that have answered to a request sent after their first answer.
+    complete: usize,
+    /// Value of `complete` below which the version cannot be accepted.
+    needed: usize,
+    /// Answers since the last check.
+    unchecked: usize,
 }
 
 impl AcceptanceTally {
     /// Creates a tally for a version and all fleets that must confirm it.
-    pub const fn new(version: ConfigVersion, fleets: Vec<BTreeSet<InstanceId>>) -> Self {
+    pub fn new(version: ConfigVersion, fleets: Vec<BTreeSet<InstanceId>>) -> Self {
+        let needed = fleets.iter().map(|fleet| majority(fleet.len())).max();
         Self {
             version,
             fleets,
             held: BTreeMap::new(),
+            complete: 0,
+            needed: needed.unwrap_or(0),
+            unchecked: 0,
         }
     }
 
@@ -55,12 +74,29 @@
             first_received: now,
             last_sent: sent,
         };
-        let held = self.held.entry(answer.instance.clone()).or_insert(fresh);
-        if held.incarnation == answer.incarnation {
-            held.last_sent = held.last_sent.max(sent);
-        } else {
-            *held = fresh;
+        self.unchecked += 1;
+        let previous = self.held.get(&answer.instance).copied();
+        let held = match previous {
+            Some(held) if held.incarnation == answer.incarnation => HeldInterval {
+                last_sent: held.last_sent.max(sent),
+                ..held
+            },
+            _ => fresh,
+        };
+        self.complete += usize::from(held.is_complete());
+        self.complete -= usize::from(previous.is_some_and(|held| held.is_complete()));
+        self.held.insert(answer.instance.clone(), held);
+    }
+
+    /// Tells whether [`Self::is_accepted`] can have changed enough to be asked after an answer.
+    ///
+    /// A check sorts all answers, so a check after each of thousands would be quadratic.
+    pub fn is_check_due(&mut self) -> bool {
+        if self.complete < self.needed || self.unchecked < self.held.len() / CHECK_SHARE {
+            return false;
         }
+        self.unchecked = 0;
+        true
     }
 
     /// Tells whether the version is accepted.
@@ -90,8 +126,7 @@
 
     /// Lists the starts and ends of all intervals by time; at equal times starts come first.
     fn list_bounds(&self) -> Vec<(MonotonicTime, bool, &InstanceId)> {
-        let complete = |held: &HeldInterval| held.first_received <= held.last_sent;
-        let held = self.held.iter().filter(|(_, held)| complete(held));
+        let held = self.held.iter().filter(|(_, held)| held.is_complete());
         let mut bounds: Vec<_> = held
             .flat_map(|(id, held)| [(held.first_received, true, id), (held.last_sent, false, id)])
             .collect();
--- a/crates/coriander_config/src/change_coordinator.rs
+++ b/crates/coriander_config/src/change_coordinator.rs
@@ -265,7 +265,7 @@
             return Vec::new();
         };
         tally.record_answer(answer, now);
-        if !tally.is_accepted() {
+        if !tally.is_check_due() || !tally.is_accepted() {
             return Vec::new();
         }
         match self.phase {
--- a/crates/coriander_config/src/config_section.rs
+++ b/crates/coriander_config/src/config_section.rs
@@ -1,6 +1,8 @@
 //! Encoding of sections, and the document assembled from them.
 
-use coriander_core::{ConfigDocument, ConfigVersion, KeyDigest};
+use std::collections::BTreeMap;
+
+use coriander_core::{ConfigDocument, ConfigVersion, FleetMember, InstanceId, KeyDigest};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sha2::{Digest, Sha256};
@@ -87,10 +89,7 @@
     expected: &SectionRef,
 ) -> Result<(), SectionError> {
     let name = section.name;
-    let digest: [u8; 32] = Sha256::digest(&section.bytes).into();
-    if KeyDigest::new(digest) != expected.digest {
-        return Err(SectionError::Digest { name });
-    }
+    check_digest(name, &section.bytes, expected)?;
     match name {
         SectionName::Classes => document.classes = from_bytes(&section.bytes)?,
         SectionName::Accounts => document.accounts = from_bytes(&section.bytes)?,
@@ -102,6 +101,15 @@
     Ok(())
 }
 
+/// Decodes a stored fleet section after checking the digest.
+pub fn decode_fleet(
+    bytes: &[u8],
+    expected: &SectionRef,
+) -> Result<BTreeMap<InstanceId, FleetMember>, SectionError> {
+    check_digest(SectionName::Fleet, bytes, expected)?;
+    from_bytes(bytes)
+}
+
 /// Encodes the sections of a new version; unchanged ones keep their reference.
 ///
 /// Returns the references and the sections that have to be stored.
@@ -158,6 +166,18 @@
     Ok(document)
 }
 
+fn check_digest(
+    name: SectionName,
+    bytes: &[u8],
+    expected: &SectionRef,
+) -> Result<(), SectionError> {
+    let digest: [u8; 32] = Sha256::digest(bytes).into();
+    if KeyDigest::new(digest) == expected.digest {
+        return Ok(());
+    }
+    Err(SectionError::Digest { name })
+}
+
 fn to_bytes<T: Serialize>(value: &T) -> Result<Vec<u8>, SectionError> {
     serde_json::to_vec(value).map_err(|error| SectionError::Encode(error.to_string()))
 }
--- a/crates/coriander_config/src/config_state.rs
+++ b/crates/coriander_config/src/config_state.rs
@@ -16,6 +16,9 @@
 /// absence of more than 3 minutes.
 const KEPT_DELTAS: usize = 16;
 
+/// Deltas up to this size are sent without encoding the sections for comparison.
+const SMALL_DELTA_BYTES: usize = 16 * 1024;
+
 /// What differs between two applied versions.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ConfigChange {
@@ -179,23 +182,30 @@
         let Some(root) = self.root.as_deref().filter(|root| root.version > version) else {
             return Ok(ConfigBundle::Current);
         };
+        let deltas = self.deltas_since(version);
+        let delta_bytes = encoded_size(&deltas)?;
+        if !deltas.is_empty() && delta_bytes <= SMALL_DELTA_BYTES {
+            return Ok(ConfigBundle::Deltas(deltas));
+        }
         let mut sections = Vec::new();
         for name in sections_to_fetch(request.sections.as_ref(), root) {
             let bytes = encode_section(&self.document, name)?;
             sections.push(EncodedSection { name, bytes });
         }
         let section_bytes: usize = sections.iter().map(|section| section.bytes.len()).sum();
-        let known = self.deltas.iter().any(|delta| delta.from == version);
-        if known {
-            let deltas = self.deltas.iter().filter(|delta| delta.from >= version);
-            let deltas: Vec<_> = deltas.cloned().collect();
-            if encoded_size(&deltas)? < section_bytes + encoded_size(root)? {
-                return Ok(ConfigBundle::Deltas(deltas));
-            }
+        if !deltas.is_empty() && delta_bytes < section_bytes {
+            return Ok(ConfigBundle::Deltas(deltas));
         }
         let root = Box::new(root.clone());
         Ok(ConfigBundle::Sections { root, sections })
     }
+
+    /// Returns the deltas from a version to the applied one; empty if the first is not kept.
+    fn deltas_since(&self, version: ConfigVersion) -> Vec<ConfigDelta> {
+        let start = self.deltas.iter().position(|delta| delta.from == version);
+        let start = start.unwrap_or(self.deltas.len());
+        self.deltas.iter().skip(start).cloned().collect()
+    }
 }
 
 fn encoded_size<T: Serialize>(value: &T) -> Result<usize, SectionError> {
--- a/crates/coriander_config/src/freshness_guard.rs
+++ b/crates/coriander_config/src/freshness_guard.rs
@@ -19,6 +19,8 @@
 struct ConfirmRound {
     sent: MonotonicTime,
     answers: BTreeMap<InstanceId, ConfigVersion>,
+    /// Answers of fleet members that have applied nothing newer than this instance.
+    counted: usize,
 }
 
 /// Decides whether an instance may serve.
@@ -117,8 +119,14 @@
         for (version, time) in pending {
             self.confirm(version, time);
         }
+        for round in &mut self.rounds {
+            let member = |(id, version): &(&InstanceId, &ConfigVersion)| {
+                self.fleet.contains(*id) && **version <= self.applied
+            };
+            round.counted = round.answers.iter().filter(member).count();
+        }
         for index in 0..self.rounds.len() {
-            self.count_round(index);
+            self.check_round(index);
         }
     }
 
@@ -145,6 +153,7 @@
             self.rounds.push_back(ConfirmRound {
                 sent: now,
                 answers: BTreeMap::new(),
+                counted: 0,
             });
         }
         if self.rounds.len() > KEPT_ROUNDS {
@@ -186,33 +195,30 @@
         }
         let found = self.rounds.iter().position(|round| round.sent == sent);
         if let Some(index) = found {
-            let answers = &mut self.rounds[index].answers;
-            answers.insert(answer.instance.clone(), answer.version);
-            self.count_round(index);
+            let round = &mut self.rounds[index];
+            let previous = round
+                .answers
+                .insert(answer.instance.clone(), answer.version);
+            if self.fleet.contains(&answer.instance) {
+                round.counted += usize::from(answer.version <= self.applied);
+                round.counted -= usize::from(previous.is_some_and(|old| old <= self.applied));
+            }
+            self.check_round(index);
         }
     }
 
-    /// Counts the answers of loaded instances that have applied nothing newer.
-    fn count_round(&mut self, index: usize) {
-        let round = &self.rounds[index];
-        let sent = round.sent;
-        // Most answers arrive before the majority can be complete.
-        if self.fleet.is_empty() || round.answers.len() + 1 < majority(self.fleet.len()) {
+    /// Confirms the applied version if a majority of loaded instances has nothing newer.
+    fn check_round(&mut self, index: usize) {
+        let ConfirmRound { sent, counted, .. } = self.rounds[index];
+        if self.fleet.is_empty() || self.applied == ConfigVersion::default() {
             return;
         }
-        let not_newer = |id: &&InstanceId| {
-            round
-                .answers
-                .get(*id)
-                .is_some_and(|version| *version <= self.applied)
-        };
-        let others = self.fleet.iter().filter(not_newer).count();
         let needed = majority(self.fleet.len());
-        if self.applied > ConfigVersion::default() && others >= needed {
+        if counted >= needed {
             self.loaded = true;
         }
         let own = usize::from(self.loaded && self.fleet.contains(&self.instance));
-        if others + own >= needed {
+        if counted + own >= needed {
             self.confirm(self.applied, sent);
         }
     }
--- a/crates/coriander_config/src/lib.rs
+++ b/crates/coriander_config/src/lib.rs
@@ -42,8 +42,8 @@
 pub use config_delta::{ConfigDelta, MapDelta};
 pub use config_root::{ConfigRoot, ROOT_KEY, RecentChange, SectionName, SectionRef, SectionRefs};
 pub use config_section::{
-    EncodedSection, MAX_SECTION_BYTES, SectionError, assemble_document, encode_changes,
-    sections_to_fetch,
+    EncodedSection, MAX_SECTION_BYTES, SectionError, assemble_document, decode_fleet,
+    encode_changes, sections_to_fetch,
 };
 pub use config_state::{ConfigBundle, ConfigChange, ConfigState, FetchConfig};
 pub use coordinator_io::{CoordinatorAction, RootRead, WriteResult};
--- a/crates/coriander_config/tests/simulation/platform.rs
+++ b/crates/coriander_config/tests/simulation/platform.rs
@@ -23,7 +23,7 @@
 pub enum PlatformReply {
     Root(RootRead),
     Sections(Rc<ConfigRoot>, Option<Vec<EncodedSection>>),
-    Fleets(Option<Vec<Vec<u8>>>),
+    Fleets(Option<Vec<(SectionRef, Vec<u8>)>>),
     Stored(String, WriteResult),
     RootWritten(WriteResult),
     Deleted,
@@ -65,7 +65,10 @@
             }
             PlatformCall::ReadFleets(refs) => {
                 let key = |fleet: &SectionRef| fleet.platform_key(SectionName::Fleet);
-                let read = |fleet: &SectionRef| self.values.get(&key(fleet)).cloned();
+                let read = |fleet: &SectionRef| {
+                    let bytes = self.values.get(&key(fleet))?;
+                    Some((fleet.clone(), bytes.clone()))
+                };
                 PlatformReply::Fleets(refs.iter().map(read).collect())
             }
             PlatformCall::Store(key, bytes) => {
--- a/crates/coriander_config/tests/simulation/world.rs
+++ b/crates/coriander_config/tests/simulation/world.rs
@@ -5,7 +5,7 @@
 
 use coriander_config::{
     ChangeCommand, ChangeCoordinator, ChangeRequest, ChangeResult, ConfigBundle, CoordinatorAction,
-    RootRead, sections_to_fetch,
+    RootRead, SectionRef, decode_fleet, sections_to_fetch,
 };
 use coriander_core::{AccountLimits, ConfigVersion, MonotonicTime};
 use rand::rngs::SmallRng;
@@ -399,7 +399,9 @@
                 }
             }
             (PlatformReply::Fleets(fleets), Some(change)) => {
-                let decode = |bytes: Vec<u8>| serde_json::from_slice(&bytes).expect("valid fleet");
+                let decode = |(fleet, bytes): (SectionRef, Vec<u8>)| {
+                    decode_fleet(&bytes, &fleet).expect("valid fleet")
+                };
                 let fleets = fleets.map(|list| list.into_iter().map(decode).collect());
                 self.advance(caller.node, change, |c| c.fleets_loaded(fleets, now));
             }
