Give up attempts of the load driver after 3 s

Cause: after a gateway was killed, forwarding instances left some requests without a response, and each such attempt used the whole 10 s of its request, so that no repetition could find out the outcome.

--- a/crates/coriander_standin/examples/run_deployment.rs
+++ b/crates/coriander_standin/examples/run_deployment.rs
@@ -108,6 +108,7 @@
         seed: settings.seed,
         transaction_percent: 5,
         request_limit_ms: 10_000,
+        attempt_limit_ms: 3_000,
         key: Vec::new(),
         json: settings.json.clone(),
         svg: settings.svg.clone(),
--- a/crates/coriander_standin/src/load/driver_settings.rs
+++ b/crates/coriander_standin/src/load/driver_settings.rs
@@ -34,6 +34,9 @@
     /// longest time for a request with its retries, in milliseconds (default 10000)
     #[argh(option, default = "10_000")]
     pub request_limit_ms: u64,
+    /// longest time for one attempt of a request, in milliseconds (default 3000)
+    #[argh(option, default = "3_000")]
+    pub attempt_limit_ms: u64,
     /// key of an account as ACCOUNT=KEY; the default is test-key-of-ACCOUNT
     #[argh(option)]
     pub key: Vec<String>,
--- a/crates/coriander_standin/src/load/request_sender.rs
+++ b/crates/coriander_standin/src/load/request_sender.rs
@@ -130,7 +130,7 @@
         let keys = accounts
             .iter()
             .map(|account| settings.account_key(account.name));
-        let timeout = Duration::from_millis(settings.request_limit_ms);
+        let timeout = Duration::from_millis(settings.attempt_limit_ms);
         Self {
             refusals: RefCell::default(),
             attempts: RefCell::default(),
--- a/crates/coriander_standin/tests/load_driver.rs
+++ b/crates/coriander_standin/tests/load_driver.rs
@@ -39,6 +39,7 @@
         seed: 1,
         transaction_percent: 0,
         request_limit_ms: 3_000,
+        attempt_limit_ms: 3_000,
         key: Vec::new(),
         json: None,
         svg: Some(svg.clone()),
