--- a/crates/coriander_membership/src/peer_table.rs
+++ b/crates/coriander_membership/src/peer_table.rs
@@ -16,11 +16,14 @@
     ArrivalWindow, Heartbeat, HeartbeatAck, InstanceState, OwnStatus, PeerNotice, RankTable,
 };
 
-/// Time between heartbeats in a small fleet.
-const SHORTEST_PERIOD: Duration = Duration::from_millis(200);
+/// Time between heartbeats in a fleet in which each instance sends to every other.
+const MESH_PERIOD: Duration = Duration::from_millis(200);
 
-/// Longest time between heartbeats; two lost ones still fit into the freshness period of 2 s.
-const LONGEST_PERIOD: Duration = Duration::from_millis(650);
+/// Shortest time between heartbeats in a larger fleet.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(400);
+
+/// Longest time between heartbeats; a lost one still fits into the freshness period of 2 s.
+const LONGEST_PERIOD: Duration = Duration::from_millis(850);
 
 /// Heartbeat time per instance of the fleet. It bounds the heartbeats that a watcher receives
 /// from its zone per second.
@@ -32,6 +35,9 @@
 /// Following instances on the ring that get heartbeats.
 const RING_NEIGHBOURS: usize = 3;
 
+/// Time within which a configuration reaches all instances.
+const CONFIG_SPREAD: Duration = Duration::from_secs(3);
+
 /// Messages in which a change is passed on.
 const NOTICE_REPEATS: u32 = 24;
 
@@ -111,16 +117,25 @@
         self.ring = document.fleet.keys().cloned().collect();
         self.ring.sort_by_key(|id| (ring_hash(id), id.clone()));
         let period = self.period();
-        for id in self.expected_senders() {
-            if let Some(entry) = self.peers.get_mut(&id) {
-                let start = || ArrivalWindow::new(period, now);
-                entry.arrivals.get_or_insert_with(start);
+        let senders = self.expected_senders();
+        // A new neighbour sends here only after it has applied the configuration too.
+        let start = now + CONFIG_SPREAD;
+        for (id, entry) in &mut self.peers {
+            let expected = senders.contains(id);
+            if expected && !entry.expected {
+                entry.arrivals = Some(ArrivalWindow::new(period, start));
+            } else if self.own_zone.is_none() || (entry.expected && !expected) {
+                entry.arrivals = None;
             }
+            entry.expected = expected;
         }
     }
 
     /// Time between two rounds of heartbeats.
     pub fn period(&self) -> Duration {
+        if self.ring.len() <= FULL_MESH {
+            return MESH_PERIOD;
+        }
         let peers = u32::try_from(self.ring.len()).unwrap_or(u32::MAX);
         PERIOD_PER_PEER
             .saturating_mul(peers)
@@ -155,18 +170,31 @@
 
     /// Returns the peers that get heartbeats: all in a small fleet, else the watchers of the own
     /// zone and ring neighbours. A watcher also sends to the watchers of the other zones.
-    pub fn heartbeat_targets(&self, ranks: &mut RankTable) -> Vec<(InstanceId, SocketAddr)> {
+    ///
+    /// The watchers of a zone take turns, which halves what each of them receives. They need not
+    /// detect failures fast, because the ring neighbours do.
+    pub fn heartbeat_targets(&mut self, ranks: &mut RankTable) -> Vec<(InstanceId, SocketAddr)> {
         let mut targets: SmallVec<[InstanceId; 32]> = SmallVec::new();
         if self.ring.len() <= FULL_MESH {
             targets.extend(self.peers.keys().cloned());
-        } else if let Some(zone) = &self.own_zone {
+        } else if let Some(zone) = &self.own_zone.clone() {
             targets.extend(self.ring_successors());
             let watchers = ranks.watchers(zone);
+            let turn = usize::try_from(self.sequence % 2).unwrap_or(0);
             if watchers.contains(&self.own) {
                 let zones: Vec<ZoneName> = ranks.zones().cloned().collect();
-                targets.extend(zones.iter().flat_map(|zone| ranks.watchers(zone)));
+                let others = zones.iter().filter(|other| *other != zone);
+                let others: Vec<_> = others.map(|other| ranks.watchers(other)).collect();
+                let one_each = others.iter().filter_map(|w| w.get(turn % w.len().max(1)));
+                targets.extend(one_each.cloned());
+                targets.extend(watchers);
+                self.forget_unexpected(|id, entry| {
+                    entry.zone == *zone || others.iter().any(|watchers| watchers.contains(id))
+                });
+            } else {
+                targets.extend(watchers.get(turn % watchers.len().max(1)).cloned());
+                self.forget_unexpected(|_, _| false);
             }
-            targets.extend(watchers);
         }
         targets.sort();
         targets.dedup();
@@ -184,7 +212,7 @@
         status: OwnStatus,
         now: MonotonicTime,
     ) -> Result<HeartbeatAck, HeartbeatError> {
-        let period = self.period();
+        let period = self.period_of(&heartbeat.instance);
         let entry = self.peers.get_mut(&heartbeat.instance);
         let entry = entry.ok_or(HeartbeatError::Unknown)?;
         if !entry.is_new(heartbeat.sequence) {
@@ -229,6 +257,7 @@
     /// Detects silent peers and returns all changes since the last call.
     pub fn advance(&mut self, now: MonotonicTime) -> Vec<PeerChange> {
         let mut changes = Vec::new();
+        let mut notices = Vec::new();
         for (id, entry) in &mut self.peers {
             if entry.advance(now) {
                 changes.push(PeerChange {
@@ -236,16 +265,12 @@
                     live: entry.live,
                     state: entry.state,
                 });
-                let notice = PeerNotice {
-                    instance: id.clone(),
-                    sequence: entry.sequence,
-                    state: entry.state,
-                    silent: !entry.live,
-                };
-                self.notices.retain(|(old, _)| old.instance != *id);
-                self.notices.push_back((notice, NOTICE_REPEATS));
+                notices.push(entry.as_notice(id));
             }
         }
+        for notice in notices {
+            self.add_notice(notice);
+        }
         changes
     }
 
@@ -286,6 +311,16 @@
         self.peers.is_empty()
     }
 
+    /// Time between two heartbeats of a peer to this instance. Other than ring predecessors, peers
+    /// send to the two watchers of a zone in turn.
+    fn period_of(&self, peer: &InstanceId) -> Duration {
+        let entry = self.peers.get(peer);
+        if self.ring.len() <= FULL_MESH || entry.is_some_and(|entry| entry.expected) {
+            return self.period();
+        }
+        self.period() * 2
+    }
+
     /// Peers whose silence is meaningful from the start: all in a small fleet, else the ring
     /// predecessors. A watcher learns of the others in its zone by their first heartbeat.
     fn expected_senders(&self) -> SmallVec<[InstanceId; 8]> {
@@ -311,14 +346,40 @@
             .collect()
     }
 
+    /// Stops waiting for heartbeats of peers that sent them because of a watcher's duty that has
+    /// ended, here or there.
+    fn forget_unexpected(&mut self, sends_here: impl Fn(&InstanceId, &PeerEntry) -> bool) {
+        for (id, entry) in &mut self.peers {
+            if entry.arrivals.is_some() && !entry.expected && !sends_here(id, entry) {
+                entry.arrivals = None;
+            }
+        }
+    }
+
     fn apply_notices(&mut self, notices: &[PeerNotice], now: MonotonicTime) {
         for notice in notices.iter().take(MAX_NOTICES) {
-            if let Some(entry) = self.peers.get_mut(&notice.instance) {
-                entry.notice(notice, now);
+            let Some(entry) = self.peers.get_mut(&notice.instance) else {
+                continue;
+            };
+            entry.notice(notice, now);
+            // Own evidence refutes the notice wherever it has spread.
+            if notice.silent && entry.is_heard(now) && entry.sequence > notice.sequence {
+                let refutation = entry.as_notice(&notice.instance);
+                self.add_notice(refutation);
             }
         }
     }
 
+    /// Passes a notice on; it replaces an older one about the same instance.
+    fn add_notice(&mut self, notice: PeerNotice) {
+        let known = |(old, _): &(PeerNotice, u32)| *old == notice;
+        if !self.notices.iter().any(known) {
+            self.notices
+                .retain(|(old, _)| old.instance != notice.instance);
+            self.notices.push_back((notice, NOTICE_REPEATS));
+        }
+    }
+
     /// Takes the notices for one message; each is repeated because messages can be lost.
     fn take_notices(&mut self) -> SmallVec<[PeerNotice; 2]> {
         let mut taken = SmallVec::new();
