End all processes when run_deployment is interrupted

Cause: SIGTERM ended run_deployment without dropping its processes, and its 16 children went on running. Change: SIGINT and SIGTERM leave the run, which ends its processes. Before: 16 children left after SIGTERM. Conclusion: a run can be stopped by timeout(1) or at the terminal.

--- a/crates/coriander_standin/examples/run_deployment.rs
+++ b/crates/coriander_standin/examples/run_deployment.rs
@@ -9,6 +9,7 @@
 use coriander_standin::DeploymentProfile;
 use coriander_standin::load::{DriverSettings, run_driver};
 use coriander_standin::process::{DeploymentRun, ProcessError, RunOptions};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
 /// Starts a deployment of stand-ins and instances and plays its load.
@@ -83,6 +84,17 @@
 async fn main() -> eyre::Result<()> {
     env_logger::init();
     let settings: RunSettings = argh::from_env();
+    let mut terminated = signal(SignalKind::terminate())?;
+    let mut interrupted = signal(SignalKind::interrupt())?;
+    // Leaving `run` early drops its processes, which would otherwise outlive this one.
+    tokio::select! {
+        result = run(settings) => result,
+        _ = terminated.recv() => Err(eyre::eyre!("terminated")),
+        _ = interrupted.recv() => Err(eyre::eyre!("interrupted")),
+    }
+}
+
+async fn run(settings: RunSettings) -> eyre::Result<()> {
     let options = RunOptions {
         statement_time_us: settings.statement_time_us,
         lag_ms: settings.lag_ms,
