Notice lost peer connections and leave a paused primary at once

Cause: (1) after the reader of a connection between instances had ended, new requests on it waited for their whole timeout, because only the writer was checked; requests hung for 10 s after a gateway was killed. (2) A stand-in replica waited up to 2 s for a paused primary before it followed the next one, so writes were confirmed late; the promotion itself took 10 ms. (3) A request for a transaction that has ended was answered as not run, which is false if it repeats a COMMIT whose response was lost. Change: the connection counts as closed when its reader ends; the stand-in drops its pull when the term changes; such requests are answered as unknown; calls of a transaction end with the term as well.

--- a/crates/coriander_standin/src/member/replication.rs
+++ b/crates/coriander_standin/src/member/replication.rs
@@ -16,6 +16,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(10);
 const POLL_WAIT: Duration = Duration::from_millis(500);
 const REQUEST_TIMEOUT: ntex::time::Millis = ntex::time::Millis(2_000);
+/// Longer than the timeout of requests, which therefore ends a pull first.
+const REQUEST_LIMIT: Duration = Duration::from_secs(10);
 const ENTRIES_PER_REQUEST: usize = 200;
 /// Entries that are replayed before other requests get their turn.
 const REPLAY_CHUNK: usize = 100;
@@ -86,10 +88,18 @@
                 .await;
             continue;
         };
-        let result = if source.is_matched {
-            pull_once(&node, &source).await
-        } else {
-            match_log(&node, &source).await
+        let epoch = source.epoch;
+        let pull = async {
+            if source.is_matched {
+                pull_once(&node, &source).await
+            } else {
+                match_log(&node, &source).await
+            }
+        };
+        // A request to a primary that is paused must not delay following the next one.
+        let result = tokio::select! {
+            result = pull => result,
+            _ = node.wait_until(REQUEST_LIMIT, |node| node.epoch() != epoch) => continue,
         };
         if let Err(error) = result {
             log::debug!("replication: {error}");
--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -345,11 +345,14 @@
         }
     }
 
-    /// A transaction ends with its gateway; the upstream rolls it back.
+    /// A transaction ends with its gateway, and the upstream rolls it back.
+    ///
+    /// The request may repeat a COMMIT that the gateway executed, so the outcome is unknown.
     fn gateway_gone(&self, checked: &CheckedRequest, error: RequestError) -> RequestError {
         if checked.gateway.is_some() {
-            let message = "the instance that held the transaction is gone; it was rolled back";
-            return RequestError::not_run(ErrorCode::TransactionLost, message);
+            let message = "the instance that held the transaction is gone; it was rolled back \
+                           unless it was committed";
+            return RequestError::unknown(ErrorCode::TransactionLost, message);
         }
         error
     }
--- a/crates/corianderstile/src/gateway/run_transaction.rs
+++ b/crates/corianderstile/src/gateway/run_transaction.rs
@@ -12,7 +12,7 @@
 use super::database_gateway::{DatabaseGateway, answer_body};
 use super::member_handle::{CallTerms, StreamReply};
 use super::pipeline_shape::{PipelineShape, split_autocommit};
-use super::run_write::not_run_error;
+use super::run_write::{not_run_error, term_ended};
 use super::transaction_table::{OpenTransaction, TransactionOwner};
 use crate::peer::{ForwardAnswer, ForwardRequest, ServedBy};
 
@@ -95,7 +95,10 @@
             ),
         };
         (self.context.may_run)(&request.key)?;
-        let reply = self.send(&mut transaction, request, &shape, deadline).await;
+        let reply = tokio::select! {
+            reply = self.send(&mut transaction, request, &shape, deadline) => reply,
+            () = self.wait_term_end(&view) => Err(term_ended()),
+        };
         drop(permit);
         let mut reply = reply.map_err(|error| {
             self.group.statement_failed(&view.member);
--- a/crates/corianderstile/src/gateway/transaction_table.rs
+++ b/crates/corianderstile/src/gateway/transaction_table.rs
@@ -120,8 +120,9 @@
     ) -> Result<Box<OpenTransaction>, RequestError> {
         let mut slots = self.slots.borrow_mut();
         let Some(slot) = slots.remove(&stream) else {
+            // The request may repeat a COMMIT whose response was lost, so "not run" could be false.
             let message = "the transaction has ended and was rolled back unless it was committed";
-            return Err(RequestError::not_run(ErrorCode::TransactionLost, message));
+            return Err(RequestError::unknown(ErrorCode::TransactionLost, message));
         };
         let refuse = |message: &str| Err(RequestError::not_run(ErrorCode::BadBaton, message));
         match slot {
--- a/crates/corianderstile/src/membership_service.rs
+++ b/crates/corianderstile/src/membership_service.rs
@@ -233,7 +233,7 @@
             let Some(heartbeat) = heartbeat else { continue };
             let targets = self
                 .peers
-                .borrow()
+                .borrow_mut()
                 .heartbeat_targets(&mut self.ranks.borrow_mut());
             let datagram = Datagram::Heartbeat(heartbeat);
             for (_, address) in targets {
--- a/crates/corianderstile/src/peer/connection.rs
+++ b/crates/corianderstile/src/peer/connection.rs
@@ -34,13 +34,18 @@
 /// Initial size of the receive buffer in bytes.
 const READ_BUFFER_LENGTH: usize = 16 * 1024;
 
-type PendingReplies = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>>;
+/// Requests that wait for a reply, until the reader ends.
+#[derive(Default)]
+struct PendingReplies {
+    waiters: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
+    is_closed: Cell<bool>,
+}
 
 /// The requesting side of a connection.
 pub struct PeerConnection {
     codec: FrameCodec,
     next_id: Cell<u64>,
-    pending: PendingReplies,
+    pending: Rc<PendingReplies>,
     outgoing: mpsc::Sender<Vec<u8>>,
 }
 
@@ -48,7 +53,7 @@
     /// Starts the reader and the writer of an open connection.
     pub fn start(stream: TcpStream, codec: FrameCodec) -> Self {
         let (read, write) = stream.into_split();
-        let pending = PendingReplies::default();
+        let pending = Rc::new(PendingReplies::default());
         let outgoing = start_writer(write);
         ntex::rt::spawn(read_replies(read, codec.clone(), pending.clone()));
         Self {
@@ -61,7 +66,7 @@
 
     /// Tells whether the connection can still be used.
     pub fn is_open(&self) -> bool {
-        !self.outgoing.is_closed()
+        !self.outgoing.is_closed() && !self.pending.is_closed.get()
     }
 
     /// Sends a request and waits for its reply.
@@ -79,13 +84,13 @@
             .codec
             .encode(&PeerFrame::Request(id, Box::new(request)))?;
         let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().insert(id, sender);
+        self.pending.waiters.borrow_mut().insert(id, sender);
         if self.outgoing.send(frame).await.is_err() {
-            self.pending.borrow_mut().remove(&id);
+            self.pending.waiters.borrow_mut().remove(&id);
             return Err(PeerError::NotSent);
         }
         let reply = tokio::time::timeout(timeout, receiver).await;
-        self.pending.borrow_mut().remove(&id);
+        self.pending.waiters.borrow_mut().remove(&id);
         match reply {
             Ok(Ok(reply)) => Ok(reply),
             _ => Err(PeerError::NoReply),
@@ -106,18 +111,20 @@
     sender
 }
 
-async fn read_replies(read: OwnedReadHalf, codec: FrameCodec, pending: PendingReplies) {
+async fn read_replies(read: OwnedReadHalf, codec: FrameCodec, pending: Rc<PendingReplies>) {
     let mut reader = FrameReader::new(read, codec);
     while let Ok(Some(frame)) = reader.next().await {
         if let PeerFrame::Reply(id, reply) = frame
-            && let Some(waiter) = pending.borrow_mut().remove(&id)
+            && let Some(waiter) = pending.waiters.borrow_mut().remove(&id)
         {
             // The waiter may have timed out in the meantime.
             let _ = waiter.send(reply);
         }
     }
+    // A request that is sent from now on would find nobody to read its reply.
+    pending.is_closed.set(true);
     // Dropping the senders tells every waiter that the connection is lost.
-    pending.borrow_mut().clear();
+    pending.waiters.borrow_mut().clear();
 }
 
 /// Failure to read the next frame.
