--- a/crates/corianderstile/src/admin.rs
+++ b/crates/corianderstile/src/admin.rs
@@ -56,12 +56,13 @@
 }
 
 async fn explain(proxy: SharedProxy, id: Path<String>) -> HttpResponse {
-    let records = proxy.decisions.find(&id);
-    if records.is_empty() {
-        let message = "this instance does not remember the request";
-        return HttpResponse::NotFound().json(&json!({ "message": message }));
+    match proxy.decisions.explain(&id, &proxy.own_id) {
+        Some(explanation) => HttpResponse::Ok().json(&explanation),
+        None => {
+            let message = "this instance does not remember the request";
+            HttpResponse::NotFound().json(&json!({ "message": message }))
+        }
     }
-    HttpResponse::Ok().json(&json!({ "instance": proxy.own_id, "requests": records }))
 }
 
 async fn dump(proxy: SharedProxy) -> HttpResponse {
--- a/crates/corianderstile/src/caller/routes.rs
+++ b/crates/corianderstile/src/caller/routes.rs
@@ -138,9 +138,7 @@
     response.content_type("application/json");
     response.set_header(REQUEST_ID_HEADER, request_id);
     response.set_header(SESSION_HEADER, success.session);
-    if let Some(served_by) = success.served_by {
-        response.set_header(SERVED_BY_HEADER, served_by.to_string());
-    }
+    response.set_header(SERVED_BY_HEADER, success.served_by.to_string());
     response.body(body)
 }
 
--- a/crates/corianderstile/src/config/fleet_duty.rs
+++ b/crates/corianderstile/src/config/fleet_duty.rs
@@ -18,10 +18,7 @@
 /// Adds this instance to the fleet and returns once the fleet has it.
 pub async fn join_fleet(service: Rc<ConfigService>, member: FleetMember) {
     let own = service.parts.own_id.clone();
-    loop {
-        if service.document().fleet.contains_key(&own) {
-            return;
-        }
+    while !service.document().fleet.contains_key(&own) {
         let command = ChangeCommand::JoinFleet {
             instance: own.clone(),
             member: member.clone(),
@@ -55,7 +52,7 @@
     }
 }
 
-/// Removes members that are neither heard nor listed by the platform.
+/// Removes members that have not been heard for long.
 ///
 /// `lost` returns such members, and only on the instance that is responsible for removing them.
 pub async fn remove_silent_members(
--- a/crates/corianderstile/src/decision_log.rs
+++ b/crates/corianderstile/src/decision_log.rs
@@ -2,67 +2,38 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::time::Duration;
 
-use coriander_core::{AccountName, ClassName, DatabaseName, ErrorCode, InstanceId, RequestOutcome};
-use serde::Serialize;
+use coriander_config::{ExplainedStep, Explanation};
+use coriander_core::InstanceId;
 
 /// Requests that are remembered.
 const KEPT_REQUESTS: usize = 1000;
 
-/// One step in the handling of a request.
-#[derive(Clone, Debug, Serialize)]
-#[serde(tag = "step", rename_all = "snake_case")]
-pub enum DecisionStep {
-    /// The rate limit admitted the request after a wait.
-    Admitted {
-        /// Wait in milliseconds.
-        waited_ms: u64,
-    },
-    /// The request was run by the gateway on this instance.
-    RunLocally,
-    /// The request was sent to another instance.
-    Forwarded {
-        /// That instance.
-        gateway: InstanceId,
-    },
-    /// The gateway could not be used and the request goes to the next one.
-    FallBack {
-        /// Why.
-        reason: String,
-    },
-    /// The request succeeded.
-    Answered {
-        /// Member that executed it with its role, if any.
-        served_by: Option<String>,
-        /// Time since arrival in milliseconds.
-        took_ms: u64,
-    },
-    /// The request failed.
-    Failed {
-        /// Code for the caller.
-        code: ErrorCode,
-        /// What is known about the execution.
-        outcome: RequestOutcome,
-        /// Explanation for the caller.
-        message: String,
-        /// Time since arrival in milliseconds.
-        took_ms: u64,
-    },
-}
-
 /// The handling of one request.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
 pub struct DecisionRecord {
-    /// Id of the request.
-    pub request_id: String,
-    /// Account, once the key was verified.
-    pub account: Option<AccountName>,
-    /// Database, once it was determined.
-    pub database: Option<DatabaseName>,
-    /// Class of the request.
-    pub class: ClassName,
-    /// Steps in order.
-    pub steps: Vec<DecisionStep>,
+    request_id: String,
+    steps: Vec<ExplainedStep>,
+}
+
+impl DecisionRecord {
+    /// Starts the record of a request.
+    pub const fn new(request_id: String) -> Self {
+        Self {
+            request_id,
+            steps: Vec::new(),
+        }
+    }
+
+    /// Adds a step that a part of the process took at a time after the arrival of the request.
+    pub fn add(&mut self, after: Duration, part: &str, text: impl Into<String>) {
+        self.steps.push(ExplainedStep {
+            after,
+            part: part.to_owned(),
+            text: text.into(),
+        });
+    }
 }
 
 /// The last requests of this instance.
@@ -79,13 +50,19 @@
         records.push_back(record);
     }
 
-    /// Returns the records of a request id, newest last.
-    pub fn find(&self, request_id: &str) -> Vec<DecisionRecord> {
+    /// Returns the steps of all requests with an id, oldest first, or `None` if there are none.
+    pub fn explain(&self, request_id: &str, instance: &InstanceId) -> Option<Explanation> {
         let records = self.0.borrow();
-        records
+        let found = records
             .iter()
-            .filter(|record| record.request_id == request_id)
-            .cloned()
-            .collect()
+            .filter(|record| record.request_id == request_id);
+        let steps: Vec<_> = found.flat_map(|record| record.steps.clone()).collect();
+        let id = request_id.to_owned();
+        let instance = instance.clone();
+        (!steps.is_empty()).then_some(Explanation {
+            id,
+            instance,
+            steps,
+        })
     }
 }
--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coriander_core::{
-    DatabaseName, ErrorCode, InstanceId, MonotonicTime, RequestError, RequestOutcome,
+    ClassName, DatabaseName, ErrorCode, InstanceId, MonotonicTime, RequestError, RequestOutcome,
 };
 use coriander_membership::WorkAdmission;
 use coriander_routing::{RequestClass, RequestKind, StatementCache};
@@ -14,7 +14,7 @@
 
 use crate::caller::{CallerEndpoint, CallerRequest, pipeline_of_cursor};
 use crate::config::ConfigService;
-use crate::decision_log::{DecisionLog, DecisionRecord, DecisionStep};
+use crate::decision_log::{DecisionLog, DecisionRecord};
 use crate::gateway::GatewaySet;
 use crate::membership_service::MembershipService;
 use crate::metrics::{ProxyMetrics, RequestLabels};
@@ -22,7 +22,6 @@
     ForwardAnswer, ForwardRequest, PeerClient, PeerError, PeerReply, PeerRequest, ServedBy,
 };
 use crate::process_clock::ProcessClock;
-use crate::rate_service::RateService;
 use crate::settings::RequestBounds;
 
 /// Longest time that a request may take, a change of primary (9 s) included.
@@ -38,7 +37,7 @@
     /// Session token for the next request.
     pub session: String,
     /// Member that executed the request.
-    pub served_by: Option<ServedBy>,
+    pub served_by: ServedBy,
 }
 
 /// Result of a request with the id under which it ran.
@@ -63,8 +62,6 @@
     pub config: Rc<ConfigService>,
     /// Fleet and ranks.
     pub membership: Rc<MembershipService>,
-    /// Rate limits.
-    pub rates: Rc<RateService>,
     /// Gateways of this instance.
     pub gateways: Rc<GatewaySet>,
     /// Connections to other instances.
@@ -126,16 +123,11 @@
         let start = self.parts.clock.now();
         let generated = || format!("auto-{:032x}", rand::random::<u128>());
         let request_id = request.request_id.clone().unwrap_or_else(generated);
-        let mut record = DecisionRecord {
-            request_id: request_id.clone(),
-            account: None,
-            database: None,
-            class: request.class.clone(),
-            steps: Vec::new(),
-        };
+        let mut record = DecisionRecord::new(request_id.clone());
+        let class = request.class.clone();
         let result = self.run(request, &request_id, start, &mut record).await;
         let took = self.parts.clock.now().since(start);
-        self.count(&result, took, &mut record);
+        self.count(&class, &result, took, &mut record);
         self.parts.decisions.push(record);
         self.in_flight.set(self.in_flight.get() - 1);
         EntryAnswer { request_id, result }
@@ -153,28 +145,13 @@
             return Err(self.parts.membership.refusal());
         }
         let mut checked = self.check(request, request_id)?;
-        record.account = Some(checked.forward.account.clone());
-        record.database = Some(checked.forward.database.clone());
-        let target = self.parts.config.class_target(&checked.forward.class);
-        self.parts
-            .rates
-            .set_confirmed_age(self.parts.config.confirmed_age());
-        // Refusing a request of an open transaction would leave its locks held, so it waits longer.
-        let patience = match checked.forward.stream {
-            Some(_) => REQUEST_LIMIT / 2,
-            None => target.latency,
-        };
-        let account = &checked.forward.account;
-        self.parts.rates.admit(account, start + patience).await?;
-        let waited = self.parts.clock.now().since(start);
-        record.steps.push(DecisionStep::Admitted {
-            waited_ms: millis(waited),
-        });
-        // The key may have been withdrawn while the request waited for its rate.
-        self.parts.config.check_key(&checked.forward.key)?;
-        let answer = self
-            .dispatch(&checked, start + REQUEST_LIMIT, record)
-            .await?;
+        let forward = &checked.forward;
+        let text = format!(
+            "account {}, database {}, class {}, session {:?}",
+            forward.account, forward.database, forward.class, forward.session
+        );
+        record.add(self.since(start), "caller", text);
+        let answer = self.dispatch(&checked, start, record).await?;
         if let Some(position) = answer.written {
             checked.token.advance(&checked.forward.database, position);
         }
@@ -263,11 +240,12 @@
     async fn dispatch(
         &self,
         checked: &CheckedRequest,
-        deadline: MonotonicTime,
+        start: MonotonicTime,
         record: &mut DecisionRecord,
     ) -> Result<ForwardAnswer, RequestError> {
+        let deadline = start + REQUEST_LIMIT;
         if let Some(gateway) = &checked.gateway {
-            return self.send_to(gateway, checked, deadline, record).await;
+            return self.send_to(gateway, checked, start, record).await;
         }
         let mut may_have_run = false;
         loop {
@@ -277,7 +255,7 @@
                 "no instance can serve the database now",
             );
             for gateway in &gateways {
-                let error = match self.send_to(gateway, checked, deadline, record).await {
+                let error = match self.send_to(gateway, checked, start, record).await {
                     Ok(answer) => return Ok(answer),
                     Err(error) => error,
                 };
@@ -285,9 +263,11 @@
                 if !is_gateway_failure(&error) || (may_have_run && !checked.is_repeatable) {
                     return Err(with_outcome(error, may_have_run));
                 }
-                record.steps.push(DecisionStep::FallBack {
-                    reason: error.to_string(),
-                });
+                record.add(
+                    self.since(start),
+                    "gateway",
+                    format!("{gateway}: {error}; trying the next"),
+                );
                 last = error;
             }
             if self.parts.clock.now() + RETRY_PAUSE >= deadline {
@@ -304,16 +284,16 @@
         &self,
         gateway: &InstanceId,
         checked: &CheckedRequest,
-        deadline: MonotonicTime,
+        start: MonotonicTime,
         record: &mut DecisionRecord,
     ) -> Result<ForwardAnswer, RequestError> {
-        let remaining = deadline.since(self.parts.clock.now());
+        let remaining = REQUEST_LIMIT.saturating_sub(self.since(start));
         let forward = ForwardRequest {
             remaining,
             ..checked.forward.clone()
         };
         if *gateway == self.parts.own_id {
-            record.steps.push(DecisionStep::RunLocally);
+            record.add(self.since(start), "gateway", "runs on this instance");
             return self
                 .parts
                 .gateways
@@ -324,9 +304,7 @@
         let gone = || RequestError::not_run(ErrorCode::NoUpstream, "the gateway left the fleet");
         let address = self.parts.membership.address(gateway);
         let address = address.ok_or_else(|| self.gateway_gone(checked, gone()))?;
-        record.steps.push(DecisionStep::Forwarded {
-            gateway: gateway.clone(),
-        });
+        record.add(self.since(start), "gateway", format!("sent to {gateway}"));
         self.parts.metrics.forwarded.inc();
         let request = PeerRequest::Forward(forward);
         match self.parts.peers.call(address, request, remaining).await {
@@ -357,36 +335,29 @@
         error
     }
 
+    fn since(&self, start: MonotonicTime) -> Duration {
+        self.parts.clock.now().since(start)
+    }
+
     fn count(
         &self,
+        class: &ClassName,
         result: &Result<EntrySuccess, RequestError>,
         took: Duration,
         record: &mut DecisionRecord,
     ) {
-        let took_ms = millis(took);
         let code = match result {
             Ok(success) => {
-                let served_by = success.served_by.as_ref().map(ToString::to_string);
-                self.parts
-                    .metrics
-                    .count_served_by(success.served_by.as_ref());
-                record
-                    .steps
-                    .push(DecisionStep::Answered { served_by, took_ms });
+                self.parts.metrics.count_served_by(&success.served_by);
+                record.add(took, "caller", format!("served by {}", success.served_by));
                 "OK"
             }
             Err(error) => {
-                log::debug!("caller: request {} failed: {error}", record.request_id);
-                record.steps.push(DecisionStep::Failed {
-                    code: error.code,
-                    outcome: error.outcome,
-                    message: error.message.clone(),
-                    took_ms,
-                });
+                record.add(took, "caller", format!("failed: {error}"));
                 error.code.as_str()
             }
         };
-        let labels = RequestLabels::new(&record.class, code);
+        let labels = RequestLabels::new(class, code);
         self.parts.metrics.count_request(&labels, took);
     }
 }
@@ -445,7 +416,3 @@
     }
     error
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -6,36 +6,40 @@
 use std::time::Duration;
 
 use coriander_core::{
-    ClassName, ClassTarget, DatabaseName, ErrorCode, InstanceId, KeyDigest, MemberId,
-    MonotonicTime, RequestError, ZoneName,
+    ClassName, ClassTarget, DatabaseName, ErrorCode, InstanceId, KeyDigest, MonotonicTime,
+    RequestError, ZoneName,
 };
-use coriander_failover::{GroupMember, PrimaryView, majority_of};
-use coriander_platform::{MemberState, ServiceMember};
+use coriander_failover::PrimaryView;
+use coriander_platform::ServiceMember;
 use coriander_routing::{RequestClass, RequestKind, StatementCache};
 use coriander_session::SecretKeys;
-use coriander_upstream::{
-    HttpMember, MemberSettings, PoolSettings, StreamLease, StreamPool, StreamUse,
-};
+use coriander_upstream::{StreamLease, StreamUse};
 use libsql_hrana::proto::{PipelineReqBody, PipelineRespBody, StreamResult};
 
 use super::group_task::GroupTask;
 use super::member_handle::MemberHandle;
+use super::member_list::group_members;
 use super::pipeline_shape::PipelineShape;
-use super::slot_gate::{SlotGate, SlotMembers, SlotPermit, SlotRequest};
+use super::slot_gate::{SlotGate, SlotPermit, SlotRequest};
 use super::transaction_table::TransactionTable;
 use crate::peer::{ForwardAnswer, ForwardRequest};
 use crate::process_clock::ProcessClock;
+use crate::rate_service::RateService;
 use crate::replica_reads::ReplicaReads;
 use crate::settings::RequestBounds;
 
 /// Time between two rounds of pool upkeep and transaction expiry.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time between two deletions of old records of requests. Each deletes up to 500 records, which
+/// is enough for 8 writes/s of one database; the records are kept longer above that.
+const CLEANUP_PERIOD: Duration = Duration::from_secs(60);
+
 /// Pause before a request is tried again on another member.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
-/// Metadata key of the platform's list with the number of members of the group.
-const GROUP_SIZE_KEY: &str = "group_size";
+/// Longest wait of a request in an open transaction for its account's rate.
+const TRANSACTION_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Function that tells whether a request with a key may run.
 pub type KeyCheck = Box<dyn Fn(&KeyDigest) -> Result<(), RequestError>>;
@@ -54,6 +58,8 @@
     pub bounds: RequestBounds,
     /// Tells whether the instance may serve now and the key is still valid.
     pub may_run: KeyCheck,
+    /// Rate limits of client accounts.
+    pub rates: Rc<RateService>,
     /// Returns the target of a class.
     pub class_target: Box<dyn Fn(&ClassName) -> ClassTarget>,
     /// Tells whether operators keep a zone in service.
@@ -70,8 +76,8 @@
     pub(super) cache: RefCell<StatementCache>,
     pub(super) reads: ReplicaReads,
     pub(super) schema_term: Cell<u64>,
-    listed: RefCell<Vec<ServiceMember>>,
-    rank: Cell<Option<u32>>,
+    pub(super) listed: RefCell<Vec<ServiceMember>>,
+    pub(super) rank: Cell<Option<u32>>,
     in_flight: Cell<usize>,
 }
 
@@ -135,6 +141,7 @@
             return Err(RequestError::not_run(ErrorCode::BadRequest, message));
         }
         let shape = PipelineShape::new(body.requests);
+        self.admit(&request).await?;
         if request.stream.is_some() {
             return self.continue_transaction(request, shape, deadline).await;
         }
@@ -154,43 +161,20 @@
         }
     }
 
-    /// Takes over the platform's list of members.
-    pub async fn set_listed(&self, listed: Vec<ServiceMember>) {
-        let mut members = BTreeMap::new();
-        for member in &listed {
-            let Ok(id) = member.id.parse::<MemberId>() else {
-                log::warn!("gateway: member id {:?} is not a valid name", member.id);
-                continue;
-            };
-            let known = self
-                .group
-                .member(&id)
-                .filter(|known| known.address == member.address);
-            let handle = match known {
-                Some(handle) => handle,
-                None => match self.open_member(&id, member).await {
-                    Some(handle) => handle,
-                    None => continue,
-                },
-            };
-            if let Some(zone) = &member.zone {
-                handle.zone.borrow_mut().clone_from(zone);
-            }
-            handle.is_leaving.set(member.state == MemberState::Leaving);
-            members.insert(id, handle);
-        }
-        // The platform may omit unreachable members; their clients are still needed.
-        for handle in self.group.members() {
-            members.entry(handle.id.clone()).or_insert(handle);
-        }
-        if !is_group_complete(&listed, members.len()) {
-            log::warn!("gateway: {} has too few listed members", self.name);
-            return;
-        }
-        *self.listed.borrow_mut() = listed;
-        let states = group_members(&members, &self.context);
-        self.group.set_members(members, &states);
-        self.update_members();
+    /// Spends one token of the account's rate.
+    ///
+    /// Rates are counted at the gateways, because a few gateways need far fewer grants than all
+    /// entry instances.
+    async fn admit(&self, request: &ForwardRequest) -> Result<(), RequestError> {
+        // Refusing a request of an open transaction would leave its locks held, so it waits longer.
+        let patience = match request.stream {
+            Some(_) => TRANSACTION_PATIENCE,
+            None => (self.context.class_target)(&request.class).latency,
+        };
+        let deadline = self.context.clock.now() + patience.min(request.remaining);
+        self.context.rates.admit(&request.account, deadline).await?;
+        // The key may have been withdrawn while the request waited.
+        (self.context.may_run)(&request.key)
     }
 
     /// Applies changes of zones and classes.
@@ -373,70 +357,9 @@
         }
     }
 
-    async fn open_member(&self, id: &MemberId, member: &ServiceMember) -> Option<Rc<MemberHandle>> {
-        let client = match HttpMember::new(member.address, MemberSettings::default()).await {
-            Ok(client) => client,
-            Err(error) => {
-                log::error!("gateway: client of member {id} not created: {error}");
-                return None;
-            }
-        };
-        let pool = StreamPool::new(PoolSettings::default());
-        self.size_pool(&pool);
-        Some(Rc::new(MemberHandle {
-            id: id.clone(),
-            address: member.address,
-            zone: RefCell::new(
-                member
-                    .zone
-                    .clone()
-                    .unwrap_or_else(|| self.context.own_zone.clone()),
-            ),
-            is_leaving: Cell::new(false),
-            client: Rc::new(client),
-            pool,
-        }))
-    }
-
-    /// Gives four fifths of the connections to the gateway and one fifth to its backup.
-    fn size_pool(&self, pool: &StreamPool) {
-        let total = self.context.bounds.connections_per_database;
-        let members = self.listed.borrow().len().max(1);
-        let per_member = (total / members).max(2);
-        let backup = (per_member / 5).max(1);
-        let (most, least) = match self.rank.get() {
-            Some(0) => (per_member - backup, 1),
-            Some(_) => (backup, 0),
-            // A former gateway keeps a place for requests that reach it during a change of ranks.
-            None => (1, 0),
-        };
-        pool.set_max_streams(most);
-        pool.set_min_streams(least);
-    }
-
-    fn update_members(&self) {
-        let primary = self.group.primary();
-        let in_use = |member: &Rc<MemberHandle>| {
-            !member.is_leaving.get() && (self.context.is_zone_in)(&member.zone.borrow())
-        };
-        let handles = self.group.members();
-        self.reads.set_members(&handles, &*self.context.is_zone_in);
-        let is_primary = |id: &MemberId| primary.as_ref().is_some_and(|view| view.member == *id);
-        let replicas = handles
-            .iter()
-            .filter(|member| in_use(member) && !is_primary(&member.id));
-        let mut replicas: Vec<_> = replicas.collect();
-        replicas.sort_by_key(|member| *member.zone.borrow() != self.context.own_zone);
-        let replicas = replicas
-            .into_iter()
-            .map(|member| member.id.clone())
-            .collect();
-        let primary = primary.map(|view| view.member);
-        self.gate.set_members(SlotMembers { primary, replicas });
-    }
-
     async fn upkeep(self: Rc<Self>) {
         let mut last_primary = None;
+        let mut last_cleanup = self.context.clock.now();
         loop {
             tokio::time::sleep(UPKEEP_PERIOD).await;
             let primary = self.group.primary();
@@ -449,6 +372,10 @@
             self.transactions
                 .expire(now, self.context.bounds.idle_transaction, term);
             self.gate.dispatch();
+            if self.rank.get() == Some(0) && now.since(last_cleanup) >= CLEANUP_PERIOD {
+                last_cleanup = now;
+                ntex::rt::spawn(self.clone().delete_old_records());
+            }
             let Some(view) = primary.filter(|_| self.rank.get().is_some()) else {
                 continue;
             };
@@ -493,25 +420,3 @@
     serde_json::to_vec(&body)
         .map_err(|error| RequestError::run(ErrorCode::Internal, error.to_string()))
 }
-
-/// Tells whether enough members are listed for a majority among them to be one of the group.
-fn is_group_complete(listed: &[ServiceMember], known: usize) -> bool {
-    let sizes = listed
-        .iter()
-        .filter_map(|member| member.meta.get(GROUP_SIZE_KEY)?.parse().ok());
-    let size: usize = sizes.max().unwrap_or(3);
-    majority_of(known) >= majority_of(size)
-}
-
-fn group_members(
-    members: &BTreeMap<MemberId, Rc<MemberHandle>>,
-    context: &GatewayContext,
-) -> Vec<GroupMember> {
-    let state = |member: &Rc<MemberHandle>| GroupMember {
-        id: member.id.clone(),
-        zone: member.zone.borrow().clone(),
-        is_leaving: member.is_leaving.get(),
-        is_zone_out: !(context.is_zone_in)(&member.zone.borrow()),
-    };
-    members.values().map(state).collect()
-}
--- a/crates/corianderstile/src/gateway/gateway_set.rs
+++ b/crates/corianderstile/src/gateway/gateway_set.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use coriander_core::{ConfigDocument, DatabaseName, KeyDigest};
+use coriander_core::{ClassName, ClassTarget, ConfigDocument, DatabaseName, KeyDigest};
 
 use super::database_gateway::{DatabaseGateway, GatewayContext};
 
@@ -12,6 +12,8 @@
 pub struct GatewaySet {
     context: Rc<GatewayContext>,
     gateways: RefCell<BTreeMap<DatabaseName, Rc<DatabaseGateway>>>,
+    /// Classes of the previous configuration.
+    classes: RefCell<Vec<ClassName>>,
 }
 
 impl GatewaySet {
@@ -20,6 +22,7 @@
         Self {
             context,
             gateways: RefCell::default(),
+            classes: RefCell::default(),
         }
     }
 
@@ -33,6 +36,11 @@
             .clone()
     }
 
+    /// Returns the gateway of a database if it exists.
+    pub fn find(&self, database: &DatabaseName) -> Option<Rc<DatabaseGateway>> {
+        self.gateways.borrow().get(database).cloned()
+    }
+
     /// Returns the gateways that exist.
     pub fn list(&self) -> Vec<Rc<DatabaseGateway>> {
         self.gateways.borrow().values().cloned().collect()
@@ -43,12 +51,18 @@
         self.gateways
             .borrow_mut()
             .retain(|name, _| document.databases.contains(name));
+        let mut removed = self.classes.borrow_mut();
+        removed.retain(|class| !document.classes.contains_key(class));
         for gateway in self.list() {
             for (class, target) in &document.classes {
                 gateway.set_class(class.clone(), target);
             }
+            for class in &*removed {
+                gateway.set_class(class.clone(), &ClassTarget::default());
+            }
             gateway.apply_config();
         }
+        *removed = document.classes.keys().cloned().collect();
     }
 
     /// Ends waiting requests and transactions of withdrawn keys.
--- a/crates/corianderstile/src/gateway/mod.rs
+++ b/crates/corianderstile/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod gateway_set;
 mod group_task;
 mod member_handle;
+mod member_list;
 mod pipeline_shape;
 mod run_read;
 mod run_transaction;
--- a/crates/corianderstile/src/gateway/run_read.rs
+++ b/crates/corianderstile/src/gateway/run_read.rs
@@ -62,12 +62,12 @@
             freshness: (self.context.class_target)(&request.class).freshness,
         };
         let (permit, min_position) = self.place_read(request, &demand, &view, deadline).await?;
-        (self.context.may_run)(&request.key)?;
         let member = self.group.member(permit.member()).ok_or_else(|| {
             RequestError::not_run(ErrorCode::NoUpstream, "the member has left the group")
         })?;
         let lease = self.wait_stream(&member, StreamUse::Statement, deadline);
         let lease = lease.await?;
+        (self.context.may_run)(&request.key)?;
         let ticket = self.reads.record_start(&member.id);
         let is_primary = member.id == view.member;
         let checks_term = is_primary && needs_current_primary(&demand);
@@ -108,11 +108,11 @@
         Ok(ForwardAnswer {
             body: answer_body(None, shape.restore(reply.results))?,
             written: None,
-            served_by: Some(ServedBy {
+            served_by: ServedBy {
                 member: member.id.clone(),
                 is_primary,
                 age,
-            }),
+            },
         })
     }
 
--- a/crates/corianderstile/src/gateway/run_transaction.rs
+++ b/crates/corianderstile/src/gateway/run_transaction.rs
@@ -117,11 +117,11 @@
         Ok(ForwardAnswer {
             body: answer_body(baton, shape.restore(reply.results))?,
             written,
-            served_by: Some(ServedBy {
+            served_by: ServedBy {
                 member: view.member,
                 is_primary: true,
                 age: std::time::Duration::ZERO,
-            }),
+            },
         })
     }
 
--- a/crates/corianderstile/src/gateway/run_write.rs
+++ b/crates/corianderstile/src/gateway/run_write.rs
@@ -94,10 +94,6 @@
             Ok(permit) => permit,
             Err(error) => return WriteAttempt::NotRun(error),
         };
-        // The request may have waited long enough for its key or the configuration to lapse.
-        if let Err(error) = (self.context.may_run)(&request.key) {
-            return WriteAttempt::NotRun(error);
-        }
         let Some(member) = self
             .group
             .member(&view.member)
@@ -113,6 +109,10 @@
             Ok(lease) => lease,
             Err(error) => return WriteAttempt::NotRun(error),
         };
+        // The wait for a stream may have been long.
+        if let Err(error) = (self.context.may_run)(&request.key) {
+            return WriteAttempt::NotRun(error);
+        }
         if let Err(error) = self.ensure_schema(&member, &mut lease, &view).await {
             self.group.statement_failed(&member.id);
             return WriteAttempt::NotRun(not_run_error(&error));
@@ -226,11 +226,11 @@
         Ok(ForwardAnswer {
             body: answer_body(None, shape.restore(results))?,
             written: None,
-            served_by: Some(ServedBy {
+            served_by: ServedBy {
                 member: view.member.clone(),
                 is_primary: true,
                 age: std::time::Duration::ZERO,
-            }),
+            },
         })
     }
 
@@ -280,6 +280,27 @@
         Ok(())
     }
 
+    /// Deletes records of requests that are too old to be retried.
+    pub(super) async fn delete_old_records(self: Rc<Self>) {
+        let Some(view) = self.group.write_primary() else {
+            return;
+        };
+        let Some(member) = self.group.member(&view.member) else {
+            return;
+        };
+        let Some(mut lease) = member.check_out(StreamUse::Statement, self.context.clock) else {
+            return;
+        };
+        let requests = [execute(RequestLog::CLEANUP)];
+        match member
+            .run(&mut lease, &requests, self.call_terms(&view))
+            .await
+        {
+            Ok(_) => lease.check_in(self.context.clock.now()),
+            Err(error) => log::debug!("gateway: old records not deleted: {error}"),
+        }
+    }
+
     pub(super) fn call_terms(&self, view: &PrimaryView) -> CallTerms {
         CallTerms {
             term: view.term,
--- a/crates/corianderstile/src/membership_service.rs
+++ b/crates/corianderstile/src/membership_service.rs
@@ -163,6 +163,11 @@
         self.drain.borrow().is_ready()
     }
 
+    /// Tells whether the process was asked to end.
+    pub fn is_terminating(&self) -> bool {
+        self.drain.borrow().is_terminating()
+    }
+
     /// Tells whether draining is complete.
     pub fn is_drained(&self, in_flight: usize) -> bool {
         self.drain.borrow().is_finished(in_flight, self.clock.now())
--- a/crates/corianderstile/src/metrics.rs
+++ b/crates/corianderstile/src/metrics.rs
@@ -200,11 +200,11 @@
     }
 
     /// Counts which role served a request.
-    pub fn count_served_by(&self, served_by: Option<&ServedBy>) {
-        let role = match served_by {
-            Some(served) if served.is_primary => "primary",
-            Some(_) => "replica",
-            None => "stored",
+    pub fn count_served_by(&self, served_by: &ServedBy) {
+        let role = if served_by.is_primary {
+            "primary"
+        } else {
+            "replica"
         };
         self.served.get_or_create(&RoleLabel { role }).inc();
     }
--- a/crates/corianderstile/src/peer/messages.rs
+++ b/crates/corianderstile/src/peer/messages.rs
@@ -113,6 +113,6 @@
     pub body: Vec<u8>,
     /// Position of an acknowledged write.
     pub written: Option<LogPosition>,
-    /// Member that executed the request; absent if a stored outcome was returned.
-    pub served_by: Option<ServedBy>,
+    /// Member that executed the request or returned its stored outcome.
+    pub served_by: ServedBy,
 }
--- a/crates/corianderstile/src/proxy.rs
+++ b/crates/corianderstile/src/proxy.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use coriander_config::Incarnation;
-use coriander_core::{FleetMember, InstanceId};
+use coriander_core::{DatabaseName, FleetMember, InstanceId};
 use coriander_membership::{OwnStatus, WorkAdmission};
 use coriander_platform::{
     ConsulStore, InstanceRegistration, MemberState, ModifyIndex, PlatformError, PlatformStore,
@@ -86,7 +86,7 @@
     /// Entry of callers' requests.
     pub entry: Rc<EntryService>,
     store: Rc<dyn PlatformStore>,
-    watched: RefCell<Vec<coriander_core::DatabaseName>>,
+    watched: RefCell<Vec<DatabaseName>>,
 }
 
 impl Proxy {
@@ -112,7 +112,7 @@
         let zone = settings.zone.clone();
         let membership = MembershipService::new(own_id.clone(), zone, clock, datagrams);
         let rates = RateService::new(own_id.clone(), clock, membership.clone(), peers.clone());
-        let context = gateway_context(&settings, &own_id, clock, &secrets, &config);
+        let context = gateway_context(&settings, &own_id, clock, &secrets, &config, &rates);
         let gateways = Rc::new(GatewaySet::new(Rc::new(context)));
         let metrics = Rc::new(ProxyMetrics::new());
         let decisions = Rc::new(DecisionLog::default());
@@ -123,7 +123,6 @@
             secrets,
             config: config.clone(),
             membership: membership.clone(),
-            rates: rates.clone(),
             gateways: gateways.clone(),
             peers: peers.clone(),
             metrics: metrics.clone(),
@@ -225,7 +224,6 @@
                     proxy.gateways.end_keys(keys);
                 }
             }
-            proxy.watch_databases(document);
             proxy.update_ranks();
         }));
         let proxy = Rc::downgrade(self);
@@ -274,29 +272,34 @@
         }
     }
 
-    /// Passes the own ranks on to the gateways; a gateway is created when it is first needed.
-    fn update_ranks(&self) {
+    /// Passes the own ranks on to the gateways and watches the members of their databases.
+    ///
+    /// Databases for which this instance has no rank cost nothing: a node cannot watch them all.
+    fn update_ranks(self: &Rc<Self>) {
         for database in &self.config.document().databases {
             let rank = self.membership.own_rank(database);
-            self.gateways.get(database).set_rank(rank);
+            if rank.is_some() {
+                self.gateways.get(database).set_rank(rank);
+                self.watch_database(database);
+            } else if let Some(gateway) = self.gateways.find(database) {
+                gateway.set_rank(None);
+            }
         }
     }
 
-    fn watch_databases(self: &Rc<Self>, document: &coriander_core::ConfigDocument) {
-        for database in &document.databases {
-            let mut watched = self.watched.borrow_mut();
-            if !watched.contains(database) {
-                watched.push(database.clone());
-                ntex::rt::spawn(self.clone().watch_members(database.clone()));
-            }
+    fn watch_database(self: &Rc<Self>, database: &DatabaseName) {
+        let mut watched = self.watched.borrow_mut();
+        if !watched.contains(database) {
+            watched.push(database.clone());
+            ntex::rt::spawn(self.clone().watch_members(database.clone()));
         }
     }
 
     /// Keeps the member list of a database current.
-    async fn watch_members(self: Rc<Self>, database: coriander_core::DatabaseName) {
+    async fn watch_members(self: Rc<Self>, database: DatabaseName) {
         let service = format!("{UPSTREAM_PREFIX}{database}");
         let mut index = ModifyIndex::default();
-        while self.config.document().databases.contains(&database) {
+        while self.membership.own_rank(&database).is_some() {
             let listed = if index == ModifyIndex::default() {
                 self.store.list_service(&service).await
             } else {
@@ -329,7 +332,7 @@
 
     /// Enters this instance into the platform's list, also after an outage.
     async fn keep_registered(self: Rc<Self>) {
-        while self.membership.admission() == WorkAdmission::Serve {
+        while !self.membership.is_terminating() {
             let registration = self.registration(MemberState::Live);
             match self.store.register_instance(&registration).await {
                 Ok(()) => tokio::time::sleep(LIST_WAIT).await,
@@ -340,7 +343,7 @@
 
     /// Joins the fleet, also again after others removed this instance as lost.
     async fn stay_in_fleet(self: Rc<Self>) {
-        while self.membership.is_ready() || self.config.version().get() == 0 {
+        while !self.membership.is_terminating() {
             let member = FleetMember {
                 zone: self.settings.zone.clone(),
                 peer_address: self.settings.peer_address,
@@ -402,6 +405,7 @@
     clock: ProcessClock,
     secrets: &SecretKeys,
     config: &Rc<ConfigService>,
+    rates: &Rc<RateService>,
 ) -> GatewayContext {
     let (key_config, class_config, zone_config) = (config.clone(), config.clone(), config.clone());
     GatewayContext {
@@ -411,6 +415,7 @@
         secrets: secrets.clone(),
         bounds: settings.bounds.clone(),
         may_run: Box::new(move |key| key_config.check_key(key)),
+        rates: rates.clone(),
         class_target: Box::new(move |class| class_config.class_target(class)),
         is_zone_in: Box::new(move |zone| zone_config.is_zone_in(zone)),
     }
--- a/crates/corianderstile/src/settings.rs
+++ b/crates/corianderstile/src/settings.rs
@@ -156,6 +156,11 @@
 /// Shortest accepted fleet secret in bytes; 128 bits resist guessing.
 const MIN_SECRET_LENGTH: usize = 16;
 
+/// Longest name in bytes; the random suffix of the identifier takes 9 of the 64 that it may have.
+const MAX_NAME_LENGTH: usize = 55;
+
+const ALLOWED_NAME: &str = "1 to 55 letters, digits, '-', '_' and '.'";
+
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
     ("instance", &["name", "zone"]),
     ("listen", &["callers", "admin", "peers"]),
@@ -188,11 +193,13 @@
     /// Checks the text of a settings file; `path` is used in messages only.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
         let mut reader = SettingsReader::open(path, text, KNOWN_KEYS)?;
-        let name = reader.parse(
-            "instance",
-            "name",
-            "a name of letters, digits, '-', '_' and '.'",
-        );
+        let name: Option<InstanceId> = reader.parse("instance", "name", ALLOWED_NAME);
+        if name
+            .as_ref()
+            .is_some_and(|name| name.as_str().len() > MAX_NAME_LENGTH)
+        {
+            reader.reject("instance", "name", SettingProblem::Invalid, ALLOWED_NAME);
+        }
         let zone: Option<ZoneName> = reader.parse("instance", "zone", "one of [fleet] zones");
         let zones: Vec<ZoneName> = reader.list("fleet", "zones", "names separated by commas");
         let address = "an IP address and port such as 10.0.0.1:8080";
@@ -286,6 +293,6 @@
         connections_per_database: number("connections_per_database", 20, 2, 10_000) as usize,
         slots_per_member: number("slots_per_member", 3, 1, 1_000) as usize,
         upstream_timeout: Duration::from_millis(number("upstream_timeout_ms", 5_000, 100, 600_000)),
-        shutdown: Duration::from_millis(number("shutdown_ms", 30_000, 100, 600_000)),
+        shutdown: Duration::from_millis(number("shutdown_ms", 30_000, 100, 30_000)),
     }
 }
