--- a/crates/coriander_standin/src/deployment_profile.rs
+++ b/crates/coriander_standin/src/deployment_profile.rs
@@ -62,7 +62,7 @@
     /// One-way delay between clients and instances.
     pub client_delay: Duration,
     /// Databases, each with one member per zone.
-    pub databases: [&'static str; 3],
+    pub databases: Vec<&'static str>,
     /// Concurrent statements of a member.
     pub slots: usize,
     /// Connections per database of the whole fleet.
@@ -126,7 +126,7 @@
             zones: ["berrechid", "ain-sebaa", "mohammedia"],
             zone_delay: Duration::from_micros(1_500),
             client_delay: Duration::from_millis(1),
-            databases: [
+            databases: vec![
                 "berrechid-records",
                 "ain-sebaa-records",
                 "mohammedia-records",
@@ -153,7 +153,7 @@
             zones: ["piraeus", "elefsina", "acharnes"],
             zone_delay: Duration::from_millis(1),
             client_delay: Duration::from_millis(3),
-            databases: ["piraeus-prices", "elefsina-prices", "acharnes-prices"],
+            databases: vec!["piraeus-prices", "elefsina-prices", "acharnes-prices"],
             slots: 2,
             connections: 30,
             open_delay: Duration::from_millis(30),
@@ -167,6 +167,43 @@
         }
     }
 
+    /// Returns a deployment with one database and three instances for tests of single guarantees.
+    ///
+    /// ```
+    /// use coriander_standin::DeploymentProfile;
+    ///
+    /// let profile = DeploymentProfile::small();
+    /// assert_eq!((profile.databases.len(), profile.instances), (1, 3));
+    /// ```
+    pub fn small() -> Self {
+        let account = |name, rate| AccountProfile {
+            name,
+            rate,
+            burst: rate,
+        };
+        Self {
+            name: "small",
+            zones: ["north", "south", "west"],
+            zone_delay: Duration::from_micros(500),
+            client_delay: Duration::ZERO,
+            databases: vec!["records"],
+            slots: 4,
+            connections: 20,
+            open_delay: Duration::from_millis(2),
+            instances: 3,
+            // Long latency targets, because a busy machine must not lead to refusals.
+            classes: vec![
+                class("default", (50, 50), (0, 8_000)),
+                class("tracking", (50, 100), (60_000, 8_000)),
+            ],
+            accounts: vec![
+                account("account-1", 2_000),
+                account("account-2", 2_000),
+                account("limited", 20),
+            ],
+        }
+    }
+
     /// Returns the key of an account in test fleets.
     pub fn account_key(account: &str) -> String {
         format!("test-key-of-{account}")
--- a/crates/coriander_standin/src/load/load_driver.rs
+++ b/crates/coriander_standin/src/load/load_driver.rs
@@ -119,7 +119,7 @@
 }
 
 async fn create_tables(sender: &RequestSender, settings: &DriverSettings) -> eyre::Result<()> {
-    for database in settings.deployment.databases {
+    for &database in &settings.deployment.databases {
         for sql in [CREATE_TABLE, CREATE_INDEX] {
             let call = CallSpec {
                 class: strict_class(settings),
--- a/crates/coriander_standin/src/process/deployment_run.rs
+++ b/crates/coriander_standin/src/process/deployment_run.rs
@@ -84,7 +84,7 @@
             members: Vec::new(),
             instances: Vec::new(),
         };
-        for database in profile.databases {
+        for &database in &profile.databases {
             for (name, zone) in MEMBER_NAMES.into_iter().zip(profile.zones) {
                 run.start_member(profile, options, (database, name, zone))
                     .await?;
--- a/crates/coriander_standin/src/process/process_group.rs
+++ b/crates/coriander_standin/src/process/process_group.rs
@@ -183,6 +183,13 @@
         result
     }
 
+    /// Returns the process id of a running process.
+    pub fn process_id(&mut self, name: &str) -> Result<u32, ProcessError> {
+        let child = self.find(name)?.child.as_ref();
+        let child = child.ok_or_else(|| ProcessError::NotRunning(name.to_owned()))?;
+        Ok(child.id())
+    }
+
     /// Tells whether a process runs; a paused process counts as running.
     pub fn is_running(&mut self, name: &str) -> bool {
         let found = self.find(name).ok();
--- /dev/null
+++ b/crates/coriander_standin/tests/common/fleet.rs
@@ -0,0 +1,333 @@
+//! A small deployment and callers' requests to its instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
+use std::time::{Duration, Instant};
+
+use coriander_standin::DeploymentProfile;
+use coriander_standin::member::FaultUpdate;
+use coriander_standin::platform::PlatformUpdate;
+use coriander_standin::process::{
+    DeploymentRun, HttpCaller, ProcessError, RunMember, RunOptions, wait_until,
+};
+use ntex::http::Method;
+use ntex::http::header::CONTENT_TYPE;
+use serde_json::{Value, json};
+
+/// The only database of the small deployment.
+pub const DATABASE: &str = "records";
+/// Account that most tests use.
+pub const ACCOUNT: &str = "account-1";
+/// Limit for conditions; generous because the machine may be busy.
+pub const LIMIT: Duration = Duration::from_secs(30);
+/// Longer than an instance works on a request (10 s).
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    headers: BTreeMap<&'static str, String>,
+    baton: Option<String>,
+    statements: Vec<String>,
+    closes: bool,
+}
+
+impl Ask {
+    /// A request with statements in autocommit mode.
+    pub fn new(statements: &[&str]) -> Self {
+        let mut headers = BTreeMap::new();
+        headers.insert("x-namespace", DATABASE.to_owned());
+        headers.insert(CONTENT_TYPE.as_str(), "application/json".to_owned());
+        let ask = Self {
+            headers,
+            baton: None,
+            statements: statements.iter().map(|&sql| sql.to_owned()).collect(),
+            closes: true,
+        };
+        ask.account(ACCOUNT)
+    }
+
+    /// A request that leaves its stream open.
+    pub fn open(statements: &[&str]) -> Self {
+        let mut ask = Self::new(statements);
+        ask.closes = false;
+        ask
+    }
+
+    /// Inserts a row with a unique value.
+    pub fn insert(value: &str) -> Self {
+        Self::new(&[&insert_sql(value)])
+    }
+
+    /// Sends the key of another account.
+    pub fn account(self, account: &str) -> Self {
+        self.key(&DeploymentProfile::account_key(account))
+    }
+
+    /// Sends a certain key.
+    pub fn key(mut self, key: &str) -> Self {
+        self.headers
+            .insert("authorization", format!("Bearer {key}"));
+        self
+    }
+
+    /// Sends a request id.
+    pub fn id(mut self, id: &str) -> Self {
+        self.headers.insert("x-request-id", id.to_owned());
+        self
+    }
+
+    /// Sends a session token.
+    pub fn session(mut self, token: &str) -> Self {
+        self.headers
+            .insert("x-corianderstile-session", token.to_owned());
+        self
+    }
+
+    /// Selects a class.
+    pub fn class(mut self, class: &str) -> Self {
+        self.headers
+            .insert("x-corianderstile-class", class.to_owned());
+        self
+    }
+
+    /// Continues a stream.
+    pub fn baton(mut self, baton: &str) -> Self {
+        self.baton = Some(baton.to_owned());
+        self
+    }
+
+    fn body(&self) -> Vec<u8> {
+        let execute = |sql: &String| json!({"type": "execute", "stmt": {"sql": sql}});
+        let mut requests: Vec<Value> = self.statements.iter().map(execute).collect();
+        if self.closes {
+            requests.push(json!({"type": "close"}));
+        }
+        json!({"baton": self.baton, "requests": requests})
+            .to_string()
+            .into_bytes()
+    }
+}
+
+/// Statement that inserts a row with a unique value.
+pub fn insert_sql(value: &str) -> String {
+    format!("INSERT INTO items (value) VALUES ('{value}')")
+}
+
+/// Response to a caller.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body as JSON; null if it is not JSON.
+    pub body: Value,
+    /// Session token.
+    pub session: String,
+    /// Member that served the request.
+    pub served_by: String,
+}
+
+impl Reply {
+    /// Tells whether the request and all its statements succeeded.
+    pub fn is_ok(&self) -> bool {
+        let results = self.body["results"].as_array();
+        self.status == 200
+            && results.is_some_and(|results| results.iter().all(|result| result["type"] == "ok"))
+    }
+
+    /// Code of an error.
+    pub fn code(&self) -> &str {
+        self.body["code"].as_str().unwrap_or_default()
+    }
+
+    /// Outcome of an error.
+    pub fn outcome(&self) -> &str {
+        self.body["outcome"].as_str().unwrap_or_default()
+    }
+
+    /// Baton for the next request.
+    pub fn baton(&self) -> String {
+        let baton = self.body["baton"].as_str();
+        baton
+            .unwrap_or_else(|| panic!("no baton in {self:?}"))
+            .to_owned()
+    }
+
+    /// First column of the rows of a statement.
+    pub fn values(&self, statement: usize) -> Vec<String> {
+        let rows = &self.body["results"][statement]["response"]["result"]["rows"];
+        let rows = rows
+            .as_array()
+            .unwrap_or_else(|| panic!("no rows in {self:?}"));
+        let text = |row: &Value| row[0]["value"].as_str().unwrap_or_default().to_owned();
+        rows.iter().map(text).collect()
+    }
+
+    /// Asserts that the request succeeded.
+    #[track_caller]
+    pub fn expect_ok(self) -> Self {
+        assert!(self.is_ok(), "{self:?}");
+        self
+    }
+
+    /// Asserts that the request was refused as not run with a code.
+    #[track_caller]
+    pub fn expect_refused(self, code: &str) -> Self {
+        assert_eq!((self.code(), self.outcome()), (code, "not_run"), "{self:?}");
+        self
+    }
+}
+
+/// Sends requests to the instances; can be moved into tasks.
+#[derive(Clone)]
+pub struct Sender {
+    caller: HttpCaller,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Sender {
+    /// Sends a request to an instance; fails if there was no response.
+    pub async fn try_ask(&self, instance: usize, ask: &Ask) -> Result<Reply, ProcessError> {
+        let url = format!("http://{}/v3/pipeline", self.addresses[instance]);
+        let headers = ask
+            .headers
+            .iter()
+            .map(|(name, value)| (*name, value.as_str()));
+        let headers: Vec<_> = headers.collect();
+        let reply = self
+            .caller
+            .call(Method::POST, &url, &headers, ask.body())
+            .await?;
+        let header = |name| reply.header(name).unwrap_or_default().to_owned();
+        Ok(Reply {
+            status: reply.status,
+            session: header("x-corianderstile-session"),
+            served_by: header("x-served-by"),
+            body: reply.json().unwrap_or_default(),
+        })
+    }
+
+    /// Sends a request to an instance that is expected to answer.
+    pub async fn ask(&self, instance: usize, ask: &Ask) -> Reply {
+        self.try_ask(instance, ask).await.unwrap()
+    }
+
+    /// Repeats a request, which must have an id or be repeatable, through all instances until it
+    /// succeeds.
+    pub async fn ask_until_ok(&self, first: usize, ask: &Ask) -> Reply {
+        let start = Instant::now();
+        let mut instance = first;
+        loop {
+            let result = self.try_ask(instance, ask).await;
+            match result {
+                Ok(reply) if reply.is_ok() => return reply,
+                _ if start.elapsed() > LIMIT => panic!("no success of {ask:?}: {result:?}"),
+                _ => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+            instance = (instance + 1) % self.addresses.len();
+        }
+    }
+
+    /// All inserted values, read from the primary.
+    pub async fn stored_values(&self) -> Vec<String> {
+        let ask = Ask::new(&["SELECT value FROM items ORDER BY id"]);
+        self.ask_until_ok(0, &ask).await.values(0)
+    }
+}
+
+/// The running small deployment.
+pub struct Fleet {
+    /// Processes.
+    pub run: DeploymentRun,
+    /// Sends requests.
+    pub sender: Sender,
+}
+
+impl Deref for Fleet {
+    type Target = Sender;
+
+    fn deref(&self) -> &Sender {
+        &self.sender
+    }
+}
+
+impl DerefMut for Fleet {
+    fn deref_mut(&mut self) -> &mut Sender {
+        &mut self.sender
+    }
+}
+
+impl Fleet {
+    /// Starts the deployment and creates the table `items`.
+    pub async fn start() -> Self {
+        let options = RunOptions {
+            statement_time_us: 200,
+            lag_ms: 5,
+            list_lag_ms: 100,
+            instances: None,
+        };
+        let run = DeploymentRun::start(&DeploymentProfile::small(), &options)
+            .await
+            .unwrap();
+        let sender = Sender {
+            caller: HttpCaller::create(CALL_TIMEOUT).await,
+            addresses: run.caller_addresses(),
+        };
+        let fleet = Self { run, sender };
+        let table = "CREATE TABLE items (id INTEGER PRIMARY KEY, value TEXT)";
+        fleet
+            .ask_until_ok(0, &Ask::new(&[table]).id("create"))
+            .await;
+        fleet
+    }
+
+    /// The primary of the greatest term.
+    pub async fn primary(&self) -> &RunMember {
+        self.run.primary(DATABASE).await.expect("a primary")
+    }
+
+    /// The members that are not the primary.
+    pub async fn replicas(&self) -> Vec<&RunMember> {
+        let name = self.primary().await.name;
+        let members = self.run.members.iter();
+        members.filter(|member| member.name != name).collect()
+    }
+
+    /// Waits until a member other than the named one is the primary.
+    pub async fn wait_for_other_primary(&self, old: &str) {
+        let changed = async || {
+            let primary = self.run.primary(DATABASE).await;
+            primary.is_some_and(|primary| primary.name != old)
+        };
+        wait_until("change of primary", LIMIT, changed)
+            .await
+            .unwrap();
+    }
+
+    /// Changes faults of a member.
+    pub async fn member_faults(&self, name: &str, update: FaultUpdate) {
+        let mut members = self.run.members.iter();
+        let member = members.find(|member| member.name == name).unwrap();
+        member.client.set_faults(&update).await.unwrap();
+    }
+
+    /// Changes faults of the platform.
+    pub async fn platform_faults(&self, update: PlatformUpdate) {
+        let url = format!("http://{}/debug/faults", self.run.platform);
+        let body = serde_json::to_string(&update).unwrap();
+        self.run.group.caller().post(&url, body).await.unwrap();
+    }
+
+    /// Waits until an instance reports that it is not ready.
+    pub async fn wait_until_not_ready(&self, instance: usize) {
+        let url = format!("http://{}/ready", self.run.instances[instance].callers);
+        let refused = async || {
+            let reply = self.run.group.caller().get(&url).await;
+            reply.is_ok_and(|reply| reply.status == 503)
+        };
+        wait_until("instance not ready", LIMIT, refused)
+            .await
+            .unwrap();
+    }
+}
--- a/crates/coriander_standin/tests/common/mod.rs
+++ b/crates/coriander_standin/tests/common/mod.rs
@@ -1,6 +1,7 @@
-//! Helpers of the member tests.
+//! Helpers of the process tests.
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub mod fleet;
 pub mod forwarder;
 
 use coriander_standin::process::{HttpReply, MemberClient, ProcessGroup};
--- a/crates/coriander_standin/tests/load_driver.rs
+++ b/crates/coriander_standin/tests/load_driver.rs
@@ -17,7 +17,7 @@
     let mut group = ProcessGroup::create("load-driver").await.unwrap();
     let deployment = DeploymentProfile::bennani();
     let mut members = BTreeMap::new();
-    for database in deployment.databases {
+    for &database in &deployment.databases {
         let address = group
             .start_member("a", database, "zone-1", &[])
             .await
