--- a/crates/coriander_standin/src/deployment_profile.rs
+++ b/crates/coriander_standin/src/deployment_profile.rs
@@ -195,6 +195,8 @@
             classes: vec![
                 class("default", (50, 50), (0, 8_000)),
                 class("tracking", (50, 100), (60_000, 8_000)),
+                // A short target, so that requests over the rate are refused and do not wait.
+                class("quick", (0, 100), (0, 300)),
             ],
             accounts: vec![
                 account("account-1", 2_000),
--- a/crates/coriander_standin/src/process/process_group.rs
+++ b/crates/coriander_standin/src/process/process_group.rs
@@ -16,6 +16,10 @@
 use super::wait_until::{GENEROUS_LIMIT, wait_until};
 use crate::platform::ServiceEntry;
 
+/// Environment variable with the log filter of the processes. It is not `RUST_LOG`, because
+/// `ntex::test` sets that to `trace`, which slows the processes down.
+const LOG_VARIABLE: &str = "CORIANDER_PROCESS_LOG";
+
 struct GroupProcess {
     name: String,
     program: PathBuf,
@@ -234,7 +238,7 @@
             .args(&process.args)
             .env(
                 "RUST_LOG",
-                std::env::var("RUST_LOG").unwrap_or("info".to_owned()),
+                std::env::var(LOG_VARIABLE).unwrap_or("info".to_owned()),
             )
             .stdin(Stdio::null())
             .stdout(output)
--- a/crates/coriander_standin/tests/common/fleet.rs
+++ b/crates/coriander_standin/tests/common/fleet.rs
@@ -319,6 +319,24 @@
         self.run.group.caller().post(&url, body).await.unwrap();
     }
 
+    /// Number of the instance that is the gateway of the database.
+    pub async fn gateway(&self) -> usize {
+        let mut found = None;
+        let search = async || {
+            for instance in 0..self.run.instances.len() {
+                let Ok(dump) = self.run.admin(instance).dump().await else {
+                    continue;
+                };
+                if dump["gateways"][0]["rank"] == 0 {
+                    found = Some(instance);
+                }
+            }
+            found.is_some()
+        };
+        wait_until("gateway", LIMIT, search).await.unwrap();
+        found.unwrap()
+    }
+
     /// Waits until an instance reports that it is not ready.
     pub async fn wait_until_not_ready(&self, instance: usize) {
         let url = format!("http://{}/ready", self.run.instances[instance].callers);
--- a/crates/coriander_standin/tests/common/mod.rs
+++ b/crates/coriander_standin/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod forwarder;
+pub mod write_load;
 
 use coriander_standin::process::{HttpReply, MemberClient, ProcessGroup};
 use serde_json::{Value, json};
--- /dev/null
+++ b/crates/coriander_standin/tests/guarantee_transactions.rs
@@ -0,0 +1,204 @@
+//! G3, G4 and G9: transactions by baton, forged and repeated tokens, late responses.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use common::fleet::{Ask, Fleet, insert_sql};
+use coriander_standin::member::FaultUpdate;
+
+const SELECT_ALL: &str = "SELECT value FROM items ORDER BY id";
+
+/// Replaces one character in the middle.
+fn forge(text: &str) -> String {
+    let middle = text.len() / 2;
+    let other = if &text[middle..=middle] == "A" {
+        "B"
+    } else {
+        "A"
+    };
+    format!("{}{other}{}", &text[..middle], &text[middle + 1..])
+}
+
+/// Guards against transactions that work only on the instance that opened them, and against batons
+/// that are used by another account, twice or after a change: they must be refused as not run and
+/// must leave the transaction as it is.
+#[ntex::test]
+async fn transaction_moves_between_instances_by_baton() {
+    let fleet = Fleet::start().await;
+    let opened = fleet.ask(0, &Ask::open(&["BEGIN"])).await.expect_ok();
+    let first = opened.baton();
+    let insert = Ask::open(&[&insert_sql("one")]);
+    let second = fleet.ask(1, &insert.clone().baton(&first)).await;
+    let second = second.expect_ok().baton();
+    for instance in 0..3 {
+        let stolen = insert.clone().account("account-2").baton(&second);
+        fleet
+            .ask(instance, &stolen)
+            .await
+            .expect_refused("BAD_BATON");
+        let repeated = insert.clone().baton(&first);
+        fleet
+            .ask(instance, &repeated)
+            .await
+            .expect_refused("BAD_BATON");
+        let forged = insert.clone().baton(&forge(&second));
+        fleet
+            .ask(instance, &forged)
+            .await
+            .expect_refused("BAD_BATON");
+        let garbage = insert.clone().baton("garbage");
+        fleet
+            .ask(instance, &garbage)
+            .await
+            .expect_refused("BAD_BATON");
+    }
+    // The stand-in's database lets nobody read while a transaction writes, so its log is checked.
+    let log = fleet.primary().await.client.log_entries().await.unwrap();
+    assert!(!format!("{log:?}").contains("'one'"), "not committed");
+    let third = fleet.ask(2, &Ask::open(&[SELECT_ALL]).baton(&second)).await;
+    let third = third.expect_ok();
+    assert_eq!(third.values(0), ["one"]);
+    let commit = Ask::new(&["COMMIT"]).baton(&third.baton());
+    fleet.ask(0, &commit).await.expect_ok();
+    assert_eq!(fleet.stored_values().await, ["one"]);
+    let ended = fleet.ask(1, &commit).await;
+    ended.expect_refused("TRANSACTION_LOST");
+}
+
+/// Guards against accepting changed session tokens and those of another account.
+#[ntex::test]
+async fn session_tokens_are_checked() {
+    let fleet = Fleet::start().await;
+    let written = fleet
+        .ask(0, &Ask::insert("one").id("one"))
+        .await
+        .expect_ok();
+    let read = Ask::new(&[SELECT_ALL]);
+    for instance in 0..3 {
+        let forged = read.clone().session(&forge(&written.session));
+        fleet
+            .ask(instance, &forged)
+            .await
+            .expect_refused("BAD_SESSION");
+        let stolen = read.clone().account("account-2").session(&written.session);
+        fleet
+            .ask(instance, &stolen)
+            .await
+            .expect_refused("BAD_SESSION");
+        let cut = read
+            .clone()
+            .session(&written.session[..written.session.len() - 4]);
+        fleet
+            .ask(instance, &cut)
+            .await
+            .expect_refused("BAD_SESSION");
+        let unknown = read.clone().key("no-such-key");
+        fleet
+            .ask(instance, &unknown)
+            .await
+            .expect_refused("UNAUTHORIZED");
+    }
+}
+
+/// Guards against statements of two open transactions on one stream: each must see its own
+/// changes only, whatever instance its requests pass through.
+#[ntex::test]
+async fn transactions_do_not_mix() {
+    let fleet = Fleet::start().await;
+    let count = "SELECT count(*) FROM items";
+    let mut readers = Vec::new();
+    for instance in 0..3 {
+        let opened = fleet.ask(instance, &Ask::open(&["BEGIN", count])).await;
+        readers.push(opened.expect_ok().baton());
+    }
+    let begin = Ask::open(&["BEGIN IMMEDIATE", &insert_sql("writer")]).account("account-2");
+    let mut writer = fleet.ask(0, &begin).await.expect_ok().baton();
+    for round in 0..3 {
+        let value = format!("writer-{round}");
+        let ask = Ask::open(&[&insert_sql(&value), count]).account("account-2");
+        let reply = fleet.ask(round, &ask.baton(&writer)).await.expect_ok();
+        assert_eq!(reply.values(1), [(round + 2).to_string()]);
+        writer = reply.baton();
+        for (index, reader) in readers.iter_mut().enumerate() {
+            let ask = Ask::open(&[count]).baton(reader);
+            let reply = fleet.ask((index + round) % 3, &ask).await.expect_ok();
+            assert_eq!(reply.values(0), ["0"], "reader {index} in round {round}");
+            *reader = reply.baton();
+        }
+    }
+    for reader in &readers {
+        let rollback = Ask::new(&["ROLLBACK"]).baton(reader);
+        fleet.ask(1, &rollback).await.expect_ok();
+    }
+    let commit = Ask::new(&["COMMIT"]).account("account-2").baton(&writer);
+    fleet.ask(2, &commit).await.expect_ok();
+    assert_eq!(fleet.stored_values().await.len(), 4);
+}
+
+/// Guards against transactions that stay open or are half committed after the instance that held
+/// them has died, and against callers who do not learn of it.
+#[ntex::test]
+async fn transaction_of_killed_instance_is_rolled_back() {
+    let mut fleet = Fleet::start().await;
+    let holder = fleet.gateway().await;
+    let others: Vec<usize> = (0..3).filter(|&index| index != holder).collect();
+    let begin = Ask::open(&["BEGIN IMMEDIATE", &insert_sql("lost")]);
+    let baton = fleet.ask(others[0], &begin).await.expect_ok().baton();
+    let name = fleet.run.instances[holder].name.clone();
+    fleet.run.group.kill(&name).unwrap();
+    for &instance in &others {
+        let commit = Ask::new(&["COMMIT"]).baton(&baton);
+        let reply = fleet.ask(instance, &commit).await;
+        assert_ne!(reply.status, 200, "{reply:?}");
+        assert!(
+            ["TRANSACTION_LOST", "OUTCOME_UNKNOWN"].contains(&reply.code()),
+            "{reply:?}"
+        );
+    }
+    let write = Ask::insert("kept").id("kept");
+    fleet.ask_until_ok(others[0], &write).await;
+    let read = Ask::new(&[SELECT_ALL]);
+    let stored = fleet.ask_until_ok(others[1], &read).await.values(0);
+    assert_eq!(stored, ["kept"]);
+    fleet.run.group.restart(&name).unwrap();
+    fleet.run.wait_until_ready().await.unwrap();
+    let commit = Ask::new(&["COMMIT"]).baton(&baton);
+    fleet
+        .ask(holder, &commit)
+        .await
+        .expect_refused("TRANSACTION_LOST");
+}
+
+/// Guards against responses that reach another request when the member answers late and out of
+/// order.
+#[ntex::test]
+async fn late_responses_reach_their_own_request() {
+    let fleet = Fleet::start().await;
+    for member in &fleet.run.members {
+        let late = FaultUpdate {
+            late_ms: Some(400),
+            late_count: Some(15),
+            ..FaultUpdate::default()
+        };
+        member.client.set_faults(&late).await.unwrap();
+    }
+    let ask_one = |number: usize| {
+        let sender = fleet.sender.clone();
+        ntex::rt::spawn(async move {
+            let text = format!("own-{number}");
+            let class = if number.is_multiple_of(2) {
+                "default"
+            } else {
+                "tracking"
+            };
+            let ask = Ask::new(&[&format!("SELECT '{text}'")]).class(class);
+            let reply = sender.ask_until_ok(number % 3, &ask).await;
+            (text, reply.values(0))
+        })
+    };
+    let tasks: Vec<_> = (0..120).map(ask_one).collect();
+    for task in tasks {
+        let (expected, found) = task.await.unwrap();
+        assert_eq!(found, [expected]);
+    }
+}
