Close streams of a former gateway, so that its requests go on

Cause: an instance that loses its rank for a database bounds its pool to one stream. Streams that are checked in above the bound wait to be closed and still count, but the upkeep that closes them ran only with a rank. No stream could be checked out any more, so the requests that were waiting in a gateway failed at their time limit of 10 s. Seen at SIGTERM under load, when the leaving gateway loses its rank.

Change: the upkeep also runs while a pool of the gateway has streams.

Conclusion: shutdown_interrupts_no_request covers the fault.

--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -449,7 +449,16 @@
             self.transactions
                 .expire(now, self.context.bounds.idle_transaction, term);
             self.gate.dispatch();
-            let Some(view) = primary.filter(|_| self.rank.get().is_some()) else {
+            // A former gateway must go on closing streams: those above its new bound count as in use
+            // until they are closed, and requests that it still runs would wait for them in vain.
+            let holds_streams = || {
+                let members = self.group.members();
+                members
+                    .iter()
+                    .any(|member| member.pool.counts().total() > 0)
+            };
+            let Some(view) = primary.filter(|_| self.rank.get().is_some() || holds_streams())
+            else {
                 continue;
             };
             for member in self.group.members() {
