--- a/crates/coriander_standin/tests/common/mod.rs
+++ b/crates/coriander_standin/tests/common/mod.rs
@@ -1,7 +1,9 @@
-//! Helpers of the member tests.
+//! Helpers of the process tests.
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub mod fleet;
 pub mod forwarder;
+pub mod write_load;
 
 use coriander_standin::process::{HttpReply, MemberClient, ProcessGroup};
 use serde_json::{Value, json};
