Renew the term when a lost gateway is replaced

Cause: transactions that a killed gateway had left open held their locks until the member's idle limit of 5 s, so no write of that database was acknowledged. Change: the instance that takes over from a silent gateway fences the group at the next term and promotes the same member again; members close all streams at a change of term.

--- a/crates/coriander_failover/src/group_event.rs
+++ b/crates/coriander_failover/src/group_event.rs
@@ -94,6 +94,11 @@
         /// Reply or failure.
         result: Result<ControlReply, CallFailure>,
     },
+    /// The instance that used the primary so far is gone, and this one takes over.
+    ///
+    /// Its open transactions may hold locks. Members close all streams at a change of term, so
+    /// the same member becomes primary of the next term.
+    GatewayReplaced,
     /// A statement request to a member was not sent, or a member refused its term.
     ///
     /// It makes the monitor probe at once instead of at the next interval.
--- a/crates/coriander_failover/src/group_monitor.rs
+++ b/crates/coriander_failover/src/group_monitor.rs
@@ -370,6 +370,12 @@
                     self.note_term(reply.term, now);
                 }
             }
+            GroupEvent::GatewayReplaced => {
+                let primary = self.primary().map(|view| view.member.clone());
+                if primary.is_some() && self.suspicion.is_none() {
+                    self.start_attempt(PromotionCause::GatewayLost, primary, step);
+                }
+            }
             GroupEvent::StatementFailed { member } => {
                 if let Some(record) = self.records.get_mut(&member) {
                     // Many statements fail at once; they must not use up the refusals in no time.
--- a/crates/coriander_failover/src/promotion_cause.rs
+++ b/crates/coriander_failover/src/promotion_cause.rs
@@ -19,6 +19,8 @@
     ReplicationStalled,
     /// A member accepted a later term in which no primary appeared.
     LaterTerm,
+    /// The instance that used the primary is gone and may have left transactions open.
+    GatewayLost,
     /// The primary is leaving or its zone is out of service.
     Planned,
 }
@@ -40,6 +42,7 @@
             Self::EntriesLost => "entries_lost",
             Self::ReplicationStalled => "replication_stalled",
             Self::LaterTerm => "later_term",
+            Self::GatewayLost => "gateway_lost",
             Self::Planned => "planned",
         }
     }
--- a/crates/coriander_failover/src/promotion_steps.rs
+++ b/crates/coriander_failover/src/promotion_steps.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    fn start_attempt(
+    pub(crate) fn start_attempt(
         &mut self,
         cause: PromotionCause,
         target: Option<MemberId>,
@@ -85,7 +85,10 @@
         let mut attempt = PromotionAttempt::new(term, cause, step.now);
         attempt.resend_due = step.now + RESEND_INTERVAL;
         attempt.target = target;
-        let is_suspect = !matches!(cause, PromotionCause::Planned | PromotionCause::LaterTerm);
+        let is_suspect = !matches!(
+            cause,
+            PromotionCause::Planned | PromotionCause::LaterTerm | PromotionCause::GatewayLost
+        );
         if is_suspect {
             attempt.suspect = self.view.as_ref().map(|view| view.member.clone());
         }
--- a/crates/coriander_failover/tests/group_monitor.rs
+++ b/crates/coriander_failover/tests/group_monitor.rs
@@ -166,6 +166,19 @@
     assert_eq!(promoted(&actions), Some(("b".into(), 2)));
 }
 
+/// Guards against locks that a lost gateway's transactions hold until the members' idle limit, and
+/// against moving the primary although only its streams have to be closed.
+#[test]
+fn handle_gateway_replaced() {
+    let mut bench = Bench::new();
+    let actions = bench.handle(GroupEvent::GatewayReplaced);
+    assert_eq!(fences(&actions), 3);
+    assert_eq!(bench.monitor.cause(), Some(PromotionCause::GatewayLost));
+    bench.fenced("b", 2, (true, 2, position(1, 5)));
+    let actions = bench.fenced("a", 2, (true, 2, position(1, 5)));
+    assert_eq!(promoted(&actions), Some(("a".into(), 2)));
+}
+
 /// Guards against a primary that resumes behind what it had shown.
 #[test]
 fn handle_primary_restarted_behind() {
--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -208,6 +208,12 @@
         }
     }
 
+    /// Takes over from a gateway that was lost without closing its transactions.
+    pub fn take_over(&self) {
+        log::info!("gateway: taking over {} from a lost instance", self.name);
+        self.group.gateway_replaced();
+    }
+
     /// Ends waiting requests and transactions of withdrawn keys.
     pub fn end_keys(&self, keys: &[KeyDigest]) {
         self.gate.cancel_keys(keys);
--- a/crates/corianderstile/src/gateway/group_task.rs
+++ b/crates/corianderstile/src/gateway/group_task.rs
@@ -110,6 +110,11 @@
         });
     }
 
+    /// Notes that this instance takes over from a gateway that was lost.
+    pub fn gateway_replaced(self: &Rc<Self>) {
+        self.feed(GroupEvent::GatewayReplaced);
+    }
+
     /// Describes the state of the group for the dump.
     pub fn describe(&self) -> String {
         format!("{:?}", self.monitor.borrow())
--- a/crates/corianderstile/src/proxy.rs
+++ b/crates/corianderstile/src/proxy.rs
@@ -1,6 +1,7 @@
 //! All parts of one process and the tasks that connect them.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket as StdUdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
@@ -87,6 +88,8 @@
     pub entry: Rc<EntryService>,
     store: Rc<dyn PlatformStore>,
     watched: RefCell<Vec<DatabaseName>>,
+    /// Gateways of the databases for which this instance has a rank.
+    first_gateways: RefCell<BTreeMap<DatabaseName, InstanceId>>,
 }
 
 impl Proxy {
@@ -141,6 +144,7 @@
             entry,
             store,
             watched: RefCell::default(),
+            first_gateways: RefCell::default(),
         });
         proxy.connect_parts();
         proxy.spawn_tasks(listener, socket, frames);
@@ -279,14 +283,31 @@
         for database in &self.config.document().databases {
             let rank = self.membership.own_rank(database);
             if rank.is_some() {
-                self.gateways.get(database).set_rank(rank);
+                let gateway = self.gateways.get(database);
+                gateway.set_rank(rank);
                 self.watch_database(database);
+                if self.replaces_lost_gateway(database) {
+                    gateway.take_over();
+                }
             } else if let Some(gateway) = self.gateways.find(database) {
                 gateway.set_rank(None);
             }
         }
     }
 
+    /// Tells whether this instance has just become the gateway in place of one that is silent.
+    fn replaces_lost_gateway(&self, database: &DatabaseName) -> bool {
+        let Some(first) = self.membership.gateways(database).first().cloned() else {
+            return false;
+        };
+        let mut known = self.first_gateways.borrow_mut();
+        let previous = known.insert(database.clone(), first.clone());
+        first == self.own_id
+            && previous.is_some_and(|previous| {
+                previous != self.own_id && !self.membership.is_live(&previous)
+            })
+    }
+
     fn watch_database(self: &Rc<Self>, database: &DatabaseName) {
         let mut watched = self.watched.borrow_mut();
         if !watched.contains(database) {
