--- a/crates/coriander_config/src/change_command.rs
+++ b/crates/coriander_config/src/change_command.rs
@@ -7,6 +7,9 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+/// Smallest burst with which an account can get a token.
+const LEAST_BURST: u32 = 2;
+
 /// One change. Operators state targets and limits, never weights or addresses; the address of a
 /// fleet member comes from the instance itself when it joins.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -102,9 +105,10 @@
     /// The key is already given, perhaps to another account.
     #[error("key {0} has the same digest as an existing key")]
     KeyUsed(String),
-    /// A rate or burst of zero would refuse every request.
-    #[error("rate and burst of account {0} must be greater than zero")]
-    ZeroLimit(String),
+    /// A rate of zero or a burst below two would refuse every request: a grant in transit always
+    /// counts against the burst.
+    #[error("rate of account {0} must be greater than zero and its burst at least 2")]
+    LowLimit(String),
     /// A latency of zero would refuse every request.
     #[error("latency of class {0} must be greater than zero")]
     ZeroLatency(String),
@@ -211,8 +215,8 @@
     account: &AccountName,
     limits: AccountLimits,
 ) -> Result<(), CommandError> {
-    if limits.rate == 0 || limits.burst == 0 {
-        return Err(CommandError::ZeroLimit(account.to_string()));
+    if limits.rate == 0 || limits.burst < LEAST_BURST {
+        return Err(CommandError::LowLimit(account.to_string()));
     }
     document.accounts.insert(account.clone(), limits);
     Ok(())
--- a/crates/coriander_config/tests/applied_configuration.rs
+++ b/crates/coriander_config/tests/applied_configuration.rs
@@ -311,15 +311,13 @@
     };
     let unknown = give(account("nobody"), "k2", digest).apply(&mut document);
     assert_eq!(unknown, Err(CommandError::Unknown("account nobody".into())));
-    let limits = AccountLimits { rate: 0, burst: 5 };
-    let set = ChangeCommand::SetAccount {
-        account: account("orders"),
-        limits,
-    };
-    assert_eq!(
-        set.apply(&mut document),
-        Err(CommandError::ZeroLimit("orders".into()))
-    );
+    for (rate, burst) in [(0, 5), (5, 1)] {
+        let limits = AccountLimits { rate, burst };
+        let account = account("orders");
+        let set = ChangeCommand::SetAccount { account, limits };
+        let refused = Err(CommandError::LowLimit("orders".into()));
+        assert_eq!(set.apply(&mut document), refused);
+    }
     assert_eq!(document, before);
     let limits = AccountLimits { rate: 5, burst: 5 };
     let set = ChangeCommand::SetAccount {
--- a/crates/coriander_config/tests/simulation/world.rs
+++ b/crates/coriander_config/tests/simulation/world.rs
@@ -88,7 +88,7 @@
             let incarnation = world.nodes[node].incarnation;
             world.push(node as u64, Event::Tick(node, incarnation));
         }
-        let limits = AccountLimits { rate: 1, burst: 1 };
+        let limits = AccountLimits { rate: 1, burst: 2 };
         let account = "orders".parse().expect("valid name");
         let mut commands = vec![ChangeCommand::SetAccount { account, limits }, give_key(0)];
         commands.extend((0..fleet).map(|node| ChangeCommand::JoinFleet {
