--- /dev/null
+++ b/crates/coriander_standin/tests/guarantee_refusals.rs
@@ -0,0 +1,118 @@
+//! G10: a request that was refused as not run was not executed.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::fleet::{Ask, Fleet, insert_sql};
+use coriander_standin::member::FaultUpdate;
+use tokio::time::sleep;
+
+const PHASE: Duration = Duration::from_secs(2);
+const SENDERS: usize = 9;
+
+/// Values by what the caller was told: `ok`, `not_run`, `run`, `unknown` or `no response`.
+type Told = Rc<RefCell<BTreeMap<String, BTreeSet<String>>>>;
+
+/// Sends writes once each, without retries; a third of them in transactions of two requests and a
+/// third for an account that exceeds its rate.
+async fn send(fleet: common::fleet::Sender, sender: usize, told: Told, stops: Rc<Cell<bool>>) {
+    let account = if sender.is_multiple_of(3) {
+        "limited"
+    } else {
+        "account-1"
+    };
+    for number in 0.. {
+        if stops.get() {
+            return;
+        }
+        let value = format!("once-{sender}-{number}");
+        let instance = (sender + number) % 3;
+        let ask = if sender % 3 == 1 {
+            let begin = Ask::open(&["BEGIN IMMEDIATE"]);
+            let Ok(begun) = fleet.try_ask(instance, &begin).await else {
+                continue;
+            };
+            if !begun.is_ok() {
+                continue;
+            }
+            let ask = Ask::new(&[&insert_sql(&value), "COMMIT"]);
+            ask.baton(&begun.baton())
+        } else {
+            Ask::insert(&value).class("quick").account(account)
+        };
+        let outcome = match fleet.try_ask(instance, &ask).await {
+            Ok(reply) if reply.is_ok() => "ok".to_owned(),
+            // An error of a statement, such as a lock that was not free, is a result.
+            Ok(reply) if reply.status == 200 => "statement error".to_owned(),
+            Ok(reply) => reply.outcome().to_owned(),
+            Err(_) => "no response".to_owned(),
+        };
+        told.borrow_mut().entry(outcome).or_default().insert(value);
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against "not run" for a write that was executed: after lost responses, a change of
+/// primary, a killed instance, an exceeded rate and a passed deadline.
+#[ntex::test]
+async fn refused_requests_were_not_executed() {
+    let mut fleet = Fleet::start().await;
+    let told = Told::default();
+    let stops = Rc::new(Cell::new(false));
+    let start = |sender| {
+        let task = send(fleet.sender.clone(), sender, told.clone(), stops.clone());
+        ntex::rt::spawn(task)
+    };
+    let tasks: Vec<_> = (0..SENDERS).map(start).collect();
+    let drops = FaultUpdate {
+        drop_count: Some(25),
+        ..FaultUpdate::default()
+    };
+    sleep(PHASE).await;
+    let primary = fleet.primary().await;
+    let (old, process) = (primary.name, primary.process.clone());
+    primary.client.set_faults(&drops).await.unwrap();
+    sleep(PHASE).await;
+    fleet.run.group.kill(&process).unwrap();
+    fleet.wait_for_other_primary(old).await;
+    sleep(PHASE).await;
+    fleet.run.group.restart(&process).unwrap();
+    sleep(PHASE).await;
+    let primary = fleet.primary().await;
+    let (old, process) = (primary.name, primary.process.clone());
+    primary.client.set_faults(&drops).await.unwrap();
+    fleet.run.group.pause(&process).unwrap();
+    fleet.wait_for_other_primary(old).await;
+    fleet.run.group.resume(&process).unwrap();
+    let gateway = fleet.gateway().await;
+    let name = fleet.run.instances[gateway].name.clone();
+    fleet.run.group.kill(&name).unwrap();
+    sleep(PHASE).await;
+    fleet.run.group.restart(&name).unwrap();
+    fleet.run.wait_until_ready().await.unwrap();
+    stops.set(true);
+    for task in tasks {
+        task.await.unwrap();
+    }
+    // Every open transaction has ended once a write succeeds.
+    fleet.ask_until_ok(0, &Ask::insert("last").id("last")).await;
+    let stored = fleet.stored_values().await;
+    let unique: BTreeSet<_> = stored.iter().cloned().collect();
+    assert_eq!(unique.len(), stored.len(), "a value was stored twice");
+    let told = told.borrow();
+    for (outcome, values) in told.iter() {
+        let present = values.intersection(&unique).count();
+        println!("{outcome}: {} values, {present} stored", values.len());
+    }
+    let not_run = &told["not_run"];
+    let executed: Vec<_> = not_run.intersection(&unique).collect();
+    assert!(executed.is_empty(), "not run but stored: {executed:?}");
+    let lost: Vec<_> = told["ok"].difference(&unique).collect();
+    assert!(lost.is_empty(), "acknowledged but lost: {lost:?}");
+    assert!(not_run.len() > SENDERS, "too few refusals to tell");
+}
--- /dev/null
+++ b/crates/coriander_standin/tests/guarantee_zones.rs
@@ -0,0 +1,111 @@
+//! G8 and G12: zones out of service and leaving members get no new work.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::fleet::{Ask, Fleet, LIMIT};
+use coriander_config::ChangeCommand;
+use coriander_standin::process::{RunMember, wait_until};
+use tokio::time::sleep;
+
+/// Time after which a zone or member gets no new work.
+const FEW_SECONDS: Duration = Duration::from_secs(5);
+
+/// Tells whether a member received a statement with a text.
+async fn has_received(member: &RunMember, text: &str) -> bool {
+    let received = member.client.received().await.unwrap();
+    received.iter().any(|request| request.body.contains(text))
+}
+
+/// Writes and reads with a mark through some instances.
+async fn work(fleet: &Fleet, instances: &[usize], mark: &str) {
+    for round in 0..10 {
+        for &instance in instances {
+            let value = format!("{mark}-{instance}-{round}");
+            let write = Ask::insert(&value).id(&value);
+            let session = fleet.ask_until_ok(instance, &write).await.session;
+            let sql = format!("SELECT '{mark}', count(*) FROM items");
+            let read = Ask::new(&[&sql]).class("tracking").session(&session);
+            fleet.ask_until_ok(instance, &read).await;
+        }
+    }
+}
+
+/// Guards against an excluded zone that keeps the primary, replica reads, gateways or callers, and
+/// against one that does not come back into service.
+#[ntex::test]
+async fn zone_out_gets_no_work_until_it_returns() {
+    let fleet = Fleet::start().await;
+    work(&fleet, &[0, 1, 2], "before").await;
+    let primary = fleet.primary().await;
+    let (old, zone) = (primary.name, primary.zone);
+    let zone_name = || zone.parse().unwrap();
+    let is_out = |index: &usize| fleet.run.instances[*index].zone == zone;
+    let out = (0..3).find(is_out).unwrap();
+    let others: Vec<_> = (0..3).filter(|index| !is_out(index)).collect();
+    let zone_out = ChangeCommand::ZoneOut { zone: zone_name() };
+    fleet.run.admin(others[0]).change(&zone_out).await.unwrap();
+    fleet.wait_until_not_ready(out).await;
+    // Service goes on while the zone leaves.
+    work(&fleet, &others, "during").await;
+    fleet.wait_for_other_primary(old).await;
+    sleep(FEW_SECONDS).await;
+    assert_ne!(fleet.gateway().await, out);
+    work(&fleet, &others, "zone-is-out").await;
+    let refused = fleet.ask(out, &Ask::new(&["SELECT 'refused'"])).await;
+    refused.expect_refused("DRAINING");
+    for member in &fleet.run.members {
+        let received = has_received(member, "zone-is-out").await;
+        if member.zone == zone {
+            assert!(!received, "{} got work", member.name);
+        }
+        assert!(!has_received(member, "refused").await);
+    }
+    assert_ne!(fleet.primary().await.zone, zone);
+
+    let zone_in = ChangeCommand::ZoneIn { zone: zone_name() };
+    fleet.run.admin(others[0]).change(&zone_in).await.unwrap();
+    fleet.run.wait_until_ready().await.unwrap();
+    let member = fleet.run.members.iter().find(|member| member.zone == zone);
+    let member = member.unwrap();
+    // Without the other replica, reads that a replica may serve have only the returned member.
+    for replica in fleet.replicas().await {
+        if replica.name != member.name {
+            fleet.run.list_member(replica, "leaving").await.unwrap();
+        }
+    }
+    let returned = async || {
+        work(&fleet, &[out], "zone-is-back").await;
+        has_received(member, "'zone-is-back'").await
+    };
+    wait_until("work of the returned zone", LIMIT, returned)
+        .await
+        .unwrap();
+}
+
+/// Guards against a leaving primary that keeps its role and against a leaving replica that goes on
+/// serving reads.
+#[ntex::test]
+async fn leaving_members_get_no_work() {
+    let fleet = Fleet::start().await;
+    work(&fleet, &[0, 1, 2], "before").await;
+    let first = fleet.primary().await;
+    fleet.run.list_member(first, "leaving").await.unwrap();
+    work(&fleet, &[0, 1, 2], "during").await;
+    fleet.wait_for_other_primary(first.name).await;
+    sleep(FEW_SECONDS).await;
+    work(&fleet, &[0, 1, 2], "primary-left").await;
+    assert!(!has_received(first, "primary-left").await);
+
+    fleet.run.list_member(first, "live").await.unwrap();
+    let replicas = fleet.replicas().await;
+    let second = replicas.iter().find(|replica| replica.name != first.name);
+    let second = second.unwrap();
+    fleet.run.list_member(second, "leaving").await.unwrap();
+    sleep(FEW_SECONDS).await;
+    work(&fleet, &[0, 1, 2], "replica-left").await;
+    assert!(!has_received(second, "replica-left").await);
+    assert_ne!(fleet.primary().await.name, second.name);
+}
