Split small buckets less and probe replicas less often

Cause: (1) accounts with a burst of 8 had three shards of under two tokens each and were refused inside their rate. (2) An idle gateway spent 1.4 to 3.0 % of a core, over the budget of 2 %: mostly probes of members, 10/s each. Change: a bucket is split only while each shard holds at least 8 tokens; the holder and the monitor sleep until their next event; replicas are probed each 500 ms.

--- a/crates/coriander_limits/src/account_plan.rs
+++ b/crates/coriander_limits/src/account_plan.rs
@@ -11,7 +11,7 @@
 use crate::{BucketShare, LimitPolicy};
 
 /// Smallest capacity of a shard for which the bucket is split further.
-const LEAST_SHARD_TOKENS: u64 = 2;
+const LEAST_SHARD_TOKENS: u64 = 8;
 
 /// Part of the burst, as a divisor, that may be outstanding in grants. It shortens the expiry of
 /// accounts whose burst is small against their rate.
--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -395,8 +395,7 @@
                 continue;
             };
             for member in self.group.members() {
-                let clock = self.context.clock;
-                ntex::rt::spawn(async move { member.maintain_pool(view.term, clock).await });
+                member.maintain_pool(view.term, self.context.clock);
             }
         }
     }
--- a/crates/corianderstile/src/gateway/group_task.rs
+++ b/crates/corianderstile/src/gateway/group_task.rs
@@ -17,8 +17,17 @@
 use super::member_handle::MemberHandle;
 use crate::process_clock::ProcessClock;
 
-/// Time between calls of the monitor; well below its shortest interval of 50 ms.
-const TICK: Duration = Duration::from_millis(10);
+/// Longest time between calls of the monitor; below its shortest interval of 50 ms.
+const TICK: Duration = Duration::from_millis(40);
+
+/// Time between probes of a replica while the primary is healthy.
+const REPLICA_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Shortest time between calls of the monitor.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
+
+/// Longest wait for a change of the primary before it is read again.
+const CHANGE_WAIT: Duration = Duration::from_millis(10);
 
 type MemberMap = BTreeMap<MemberId, Rc<MemberHandle>>;
 type StatusListener = Box<dyn Fn(&GroupStatus, MonotonicTime)>;
@@ -37,7 +46,7 @@
 impl GroupTask {
     /// Creates the task of a group without members.
     pub fn new(database: DatabaseName, own_id: InstanceId, clock: ProcessClock) -> Rc<Self> {
-        let monitor = GroupMonitor::new(database, MonitorSettings::default(), clock.now());
+        let monitor = GroupMonitor::new(database, monitor_settings(), clock.now());
         Rc::new(Self {
             own_id,
             clock,
@@ -93,7 +102,7 @@
 
     /// Waits until the primary may have changed, at most for one tick.
     pub async fn wait_change(&self) {
-        let _ = tokio::time::timeout(TICK, self.changed.notified()).await;
+        let _ = tokio::time::timeout(CHANGE_WAIT, self.changed.notified()).await;
     }
 
     /// Notes a position that a majority holds; no member whose log ends before it is promoted.
@@ -124,7 +133,11 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             self.feed(GroupEvent::Tick);
-            tokio::time::sleep(TICK).await;
+            let now = self.clock.now();
+            let wake = self.monitor.borrow().next_wake(now);
+            // Events and a change of rank can bring the next call forward.
+            let pause = wake.since(now).clamp(LEAST_PAUSE, TICK);
+            tokio::time::sleep(pause).await;
         }
     }
 
@@ -225,6 +238,12 @@
     }
 }
 
+/// Probes of replicas are the largest part of a gateway's control cost. Their positions also come
+/// with confirmations and with status requests ahead of time.
+fn monitor_settings() -> MonitorSettings {
+    MonitorSettings::default().with_replica_probe_interval(REPLICA_PROBE_INTERVAL)
+}
+
 fn call_failure(error: &UpstreamError) -> CallFailure {
     if error.is_connection_refused() {
         CallFailure::Refused
--- a/crates/corianderstile/src/gateway/member_handle.rs
+++ b/crates/corianderstile/src/gateway/member_handle.rs
@@ -91,20 +91,33 @@
     }
 
     /// Opens streams ahead of need and closes those that are no longer wanted.
-    pub async fn maintain_pool(&self, term: TermNumber, clock: ProcessClock) {
-        while let Some(lease) = self.pool.next_to_close(clock.now()) {
-            let body = close_stream_body(lease.baton().unwrap_or_default());
-            // A stream that cannot be closed is dropped by the member when it is idle for long.
-            let _ = self.client.pipeline(PipelineRequest::new(term, body)).await;
+    pub fn maintain_pool(self: &Rc<Self>, term: TermNumber, clock: ProcessClock) {
+        let now = clock.now();
+        while let Some(lease) = self.pool.next_to_close(now) {
+            ntex::rt::spawn(self.clone().close_stream(lease, term));
         }
-        while let Some(mut lease) = self.pool.warm_up(clock.now()) {
-            let request = PipelineRequest::new(term, open_stream_body());
-            let Ok(reply) = self.client.pipeline(request).await else {
-                return;
-            };
-            let Ok(Some(baton)) = read_baton(&reply.body) else {
-                return;
-            };
+        while let Some(lease) = self.pool.warm_up(now) {
+            ntex::rt::spawn(self.clone().open_stream(lease, term, clock));
+        }
+    }
+
+    async fn close_stream(self: Rc<Self>, lease: StreamLease, term: TermNumber) {
+        let body = close_stream_body(lease.baton().unwrap_or_default());
+        // A stream that cannot be closed is dropped by the member when it is idle for long.
+        let _ = self.client.pipeline(PipelineRequest::new(term, body)).await;
+    }
+
+    async fn open_stream(
+        self: Rc<Self>,
+        mut lease: StreamLease,
+        term: TermNumber,
+        clock: ProcessClock,
+    ) {
+        let request = PipelineRequest::new(term, open_stream_body());
+        let Ok(reply) = self.client.pipeline(request).await else {
+            return;
+        };
+        if let Ok(Some(baton)) = read_baton(&reply.body) {
             lease.advance(baton);
             lease.check_in(clock.now());
         }
--- a/crates/corianderstile/src/rate_service.rs
+++ b/crates/corianderstile/src/rate_service.rs
@@ -23,8 +23,11 @@
 /// Time within which an owner must answer.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time between checks for due wake-ups of the holder.
-const TICK: Duration = Duration::from_millis(5);
+/// Longest time between checks for due wake-ups of the holder.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Shortest time between such checks.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
 
 /// Attempts to hand a shard over to an owner that has not applied the version yet.
 const HAND_OVER_ATTEMPTS: usize = 20;
@@ -155,17 +158,16 @@
     /// Wakes waiting requests at their time.
     pub async fn run(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(TICK).await;
             let now = self.clock.now();
-            let is_due = self
-                .holder
-                .borrow()
-                .next_wakeup()
-                .is_some_and(|time| time <= now);
-            if is_due {
+            let wakeup = self.holder.borrow().next_wakeup();
+            if wakeup.is_some_and(|time| time <= now) {
                 self.holder.borrow_mut().poll(now);
                 self.handle_events();
             }
+            // A new request can bring the next wake-up forward, but never below the retry time
+            // of owners, which is far longer.
+            let pause = wakeup.map_or(TICK, |time| time.since(now));
+            tokio::time::sleep(pause.clamp(LEAST_PAUSE, TICK)).await;
         }
     }
 
