Send nothing on a connection to another instance that has ended

Cause: when another instance died, the reader of an idle connection ended and cleared the waiting requests, but the connection still counted as open, because the writer notices the loss only when it writes.

Change: the end of the reader closes the connection for new requests, so that the next one opens a connection, is refused and goes to the backup. transaction_starts_elsewhere_after_gateway_died covers it.

Conclusion: requests that follow the death of a gateway no longer wait for their time limit.

--- a/crates/coriander_standin/tests/guarantee_transactions.rs
+++ b/crates/coriander_standin/tests/guarantee_transactions.rs
@@ -169,6 +169,24 @@
         .expect_refused("TRANSACTION_LOST");
 }
 
+/// Guards against requests that are sent on the connection to a gateway that has just died and
+/// then wait for a response until their time limit: nothing was sent to a running process, so the
+/// outcome must not be unknown, not even of a request that may not be repeated.
+#[ntex::test]
+async fn transaction_starts_elsewhere_after_gateway_died() {
+    let mut fleet = Fleet::start().await;
+    let gateway = fleet.gateway().await;
+    let other = (gateway + 1) % 3;
+    let begin = Ask::open(&["BEGIN"]);
+    let opened = fleet.ask(other, &begin).await.expect_ok();
+    let rollback = Ask::new(&["ROLLBACK"]).baton(&opened.baton());
+    fleet.ask(other, &rollback).await.expect_ok();
+    let name = fleet.run.instances[gateway].name.clone();
+    fleet.run.group.kill(&name).unwrap();
+    let opened = fleet.ask(other, &begin).await;
+    assert_ne!(opened.outcome(), "unknown", "{opened:?}");
+}
+
 /// Guards against responses that reach another request when the member answers late and out of
 /// order.
 #[ntex::test]
--- a/crates/corianderstile/src/peer/connection.rs
+++ b/crates/corianderstile/src/peer/connection.rs
@@ -34,7 +34,8 @@
 /// Initial size of the receive buffer in bytes.
 const READ_BUFFER_LENGTH: usize = 16 * 1024;
 
-type PendingReplies = Rc<RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>>;
+/// Waiters by request number; `None` once no reply can arrive any more.
+type PendingReplies = Rc<RefCell<Option<HashMap<u64, oneshot::Sender<PeerReply>>>>>;
 
 /// The requesting side of a connection.
 pub struct PeerConnection {
@@ -48,7 +49,7 @@
     /// Starts the reader and the writer of an open connection.
     pub fn start(stream: TcpStream, codec: FrameCodec) -> Self {
         let (read, write) = stream.into_split();
-        let pending = PendingReplies::default();
+        let pending = Rc::new(RefCell::new(Some(HashMap::new())));
         let outgoing = start_writer(write);
         ntex::rt::spawn(read_replies(read, codec.clone(), pending.clone()));
         Self {
@@ -61,7 +62,8 @@
 
     /// Tells whether the connection can still be used.
     pub fn is_open(&self) -> bool {
-        !self.outgoing.is_closed()
+        // The writer notices a lost connection only when it writes, the reader at once.
+        !self.outgoing.is_closed() && self.pending.borrow().is_some()
     }
 
     /// Sends a request and waits for its reply.
@@ -79,18 +81,29 @@
             .codec
             .encode(&PeerFrame::Request(id, Box::new(request)))?;
         let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().insert(id, sender);
+        match self.pending.borrow_mut().as_mut() {
+            Some(pending) => pending.insert(id, sender),
+            None => return Err(PeerError::NotSent),
+        };
         if self.outgoing.send(frame).await.is_err() {
-            self.pending.borrow_mut().remove(&id);
+            self.take_waiter(id);
             return Err(PeerError::NotSent);
         }
         let reply = tokio::time::timeout(timeout, receiver).await;
-        self.pending.borrow_mut().remove(&id);
+        self.take_waiter(id);
         match reply {
             Ok(Ok(reply)) => Ok(reply),
             _ => Err(PeerError::NoReply),
         }
     }
+
+    fn take_waiter(&self, id: u64) {
+        take_waiter(&self.pending, id);
+    }
+}
+
+fn take_waiter(pending: &PendingReplies, id: u64) -> Option<oneshot::Sender<PeerReply>> {
+    pending.borrow_mut().as_mut()?.remove(&id)
 }
 
 /// Starts the task that writes frames in order; it ends with the connection.
@@ -110,14 +123,15 @@
     let mut reader = FrameReader::new(read, codec);
     while let Ok(Some(frame)) = reader.next().await {
         if let PeerFrame::Reply(id, reply) = frame
-            && let Some(waiter) = pending.borrow_mut().remove(&id)
+            && let Some(waiter) = take_waiter(&pending, id)
         {
             // The waiter may have timed out in the meantime.
             let _ = waiter.send(reply);
         }
     }
-    // Dropping the senders tells every waiter that the connection is lost.
-    pending.borrow_mut().clear();
+    // Dropping the senders tells every waiter that the connection is lost, and without the table
+    // no further request waits on it.
+    pending.borrow_mut().take();
 }
 
 /// Failure to read the next frame.
