Wait for a new primary without asking a paused one

Cause: the tests asked every member for its status while they waited for a change of primary; a paused member answers only after the client's limit of 5 s, so a wait took up to 10 s. withdrawn_key_is_refused_everywhere failed once, because the server had closed its connection, idle for 5 s, while the change was being accepted.

Change: the wait asks the other members only and takes a primary of their greatest term. The key test goes on using its connections while the change runs; what it asserts afterwards is the same.

--- a/crates/coriander_standin/tests/common/fleet.rs
+++ b/crates/coriander_standin/tests/common/fleet.rs
@@ -5,6 +5,7 @@
 use std::ops::{Deref, DerefMut};
 use std::time::{Duration, Instant};
 
+use coriander_core::MemberRole;
 use coriander_standin::DeploymentProfile;
 use coriander_standin::member::FaultUpdate;
 use coriander_standin::platform::PlatformUpdate;
@@ -296,9 +297,19 @@
 
     /// Waits until a member other than the named one is the primary.
     pub async fn wait_for_other_primary(&self, old: &str) {
+        // The old primary is not asked, because a paused one answers only after a long time.
+        let members = self.run.members.iter();
+        let others: Vec<_> = members.filter(|member| member.name != old).collect();
         let changed = async || {
-            let primary = self.run.primary(DATABASE).await;
-            primary.is_some_and(|primary| primary.name != old)
+            let mut statuses = Vec::new();
+            for member in &others {
+                statuses.extend(member.client.status().await);
+            }
+            let greatest = statuses.iter().map(|status| status.term).max();
+            let mut primaries = statuses
+                .iter()
+                .filter(|status| status.role == MemberRole::Primary);
+            primaries.any(|status| Some(status.term) == greatest)
         };
         wait_until("change of primary", LIMIT, changed)
             .await
--- a/crates/coriander_standin/tests/guarantee_keys.rs
+++ b/crates/coriander_standin/tests/guarantee_keys.rs
@@ -113,7 +113,17 @@
         assert!(reply.starts_with("http/1.1 200"), "{reply}");
         connections.push((connection, spec.callers));
     }
-    fleet.run.admin(0).change(&withdraw(ACCOUNT)).await.unwrap();
+    let admin = fleet.run.admin(0);
+    let change = async move { admin.change(&withdraw(ACCOUNT)).await };
+    let change = ntex::rt::spawn(change);
+    // The server closes connections that are idle for 5 s, so they are used meanwhile.
+    while !change.is_finished() {
+        for (connection, host) in &mut connections {
+            exchange(connection, *host);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    change.await.unwrap().unwrap();
     // Accepted means that a majority has applied it; the rest stops after the freshness period.
     tokio::time::sleep(Duration::from_secs(2)).await;
     for (connection, host) in &mut connections {
