Let idle tasks sleep until they are needed

Cause: an idle gateway woke about 285 times a second for its ticks. Change: the rate service waits for its next wake-up or a new waiting request, the group monitor for its next wake-up, and the upkeep of a gateway for a change of the primary or 100 ms.

--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -29,7 +29,7 @@
 use crate::settings::RequestBounds;
 
 /// Time between two rounds of pool upkeep and transaction expiry.
-const UPKEEP_PERIOD: Duration = Duration::from_millis(50);
+const UPKEEP_PERIOD: Duration = Duration::from_millis(100);
 
 /// Time between two deletions of old records of requests. Each deletes up to 500 records, which
 /// is enough for 8 writes/s of one database; the records are kept longer above that.
@@ -367,7 +367,7 @@
         let mut last_primary = None;
         let mut last_cleanup = self.context.clock.now();
         loop {
-            tokio::time::sleep(UPKEEP_PERIOD).await;
+            self.group.wait_change_for(UPKEEP_PERIOD).await;
             let primary = self.group.primary();
             if primary != last_primary {
                 self.primary_changed(primary.as_ref());
--- a/crates/corianderstile/src/gateway/group_task.rs
+++ b/crates/corianderstile/src/gateway/group_task.rs
@@ -17,8 +17,8 @@
 use super::member_handle::MemberHandle;
 use crate::process_clock::ProcessClock;
 
-/// Longest time between calls of the monitor; below its shortest interval of 50 ms.
-const TICK: Duration = Duration::from_millis(40);
+/// Longest time between calls of the monitor, which otherwise is called at its next wake-up.
+const TICK: Duration = Duration::from_millis(100);
 
 /// Time between probes of a replica while the primary is healthy.
 const REPLICA_PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -100,9 +100,14 @@
         self.members.borrow().values().cloned().collect()
     }
 
-    /// Waits until the primary may have changed, at most for one tick.
+    /// Waits until the primary may have changed, at most for a short time.
     pub async fn wait_change(&self) {
-        let _ = tokio::time::timeout(CHANGE_WAIT, self.changed.notified()).await;
+        self.wait_change_for(CHANGE_WAIT).await;
+    }
+
+    /// Waits until the primary has changed, at most for `limit`.
+    pub async fn wait_change_for(&self, limit: Duration) {
+        let _ = tokio::time::timeout(limit, self.changed.notified()).await;
     }
 
     /// Notes a position that a majority holds; no member whose log ends before it is promoted.
--- a/crates/corianderstile/src/rate_service.rs
+++ b/crates/corianderstile/src/rate_service.rs
@@ -14,7 +14,7 @@
     AdmitDecision, FleetVersion, GrantHolder, HandOver, HandOverReply, HolderEvent, LimitPolicy,
     OwnerTable, PlanTable, TakeTokens, TokenGrant, rate_error,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::membership_service::MembershipService;
 use crate::peer::{PeerClient, PeerReply, PeerRequest};
@@ -24,7 +24,7 @@
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Longest time between checks for due wake-ups of the holder.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(500);
 
 /// Shortest time between such checks.
 const LEAST_PAUSE: Duration = Duration::from_millis(1);
@@ -48,6 +48,7 @@
     owner: RefCell<OwnerTable>,
     waiters: RefCell<HashMap<u64, Waiter>>,
     next_ticket: Cell<u64>,
+    waiting: Notify,
 }
 
 impl RateService {
@@ -68,6 +69,7 @@
             policy: LimitPolicy::default(),
             waiters: RefCell::default(),
             next_ticket: Cell::new(0),
+            waiting: Notify::new(),
         })
     }
 
@@ -129,6 +131,7 @@
             AdmitDecision::WaitUntil(_) => {
                 let (sender, receiver) = oneshot::channel();
                 self.waiters.borrow_mut().insert(ticket, sender);
+                self.waiting.notify_one();
                 receiver
             }
         };
@@ -164,10 +167,10 @@
                 self.holder.borrow_mut().poll(now);
                 self.handle_events();
             }
-            // A new request can bring the next wake-up forward, but never below the retry time
-            // of owners, which is far longer.
             let pause = wakeup.map_or(TICK, |time| time.since(now));
-            tokio::time::sleep(pause.clamp(LEAST_PAUSE, TICK)).await;
+            let pause = pause.clamp(LEAST_PAUSE, TICK);
+            // A request that starts to wait can bring the next wake-up forward.
+            let _ = tokio::time::timeout(pause, self.waiting.notified()).await;
         }
     }
 
