Designate primaries in the store where the platform stops no former primary; ask enough replicas before a synchronous promotion

Cause: on a platform that checks no fencing tokens a primary that is cut off keeps its lead in its own view. Instances on its side of the cut went on using it after a successor led, so writes were acknowledged by two primaries and reads missed commits. Where commits are synchronous, a replica was promoted although another one, which may hold the newest commit, had not answered.

Change: the holder of the duty writes the one member that may be primary under the condition that its token is in force, demotes the old one or waits until no instance can still use it, and only then promotes. Instances use a primary only with a read of the store younger than 2 s, also on the home of a connection, and bound the time of the statement by that.

The first three tests fail without the check (run with the check disabled). Promotion lines carry their inputs as fields.

A replica that goes on receiving after it was asked is not paused; where the primary reaches some instances and another replica only, a synchronous commit could still be lost.

--- a/crates/coriander_service/src/attempt.rs
+++ b/crates/coriander_service/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::exchange::ExchangeError;
 use crate::member::Member;
 use crate::member_pool::PoolError;
-use crate::operation::{LEADER_NEWS, OperationContext};
+use crate::operation::{LEADER_NEWS, OperationContext, PRIMARY_RETRY};
 
 /// When a caller should try again after its members were busy.
 const BUSY_RETRY: Duration = Duration::from_millis(100);
@@ -130,6 +130,10 @@
             // The member is full; the request has waited as long as it may.
             Attempt::Failed(no_connection().with_detail(link.to_string().into()))
         }
+        ExchangeError::NotSent(PoolError::LeadUnproved) => {
+            let failure = SessionFailure::new(FailureCode::Busy, FailureReason::NoPrimary);
+            Attempt::Again(failure.with_retry_after(PRIMARY_RETRY))
+        }
         ExchangeError::NotSent(PoolError::Relay) => Attempt::Again(SessionFailure::new(
             FailureCode::Busy,
             FailureReason::ConnectionLost,
--- a/crates/coriander_service/src/database_group.rs
+++ b/crates/coriander_service/src/database_group.rs
@@ -36,6 +36,8 @@
     floor: RefCell<ReadFloor>,
     /// Leader known from a promotion, until the member list agrees.
     promoted: RefCell<Option<Arc<str>>>,
+    /// The only member that may lead, if the store names one.
+    designated: RefCell<Option<Arc<str>>>,
     /// Fencing token of the newest promotion that is known.
     promotion_token: Cell<u64>,
 }
@@ -50,6 +52,7 @@
             members: RefCell::default(),
             floor: RefCell::default(),
             promoted: RefCell::default(),
+            designated: RefCell::default(),
             promotion_token: Cell::new(0),
         }
     }
@@ -179,15 +182,35 @@
         self.members.borrow().clone()
     }
 
+    /// Sets the only member that may lead; `None`: any member that claims the lead.
+    pub fn set_designated(&self, member: Option<Arc<str>>) {
+        *self.designated.borrow_mut() = member;
+    }
+
+    /// Returns the only member that may lead, if the store names one.
+    pub fn designated(&self) -> Option<Arc<str>> {
+        self.designated.borrow().clone()
+    }
+
     /// Returns the member that leads, as far as is known.
     pub fn leader(&self, now: MonotonicTime) -> Option<Rc<Member>> {
         let members = self.members.borrow();
+        let designated = self.designated();
+        let may_lead = |member: &&Rc<Member>| {
+            designated
+                .as_ref()
+                .is_none_or(|designated| *designated == member.id)
+        };
         if let Some(promoted) = &*self.promoted.borrow()
             && let Some(member) = members.iter().find(|member| member.id == *promoted)
+            && may_lead(&member)
         {
             return Some(member.clone());
         }
-        let claiming = members.iter().filter(|member| member.claims_lead(now));
+        let claiming = members
+            .iter()
+            .filter(may_lead)
+            .filter(|member| member.claims_lead(now));
         claiming
             .max_by_key(|member| member.leads_since.get())
             .cloned()
--- a/crates/coriander_service/src/exchange.rs
+++ b/crates/coriander_service/src/exchange.rs
@@ -62,6 +62,15 @@
     pub keep: bool,
 }
 
+impl ExchangePlan {
+    /// Tells whether only the primary may run it. The COMMIT of a transaction that has written
+    /// counts as a write.
+    pub fn needs_lead(&self) -> bool {
+        let opens_plain = self.begin.is_some_and(|begin| !begin.read_only);
+        opens_plain || self.statement.writes
+    }
+}
+
 /// Failure of an exchange.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum ExchangeError {
@@ -92,6 +101,7 @@
                 Err(refusal) => refusal.code.label(),
             },
             Err(ExchangeError::NotSent(PoolError::Exhausted)) => "no_connection",
+            Err(ExchangeError::NotSent(PoolError::LeadUnproved)) => "lead_unproved",
             Err(ExchangeError::NotSent(PoolError::Relay)) => "home_not_reached",
             Err(ExchangeError::NotSent(PoolError::Connect(_))) => "connect_failed",
             Err(ExchangeError::Declined(code, _)) => code.label(),
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -23,6 +23,7 @@
 mod held_connection;
 mod member;
 mod member_health;
+mod member_inquiry;
 mod member_pool;
 mod operation;
 mod operation_link;
@@ -30,6 +31,7 @@
 mod peer_messages;
 mod peer_socket;
 mod pooled_connection;
+mod primary_proof;
 mod promotion_duty;
 mod promotion_need;
 mod promotion_task;
@@ -47,7 +49,9 @@
 pub use member_health::MemberHealth;
 pub use peer_messages::PeerMessage;
 pub use peer_socket::PeerSocket;
-pub use promotion_need::{LeaderObservation, PromotionCandidate, PromotionNeed, choose_successor};
+pub use promotion_need::{
+    LeaderObservation, PromotionCandidate, PromotionNeed, SuccessorRule, choose_successor,
+};
 pub use promotion_task::PromotionTask;
 pub use relay::{RelayClient, RelayServer};
 pub use service::{ServicePhase, SessionService};
--- a/crates/coriander_service/src/member_pool.rs
+++ b/crates/coriander_service/src/member_pool.rs
@@ -58,6 +58,9 @@
     /// The home instance of the connection is not reached or does not know the member.
     #[error("home instance is not available")]
     Relay,
+    /// The member may not be used as primary, or not any more.
+    #[error("lead of the member is not proved")]
+    LeadUnproved,
     /// A connection could not be opened.
     #[error(transparent)]
     Connect(#[from] LinkError),
--- a/crates/coriander_service/src/operation.rs
+++ b/crates/coriander_service/src/operation.rs
@@ -1,5 +1,6 @@
 //! Runs statements: chooses a member, repeats where nothing was run, and says what is known.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -52,7 +53,7 @@
 const LEAST_ATTEMPT: Duration = Duration::from_millis(60);
 
 /// When a caller should try again while a group has no primary.
-const PRIMARY_RETRY: Duration = Duration::from_millis(500);
+pub const PRIMARY_RETRY: Duration = Duration::from_millis(500);
 
 /// Members that have been tried for one operation.
 type TriedMembers = SmallVec<[Arc<str>; 4]>;
@@ -94,6 +95,12 @@
         self.deadline.since(self.now())
     }
 
+    /// Returns how long a statement may take at the primary; `None` if it may not be used.
+    fn lead_time_left(&self, member: &Member) -> Option<Duration> {
+        let group = &self.group.name;
+        self.service.lead_time_left(group, &member.id, self.now())
+    }
+
     fn plan(&self, member: &Member, statement: &PlannedStatement, limit: Duration) -> ExchangePlan {
         let timeout = self.access.route.statement_timeout;
         let connection_wait = timeout.mul_f64(CONNECTION_WAIT_PART);
@@ -115,7 +122,10 @@
     /// Carries out a plan and notes the attempt.
     async fn exchange(&self, link: &mut OperationLink, plan: &ExchangePlan) -> ExchangeOutcome {
         let started = self.now();
-        let outcome = link.exchange(plan).await;
+        let outcome = match self.limit_lead(plan) {
+            Some(plan) => link.exchange(&plan).await,
+            None => ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::LeadUnproved)),
+        };
         let result = outcome.label();
         self.service.metrics.count_attempt(&plan.group, result);
         let begin_floor = plan.begin.and_then(|begin| begin.floor);
@@ -129,6 +139,23 @@
         outcome
     }
 
+    /// Bounds the time of a plan that only the primary may run; `None` if its member may not be
+    /// used as primary.
+    fn limit_lead<'a>(&self, plan: &'a ExchangePlan) -> Option<Cow<'a, ExchangePlan>> {
+        if !plan.needs_lead() {
+            return Some(Cow::Borrowed(plan));
+        }
+        let left = self
+            .service
+            .lead_time_left(&plan.group, &plan.member, self.now())?;
+        if left >= plan.limit {
+            return Some(Cow::Borrowed(plan));
+        }
+        let mut plan = plan.clone();
+        plan.limit = left;
+        Some(Cow::Owned(plan))
+    }
+
     fn read_need(&self) -> ReadNeed {
         let freshness = self.access.route.freshness;
         if freshness == ReadFreshness::Newest {
@@ -165,6 +192,7 @@
             if let Some(leader) = self.group.leader(now)
                 && leader.is_usable(now)
                 && leader.may_still_lead(now)
+                && self.lead_time_left(&leader).is_some()
                 && leader.admit_statement(now)
             {
                 return Ok(leader);
@@ -376,6 +404,9 @@
             aborted(link_reason(link), &link.to_string())
         }
         ExchangeError::Declined(code, _) => aborted(FailureReason::MemberRefused, code.label()),
+        ExchangeError::NotSent(error @ PoolError::LeadUnproved) => {
+            aborted(FailureReason::NoPrimary, &error.to_string())
+        }
         ExchangeError::NotSent(error) => aborted(FailureReason::NoConnection, &error.to_string()),
     }
 }
--- a/crates/coriander_service/src/promotion_need.rs
+++ b/crates/coriander_service/src/promotion_need.rs
@@ -27,6 +27,17 @@
 }
 
 impl PromotionNeed {
+    /// Returns the word for logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Outage => "outage",
+            Self::ReportedOutage => "reported_outage",
+            Self::Missing => "missing",
+            Self::NoLeader => "no_leader",
+            Self::Leaving => "leaving",
+        }
+    }
+
     /// Tells whether the present primary still serves, so that nothing it has acknowledged may
     /// be lost.
     pub const fn is_planned(self) -> bool {
@@ -120,26 +131,59 @@
     pub member: Arc<str>,
     /// End of what it has received.
     pub received: LogPosition,
+    /// Whether it should get no new work.
+    pub leaving: bool,
+}
+
+/// What must be known of a group's replicas before one of them is promoted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SuccessorRule {
+    /// Replicas of the group.
+    pub replicas: usize,
+    /// Replicas that hold a commit when it is acknowledged.
+    pub synchronous: usize,
 }
 
-/// Returns the candidate that has received most; the smaller identifier breaks ties, so that a
-/// repeated choice is the same.
+impl SuccessorRule {
+    /// Tells whether `known` replicas include one that holds all acknowledged commits.
+    const fn is_met_by(self, known: usize) -> bool {
+        known > 0 && known + self.synchronous > self.replicas
+    }
+}
+
+/// Returns the candidate to promote: the one that has received most. The smaller identifier
+/// breaks ties, so that a repeated choice is the same.
+///
+/// Where commits are synchronous, enough candidates must be known, and one that is leaving is
+/// chosen if it alone holds the newest commit. Elsewhere a leaving one is not chosen.
 ///
 /// ```
 /// use coriander_core::{LogPosition, TermNumber};
-/// use coriander_service::{PromotionCandidate, choose_successor};
+/// use coriander_service::{PromotionCandidate, SuccessorRule, choose_successor};
 ///
 /// let at = |member: &str, index| PromotionCandidate {
 ///     member: member.into(),
 ///     received: LogPosition::new(TermNumber::new(1), index),
+///     leaving: false,
 /// };
 /// let candidates = [at("a", 4), at("b", 7)];
-/// let best = choose_successor(&candidates).expect("two candidates");
+/// let best = choose_successor(&candidates, SuccessorRule::default()).expect("two candidates");
 /// assert_eq!(&*best.member, "b");
 /// ```
-pub fn choose_successor(candidates: &[PromotionCandidate]) -> Option<&PromotionCandidate> {
-    candidates.iter().max_by(|a, b| {
+pub fn choose_successor(
+    candidates: &[PromotionCandidate],
+    rule: SuccessorRule,
+) -> Option<&PromotionCandidate> {
+    let synchronous = rule.synchronous > 0;
+    if synchronous && !rule.is_met_by(candidates.len()) {
+        return None;
+    }
+    let eligible = candidates
+        .iter()
+        .filter(|candidate| synchronous || !candidate.leaving);
+    eligible.max_by(|a, b| {
         let by_position = a.received.cmp(&b.received);
-        by_position.then_with(|| b.member.cmp(&a.member))
+        let by_stay = by_position.then_with(|| b.leaving.cmp(&a.leaving));
+        by_stay.then_with(|| b.member.cmp(&a.member))
     })
 }
--- a/crates/coriander_service/src/promotion_task.rs
+++ b/crates/coriander_service/src/promotion_task.rs
@@ -6,18 +6,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::{LogPosition, MonotonicTime, TermNumber};
+use coriander_core::MonotonicTime;
 use coriander_sessions::{
-    MemberConnector, MemberRole, MemberStatement, MemberStatus, MemberTarget, PromotionApi,
-    PromotionError,
+    ControlStore, DesignatedPrimary, MemberConnector, MemberRole, PromotionApi, PromotionError,
 };
 use tokio::time::sleep;
 
 use crate::database_group::DatabaseGroup;
 use crate::member::Member;
+use crate::member_inquiry::MemberInquiry;
 use crate::peer_messages::{LeaderNotice, OutageNotice, PeerMessage};
+use crate::primary_proof::HAND_OVER_TIME;
 use crate::promotion_need::{
-    LeaderObservation, PromotionCandidate, PromotionNeed, choose_successor,
+    LeaderObservation, PromotionCandidate, PromotionNeed, SuccessorRule, choose_successor,
 };
 use crate::service::SessionService;
 
@@ -33,9 +34,6 @@
 /// Longest time for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Longest time for the state of a member.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Longest wait for a promoted member to lead.
 const EFFECT_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -45,13 +43,12 @@
 /// Pause after a failed promotion.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Account name for connections that only read the state of members.
-const CONTROL_ACCOUNT: &str = "-";
-
 /// Watches the primaries of all groups and replaces them.
 pub struct PromotionTask {
     service: Rc<SessionService>,
     connector: Rc<dyn MemberConnector>,
+    inquiry: MemberInquiry,
+    store: Rc<dyn ControlStore>,
     api: Rc<dyn PromotionApi>,
     /// Groups with a promotion in progress.
     busy: RefCell<HashSet<Arc<str>>>,
@@ -65,11 +62,14 @@
     pub fn new(
         service: Rc<SessionService>,
         connector: Rc<dyn MemberConnector>,
+        store: Rc<dyn ControlStore>,
         api: Rc<dyn PromotionApi>,
     ) -> Rc<Self> {
         Rc::new(Self {
             service,
+            inquiry: MemberInquiry::new(connector.clone()),
             connector,
+            store,
             api,
             busy: RefCell::default(),
             leaderless: RefCell::default(),
@@ -192,146 +192,154 @@
         let Some(token) = self.service.promotion_token() else {
             return;
         };
-        let candidates = self.candidates(group, leader).await;
-        let Some(successor) = choose_successor(&candidates) else {
+        let candidates = self.inquiry.candidates(group, leader).await;
+        let rule = self.successor_rule(group, leader);
+        let Some(successor) = choose_successor(&candidates, rule) else {
+            log::info!(
+                group = &*group.name, need = need.label(), candidates = candidates.len(),
+                replicas = rule.replicas, synchronous = rule.synchronous;
+                "no member may be promoted yet"
+            );
             sleep(RETRY_PAUSE).await;
             return;
         };
         log::info!(
-            "promotion: group={} need={need:?} old={:?} successor={} received={} candidates={} token={token}",
-            group.name,
-            leader.map(|leader| &leader.id),
-            successor.member,
-            successor.received,
-            candidates.len()
+            group = &*group.name, need = need.label(),
+            old = leader.map_or("-", |leader| &*leader.id), successor = &*successor.member,
+            received = successor.received.to_string().as_str(), candidates = candidates.len(),
+            replicas = rule.replicas, synchronous = rule.synchronous, token = token;
+            "promoting a member"
         );
-        let holder = self.service.settings().name.clone();
-        let result = self
-            .api
-            .promote(&group.name, &successor.member, &holder, token)
-            .await;
-        match result {
-            Ok(()) => {
-                if need.is_planned()
-                    && let Some(leader) = leader
-                {
-                    self.stop_leader(group, leader).await;
-                }
-                self.await_effect(group, &successor.member, token).await;
-            }
-            Err(error) => {
-                self.service
-                    .metrics
-                    .count_promotion(&group.name, "call_failed");
-                log::warn!("promotion: group={} failed: {error}", group.name);
-                if error == PromotionError::Rejected {
-                    self.service.duty.want_new_token();
-                }
-                sleep(RETRY_PAUSE).await;
+        let stops_itself = self.service.settings().platform_fences;
+        if !stops_itself && !self.hand_over(group, leader, successor, token).await {
+            sleep(RETRY_PAUSE).await;
+            return;
+        }
+        if self.promote(group, successor, token).await {
+            if stops_itself
+                && need.is_planned()
+                && let Some(leader) = leader
+            {
+                // All that the old primary has acknowledged reaches its successor before the
+                // promotion takes effect.
+                self.inquiry.stop_leader(group, leader).await;
             }
+            self.await_effect(group, &successor.member, token).await;
         }
     }
 
-    /// Reads the state of all members that may become primary.
-    async fn candidates(
-        &self,
-        group: &Rc<DatabaseGroup>,
-        leader: Option<&Rc<Member>>,
-    ) -> Vec<PromotionCandidate> {
-        let mut candidates = Vec::new();
-        for member in group.members() {
-            let is_leader = leader.is_some_and(|leader| leader.id == member.id);
-            if is_leader || member.is_leaving() || member.is_missing() {
-                continue;
-            }
-            if let Some(status) = self.ask(group, &member, MemberStatement::Status).await {
-                candidates.push(PromotionCandidate {
-                    member: member.id.clone(),
-                    received: status.received,
-                });
-            }
+    /// Returns what a successor must prove.
+    fn successor_rule(&self, group: &DatabaseGroup, leader: Option<&Rc<Member>>) -> SuccessorRule {
+        let config = self.service.view.config();
+        let limits = config
+            .as_ref()
+            .and_then(|config| config.groups.get(&group.name));
+        let synchronous = limits.map_or(0, |limits| limits.sync_replicas);
+        let members = group.members();
+        let is_replica = |member: &&Rc<Member>| leader.is_none_or(|leader| leader.id != member.id);
+        SuccessorRule {
+            replicas: members.iter().filter(is_replica).count(),
+            synchronous: usize::try_from(synchronous).unwrap_or(usize::MAX),
         }
-        candidates
     }
 
-    async fn ask(
+    /// Makes sure that no instance uses the old primary any more, on a platform that lets a
+    /// former primary keep its lead. Returns whether the successor may be promoted.
+    async fn hand_over(
         &self,
         group: &DatabaseGroup,
-        member: &Member,
-        statement: MemberStatement,
-    ) -> Option<MemberStatus> {
-        let target = MemberTarget {
-            member: member.id.clone(),
+        leader: Option<&Rc<Member>>,
+        successor: &PromotionCandidate,
+        token: u64,
+    ) -> bool {
+        let primary = DesignatedPrimary {
             group: group.name.clone(),
-            address: member.entry().address,
-            account: CONTROL_ACCOUNT.into(),
+            member: successor.member.clone(),
         };
-        let result = self.connector.connect(&target, STATUS_TIMEOUT).await;
-        let result = match result {
-            Ok(mut link) => link.run(&[statement], STATUS_TIMEOUT).await,
-            Err(error) => Err(error),
+        if let Err(error) = self.store.designate_primary(&primary, token).await {
+            log::warn!(
+                group = &*group.name, successor = &*successor.member, token = token,
+                error = error.to_string().as_str();
+                "successor could not be designated"
+            );
+            return false;
+        }
+        group.set_designated(Some(successor.member.clone()));
+        let stopped = match leader {
+            Some(leader) => self.inquiry.stop_leader(group, leader).await,
+            None => false,
         };
-        match result {
-            Ok(replies) => self.connector.read_status(replies.first()?),
-            Err(error) => {
-                log::info!("promotion: state of {} is unknown: {error}", member.id);
-                None
-            }
+        if !stopped {
+            sleep(HAND_OVER_TIME).await;
         }
+        // The lease may have ended meanwhile.
+        self.service.promotion_token() == Some(token)
     }
 
-    /// Makes a leaving primary refuse writes, so that all that it has acknowledged reaches its
-    /// successor before the promotion takes effect.
-    async fn stop_leader(&self, group: &DatabaseGroup, leader: &Member) {
-        let Some(status) = self.ask(group, leader, MemberStatement::Status).await else {
-            return;
+    /// Calls the platform. Returns whether it has accepted the promotion.
+    async fn promote(
+        &self,
+        group: &DatabaseGroup,
+        successor: &PromotionCandidate,
+        token: u64,
+    ) -> bool {
+        let holder = self.service.settings().name.clone();
+        let called = self
+            .api
+            .promote(&group.name, &successor.member, &holder, token);
+        let Err(error) = called.await else {
+            return true;
         };
-        let term = TermNumber::new(status.term.get() + 1);
-        let stopped = self
-            .ask(group, leader, MemberStatement::Demote { term })
-            .await;
-        let position = stopped.map(|status| status.received);
-        log::info!(
-            "promotion: group={} old={} stopped at {:?}",
-            group.name,
-            leader.id,
-            position.map(|position: LogPosition| position.to_string())
+        let metrics = &self.service.metrics;
+        metrics.count_promotion(&group.name, "call_failed");
+        log::warn!(
+            group = &*group.name, successor = &*successor.member, token = token,
+            error = error.to_string().as_str();
+            "promotion call failed"
         );
+        if error == PromotionError::Rejected {
+            self.service.duty.want_new_token();
+        }
+        sleep(RETRY_PAUSE).await;
+        false
     }
 
     async fn await_effect(&self, group: &Rc<DatabaseGroup>, member: &str, token: u64) {
         let started = self.service.clock.now();
-        let members = group.members();
-        let Some(member) = members.iter().find(|known| &*known.id == member) else {
+        let Some(member) = group.member(member) else {
             return;
         };
         while self.service.clock.now().since(started) < EFFECT_TIMEOUT {
-            let status = self.ask(group, member, MemberStatement::Status).await;
+            let status = self.inquiry.status(group, &member).await;
             if status.is_some_and(|status| status.role == MemberRole::Primary) {
                 let took = self.service.clock.now().since(started);
-                log::info!(
-                    "promotion: group={} {} leads after {took:?}",
-                    group.name,
-                    member.id
-                );
-                let metrics = &self.service.metrics;
-                metrics.count_promotion(&group.name, "leads");
-                metrics.record_promotion(took);
-                group.leader_reported(&member.id, token);
-                let notice = LeaderNotice {
-                    group: group.name.to_string(),
-                    member: member.id.to_string(),
-                    token,
-                };
-                self.service.peers.send_all(&PeerMessage::Leader(notice));
+                self.announce_leader(group, &member, token, took);
                 return;
             }
             sleep(EFFECT_PAUSE).await;
         }
         log::warn!(
-            "promotion: group={} {} does not lead",
-            group.name,
-            member.id
+            group = &*group.name, member = &*member.id, token = token,
+            waited_ms = EFFECT_TIMEOUT.as_millis() as u64;
+            "promoted member does not lead"
+        );
+    }
+
+    fn announce_leader(&self, group: &DatabaseGroup, member: &Member, token: u64, took: Duration) {
+        log::info!(
+            group = &*group.name, member = &*member.id, token = token,
+            took_ms = took.as_millis() as u64;
+            "promoted member leads"
         );
+        let metrics = &self.service.metrics;
+        metrics.count_promotion(&group.name, "leads");
+        metrics.record_promotion(took);
+        group.leader_reported(&member.id, token);
+        let notice = LeaderNotice {
+            group: group.name.to_string(),
+            member: member.id.to_string(),
+            token,
+        };
+        self.service.peers.send_all(&PeerMessage::Leader(notice));
     }
 }
--- a/crates/coriander_service/src/relay.rs
+++ b/crates/coriander_service/src/relay.rs
@@ -299,6 +299,9 @@
         if ServiceClock.now().since(self.last_tick.get()) > STANDSTILL {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::Relay));
         }
+        if plan.needs_lead() && !self.proves_lead(plan) {
+            return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::LeadUnproved));
+        }
         self.running.borrow_mut().insert(key);
         let held = self.streams.borrow_mut().remove(&key);
         let outcome = self.exchange_held(key, held, continues, plan).await;
@@ -306,6 +309,16 @@
         outcome
     }
 
+    /// Tells whether the plan's member may be used as primary as far as this instance knows.
+    fn proves_lead(&self, plan: &ExchangePlan) -> bool {
+        let now = ServiceClock.now();
+        let service = self.service.upgrade();
+        service.is_some_and(|service| {
+            let left = service.lead_time_left(&plan.group, &plan.member, now);
+            left.is_some()
+        })
+    }
+
     async fn exchange_held(
         &self,
         key: (ConnectionId, StreamNumber),
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -209,6 +209,9 @@
             let in_group = |entry: &&MemberEntry| entry.group == *name;
             let entries: Vec<_> = snapshot.members.iter().filter(in_group).collect();
             group.apply_entries(&entries, &snapshot.zones_out, now);
+            let primaries = &snapshot.primaries;
+            let designated = primaries.iter().find(|primary| primary.group == *name);
+            group.set_designated(designated.map(|primary| primary.member.clone()));
             let connections = limits.connections_per_member;
             let fleet = self.fleet.borrow();
             group.set_connections(connections, |member| fleet.connection_caps(member, &own));
@@ -235,9 +238,14 @@
         groups.entry(name.clone()).or_insert_with(create).clone()
     }
 
+    /// Returns a group if it is known.
+    pub fn find_group(&self, name: &str) -> Option<Rc<DatabaseGroup>> {
+        self.groups.borrow().get(name).cloned()
+    }
+
     /// Returns a member of a group.
     pub fn find_member(&self, group: &str, member: &str) -> Option<Rc<Member>> {
-        self.groups.borrow().get(group)?.member(member)
+        self.find_group(group)?.member(member)
     }
 
     /// Returns the instance that keeps the connections of an account to a member; `None` if this
@@ -393,8 +401,7 @@
             PeerMessage::LoanRequest(request) => self.rates.lend(sender, request),
             PeerMessage::LoanReply(reply) => self.rates.receive(reply),
             PeerMessage::Leader(notice) => {
-                let group = self.groups.borrow().get(notice.group.as_str()).cloned();
-                if let Some(group) = group {
+                if let Some(group) = self.find_group(&notice.group) {
                     group.leader_reported(&notice.member, notice.token);
                 }
             }
--- a/crates/coriander_service/tests/promotions.rs
+++ b/crates/coriander_service/tests/promotions.rs
@@ -8,9 +8,12 @@
 
 use async_trait::async_trait;
 use coriander_service::{PromotionTask, ServiceClock, SessionService};
-use coriander_sessions::{DutyLease, MemberRole, PromotionApi, PromotionError, ReadFreshness};
+use coriander_sessions::{
+    ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, FailureCode, InstanceEntry,
+    LeaseId, MemberRole, PromotionApi, PromotionError, ReadFreshness, StoreError,
+};
 
-use support::{FakeGroup, config, open, run, snapshot, start};
+use support::{FakeGroup, GROUP, code, config, open, run, snapshot, start};
 
 /// Promotes members of a group some time after the call, as the platform does.
 struct FakePromotions {
@@ -62,6 +65,69 @@
     }
 }
 
+/// Accepts designations while `token` is the token of the duty in force.
+struct FakeStore {
+    token: u64,
+    primaries: RefCell<Vec<DesignatedPrimary>>,
+}
+
+impl FakeStore {
+    fn new(token: u64) -> Rc<Self> {
+        Rc::new(Self {
+            token,
+            primaries: RefCell::default(),
+        })
+    }
+}
+
+#[async_trait(?Send)]
+impl ControlStore for FakeStore {
+    async fn read_all(&self) -> Result<ControlSnapshot, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn start_lease(&self, _ttl: Duration) -> Result<LeaseId, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn renew_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn end_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn register(&self, _entry: &InstanceEntry, _lease: LeaseId) -> Result<(), StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn create_fleet_secret(&self, _secret: &[u8]) -> Result<(), StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn take_duty(
+        &self,
+        _holder: &str,
+        _lease: LeaseId,
+        _replaces: Option<u64>,
+    ) -> Result<u64, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
+    async fn designate_primary(
+        &self,
+        primary: &DesignatedPrimary,
+        token: u64,
+    ) -> Result<(), StoreError> {
+        if token != self.token {
+            return Err(StoreError::Conflict);
+        }
+        self.primaries.borrow_mut().push(primary.clone());
+        Ok(())
+    }
+}
+
 fn hold_duty(service: &SessionService, group: &FakeGroup, token: u64) {
     let mut snapshot = snapshot(config(1, ReadFreshness::Newest), group.entries());
     snapshot.duty = Some(DutyLease {
@@ -73,10 +139,26 @@
 }
 
 fn start_promotions(service: &Rc<SessionService>, group: &Rc<FakeGroup>, api: &Rc<FakePromotions>) {
-    let task = PromotionTask::new(service.clone(), group.clone(), api.clone());
+    start_promotions_with(service, group, api, &FakeStore::new(41));
+}
+
+fn start_promotions_with(
+    service: &Rc<SessionService>,
+    group: &Rc<FakeGroup>,
+    api: &Rc<FakePromotions>,
+    store: &Rc<FakeStore>,
+) {
+    let connector = group.clone();
+    let task = PromotionTask::new(service.clone(), connector, store.clone(), api.clone());
     ntex::rt::spawn(task.run());
 }
 
+fn set_platform_fences(service: &SessionService, fences: bool) {
+    let mut settings = (*service.settings()).clone();
+    settings.platform_fences = fences;
+    service.apply_settings(&settings);
+}
+
 async fn wait_until(what: &str, condition: impl Fn() -> bool) {
     for _ in 0..300 {
         if condition() {
@@ -175,6 +257,7 @@
     let service = start(&group, ReadFreshness::Newest).await;
     let api = FakePromotions::new(&group);
     hold_duty(&service, &group, 41);
+    set_platform_fences(&service, false);
     let long_ago = ServiceClock.now().before(Duration::from_secs(4));
     service.duty.renewed(long_ago);
     group.member("a").reachable.set(false);
@@ -183,8 +266,93 @@
     run(&mut session, "q1", "READ 1").await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(api.calls.borrow().is_empty());
-    let mut settings = (*service.settings()).clone();
-    settings.platform_fences = true;
-    service.apply_settings(&settings);
+    set_platform_fences(&service, true);
+    wait_until("promotion", || !api.calls.borrow().is_empty()).await;
+}
+
+#[ntex::test]
+async fn primary_is_not_used_without_a_recent_read_where_it_would_not_stop_itself() {
+    // A primary that is cut off together with this instance goes on acknowledging writes.
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    set_platform_fences(&service, false);
+    let mut session = open(&service).await;
+    let answer = run(&mut session, "q1", "WRITE 1 x").await;
+    assert!(answer.result.is_ok(), "{answer:?}");
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    let answer = run(&mut session, "q2", "WRITE 1 x").await;
+    assert_eq!(code(&answer), Some(FailureCode::Busy));
+    assert_eq!(group.texts(), ["a WRITE 1 x"]);
+}
+
+#[ntex::test]
+async fn open_transaction_is_aborted_when_the_lead_is_not_proved_any_more() {
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    set_platform_fences(&service, false);
+    let mut session = open(&service).await;
+    run(&mut session, "q1", "BEGIN").await;
+    run(&mut session, "q2", "WRITE 1 x").await;
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    let answer = run(&mut session, "q3", "COMMIT").await;
+    assert_eq!(code(&answer), Some(FailureCode::Aborted));
+    assert_eq!(group.texts(), ["a WRITE 1 x"]);
+}
+
+#[ntex::test]
+async fn member_that_is_not_designated_is_not_used_as_primary() {
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    set_platform_fences(&service, false);
+    let mut snapshot = snapshot(config(2, ReadFreshness::Newest), group.entries());
+    snapshot.primaries = vec![DesignatedPrimary {
+        group: GROUP.into(),
+        member: "b".into(),
+    }];
+    service.apply_snapshot(&snapshot, ServiceClock.now());
+    let mut session = open(&service).await;
+    let answer = run(&mut session, "q1", "WRITE 1 x").await;
+    assert_eq!(code(&answer), Some(FailureCode::Busy));
+    assert!(group.texts().is_empty());
+}
+
+#[ntex::test]
+async fn silent_primary_is_replaced_only_when_no_instance_uses_it_any_more() {
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    set_platform_fences(&service, false);
+    let (api, store) = (FakePromotions::new(&group), FakeStore::new(41));
+    hold_duty(&service, &group, 41);
+    let mut session = open(&service).await;
+    run(&mut session, "q1", "READ 1").await;
+    group.member("a").reachable.set(false);
+    start_promotions_with(&service, &group, &api, &store);
+    run(&mut session, "q2", "READ 1").await;
+    wait_until("designation", || !store.primaries.borrow().is_empty()).await;
+    assert_eq!(&*store.primaries.borrow()[0].member, "b");
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert!(
+        api.calls.borrow().is_empty(),
+        "another instance may still use the old primary"
+    );
+    service.duty.renewed(ServiceClock.now());
     wait_until("promotion", || !api.calls.borrow().is_empty()).await;
+    assert_eq!(api.calls.borrow()[0], ("b".to_owned(), 41));
+}
+
+#[ntex::test]
+async fn member_is_not_promoted_when_its_designation_is_refused() {
+    // The token is outdated, so another instance may have designated another member.
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    set_platform_fences(&service, false);
+    let (api, store) = (FakePromotions::new(&group), FakeStore::new(42));
+    hold_duty(&service, &group, 41);
+    let mut session = open(&service).await;
+    run(&mut session, "q1", "READ 1").await;
+    group.member("a").reachable.set(false);
+    start_promotions_with(&service, &group, &api, &store);
+    run(&mut session, "q2", "READ 1").await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert!(api.calls.borrow().is_empty());
 }
--- a/crates/coriander_service/tests/support/mod.rs
+++ b/crates/coriander_service/tests/support/mod.rs
@@ -455,7 +455,8 @@
 /// A service in front of a group, with a configuration applied now.
 pub async fn start(group: &Rc<FakeGroup>, freshness: ReadFreshness) -> Rc<SessionService> {
     let settings = ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 0).into())
-        .with_key_lifetime(Some(Duration::from_secs(5)));
+        .with_key_lifetime(Some(Duration::from_secs(5)))
+        .with_platform_fences(true);
     let service = start_with(group, settings).await;
     apply(&service, config(1, freshness), group.entries());
     service
--- a/crates/coriander_sessions/src/control_store.rs
+++ b/crates/coriander_sessions/src/control_store.rs
@@ -64,6 +64,16 @@
     pub token: u64,
 }
 
+/// The one member of a group that may be used as primary, on platforms that do not stop a former
+/// primary.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DesignatedPrimary {
+    /// Group.
+    pub group: Arc<str>,
+    /// Member.
+    pub member: Arc<str>,
+}
+
 /// All that the store holds for the fleet, as of one read.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct ControlSnapshot {
@@ -81,6 +91,8 @@
     pub fleet_secret: Option<Arc<[u8]>>,
     /// Holder of the promotion duty.
     pub duty: Option<DutyLease>,
+    /// Designated primaries; groups without a promotion have none.
+    pub primaries: Vec<DesignatedPrimary>,
 }
 
 /// Identifier of a lease in the store.
@@ -136,6 +148,14 @@
         lease: LeaseId,
         replaces: Option<u64>,
     ) -> Result<u64, StoreError>;
+
+    /// Names the member of a group that may be used as primary, if `token` is the token of the
+    /// duty in force.
+    async fn designate_primary(
+        &self,
+        primary: &DesignatedPrimary,
+        token: u64,
+    ) -> Result<(), StoreError>;
 }
 
 /// Failure of a promotion call.
--- a/crates/coriander_sessions/src/lib.rs
+++ b/crates/coriander_sessions/src/lib.rs
@@ -23,8 +23,8 @@
 
 pub use answer::{FailureCode, FailureReason, SessionAnswer, SessionFailure, TransactionStatus};
 pub use control_store::{
-    ControlSnapshot, ControlStore, DutyLease, InstanceEntry, LeaseId, MemberEntry, MemberRole,
-    PromotionApi, PromotionError, StoreError,
+    ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, InstanceEntry, LeaseId,
+    MemberEntry, MemberRole, PromotionApi, PromotionError, StoreError,
 };
 pub use fleet_config::{ClientAccount, DatabaseRoute, FleetConfig, GroupLimits, ReadFreshness};
 pub use member_link::{
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -178,7 +178,8 @@
     let promoter = PromotionCaller::new(settings.promotion_address, PROMOTION_TIMEOUT).await?;
     let connector = Rc::new(LineConnector);
     let service = SessionService::new(settings.service, connector.clone(), peers.clone());
-    let promotions = PromotionTask::new(service.clone(), connector, Rc::new(promoter));
+    let promotions =
+        PromotionTask::new(service.clone(), connector, store.clone(), Rc::new(promoter));
     let peer_listener = TcpListener::bind(service.settings().peer_address)
         .await
         .map_err(listen_error(service.settings().peer_address))?;
