Never promote a log with commits that a newer term has discarded while another is left

Cause: after a promotion, the old primary crashed and returned with its log before it had followed its successor. When the successor was cut off as well, the returned member was chosen, because its index was the highest. That brought back commits that the first promotion had discarded, and sessions had read the newer term without them (STALE).

Ruled out: a former primary that still acknowledges (no ONE), and the bound on the age of replica reads (the reads ran on the primary of term 2).

Change: each instance keeps the lowest position seen in the newest term, hears it with the notice of a promotion, and finds it in the store, where the promoter writes it once per promotion. A log of an older term that goes beyond it is chosen only if no other member of the group is listed.

The test of choose_successor fails on the earlier order.

--- a/crates/coriander_service/src/database_group.rs
+++ b/crates/coriander_service/src/database_group.rs
@@ -12,6 +12,7 @@
 
 use crate::connection_caps::ConnectionCaps;
 use crate::fleet_view::MemberPlace;
+use crate::log_lineage::LogLineage;
 use crate::member::Member;
 use crate::member_pool::MemberPool;
 
@@ -36,6 +37,7 @@
     floor: RefCell<ReadFloor>,
     /// Leader known from a promotion, until the member list agrees.
     promoted: RefCell<Option<Arc<str>>>,
+    lineage: Cell<LogLineage>,
     /// The only member that may lead, if the store names one.
     designated: RefCell<Option<Arc<str>>>,
     /// Fencing token of the newest promotion that is known.
@@ -52,6 +54,7 @@
             members: RefCell::default(),
             floor: RefCell::default(),
             promoted: RefCell::default(),
+            lineage: Cell::default(),
             designated: RefCell::default(),
             promotion_token: Cell::new(0),
         }
@@ -299,6 +302,19 @@
     /// Notes the log position of a member that proved to lead after `sent_at`.
     pub fn record_position(&self, sent_at: MonotonicTime, position: LogPosition) {
         self.floor.borrow_mut().record(sent_at, position);
+        self.observe_lineage(position);
+    }
+
+    /// Notes a position that belongs to the history of its term.
+    pub fn observe_lineage(&self, position: LogPosition) {
+        let mut lineage = self.lineage.get();
+        lineage.observe(position);
+        self.lineage.set(lineage);
+    }
+
+    /// Returns which logs belong to the history of the newest term.
+    pub const fn lineage(&self) -> LogLineage {
+        self.lineage.get()
     }
 
     /// Returns the position that proves an age of at most `max_age`.
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -21,6 +21,7 @@
 mod exchange;
 mod fleet_view;
 mod held_connection;
+mod log_lineage;
 mod member;
 mod member_health;
 mod member_inquiry;
@@ -46,6 +47,7 @@
 mod warm_up_gate;
 
 pub use control_loop::{run_reader, run_registration};
+pub use log_lineage::LogLineage;
 pub use member_health::MemberHealth;
 pub use peer_messages::PeerMessage;
 pub use peer_socket::PeerSocket;
--- a/crates/coriander_service/src/peer_messages.rs
+++ b/crates/coriander_service/src/peer_messages.rs
@@ -1,5 +1,6 @@
 //! Messages between instances.
 
+use coriander_core::LogPosition;
 use serde::{Deserialize, Serialize};
 
 /// Wish to borrow operations of an account.
@@ -33,6 +34,8 @@
     pub member: String,
     /// Fencing token of the promotion.
     pub token: u64,
+    /// Position of the new primary soon after it began to lead.
+    pub position: LogPosition,
 }
 
 /// Observation that the primary of a group does not answer the sender.
--- a/crates/coriander_service/src/promotion_need.rs
+++ b/crates/coriander_service/src/promotion_need.rs
@@ -5,6 +5,8 @@
 
 use coriander_core::LogPosition;
 
+use crate::log_lineage::LogLineage;
+
 /// How long the primary must have failed before a successor is promoted.
 const OUTAGE_DELAY: Duration = Duration::from_millis(250);
 
@@ -136,12 +138,16 @@
 }
 
 /// What must be known of a group's replicas before one of them is promoted.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct SuccessorRule {
     /// Replicas of the group.
     pub replicas: usize,
     /// Replicas that hold a commit when it is acknowledged.
     pub synchronous: usize,
+    /// Which logs belong to the history of the newest term.
+    pub lineage: LogLineage,
+    /// Whether the candidates are all that is left of the group.
+    pub only_choice: bool,
 }
 
 impl SuccessorRule {
@@ -155,7 +161,9 @@
 /// breaks ties, so that a repeated choice is the same.
 ///
 /// Where commits are synchronous, enough candidates must be known, and one that is leaving is
-/// chosen if it alone holds the newest commit. Elsewhere a leaving one is not chosen.
+/// chosen if it alone holds the newest commit. Elsewhere a leaving one is not chosen. A log with
+/// commits that the newest term has discarded is chosen only if nothing else is left, because it
+/// would bring them back in place of newer ones.
 ///
 /// ```
 /// use coriander_core::{LogPosition, TermNumber};
@@ -178,11 +186,14 @@
     if synchronous && !rule.is_met_by(candidates.len()) {
         return None;
     }
+    let belongs = |candidate: &PromotionCandidate| rule.lineage.contains(candidate.received);
     let eligible = candidates
         .iter()
-        .filter(|candidate| synchronous || !candidate.leaving);
+        .filter(|candidate| synchronous || !candidate.leaving)
+        .filter(|candidate| rule.only_choice || belongs(candidate));
     eligible.max_by(|a, b| {
-        let by_position = a.received.cmp(&b.received);
+        let by_lineage = belongs(a).cmp(&belongs(b));
+        let by_position = by_lineage.then_with(|| a.received.cmp(&b.received));
         let by_stay = by_position.then_with(|| b.leaving.cmp(&a.leaving));
         by_stay.then_with(|| b.member.cmp(&a.member))
     })
--- a/crates/coriander_service/src/promotion_task.rs
+++ b/crates/coriander_service/src/promotion_task.rs
@@ -6,9 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::MonotonicTime;
+use coriander_core::{LogPosition, MonotonicTime};
 use coriander_sessions::{
     ControlStore, DesignatedPrimary, MemberConnector, MemberRole, PromotionApi, PromotionError,
+    TermStart,
 };
 use tokio::time::sleep;
 
@@ -193,7 +194,7 @@
             return;
         };
         let candidates = self.inquiry.candidates(group, leader).await;
-        let rule = self.successor_rule(group, leader);
+        let rule = self.successor_rule(group, leader, candidates.len());
         let Some(successor) = choose_successor(&candidates, rule) else {
             log::info!(
                 group = &*group.name, need = need.label(), candidates = candidates.len(),
@@ -229,7 +230,12 @@
     }
 
     /// Returns what a successor must prove.
-    fn successor_rule(&self, group: &DatabaseGroup, leader: Option<&Rc<Member>>) -> SuccessorRule {
+    fn successor_rule(
+        &self,
+        group: &DatabaseGroup,
+        leader: Option<&Rc<Member>>,
+        answered: usize,
+    ) -> SuccessorRule {
         let config = self.service.view.config();
         let limits = config
             .as_ref()
@@ -237,9 +243,12 @@
         let synchronous = limits.map_or(0, |limits| limits.sync_replicas);
         let members = group.members();
         let is_replica = |member: &&Rc<Member>| leader.is_none_or(|leader| leader.id != member.id);
+        let present = members.iter().filter(|member| !member.is_missing());
         SuccessorRule {
             replicas: members.iter().filter(is_replica).count(),
             synchronous: usize::try_from(synchronous).unwrap_or(usize::MAX),
+            lineage: group.lineage(),
+            only_choice: present.count() <= answered,
         }
     }
 
@@ -311,9 +320,12 @@
         };
         while self.service.clock.now().since(started) < EFFECT_TIMEOUT {
             let status = self.inquiry.status(group, &member).await;
-            if status.is_some_and(|status| status.role == MemberRole::Primary) {
+            if let Some(status) = status.filter(|status| status.role == MemberRole::Primary) {
                 let took = self.service.clock.now().since(started);
-                self.announce_leader(group, &member, token, took);
+                // Without a commit of its own the member still reports the previous term.
+                let position = LogPosition::new(status.term, status.received.index);
+                self.announce_leader(group, &member, position, token, took)
+                    .await;
                 return;
             }
             sleep(EFFECT_PAUSE).await;
@@ -325,21 +337,42 @@
         );
     }
 
-    fn announce_leader(&self, group: &DatabaseGroup, member: &Member, token: u64, took: Duration) {
+    async fn announce_leader(
+        &self,
+        group: &DatabaseGroup,
+        member: &Member,
+        position: LogPosition,
+        token: u64,
+        took: Duration,
+    ) {
         log::info!(
             group = &*group.name, member = &*member.id, token = token,
-            took_ms = took.as_millis() as u64;
+            position = position.to_string().as_str(), took_ms = took.as_millis() as u64;
             "promoted member leads"
         );
         let metrics = &self.service.metrics;
         metrics.count_promotion(&group.name, "leads");
         metrics.record_promotion(took);
+        group.observe_lineage(position);
         group.leader_reported(&member.id, token);
         let notice = LeaderNotice {
             group: group.name.to_string(),
             member: member.id.to_string(),
             token,
+            position,
         };
         self.service.peers.send_all(&PeerMessage::Leader(notice));
+        let start = TermStart {
+            group: group.name.clone(),
+            position,
+        };
+        if let Err(error) = self.store.record_term_start(&start, token).await {
+            // The other instances have heard it; only one that starts later may not know it.
+            log::warn!(
+                group = &*group.name, position = position.to_string().as_str(), token = token,
+                error = error.to_string().as_str();
+                "start of a term could not be stored"
+            );
+        }
     }
 }
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -212,6 +212,13 @@
             let primaries = &snapshot.primaries;
             let designated = primaries.iter().find(|primary| primary.group == *name);
             group.set_designated(designated.map(|primary| primary.member.clone()));
+            for start in snapshot
+                .term_starts
+                .iter()
+                .filter(|start| start.group == *name)
+            {
+                group.observe_lineage(start.position);
+            }
             let connections = limits.connections_per_member;
             let fleet = self.fleet.borrow();
             group.set_connections(connections, |member| fleet.connection_caps(member, &own));
@@ -402,6 +409,7 @@
             PeerMessage::LoanReply(reply) => self.rates.receive(reply),
             PeerMessage::Leader(notice) => {
                 if let Some(group) = self.find_group(&notice.group) {
+                    group.observe_lineage(notice.position);
                     group.leader_reported(&notice.member, notice.token);
                 }
             }
--- a/crates/coriander_service/tests/promotion_need.rs
+++ b/crates/coriander_service/tests/promotion_need.rs
@@ -4,7 +4,8 @@
 
 use coriander_core::{LogPosition, TermNumber};
 use coriander_service::{
-    LeaderObservation, PromotionCandidate, PromotionNeed, SuccessorRule, choose_successor,
+    LeaderObservation, LogLineage, PromotionCandidate, PromotionNeed, SuccessorRule,
+    choose_successor,
 };
 
 const LONG: Duration = Duration::from_secs(1);
@@ -70,19 +71,18 @@
     }
 }
 
-const ASYNCHRONOUS: SuccessorRule = SuccessorRule {
-    replicas: 2,
-    synchronous: 0,
-};
-const ONE_SYNCHRONOUS: SuccessorRule = SuccessorRule {
-    replicas: 2,
-    synchronous: 1,
-};
+fn rule(synchronous: usize) -> SuccessorRule {
+    SuccessorRule {
+        replicas: 2,
+        synchronous,
+        ..SuccessorRule::default()
+    }
+}
 
 #[test]
 fn choose_successor_prefers_a_later_term_to_a_greater_index() {
     let candidates = [at("a", 1, 900), at("b", 2, 20), at("c", 2, 19)];
-    let best = choose_successor(&candidates, ASYNCHRONOUS).expect("three candidates");
+    let best = choose_successor(&candidates, rule(0)).expect("three candidates");
     assert_eq!(&*best.member, "b");
 }
 
@@ -91,33 +91,75 @@
     let first = [at("a", 1, 4), at("b", 1, 4)];
     let second = [at("b", 1, 4), at("a", 1, 4)];
     assert_eq!(
-        choose_successor(&first, ASYNCHRONOUS),
-        choose_successor(&second, ASYNCHRONOUS)
+        choose_successor(&first, rule(0)),
+        choose_successor(&second, rule(0))
     );
 }
 
 #[test]
 fn choose_successor_waits_for_the_replica_that_may_hold_the_newest_commit() {
     // The replica that does not answer may be the one that had a commit acknowledged.
-    assert_eq!(choose_successor(&[at("a", 1, 4)], ONE_SYNCHRONOUS), None);
+    assert_eq!(choose_successor(&[at("a", 1, 4)], rule(1)), None);
     let both = [at("a", 1, 4), at("b", 1, 9)];
-    let best = choose_successor(&both, ONE_SYNCHRONOUS).expect("both are known");
+    let best = choose_successor(&both, rule(1)).expect("both are known");
     assert_eq!(&*best.member, "b");
 }
 
 #[test]
 fn choose_successor_takes_a_leaving_member_that_alone_holds_the_newest_commit() {
     let candidates = [at("a", 1, 4), leaving("b", 9)];
-    let best = choose_successor(&candidates, ONE_SYNCHRONOUS).expect("both are known");
+    let best = choose_successor(&candidates, rule(1)).expect("both are known");
     assert_eq!(&*best.member, "b");
     let candidates = [leaving("a", 4), at("b", 1, 4)];
-    let best = choose_successor(&candidates, ONE_SYNCHRONOUS).expect("both are known");
+    let best = choose_successor(&candidates, rule(1)).expect("both are known");
     assert_eq!(&*best.member, "b", "equal logs: the one that stays");
 }
 
 #[test]
 fn choose_successor_takes_no_leaving_member_without_synchronous_commits() {
     let candidates = [at("a", 1, 4), leaving("b", 9)];
-    let best = choose_successor(&candidates, ASYNCHRONOUS).expect("a stays");
+    let best = choose_successor(&candidates, rule(0)).expect("a stays");
     assert_eq!(&*best.member, "a");
 }
+
+/// Term 2 began at index 38; a primary of term 1 that crashed had gone on to 83.
+fn second_term() -> LogLineage {
+    let mut lineage = LogLineage::default();
+    lineage.observe(at("old", 1, 83).received);
+    lineage.observe(at("new", 2, 46).received);
+    lineage.observe(at("new", 2, 38).received);
+    lineage
+}
+
+#[test]
+fn choose_successor_prefers_a_shorter_log_to_one_with_discarded_commits() {
+    // Sessions have seen term 2 without the commits 39 to 83 of term 1; a member that brings them
+    // back would undo what those sessions have read.
+    let rule = SuccessorRule {
+        lineage: second_term(),
+        ..rule(0)
+    };
+    let candidates = [at("returned", 1, 83), at("behind", 1, 38)];
+    let best = choose_successor(&candidates, rule).expect("one belongs to the history");
+    assert_eq!(&*best.member, "behind");
+}
+
+#[test]
+fn choose_successor_takes_discarded_commits_only_if_nothing_else_is_left() {
+    let mut rule = SuccessorRule {
+        lineage: second_term(),
+        ..rule(0)
+    };
+    let candidates = [at("returned", 1, 83)];
+    assert_eq!(choose_successor(&candidates, rule), None);
+    rule.only_choice = true;
+    assert!(choose_successor(&candidates, rule).is_some());
+}
+
+#[test]
+fn observe_keeps_the_lowest_position_of_the_newest_term() {
+    let lineage = second_term();
+    assert_eq!(lineage.start(), Some(at("new", 2, 38).received));
+    assert!(!lineage.contains(at("old", 1, 39).received));
+    assert!(lineage.contains(at("old", 1, 38).received));
+}
--- a/crates/coriander_service/tests/promotions.rs
+++ b/crates/coriander_service/tests/promotions.rs
@@ -10,7 +10,7 @@
 use coriander_service::{PromotionTask, ServiceClock, SessionService};
 use coriander_sessions::{
     ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, FailureCode, InstanceEntry,
-    LeaseId, MemberRole, PromotionApi, PromotionError, ReadFreshness, StoreError,
+    LeaseId, MemberRole, PromotionApi, PromotionError, ReadFreshness, StoreError, TermStart,
 };
 
 use support::{FakeGroup, GROUP, code, config, open, run, snapshot, start};
@@ -69,6 +69,7 @@
 struct FakeStore {
     token: u64,
     primaries: RefCell<Vec<DesignatedPrimary>>,
+    term_starts: RefCell<Vec<TermStart>>,
 }
 
 impl FakeStore {
@@ -76,6 +77,7 @@
         Rc::new(Self {
             token,
             primaries: RefCell::default(),
+            term_starts: RefCell::default(),
         })
     }
 }
@@ -115,6 +117,14 @@
         Err(StoreError::Refused(503))
     }
 
+    async fn record_term_start(&self, start: &TermStart, token: u64) -> Result<(), StoreError> {
+        if token != self.token {
+            return Err(StoreError::Conflict);
+        }
+        self.term_starts.borrow_mut().push(start.clone());
+        Ok(())
+    }
+
     async fn designate_primary(
         &self,
         primary: &DesignatedPrimary,
@@ -356,3 +366,19 @@
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     assert!(api.calls.borrow().is_empty());
 }
+
+#[ntex::test]
+async fn start_of_a_term_is_stored_for_instances_that_start_later() {
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    let (api, store) = (FakePromotions::new(&group), FakeStore::new(41));
+    hold_duty(&service, &group, 41);
+    let mut session = open(&service).await;
+    run(&mut session, "q1", "READ 1").await;
+    group.member("a").reachable.set(false);
+    start_promotions_with(&service, &group, &api, &store);
+    run(&mut session, "q2", "READ 1").await;
+    wait_until("record", || !store.term_starts.borrow().is_empty()).await;
+    let position = store.term_starts.borrow()[0].position;
+    assert_eq!(position.to_string(), "2.10");
+}
--- a/crates/coriander_sessions/src/control_store.rs
+++ b/crates/coriander_sessions/src/control_store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use coriander_core::LogPosition;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -74,6 +75,15 @@
     pub member: Arc<str>,
 }
 
+/// Position of a group's primary soon after its promotion.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TermStart {
+    /// Group.
+    pub group: Arc<str>,
+    /// Position in the term that the promotion began.
+    pub position: LogPosition,
+}
+
 /// All that the store holds for the fleet, as of one read.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct ControlSnapshot {
@@ -93,6 +103,8 @@
     pub duty: Option<DutyLease>,
     /// Designated primaries; groups without a promotion have none.
     pub primaries: Vec<DesignatedPrimary>,
+    /// Where the newest terms began; groups without a promotion have none.
+    pub term_starts: Vec<TermStart>,
 }
 
 /// Identifier of a lease in the store.
@@ -156,6 +168,9 @@
         primary: &DesignatedPrimary,
         token: u64,
     ) -> Result<(), StoreError>;
+
+    /// Keeps where the newest term of a group began, if `token` is the token of the duty in force.
+    async fn record_term_start(&self, start: &TermStart, token: u64) -> Result<(), StoreError>;
 }
 
 /// Failure of a promotion call.
--- a/crates/coriander_sessions/src/lib.rs
+++ b/crates/coriander_sessions/src/lib.rs
@@ -24,7 +24,7 @@
 pub use answer::{FailureCode, FailureReason, SessionAnswer, SessionFailure, TransactionStatus};
 pub use control_store::{
     ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, InstanceEntry, LeaseId,
-    MemberEntry, MemberRole, PromotionApi, PromotionError, StoreError,
+    MemberEntry, MemberRole, PromotionApi, PromotionError, StoreError, TermStart,
 };
 pub use fleet_config::{ClientAccount, DatabaseRoute, FleetConfig, GroupLimits, ReadFreshness};
 pub use member_link::{
