Give every log line fields and the inputs of its decision; bound the lines of each part

Cause: messages began with a word of their own beside the part, promotion lines carried their inputs inside the text, refusals for a rate, a connection or a missing primary did not say what decided, sessions refused when they were opened left no line, and the lines of broken connections had no bound but the size of the buffer.

Change: one message and fields per line; a failure carries its inputs for logs (callers do not see them); a line and a counter for each refused session, without labels that callers choose; counters of operations by account, time of attempts by group; 100 lines a second for each part and level, with the number left out on the next line.

--- a/crates/coriander_journal/src/journal_logger.rs
+++ b/crates/coriander_journal/src/journal_logger.rs
@@ -1,12 +1,17 @@
 //! Installs the logger of the process.
 
 use std::io::{self, Write};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
+use coriander_core::MonotonicTime;
 use env_logger::{Builder, Env, Target};
+use log::Level;
 use log::kv::{Error, Key, Value, VisitSource};
 
 use crate::line_buffer::{LineBuffer, LineWriter};
 use crate::line_format::write_field;
+use crate::part_budgets::PartBudgets;
 
 struct FieldWriter<'a, W>(&'a mut W);
 
@@ -23,13 +28,23 @@
 pub fn start_journal(default_filter: &str) -> io::Result<LineBuffer> {
     let buffer = LineBuffer::default();
     buffer.write_to(io::stdout())?;
+    let budgets = Mutex::new(PartBudgets::default());
+    let started = Instant::now();
     let target = Target::Pipe(Box::new(LineWriter::new(buffer.clone())));
     Builder::from_env(Env::default().default_filter_or(default_filter))
         .target(target)
         .write_style(env_logger::WriteStyle::Never)
-        .format(|out, record| {
+        .format(move |out, record| {
             let level = record.level().as_str().to_ascii_lowercase();
             let part = record.target().rsplit("::").next().unwrap_or_default();
+            let now = MonotonicTime::new(started.elapsed());
+            // A thread that panicked while it held the lock left usable budgets.
+            let mut budgets = budgets.lock().unwrap_or_else(PoisonError::into_inner);
+            let allowed = budgets.take(part, record.level() <= Level::Warn, now);
+            drop(budgets);
+            let Some(left_out) = allowed else {
+                return Ok(());
+            };
             write!(
                 out,
                 "ts={} level={level} part={part}",
@@ -40,6 +55,9 @@
                 .key_values()
                 .visit(&mut FieldWriter(out))
                 .map_err(io::Error::other)?;
+            if left_out > 0 {
+                write_field(out, "part_left_out", &left_out)?;
+            }
             writeln!(out)
         })
         .init();
--- a/crates/coriander_journal/src/lib.rs
+++ b/crates/coriander_journal/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`start_journal`] installs a logger that prints one `key=value` line for each record. Lines go
 //! through a [`LineBuffer`] to a thread of its own; when the reader of standard output is slow,
 //! information is left out before warnings. A [`LineBudget`] bounds how many lines of a kind are
-//! logged at all.
+//! logged at all, and [`PartBudgets`] how many lines of a part.
 //!
 //! ```
 //! use coriander_core::MonotonicTime;
@@ -22,8 +22,10 @@
 mod line_budget;
 mod line_buffer;
 mod line_format;
+mod part_budgets;
 
 pub use journal_logger::start_journal;
 pub use line_budget::LineBudget;
 pub use line_buffer::{LineBuffer, LineWriter};
 pub use line_format::write_field;
+pub use part_budgets::PartBudgets;
--- a/crates/coriander_limits/src/rate_shares.rs
+++ b/crates/coriander_limits/src/rate_shares.rs
@@ -208,6 +208,21 @@
         self.accounts.retain(|account, _| keep(account));
     }
 
+    /// Describes what this instance may spend of an account, for logs.
+    pub fn describe(&self, account: &str) -> String {
+        let Some(share) = self.accounts.get(account) else {
+            return "no limits".to_owned();
+        };
+        format!(
+            "rate={} part={:.3} holders={} left={:.2} borrowed={:.2}",
+            share.rate,
+            share.part(),
+            share.holders.len(),
+            share.tokens,
+            share.borrowed
+        )
+    }
+
     /// Spends one operation, or returns the time until one can be expected.
     pub fn spend(&mut self, account: &str, now: MonotonicTime) -> Result<(), Duration> {
         let Some(share) = self.accounts.get_mut(account) else {
--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -49,7 +49,7 @@
                 });
             }
             Err(error) => {
-                log::warn!("peer: accept failed: {error}");
+                log::warn!(error:% = error; "connection of an instance not accepted");
                 // Running out of file descriptors must not turn into a busy loop.
                 tokio::time::sleep(std::time::Duration::from_millis(50)).await;
             }
@@ -81,14 +81,14 @@
                     match codec.encode(&PeerFrame::<Q, R>::Reply(number, reply)) {
                         // A closed connection has no waiter any more.
                         Ok(frame) => drop(outgoing.send(frame).await),
-                        Err(error) => log::warn!("peer: reply not sent: {error}"),
+                        Err(error) => log::warn!(error:% = error; "reply not sent"),
                     }
                 });
             }
             Ok(Some(PeerFrame::Reply(..))) => {}
             Ok(None) => return,
             Err(error) => {
-                log::warn!("peer: connection closed: {error}");
+                log::warn!(error:% = error; "connection of an instance closed");
                 service.count_invalid_frame();
                 return;
             }
--- a/crates/coriander_service/src/access.rs
+++ b/crates/coriander_service/src/access.rs
@@ -129,9 +129,17 @@
         let Some(account) = &access.account else {
             return Ok(());
         };
-        self.rates.spend(account).await.map_err(|delay| {
+        let result = self.rates.spend(account).await;
+        let label = if result.is_ok() {
+            "admitted"
+        } else {
+            "refused"
+        };
+        self.metrics.count_operation(&account.name, label);
+        result.map_err(|delay| {
             SessionFailure::new(FailureCode::Busy, FailureReason::RateExceeded)
                 .with_retry_after(delay)
+                .with_inputs(self.rates.describe(&account.name))
         })
     }
 }
--- a/crates/coriander_service/src/attempt.rs
+++ b/crates/coriander_service/src/attempt.rs
@@ -125,7 +125,9 @@
     writes: bool,
 ) -> Attempt {
     match error {
-        ExchangeError::NotSent(PoolError::Exhausted) => Attempt::Failed(no_connection()),
+        ExchangeError::NotSent(error @ PoolError::Exhausted { .. }) => {
+            Attempt::Failed(no_connection().with_inputs(error.to_string()))
+        }
         ExchangeError::NotSent(PoolError::Connect(link)) if !link.suggests_outage() => {
             // The member is full; the request has waited as long as it may.
             Attempt::Failed(no_connection().with_detail(link.to_string().into()))
--- a/crates/coriander_service/src/control_loop.rs
+++ b/crates/coriander_service/src/control_loop.rs
@@ -89,7 +89,7 @@
         Ok(snapshot) => {
             service.metrics.count_store_call("ok");
             if !*reachable {
-                log::info!("store: reachable again");
+                log::info!("store is reached again");
                 *reachable = true;
             }
             service.apply_snapshot(&snapshot, sent_at);
@@ -97,7 +97,8 @@
         Err(error) => {
             service.metrics.count_store_call("failed");
             if *reachable {
-                log::warn!("store: read failed: {error}");
+                let age = service.view.age(service.clock.now());
+                log::warn!(error:% = error, proof_age:? = age; "store is not reached");
                 *reachable = false;
             }
         }
@@ -132,7 +133,7 @@
         let started = service.clock.now();
         match register(&*store, &entry).await {
             Ok(lease) => {
-                log::info!("fleet: registered as {}", entry.id);
+                log::info!(id = &*entry.id, lease = lease.0; "instance registered");
                 service.duty.renewed(started);
                 service.set_registration(Some(lease));
                 keep_registered(&service, &*store, lease).await;
@@ -140,7 +141,7 @@
                 service.duty.lost();
             }
             Err(error) => {
-                log::warn!("fleet: registration failed: {error}");
+                log::warn!(error:% = error; "instance not registered");
                 sleep(REGISTER_PAUSE).await;
             }
         }
@@ -168,12 +169,15 @@
                 service.duty.renewed(sent_at);
             }
             Err(StoreError::LeaseEnded) => {
-                log::warn!("fleet: registration has lapsed");
+                log::warn!(lease = lease.0; "registration has lapsed");
                 return;
             }
             Err(error) => {
                 let age = service.clock.now().since(renewed);
-                log::warn!("fleet: renewal failed, last one {age:?} ago: {error}");
+                log::warn!(
+                    lease = lease.0, last_renewal:? = age, error:% = error;
+                    "registration not renewed"
+                );
             }
         }
     }
@@ -182,7 +186,7 @@
 async fn create_secret(store: &dyn ControlStore) {
     let secret: [u8; SECRET_BYTES] = rand::random();
     if let Err(error) = store.create_fleet_secret(&secret).await {
-        log::warn!("fleet: secret could not be stored: {error}");
+        log::warn!(error:% = error; "secret of the fleet not stored");
     }
 }
 
@@ -218,6 +222,6 @@
     match store.take_duty(&process, lease, replaces).await {
         Ok(token) => service.duty.taken(token),
         Err(StoreError::Conflict) => service.duty.lost(),
-        Err(error) => log::warn!("duty: could not be taken: {error}"),
+        Err(error) => log::warn!(error:% = error; "promotion duty not taken"),
     }
 }
--- a/crates/coriander_service/src/database_group.rs
+++ b/crates/coriander_service/src/database_group.rs
@@ -108,10 +108,8 @@
                 return;
             }
             log::info!(
-                "members: {} of {} started again at {}",
-                entry.id,
-                self.name,
-                entry.address
+                group = &*self.name, member = &*entry.id, address:% = entry.address;
+                "member started again"
             );
             member.pool.close();
             members.remove(place);
@@ -124,11 +122,9 @@
         };
         let pool = MemberPool::new(self.connector.clone(), target, ConnectionCaps::default());
         log::info!(
-            "members: {} joins {} as {:?} in zone {}",
-            entry.id,
-            self.name,
-            entry.role,
-            entry.zone
+            group = &*self.name, member = &*entry.id, role:? = entry.role, zone = &*entry.zone,
+            address:% = entry.address, revision = entry.revision;
+            "member joins"
         );
         let member = Member::new(entry, pool, now);
         member.update(entry, now);
@@ -141,16 +137,12 @@
             return true;
         }
         if !member.missing.replace(true) {
-            log::info!(
-                "members: {} of {} is not listed any more",
-                member.id,
-                self.name
-            );
+            log::info!(group = &*self.name, member = &*member.id; "member is not listed any more");
         }
         if now.since(member.seen_at.get()) < MISSING_GRACE {
             return true;
         }
-        log::info!("members: {} leaves {}", member.id, self.name);
+        log::info!(group = &*self.name, member = &*member.id; "member is gone");
         member.pool.close();
         false
     }
@@ -166,6 +158,23 @@
         self.members.borrow().is_empty()
     }
 
+    /// Describes why the group's primary may not be used, for logs.
+    pub fn describe_leader(&self, now: MonotonicTime) -> String {
+        let Some(leader) = self.leader(now) else {
+            let designated = self.designated();
+            let designated = designated.as_deref().unwrap_or("-");
+            return format!("no member leads, designated={designated}");
+        };
+        format!(
+            "leader={} usable={} leaving={} missing={} failing_for={:?}",
+            leader.id,
+            leader.is_usable(now),
+            leader.is_leaving(),
+            leader.is_missing(),
+            leader.failing_for(now)
+        )
+    }
+
     /// Describes the group and its members, one line each.
     pub fn describe(&self, now: MonotonicTime) -> Vec<String> {
         let leader = self.leader(now);
@@ -225,7 +234,7 @@
             return;
         }
         self.promotion_token.set(token);
-        log::info!("members: {member} leads {} since a promotion", self.name);
+        log::info!(group = &*self.name, member = member, token = token; "member leads after a promotion");
         *self.promoted.borrow_mut() = Some(member.into());
         self.changed.notify_waiters();
     }
--- a/crates/coriander_service/src/exchange.rs
+++ b/crates/coriander_service/src/exchange.rs
@@ -100,7 +100,7 @@
                 Ok(_) => "ok",
                 Err(refusal) => refusal.code.label(),
             },
-            Err(ExchangeError::NotSent(PoolError::Exhausted)) => "no_connection",
+            Err(ExchangeError::NotSent(PoolError::Exhausted { .. })) => "no_connection",
             Err(ExchangeError::NotSent(PoolError::LeadUnproved)) => "lead_unproved",
             Err(ExchangeError::NotSent(PoolError::Relay)) => "home_not_reached",
             Err(ExchangeError::NotSent(PoolError::Connect(_))) => "connect_failed",
--- a/crates/coriander_service/src/held_connection.rs
+++ b/crates/coriander_service/src/held_connection.rs
@@ -200,7 +200,7 @@
     /// Closes the connection. Whether the member is down is for the next attempt to connect or
     /// the next probe to tell: single answers and connections can be lost.
     fn drop_connection(&mut self, error: &LinkError) {
-        log::info!("members: connection to {} failed: {error}", self.member.id);
+        log::info!(member = &*self.member.id, error:% = error; "connection to a member ended");
         if !matches!(error, LinkError::Silent(_)) {
             self.member.suspect_restart(ServiceClock.now());
         }
--- a/crates/coriander_service/src/member_inquiry.rs
+++ b/crates/coriander_service/src/member_inquiry.rs
@@ -94,7 +94,7 @@
             Ok(replies) => self.connector.read_status(replies.first()?),
             Err(error) => {
                 log::info!(
-                    group = &*group.name, member = &*member.id, error = error.to_string().as_str();
+                    group = &*group.name, member = &*member.id, error:% = error;
                     "state of a member is unknown"
                 );
                 None
--- a/crates/coriander_service/src/member_pool.rs
+++ b/crates/coriander_service/src/member_pool.rs
@@ -53,8 +53,15 @@
 #[derive(Clone, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
 pub enum PoolError {
     /// No connection became free in time.
-    #[error("no connection became free in time")]
-    Exhausted,
+    #[error("no connection became free: open={open} cap={cap} waiting={waiting}")]
+    Exhausted {
+        /// Open connections of the instance to the member.
+        open: usize,
+        /// Connections that it may open.
+        cap: usize,
+        /// Requests that wait for one.
+        waiting: usize,
+    },
     /// The home instance of the connection is not reached or does not know the member.
     #[error("home instance is not available")]
     Relay,
@@ -199,9 +206,14 @@
     }
 
     fn failure_since(&self, started: MonotonicTime) -> PoolError {
-        match &self.state.borrow().failure {
+        let state = self.state.borrow();
+        match &state.failure {
             Some((at, error)) if *at >= started => PoolError::Connect(error.clone()),
-            _ => PoolError::Exhausted,
+            _ => PoolError::Exhausted {
+                open: state.open,
+                cap: self.cap.get(),
+                waiting: state.waiters.len(),
+            },
         }
     }
 
@@ -310,7 +322,10 @@
                 let is_full = matches!(&error, LinkError::Declined(refusal)
                     if refusal.code == FailureCode::TooManyConnections);
                 if !is_full {
-                    log::info!("members: no connection to {}: {error}", self.target.member);
+                    log::info!(
+                        group = &*self.target.group, member = &*self.target.member, error:% = error;
+                        "no connection to a member"
+                    );
                 }
                 state.failure = Some((now, error));
                 Self::wake_all(&mut state);
--- a/crates/coriander_service/src/operation.rs
+++ b/crates/coriander_service/src/operation.rs
@@ -127,14 +127,16 @@
             None => ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::LeadUnproved)),
         };
         let result = outcome.label();
-        self.service.metrics.count_attempt(&plan.group, result);
+        let took = self.now().since(started);
+        let metrics = &self.service.metrics;
+        metrics.count_attempt(&plan.group, result, took);
         let begin_floor = plan.begin.and_then(|begin| begin.floor);
         self.trace.borrow_mut().add(AttemptTrace {
             member: plan.member.clone(),
             home: link.last_home(),
             floor: plan.floor.or(begin_floor),
             result,
-            took: self.now().since(started),
+            took,
         });
         outcome
     }
@@ -200,6 +202,7 @@
             let left = until.since(now);
             if left.is_zero() {
                 let failure = SessionFailure::new(FailureCode::Busy, FailureReason::NoPrimary);
+                let failure = failure.with_inputs(self.group.describe_leader(now));
                 return Err(failure.with_retry_after(PRIMARY_RETRY));
             }
             self.service.want_news(LEADER_NEWS);
--- a/crates/coriander_service/src/peer_socket.rs
+++ b/crates/coriander_service/src/peer_socket.rs
@@ -94,12 +94,12 @@
         let datagram = match codec.encode(message) {
             Ok(datagram) => datagram,
             Err(error) => {
-                log::warn!("peers: cannot encode {message:?}: {error}");
+                log::warn!(message:? = message, error:% = error; "datagram not encoded");
                 return;
             }
         };
         if let Err(error) = self.socket.try_send_to(&datagram, address) {
-            log::debug!("peers: cannot send to {address}: {error}");
+            log::debug!(address:% = address, error:% = error; "datagram not sent");
         }
     }
 
--- a/crates/coriander_service/src/promotion_duty.rs
+++ b/crates/coriander_service/src/promotion_duty.rs
@@ -49,7 +49,9 @@
             }
         }
         if was_held && self.token.get().is_none() {
-            log::info!("duty: another instance holds the promotion duty");
+            let holder = lease.map_or("-", |lease| &*lease.holder);
+            let token = self.current.get();
+            log::info!(holder = holder, token:? = token; "another instance holds the promotion duty");
         }
     }
 
@@ -72,7 +74,7 @@
 
     /// Notes that this process has taken the duty or renewed its token.
     pub fn taken(&self, token: u64) {
-        log::info!("duty: this instance promotes, fencing token {token}");
+        log::info!(token = token; "promotion duty taken");
         self.token.set(Some(token));
         self.current.set(Some(token));
         self.outdated.set(false);
@@ -80,13 +82,14 @@
 
     /// Gives the duty up, for example because its lease has ended.
     pub fn lost(&self) {
-        if self.token.take().is_some() {
-            log::info!("duty: this instance gives up the promotion duty");
+        if let Some(token) = self.token.take() {
+            log::info!(token = token; "promotion duty given up");
         }
     }
 
     /// Notes that a call with the token was rejected.
     pub fn want_new_token(&self) {
+        log::info!(token:? = self.token.get(); "fencing token was rejected; a new one is needed");
         self.outdated.set(true);
     }
 
--- a/crates/coriander_service/src/promotion_task.rs
+++ b/crates/coriander_service/src/promotion_task.rs
@@ -130,7 +130,7 @@
                 Ok(()) => {}
                 Err(error) => {
                     if member.failing_for(now).is_none() {
-                        log::info!("members: {} does not answer: {error}", member.id);
+                        log::info!(member = &*member.id, error:% = error; "member does not answer");
                     }
                     member.record_failure(now);
                 }
@@ -207,7 +207,7 @@
         log::info!(
             group = &*group.name, need = need.label(),
             old = leader.map_or("-", |leader| &*leader.id), successor = &*successor.member,
-            received = successor.received.to_string().as_str(), candidates = candidates.len(),
+            received:% = successor.received, candidates = candidates.len(),
             replicas = rule.replicas, synchronous = rule.synchronous, token = token;
             "promoting a member"
         );
@@ -268,7 +268,7 @@
         if let Err(error) = self.store.designate_primary(&primary, token).await {
             log::warn!(
                 group = &*group.name, successor = &*successor.member, token = token,
-                error = error.to_string().as_str();
+                error:% = error;
                 "successor could not be designated"
             );
             return false;
@@ -303,7 +303,7 @@
         metrics.count_promotion(&group.name, "call_failed");
         log::warn!(
             group = &*group.name, successor = &*successor.member, token = token,
-            error = error.to_string().as_str();
+            error:% = error;
             "promotion call failed"
         );
         if error == PromotionError::Rejected {
@@ -347,7 +347,7 @@
     ) {
         log::info!(
             group = &*group.name, member = &*member.id, token = token,
-            position = position.to_string().as_str(), took_ms = took.as_millis() as u64;
+            position:% = position, took_ms = took.as_millis() as u64;
             "promoted member leads"
         );
         let metrics = &self.service.metrics;
@@ -369,8 +369,8 @@
         if let Err(error) = self.store.record_term_start(&start, token).await {
             // The other instances have heard it; only one that starts later may not know it.
             log::warn!(
-                group = &*group.name, position = position.to_string().as_str(), token = token,
-                error = error.to_string().as_str();
+                group = &*group.name, position:% = position, token = token,
+                error:% = error;
                 "start of a term could not be stored"
             );
         }
--- a/crates/coriander_service/src/rate_loans.rs
+++ b/crates/coriander_service/src/rate_loans.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Describes what this instance may spend of an account, for logs.
+    pub fn describe(&self, account: &str) -> String {
+        self.shares.borrow().describe(account)
+    }
+
     fn borrow_ahead(&self, account: &Arc<str>, now: MonotonicTime) {
         let wanted = self.shares.borrow_mut().wanted(account, now);
         if wanted == 0 {
--- a/crates/coriander_service/src/relay.rs
+++ b/crates/coriander_service/src/relay.rs
@@ -121,7 +121,7 @@
     pub fn set_down(&self, address: SocketAddr, now: MonotonicTime) {
         let next_trial = now + TRIAL_INTERVAL;
         if self.down.borrow_mut().insert(address, next_trial).is_none() {
-            log::info!("relay: {address} is not used until it answers");
+            log::info!(address:% = address; "instance is not used until it answers");
         }
         let client = self.client.borrow().clone();
         if let Some(client) = client {
@@ -162,7 +162,7 @@
             Ok(RelayReply::Outcome(outcome)) => *outcome,
             Ok(_) => ExchangeOutcome::failed(unanswered("unexpected reply")),
             Err(error @ (PeerError::NotSent | PeerError::Encode(_))) => {
-                log::debug!("relay: {address} is not reached: {error}");
+                log::debug!(address:% = address, error:% = error; "instance not reached");
                 self.set_down(address, now);
                 ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::Relay))
             }
@@ -178,7 +178,7 @@
             Ok(RelayReply::News(news)) => Some(*news),
             Ok(_) => None,
             Err(error) => {
-                log::debug!("relay: no news from {address}: {error}");
+                log::debug!(address:% = address, error:% = error; "no news of the store");
                 self.set_down(address, ServiceClock.now());
                 None
             }
@@ -233,7 +233,7 @@
             if reply.is_err() {
                 relay.set_down(address, ServiceClock.now());
             } else if relay.down.borrow_mut().remove(&address).is_some() {
-                log::info!("relay: {address} answers again");
+                log::info!(address:% = address; "instance answers again");
             }
         }
         relay.pinging.borrow_mut().remove(&address);
@@ -381,7 +381,7 @@
     }
 
     fn count_invalid_frame(&self) {
-        log::warn!("relay: connection with an invalid frame closed");
+        log::warn!("connection with an invalid frame closed");
     }
 
     fn connection_ended(&self, connection: ConnectionId) {
--- a/crates/coriander_service/src/request_log.rs
+++ b/crates/coriander_service/src/request_log.rs
@@ -41,6 +41,18 @@
     pub config_age: Option<Duration>,
 }
 
+/// What is known about a session that is refused.
+pub struct RefusedSession<'a> {
+    /// Database that the caller asked for.
+    pub database: &'a str,
+    /// Why.
+    pub failure: &'a SessionFailure,
+    /// Configuration version that was checked.
+    pub config_version: u64,
+    /// Age of the proof that the version was the newest.
+    pub config_age: Option<Duration>,
+}
+
 /// Writes the log lines of statements within a bound.
 pub struct RequestLog {
     successes: RefCell<LineBudget>,
@@ -65,6 +77,25 @@
         }
     }
 
+    /// Writes the line of a session that is refused, unless too many lines have been written.
+    pub fn write_refused_session(&self, refused: &RefusedSession<'_>, now: MonotonicTime) {
+        let Some(left_out) = self.failures.borrow_mut().take(now) else {
+            return;
+        };
+        let failure = refused.failure;
+        log::warn!(
+            target: "request",
+            database = refused.database,
+            code = failure.code.label(),
+            reason = failure.reason.label(),
+            retry_after_ms = failure.retry_after.map_or(0, |delay| delay.as_millis() as u64),
+            config_version = refused.config_version,
+            config_age_ms = refused.config_age.map_or(-1, |age| age.as_millis() as i64),
+            left_out = left_out;
+            "session refused"
+        );
+    }
+
     fn write_success(&self, ended: &EndedStatement<'_>, now: MonotonicTime) {
         // Statements that no member ran decide nothing.
         if ended.trace.attempts().is_empty() {
@@ -104,6 +135,7 @@
             code = failure.code.label(),
             reason = failure.reason.label(),
             detail = failure.detail.as_deref().unwrap_or("-"),
+            inputs = failure.inputs.as_deref().unwrap_or("-"),
             retry_after_ms = failure.retry_after.map_or(0, |delay| delay.as_millis() as u64),
             took_ms = ended.took.as_millis() as u64,
             attempts:% = ended.trace,
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -26,7 +26,7 @@
 use crate::promotion_duty::PromotionDuty;
 use crate::rate_loans::RateLoans;
 use crate::relay::{RelayClient, StoreNews};
-use crate::request_log::RequestLog;
+use crate::request_log::{RefusedSession, RequestLog};
 use crate::service_metrics::ServiceMetrics;
 use crate::session::ServedSession;
 use crate::warm_up_gate::WarmUpGate;
@@ -129,11 +129,10 @@
             && self.view.apply(config, sent_at)
         {
             log::info!(
-                "config: version {} in force: {} routes, {} accounts, {} keys",
-                config.version,
-                config.routes.len(),
-                config.accounts.len(),
-                config.keys.len()
+                version = config.version, revision = snapshot.revision,
+                routes = config.routes.len(), accounts = config.accounts.len(),
+                keys = config.keys.len(), read_age:? = self.clock.now().since(sent_at);
+                "configuration in force"
             );
             self.rates.apply_config(config);
         }
@@ -299,10 +298,9 @@
             ..settings.clone()
         };
         log::info!(
-            "process: settings in force: key_lifetime={:?} shutdown={:?} platform_fences={}",
-            settings.key_lifetime,
-            settings.shutdown,
-            settings.platform_fences
+            key_lifetime:? = settings.key_lifetime, shutdown:? = settings.shutdown,
+            platform_fences = settings.platform_fences;
+            "settings in force"
         );
         *self.settings.borrow_mut() = Rc::new(settings);
     }
@@ -314,7 +312,7 @@
 
     /// Moves to another phase.
     pub fn set_phase(&self, phase: ServicePhase) {
-        log::info!("process: phase {phase:?} with {} sessions", self.sessions());
+        log::info!(phase:? = phase, sessions = self.sessions(); "process changes its phase");
         self.phase.set(phase);
         self.phase_changed.notify_waiters();
     }
@@ -402,6 +400,25 @@
             .usable_token(fences, CERTAIN_LEASE, self.clock.now())
     }
 
+    fn note_refused_session(&self, database: &str, failure: &SessionFailure) {
+        let config = self.view.config();
+        let now = self.clock.now();
+        // Callers may name any database; only known ones become a label.
+        let known = config
+            .as_ref()
+            .is_some_and(|config| config.routes.contains_key(database));
+        let label = if known { database } else { "unknown" };
+        self.metrics
+            .count_refused_session(label, failure.reason.label());
+        let refused = RefusedSession {
+            database,
+            failure,
+            config_version: config.map_or(0, |config| config.version),
+            config_age: self.view.age(now),
+        };
+        self.requests.write_refused_session(&refused, now);
+    }
+
     /// Handles a message of another instance.
     pub fn handle_message(&self, sender: SocketAddr, message: &PeerMessage) {
         match message {
@@ -428,7 +445,10 @@
         database: &str,
         key: &str,
     ) -> Result<Box<dyn ClientSession>, SessionFailure> {
-        self.check_access_fresh(database, key).await?;
+        if let Err(failure) = self.check_access_fresh(database, key).await {
+            self.note_refused_session(database, &failure);
+            return Err(failure);
+        }
         let Some(service) = self.own.upgrade() else {
             return Err(SessionFailure::new(
                 FailureCode::Busy,
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -41,16 +41,38 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RefusalLabels {
+    /// Database, or `unknown` if the configuration has none of the name.
+    database: String,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct AccountLabels {
+    account: String,
+    result: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct MemberGroupLabel {
+    group: String,
+}
+
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
 }
 
-/// Counters and histograms; their labels are databases, groups and fixed words.
+/// Counters and histograms; their labels are databases, groups and accounts of the configuration,
+/// and fixed words.
 pub struct ServiceMetrics {
     registry: Registry,
     statements: Family<StatementLabels, Counter>,
     latency: Family<DatabaseLabel, Histogram, fn() -> Histogram>,
+    refused_sessions: Family<RefusalLabels, Counter>,
+    account_operations: Family<AccountLabels, Counter>,
     attempts: Family<GroupLabels, Counter>,
+    attempt_time: Family<MemberGroupLabel, Histogram, fn() -> Histogram>,
     store_calls: Family<ResultLabel, Counter>,
     promotions: Family<GroupLabels, Counter>,
     promotion_time: Histogram,
@@ -66,7 +88,10 @@
             registry: Registry::with_prefix("corianderstile"),
             statements: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
+            refused_sessions: Family::default(),
+            account_operations: Family::default(),
             attempts: Family::default(),
+            attempt_time: Family::new_with_constructor(latency_histogram),
             store_calls: Family::default(),
             promotions: Family::default(),
             promotion_time: latency_histogram(),
@@ -98,6 +123,21 @@
             "Attempts at members by group and result",
             self.attempts.clone(),
         );
+        registry.register(
+            "attempt_seconds",
+            "Time of an attempt at a member of a group, waits for a connection included",
+            self.attempt_time.clone(),
+        );
+        registry.register(
+            "refused_sessions",
+            "Sessions refused when callers opened them, by database and reason",
+            self.refused_sessions.clone(),
+        );
+        registry.register(
+            "account_operations",
+            "Operations by client account, admitted or refused for its rate",
+            self.account_operations.clone(),
+        );
         registry.register(
             "store_calls",
             "Reads of the platform's store by result",
@@ -152,11 +192,34 @@
         histogram.observe(took.as_secs_f64());
     }
 
+    /// Counts a session that was refused when its caller opened it.
+    pub fn count_refused_session(&self, database: &str, reason: &'static str) {
+        let labels = RefusalLabels {
+            database: database.to_owned(),
+            reason,
+        };
+        self.refused_sessions.get_or_create(&labels).inc();
+    }
+
+    /// Counts an operation of an account.
+    pub fn count_operation(&self, account: &str, result: &'static str) {
+        let labels = AccountLabels {
+            account: account.to_owned(),
+            result,
+        };
+        self.account_operations.get_or_create(&labels).inc();
+    }
+
     /// Counts an attempt at a member of a group.
-    pub fn count_attempt(&self, group: &str, result: &'static str) {
+    pub fn count_attempt(&self, group: &str, result: &'static str, took: Duration) {
         self.attempts
             .get_or_create(&group_labels(group, result))
             .inc();
+        let label = MemberGroupLabel {
+            group: group.to_owned(),
+        };
+        let histogram = self.attempt_time.get_or_create(&label);
+        histogram.observe(took.as_secs_f64());
     }
 
     /// Counts a read of the store.
@@ -199,7 +262,7 @@
     pub fn encode(&self) -> String {
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
-            log::error!("metrics: cannot be encoded: {error}");
+            log::error!(error:% = error; "metrics not encoded");
         }
         text
     }
--- a/crates/coriander_service/tests/access.rs
+++ b/crates/coriander_service/tests/access.rs
@@ -144,3 +144,50 @@
     let idle = tokio::time::timeout(Duration::from_millis(500), session.idle()).await;
     assert!(idle.is_ok());
 }
+
+#[ntex::test]
+async fn refused_sessions_are_counted_without_labels_that_callers_choose() {
+    // A caller that tries many names must not make the metrics grow.
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    for number in 0..50 {
+        let name = format!("made-up-{number}");
+        assert!(service.open(&name, KEY).await.is_err());
+    }
+    assert!(service.open(DATABASE, "no key").await.is_err());
+    let metrics = service.encode_metrics();
+    assert!(!metrics.contains("made-up"), "{metrics}");
+    let unknown =
+        "corianderstile_refused_sessions_total{database=\"unknown\",reason=\"no_route\"} 50";
+    assert!(metrics.contains(unknown), "{metrics}");
+    assert!(metrics.contains("database=\"orders\",reason=\"key_not_in_config\""));
+}
+
+#[ntex::test]
+async fn refusal_for_a_rate_tells_what_the_instance_could_spend() {
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    let mut config = config(2, ReadFreshness::Newest);
+    let account = std::sync::Arc::new(coriander_sessions::ClientAccount {
+        name: support::ACCOUNT.into(),
+        rate: Some(1.0),
+        burst: 1.0,
+    });
+    config
+        .accounts
+        .insert(support::ACCOUNT.into(), account.clone());
+    config.keys.insert(KEY.into(), account);
+    apply(&service, config, group.entries());
+    let mut session = open(&service).await;
+    for number in 0..3 {
+        run(&mut session, &format!("q{number}"), "READ 1").await;
+    }
+    let answer = run(&mut session, "q4", "READ 1").await;
+    let failure = answer.result.expect_err("the rate is used up");
+    let inputs = failure.inputs.clone().expect("inputs of the decision");
+    assert!(inputs.contains("rate=1 part="), "{inputs}");
+    assert!(
+        !failure.message().contains("part="),
+        "callers do not see them"
+    );
+}
--- a/crates/coriander_sessions/src/answer.rs
+++ b/crates/coriander_sessions/src/answer.rs
@@ -166,6 +166,8 @@
     pub reason: FailureReason,
     /// Text of the member, if the member refused.
     pub detail: Option<Arc<str>>,
+    /// What decided about the failure, for logs only.
+    pub inputs: Option<Arc<str>>,
     /// When a repetition can succeed.
     pub retry_after: Option<Duration>,
 }
@@ -177,6 +179,7 @@
             code,
             reason,
             detail: None,
+            inputs: None,
             retry_after: None,
         }
     }
@@ -195,6 +198,13 @@
         self
     }
 
+    /// Adds what decided about the failure; callers do not see it.
+    #[must_use]
+    pub fn with_inputs(mut self, inputs: String) -> Self {
+        self.inputs = Some(inputs.into());
+        self
+    }
+
     /// Returns the text for the caller.
     pub fn message(&self) -> String {
         let mut text = self.reason.label().to_owned();
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -195,7 +195,14 @@
     ntex::rt::spawn(promotions.run());
     ntex::rt::spawn(serve_callers(listener, service.clone()));
     ntex::rt::spawn(watch_settings(path, service.clone()));
-    log::info!("process: started as {}", service.settings().process);
+    let settings = service.settings();
+    log::info!(
+        version = env!("CARGO_PKG_VERSION"), name = &*settings.name, id = &*settings.process,
+        zone = &*settings.zone, peers:% = settings.peer_address,
+        key_lifetime:? = settings.key_lifetime, shutdown:? = settings.shutdown,
+        platform_fences = settings.platform_fences;
+        "process started"
+    );
     Ok(ServedProcess {
         service,
         relay,
@@ -216,7 +223,7 @@
     if let Some(lease) = service.registration()
         && let Err(error) = process.store.end_lease(lease).await
     {
-        log::warn!("fleet: registration could not be ended: {error}");
+        log::warn!(lease = lease.0, error:% = error; "registration not ended");
     }
     let drained = started + DRAIN_TIME.min(limit / 2);
     sleep(drained.since(service.clock.now())).await;
@@ -226,9 +233,9 @@
         sleep(CLOSE_CHECK).await;
     }
     log::info!(
-        "process: stopped with {} sessions and {} relayed operations",
-        service.sessions(),
-        process.relay.in_use()
+        sessions = service.sessions(), relayed = process.relay.in_use(),
+        took:? = service.clock.now().since(started);
+        "process stopped"
     );
 }
 
--- a/crates/corianderstile/src/session_server/settings_watch.rs
+++ b/crates/corianderstile/src/session_server/settings_watch.rs
@@ -18,7 +18,7 @@
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(error) => {
-            log::error!("process: SIGHUP cannot be received: {error}");
+            log::error!(error:% = error; "SIGHUP cannot be received");
             return;
         }
     };
@@ -31,20 +31,20 @@
         let text = match std::fs::read_to_string(&path) {
             Ok(text) => text,
             Err(error) => {
-                log::warn!("process: settings cannot be read: {error}");
+                log::warn!(path:% = path.display(), error:% = error; "settings cannot be read");
                 continue;
             }
         };
         let changed = text != known;
         if signalled {
-            log::info!("process: SIGHUP received, settings changed={changed}");
+            log::info!(changed = changed; "SIGHUP received");
         }
         if !changed {
             continue;
         }
         match SessionSettings::parse(&path, &text) {
             Ok(settings) => service.apply_settings(&settings.service),
-            Err(error) => log::error!("process: changed settings are not used: {error}"),
+            Err(error) => log::error!(error:% = error; "changed settings are not used"),
         }
         known = text;
     }
