Tell other instances only what has changed in the store; report outages to the promoter only

Each answer of a zone's reader carried all members and instances, 2.5 times a second to each instance; each instance told all others about a silent primary every 200 ms; homes of a member were ranked anew for each statement.

Change: instances name what they know by digests and get the parts that differ; outage notices go to the holder of the duty, whose address stands beside its name in the store; homes are kept until the instances change, and connections are divided anew only then.

Ruled out by their sizes: loans between instances, member entries.

--- a/crates/coriander_service/src/control_loop.rs
+++ b/crates/coriander_service/src/control_loop.rs
@@ -66,17 +66,16 @@
     let Some(reader) = service.store_reader() else {
         return false;
     };
-    let config = service.view.config();
-    let known = config.as_ref().map_or(0, |config| config.version);
     let sent_at = service.clock.now();
+    let known = service.newest_digest();
     let Some(news) = service.relay.news(reader, known).await else {
         return false;
     };
     let Some(age) = news.age.filter(|age| *age < OLDEST_NEWS) else {
         return false;
     };
-    let mut snapshot = news.snapshot;
-    snapshot.config = snapshot.config.or(config);
+    let known = service.newest_read().unwrap_or_default();
+    let snapshot = news.complete(&known);
     service.metrics.count_store_call("heard");
     // The reader answered after this request was sent, so its read is no older than this.
     service.apply_snapshot(&snapshot, sent_at.before(age));
@@ -111,7 +110,7 @@
     store: &dyn ControlStore,
     free_since: &mut Option<MonotonicTime>,
 ) {
-    let Some((snapshot, _)) = service.newest_read() else {
+    let Some(snapshot) = service.newest_read() else {
         return;
     };
     if snapshot.fleet_secret.is_none() {
@@ -218,8 +217,9 @@
             return;
         }
     }
-    let process = service.settings().process.clone();
-    match store.take_duty(&process, lease, replaces).await {
+    let settings = service.settings();
+    let taken = store.take_duty(&settings.process, settings.peer_address, lease, replaces);
+    match taken.await {
         Ok(token) => service.duty.taken(token),
         Err(StoreError::Conflict) => service.duty.lost(),
         Err(error) => log::warn!(error:% = error; "promotion duty not taken"),
--- a/crates/coriander_service/src/fleet_view.rs
+++ b/crates/coriander_service/src/fleet_view.rs
@@ -1,7 +1,9 @@
 //! The instances of the fleet and which of them keep connections to which members.
 
-use std::collections::HashSet;
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
 use std::sync::Arc;
 
 use coriander_sessions::InstanceEntry;
@@ -31,6 +33,8 @@
     instances: Vec<InstanceEntry>,
     /// Instances that have announced their end; they get no new work.
     leaving: HashSet<Arc<str>>,
+    /// Homes by the hash of what decides about them, until the instances change.
+    known_homes: RefCell<HashMap<u64, Rc<[InstanceEntry]>>>,
 }
 
 impl FleetView {
@@ -48,22 +52,31 @@
         };
         self.leaving.retain(renewed);
         self.instances = instances.to_vec();
+        self.known_homes.borrow_mut().clear();
     }
 
     /// Notes that an instance is about to stop.
     pub fn set_leaving(&mut self, name: &str) {
         if let Some(entry) = self.instances.iter().find(|entry| &*entry.id == name) {
             self.leaving.insert(entry.id.clone());
+            self.known_homes.borrow_mut().clear();
         }
     }
 
     /// Instances that keep connections to a member, best first. They are in the member's zone if
     /// any instance is.
-    fn homes(&self, member: &MemberPlace<'_>) -> Vec<&InstanceEntry> {
+    fn homes(&self, member: &MemberPlace<'_>) -> Rc<[InstanceEntry]> {
+        let key = rank((member.id, member.zone, member.connections));
+        let mut known = self.known_homes.borrow_mut();
+        let homes = known.entry(key);
+        homes.or_insert_with(|| self.choose_homes(member)).clone()
+    }
+
+    fn choose_homes(&self, member: &MemberPlace<'_>) -> Rc<[InstanceEntry]> {
         let mut homes = self.candidates(member.zone);
         homes.sort_by_cached_key(|entry| rank((member.id, &*entry.id)));
         homes.truncate(ConnectionCaps::most_homes(member.connections));
-        homes
+        homes.into_iter().cloned().collect()
     }
 
     fn candidates(&self, zone: &str) -> Vec<&InstanceEntry> {
@@ -87,9 +100,9 @@
         usable: impl Fn(&InstanceEntry) -> bool,
     ) -> Option<InstanceEntry> {
         let by_rank = |entry: &&InstanceEntry| rank((member.id, account, &*entry.id));
-        let homes = self.homes(member).into_iter();
-        let best = homes.filter(|entry| usable(entry)).max_by_key(by_rank);
-        let best = best.or_else(|| {
+        let homes = self.homes(member);
+        let near = homes.iter().filter(|entry| usable(entry));
+        let best = near.max_by_key(by_rank).or_else(|| {
             let others = self.candidates(member.zone).into_iter();
             others.filter(|entry| usable(entry)).max_by_key(by_rank)
         });
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -44,6 +44,7 @@
 mod service_metrics;
 mod service_settings;
 mod session;
+mod store_news;
 mod warm_up_gate;
 
 pub use control_loop::{run_reader, run_registration};
@@ -59,4 +60,5 @@
 pub use service::{ServicePhase, SessionService};
 pub use service_clock::ServiceClock;
 pub use service_settings::ServiceSettings;
+pub use store_news::{SnapshotDigest, StoreNews};
 pub use warm_up_gate::WarmUpGate;
--- a/crates/coriander_service/src/peer_socket.rs
+++ b/crates/coriander_service/src/peer_socket.rs
@@ -1,6 +1,7 @@
 //! UDP socket to the other instances.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,7 +32,8 @@
     own_id: InstanceId,
     epoch: u64,
     codec: RefCell<Option<(Arc<[u8]>, DatagramCodec)>>,
-    peers: RefCell<Vec<InstanceEntry>>,
+    /// Addresses of the other instances by name.
+    peers: RefCell<HashMap<Arc<str>, SocketAddr>>,
 }
 
 impl PeerSocket {
@@ -66,23 +68,18 @@
     /// Takes over the instances of the fleet.
     pub fn set_peers(&self, instances: &[InstanceEntry]) {
         let others = instances.iter().filter(|entry| entry.id != self.own_name);
-        *self.peers.borrow_mut() = others.cloned().collect();
+        let addresses = others.map(|entry| (entry.id.clone(), entry.address));
+        *self.peers.borrow_mut() = addresses.collect();
     }
 
     /// Returns the addresses of the other instances.
     pub fn peers(&self) -> Vec<SocketAddr> {
-        self.peers
-            .borrow()
-            .iter()
-            .map(|peer| peer.address)
-            .collect()
+        self.peers.borrow().values().copied().collect()
     }
 
     /// Returns the address of an instance.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
-        let peers = self.peers.borrow();
-        let peer = peers.iter().find(|peer| &*peer.id == name)?;
-        Some(peer.address)
+        self.peers.borrow().get(name).copied()
     }
 
     /// Sends a message; it may be lost.
--- a/crates/coriander_service/src/promotion_duty.rs
+++ b/crates/coriander_service/src/promotion_duty.rs
@@ -27,6 +27,8 @@
     token: Cell<Option<u64>>,
     /// Token in force as far as is known, whoever holds it.
     current: Cell<Option<u64>>,
+    /// Address of the holder, if another instance holds the duty.
+    holder: Cell<Option<SocketAddr>>,
     /// Whether the token must be renewed, because a call with it was rejected.
     outdated: Cell<bool>,
     /// When the last successful renewal of the lease was sent.
@@ -40,6 +42,8 @@
         let was_held = self.token.get().is_some();
         self.current.set(lease.map(|lease| lease.token));
         let own = lease.filter(|lease| &*lease.holder == own_process);
+        let other = lease.filter(|_| own.is_none());
+        self.holder.set(other.and_then(|lease| lease.address));
         if let Some(lease) = lease {
             // An older read may still show the token that a renewal has replaced.
             let known = self.token.get().unwrap_or(0);
@@ -103,6 +107,11 @@
         self.token.get().filter(|_| !self.outdated.get())
     }
 
+    /// Returns the address of the instance that holds the duty, if it is another one.
+    pub fn other_holder(&self) -> Option<SocketAddr> {
+        self.holder.get()
+    }
+
     /// Tells whether nobody holds the duty, as far as is known.
     pub fn is_free(&self) -> bool {
         self.token.get().is_none() && self.current.get().is_none()
--- a/crates/coriander_service/src/promotion_task.rs
+++ b/crates/coriander_service/src/promotion_task.rs
@@ -140,8 +140,11 @@
         });
     }
 
-    /// Tells the other instances that a primary does not answer here.
+    /// Tells the instance that promotes that a primary does not answer here.
     fn report_outage(&self, group: &DatabaseGroup, leader: &Member, now: MonotonicTime) {
+        let Some(holder) = self.service.duty.other_holder() else {
+            return;
+        };
         let failing = leader.failing_for(now).is_some();
         let mut noticed = self.noticed.borrow_mut();
         let last = noticed.get(&group.name).copied();
@@ -160,7 +163,8 @@
             member: leader.id.to_string(),
             failing,
         };
-        self.service.peers.send_all(&PeerMessage::Outage(notice));
+        let message = PeerMessage::Outage(notice);
+        self.service.peers.send(holder, &message);
     }
 
     fn observe(
--- a/crates/coriander_service/src/relay.rs
+++ b/crates/coriander_service/src/relay.rs
@@ -14,7 +14,7 @@
 use async_trait::async_trait;
 use coriander_core::MonotonicTime;
 use coriander_peer::{ConnectionId, PeerClient, PeerError, PeerService, serve_peers};
-use coriander_sessions::{ControlSnapshot, LinkError};
+use coriander_sessions::LinkError;
 use coriander_wire::FrameCodec;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -25,6 +25,7 @@
 use crate::held_connection::HeldConnection;
 use crate::member_pool::PoolError;
 use crate::service::SessionService;
+use crate::store_news::{SnapshotDigest, StoreNews};
 
 /// Added to the time of an exchange for the way between the instances.
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
@@ -68,8 +69,8 @@
     End(StreamNumber),
     /// Asks for what the store holds, as far as the instance knows.
     News {
-        /// Configuration version that need not be sent again.
-        known_version: u64,
+        /// Parts that need not be sent again.
+        known: SnapshotDigest,
     },
     /// Asks for a sign of life.
     Ping,
@@ -86,15 +87,6 @@
     Done,
 }
 
-/// What an instance knows of the store.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct StoreNews {
-    /// Time since the read of the store was sent; `None` if there was none.
-    pub age: Option<Duration>,
-    /// What the read has shown. The configuration is left out if its version is known.
-    pub snapshot: ControlSnapshot,
-}
-
 /// Client side: exchanges on other instances.
 #[derive(Default)]
 pub struct RelayClient {
@@ -171,9 +163,9 @@
     }
 
     /// Asks another instance what the store holds.
-    pub async fn news(&self, address: SocketAddr, known_version: u64) -> Option<StoreNews> {
+    pub async fn news(&self, address: SocketAddr, known: SnapshotDigest) -> Option<StoreNews> {
         let client = self.client.borrow().clone()?;
-        let request = RelayRequest::News { known_version };
+        let request = RelayRequest::News { known };
         match client.call(address, request, NEWS_TIMEOUT).await {
             Ok(RelayReply::News(news)) => Some(*news),
             Ok(_) => None,
@@ -370,10 +362,10 @@
                 self.streams.borrow_mut().remove(&key);
                 RelayReply::Done
             }
-            RelayRequest::News { known_version } => {
+            RelayRequest::News { known } => {
                 let service = self.service.upgrade();
                 service.map_or(RelayReply::Done, |service| {
-                    RelayReply::News(Box::new(service.news(known_version)))
+                    RelayReply::News(Box::new(service.news(&known)))
                 })
             }
             RelayRequest::Ping => RelayReply::Done,
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -25,10 +25,11 @@
 use crate::peer_socket::PeerSocket;
 use crate::promotion_duty::PromotionDuty;
 use crate::rate_loans::RateLoans;
-use crate::relay::{RelayClient, StoreNews};
+use crate::relay::RelayClient;
 use crate::request_log::{RefusedSession, RequestLog};
 use crate::service_metrics::ServiceMetrics;
 use crate::session::ServedSession;
+use crate::store_news::{SnapshotDigest, StoreNews};
 use crate::warm_up_gate::WarmUpGate;
 use crate::{ServiceClock, ServiceSettings};
 
@@ -46,6 +47,14 @@
     Closing,
 }
 
+/// Newest read of the store.
+#[derive(Clone)]
+struct NewestRead {
+    snapshot: Rc<ControlSnapshot>,
+    sent_at: MonotonicTime,
+    digest: SnapshotDigest,
+}
+
 /// State that all sessions of the process share.
 pub struct SessionService {
     settings: RefCell<Rc<ServiceSettings>>,
@@ -74,8 +83,9 @@
     /// Key of messages between instances, once it is known.
     pub fleet_key: watch::Sender<Option<[u8; 32]>>,
     fleet: RefCell<FleetView>,
-    /// Newest read of the store and when it was sent.
-    newest: RefCell<Option<(ControlSnapshot, MonotonicTime)>>,
+    /// Whether an instance has announced its end since the last read of the store.
+    leaves_changed: Cell<bool>,
+    newest: RefCell<Option<NewestRead>>,
     /// Rates of client accounts.
     pub rates: RateLoans,
     phase: Cell<ServicePhase>,
@@ -110,6 +120,7 @@
             relay: RelayClient::default(),
             fleet_key: watch::Sender::new(None),
             fleet: RefCell::default(),
+            leaves_changed: Cell::new(false),
             newest: RefCell::default(),
             duty: PromotionDuty::default(),
             phase: Cell::new(ServicePhase::Serving),
@@ -122,9 +133,9 @@
 
     /// Takes over what a read of the store that started at `sent_at` has shown.
     pub fn apply_snapshot(&self, snapshot: &ControlSnapshot, sent_at: MonotonicTime) {
-        if !self.keep_snapshot(snapshot, sent_at) {
+        let Some(known) = self.keep_snapshot(snapshot, sent_at) else {
             return;
-        }
+        };
         if let Some(config) = &snapshot.config
             && self.view.apply(config, sent_at)
         {
@@ -137,8 +148,11 @@
             self.rates.apply_config(config);
         }
         self.rates.set_fleet(&snapshot.instances);
-        self.peers.set_peers(&snapshot.instances);
-        self.fleet.borrow_mut().apply(&snapshot.instances);
+        let digest = self.newest_digest();
+        if !digest.same_instances(&known) {
+            self.peers.set_peers(&snapshot.instances);
+            self.fleet.borrow_mut().apply(&snapshot.instances);
+        }
         if let Some(secret) = &snapshot.fleet_secret
             && let Some(key) = self.peers.set_secret(secret)
         {
@@ -147,43 +161,58 @@
         }
         self.duty
             .apply(snapshot.duty.as_ref(), &self.settings().process);
-        self.apply_members(snapshot);
+        // A leaving instance gives up its connections without a change of the store.
+        let same_places = digest.same_instances(&known)
+            && digest.same_members(&known)
+            && digest.config_version == known.config_version
+            && !self.leaves_changed.take();
+        self.apply_members(snapshot, !same_places);
         self.refreshed.notify_waiters();
     }
 
-    /// Keeps what a read has shown, for other instances. Returns false if a newer read is known.
-    fn keep_snapshot(&self, snapshot: &ControlSnapshot, sent_at: MonotonicTime) -> bool {
+    /// Keeps what a read has shown, for other instances. Returns the digest of the one before, or
+    /// `None` if a newer read is known.
+    fn keep_snapshot(
+        &self,
+        snapshot: &ControlSnapshot,
+        sent_at: MonotonicTime,
+    ) -> Option<SnapshotDigest> {
         let mut newest = self.newest.borrow_mut();
-        if let Some((known, _)) = &*newest
-            && known.revision > snapshot.revision
+        if let Some(known) = &*newest
+            && known.snapshot.revision > snapshot.revision
         {
-            return false;
+            return None;
         }
-        *newest = Some((snapshot.clone(), sent_at));
-        true
+        let known = newest.as_ref().map(|known| known.digest);
+        *newest = Some(NewestRead {
+            snapshot: Rc::new(snapshot.clone()),
+            sent_at,
+            digest: SnapshotDigest::of(snapshot),
+        });
+        Some(known.unwrap_or_default())
     }
 
-    /// Returns the newest read of the store and when it was sent.
-    pub fn newest_read(&self) -> Option<(ControlSnapshot, MonotonicTime)> {
-        self.newest.borrow().clone()
+    /// Returns the newest read of the store.
+    pub fn newest_read(&self) -> Option<Rc<ControlSnapshot>> {
+        let newest = self.newest.borrow();
+        newest.as_ref().map(|read| read.snapshot.clone())
     }
 
-    /// Returns what this instance knows of the store, for another one.
-    pub fn news(&self, known_version: u64) -> StoreNews {
+    /// Returns the digest of the newest read of the store.
+    pub fn newest_digest(&self) -> SnapshotDigest {
         let newest = self.newest.borrow();
-        let Some((snapshot, sent_at)) = &*newest else {
-            return StoreNews {
-                age: None,
-                snapshot: ControlSnapshot::default(),
-            };
+        newest
+            .as_ref()
+            .map_or_else(SnapshotDigest::default, |read| read.digest)
+    }
+
+    /// Returns what this instance knows of the store, for another one.
+    pub fn news(&self, known: &SnapshotDigest) -> StoreNews {
+        let Some(read) = self.newest.borrow().clone() else {
+            return StoreNews::default();
         };
-        let mut snapshot = snapshot.clone();
-        let config = snapshot.config.take();
-        snapshot.config = config.filter(|config| config.version != known_version);
-        StoreNews {
-            age: Some(self.clock.now().since(*sent_at)),
-            snapshot,
-        }
+        let age = self.clock.now().since(read.sent_at);
+        StoreNews::since(known, &read.snapshot, &read.digest, age)
     }
 
     /// Returns the instance that reads the store for this one, if another does.
@@ -197,7 +226,9 @@
         (reader.id != settings.name).then_some(reader.address)
     }
 
-    fn apply_members(&self, snapshot: &ControlSnapshot) {
+    /// Takes over the members; `places_changed` tells whether connections may have to be divided
+    /// anew among the instances.
+    fn apply_members(&self, snapshot: &ControlSnapshot, places_changed: bool) {
         let now = self.clock.now();
         let Some(config) = self.view.config() else {
             return;
@@ -218,6 +249,9 @@
             {
                 group.observe_lineage(start.position);
             }
+            if !places_changed {
+                continue;
+            }
             let connections = limits.connections_per_member;
             let fleet = self.fleet.borrow();
             group.set_connections(connections, |member| fleet.connection_caps(member, &own));
@@ -275,6 +309,7 @@
     /// Notes that an instance is about to stop.
     fn instance_leaves(&self, name: &str) {
         self.fleet.borrow_mut().set_leaving(name);
+        self.leaves_changed.set(true);
     }
 
     /// Returns all groups.
--- a/crates/coriander_service/tests/promotions.rs
+++ b/crates/coriander_service/tests/promotions.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -111,6 +112,7 @@
     async fn take_duty(
         &self,
         _holder: &str,
+        _address: SocketAddr,
         _lease: LeaseId,
         _replaces: Option<u64>,
     ) -> Result<u64, StoreError> {
@@ -142,6 +144,7 @@
     let mut snapshot = snapshot(config(1, ReadFreshness::Newest), group.entries());
     snapshot.duty = Some(DutyLease {
         holder: service.settings().process.clone(),
+        address: None,
         token,
     });
     service.apply_snapshot(&snapshot, ServiceClock.now());
@@ -227,6 +230,7 @@
     let mut snapshot = snapshot(config(1, ReadFreshness::Newest), entries);
     snapshot.duty = Some(DutyLease {
         holder: service.settings().process.clone(),
+        address: None,
         token: 12,
     });
     service.apply_snapshot(&snapshot, ServiceClock.now());
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -9,6 +9,7 @@
 
 use coriander_service::{
     PeerSocket, RelayClient, RelayServer, ServiceClock, ServiceSettings, SessionService,
+    SnapshotDigest,
 };
 use coriander_sessions::{ControlSnapshot, InstanceEntry, ReadFreshness};
 use tokio::net::{TcpListener, UdpSocket};
@@ -174,11 +175,14 @@
 }
 
 #[ntex::test]
-async fn news_leave_out_a_configuration_that_is_known() {
+async fn news_leave_out_the_parts_that_are_known() {
     let group = FakeGroup::new(&["a"]);
     let (far, _home) = start_two(&group).await;
-    let news = far.service.news(1);
-    assert!(news.snapshot.config.is_none());
+    let known = far.service.newest_digest();
+    let news = far.service.news(&known);
     assert!(news.age.is_some());
-    assert!(far.service.news(0).snapshot.config.is_some());
+    assert!(news.config.is_none() && news.members.is_none());
+    assert!(news.instances.is_none() && news.rest.is_none());
+    let news = far.service.news(&SnapshotDigest::default());
+    assert!(news.config.is_some() && news.members.is_some());
 }
--- /dev/null
+++ b/crates/coriander_service/tests/store_news.rs
@@ -0,0 +1,84 @@
+//! What instances tell each other of the store.
+
+mod support;
+
+use std::time::Duration;
+
+use coriander_service::{SnapshotDigest, StoreNews};
+use coriander_sessions::{ControlSnapshot, InstanceEntry, MemberRole, ReadFreshness};
+
+use support::{config, member_entry, snapshot};
+
+const INSTANCES: usize = 300;
+
+fn large_snapshot() -> ControlSnapshot {
+    let members = (b'a'..=b'z').map(|name| {
+        let name = char::from(name).to_string();
+        member_entry(&name, MemberRole::Replica)
+    });
+    let mut snapshot = snapshot(config(7, ReadFreshness::Newest), members.collect());
+    let instance = |number: usize| InstanceEntry {
+        id: format!("frontend-berrechid-{number}").into(),
+        address: ([10, 1, 1, 1], 7560).into(),
+        zone: "berrechid".into(),
+        created: number as u64,
+    };
+    snapshot.instances = (0..INSTANCES).map(instance).collect();
+    snapshot
+}
+
+fn size(news: &StoreNews) -> usize {
+    postcard::to_stdvec(news).expect("encodes").len()
+}
+
+fn news_after(change: impl FnOnce(&mut ControlSnapshot)) -> (ControlSnapshot, StoreNews) {
+    let known = large_snapshot();
+    let mut newer = known.clone();
+    newer.revision += 1;
+    change(&mut newer);
+    let digests = [SnapshotDigest::of(&known), SnapshotDigest::of(&newer)];
+    let news = StoreNews::since(&digests[0], &newer, &digests[1], Duration::ZERO);
+    assert_eq!(news.clone().complete(&known).revision, newer.revision);
+    let complete = news.clone().complete(&known);
+    assert_eq!(SnapshotDigest::of(&complete), digests[1]);
+    (newer, news)
+}
+
+#[test]
+fn since_sends_a_few_bytes_while_members_only_renew_their_entries() {
+    // Every instance asks the reader of its zone all the time; with all entries in each answer
+    // the link of the reader was full at 100 instances.
+    let (_, news) = news_after(|snapshot| {
+        for member in &mut snapshot.members {
+            member.revision += 40;
+        }
+    });
+    assert!(size(&news) < 32, "{} bytes", size(&news));
+}
+
+#[test]
+fn since_sends_the_part_that_has_changed() {
+    let (_, news) = news_after(|snapshot| snapshot.zones_out.push("berrechid".into()));
+    assert!(news.rest.is_some() && news.instances.is_none());
+    let (_, news) = news_after(|snapshot| snapshot.members[3].draining = true);
+    assert!(news.members.is_some() && news.rest.is_none());
+    let (newer, news) = news_after(|snapshot| {
+        snapshot.instances.remove(0);
+    });
+    assert_eq!(news.instances.as_ref(), Some(&newer.instances));
+}
+
+#[test]
+fn since_sends_everything_to_an_instance_that_knows_nothing() {
+    let snapshot = large_snapshot();
+    let digest = SnapshotDigest::of(&snapshot);
+    let news = StoreNews::since(
+        &SnapshotDigest::default(),
+        &snapshot,
+        &digest,
+        Duration::ZERO,
+    );
+    let complete = news.complete(&ControlSnapshot::default());
+    assert_eq!(SnapshotDigest::of(&complete), digest);
+    assert_eq!(complete.members, snapshot.members);
+}
--- a/crates/coriander_sessions/src/control_store.rs
+++ b/crates/coriander_sessions/src/control_store.rs
@@ -61,6 +61,8 @@
 pub struct DutyLease {
     /// Instance that holds the duty.
     pub holder: Arc<str>,
+    /// Its address for other instances, if it is readable.
+    pub address: Option<SocketAddr>,
     /// Fencing token; rises with each holder.
     pub token: u64,
 }
@@ -157,6 +159,7 @@
     async fn take_duty(
         &self,
         holder: &str,
+        address: SocketAddr,
         lease: LeaseId,
         replaces: Option<u64>,
     ) -> Result<u64, StoreError>;
