--- a/crates/coriander_service/src/control_loop.rs
+++ b/crates/coriander_service/src/control_loop.rs
@@ -1,5 +1,6 @@
 //! Reads the store, keeps this instance registered, and applies what has changed.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,7 +49,7 @@
     let mut free_since = None;
     loop {
         let started = service.clock.now();
-        let heard = hear_news(&service).await;
+        let heard = hear_news(&service, &*store).await;
         let interval = if heard { HEAR_INTERVAL } else { READ_INTERVAL };
         if !heard {
             read_store(&service, &*store, &mut reachable).await;
@@ -61,19 +62,39 @@
     }
 }
 
-/// Asks the reader of the zone for news. Returns false if this instance must read for itself.
-async fn hear_news(service: &SessionService) -> bool {
-    let Some(reader) = service.store_reader() else {
-        return false;
-    };
+/// Asks the readers of the zone for news. Returns false if this instance must read for itself.
+async fn hear_news(service: &SessionService, store: &dyn ControlStore) -> bool {
+    for reader in service.store_readers() {
+        if hear_from(service, store, reader).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn hear_from(service: &SessionService, store: &dyn ControlStore, reader: SocketAddr) -> bool {
     let sent_at = service.clock.now();
-    let known = service.newest_digest();
-    let Some(news) = service.relay.news(reader, known).await else {
+    let digest = service.newest_digest();
+    let Some(mut news) = service.relay.news(reader, digest).await else {
         return false;
     };
     let Some(age) = news.age.filter(|age| *age < OLDEST_NEWS) else {
         return false;
     };
+    if news.lacks_config(digest.config_version) {
+        match store.read_config().await {
+            Ok(Some(config)) => news.config = Some(config),
+            // It has been deleted since, or cannot be read, which has been logged.
+            Ok(None) => return false,
+            Err(error) => {
+                log::warn!(
+                    version = news.config_version, error:% = error;
+                    "new configuration not read from the store"
+                );
+                return false;
+            }
+        }
+    }
     let known = service.newest_read().unwrap_or_default();
     let snapshot = news.complete(&known);
     service.metrics.count_store_call("heard");
@@ -141,7 +162,8 @@
             }
             Err(error) => {
                 log::warn!(error:% = error; "instance not registered");
-                sleep(REGISTER_PAUSE).await;
+                // Instances that start together must not come back together.
+                sleep(REGISTER_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
             }
         }
     }
--- a/crates/coriander_service/src/fleet_view.rs
+++ b/crates/coriander_service/src/fleet_view.rs
@@ -129,15 +129,20 @@
         (place.unwrap_or(0), ranked.len().max(1))
     }
 
-    /// Returns the usable instance of a zone that reads the store for the others.
-    pub fn reader_of(
+    /// Returns the usable instances of a zone that read the store for the others, best first.
+    pub fn readers_of(
         &self,
         zone: &str,
+        most: usize,
         usable: impl Fn(&InstanceEntry) -> bool,
-    ) -> Option<&InstanceEntry> {
+    ) -> Vec<&InstanceEntry> {
         let near = self.candidates(zone).into_iter();
-        let near = near.filter(|entry| &*entry.zone == zone && usable(entry));
-        near.min_by_key(|entry| rank((zone, &*entry.id)))
+        let mut near: Vec<_> = near
+            .filter(|entry| &*entry.zone == zone && usable(entry))
+            .collect();
+        near.sort_by_cached_key(|entry| rank((zone, &*entry.id)));
+        near.truncate(most);
+        near
     }
 
     /// Returns a description of the fleet in one line.
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -60,5 +60,5 @@
 pub use service::{ServicePhase, SessionService};
 pub use service_clock::ServiceClock;
 pub use service_settings::ServiceSettings;
-pub use store_news::{SnapshotDigest, StoreNews};
+pub use store_news::{InstanceHistory, InstanceNews, SnapshotDigest, StoreNews};
 pub use warm_up_gate::WarmUpGate;
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -14,6 +14,7 @@
     MemberConnector, MemberEntry, SessionFailure, SessionHost,
 };
 use coriander_wire::FrameCodec;
+use smallvec::SmallVec;
 use tokio::sync::{Notify, watch};
 
 use crate::config_view::ConfigView;
@@ -29,10 +30,14 @@
 use crate::request_log::{RefusedSession, RequestLog};
 use crate::service_metrics::ServiceMetrics;
 use crate::session::ServedSession;
-use crate::store_news::{SnapshotDigest, StoreNews};
+use crate::store_news::{InstanceHistory, SnapshotDigest, StoreNews};
 use crate::warm_up_gate::WarmUpGate;
 use crate::{ServiceClock, ServiceSettings};
 
+/// Instances of a zone that are asked in turn for news of the store. The second one reads if the
+/// first has nothing recent, so that not all others do.
+const READERS: usize = 2;
+
 /// Account name that members learn for callers of routes that need no key.
 const OPEN_ACCOUNT: &str = "-";
 
@@ -86,6 +91,7 @@
     /// Whether an instance has announced its end since the last read of the store.
     leaves_changed: Cell<bool>,
     newest: RefCell<Option<NewestRead>>,
+    history: RefCell<InstanceHistory>,
     /// Rates of client accounts.
     pub rates: RateLoans,
     phase: Cell<ServicePhase>,
@@ -122,6 +128,7 @@
             fleet: RefCell::default(),
             leaves_changed: Cell::new(false),
             newest: RefCell::default(),
+            history: RefCell::default(),
             duty: PromotionDuty::default(),
             phase: Cell::new(ServicePhase::Serving),
             sessions: Cell::new(0),
@@ -184,10 +191,12 @@
             return None;
         }
         let known = newest.as_ref().map(|known| known.digest);
+        let digest = SnapshotDigest::of(snapshot);
+        self.history.borrow_mut().keep(&digest, &snapshot.instances);
         *newest = Some(NewestRead {
             snapshot: Rc::new(snapshot.clone()),
             sent_at,
-            digest: SnapshotDigest::of(snapshot),
+            digest,
         });
         Some(known.unwrap_or_default())
     }
@@ -212,18 +221,21 @@
             return StoreNews::default();
         };
         let age = self.clock.now().since(read.sent_at);
-        StoreNews::since(known, &read.snapshot, &read.digest, age)
+        let history = self.history.borrow();
+        StoreNews::since(known, &history, &read.snapshot, &read.digest, age)
     }
 
-    /// Returns the instance that reads the store for this one, if another does.
-    pub fn store_reader(&self) -> Option<SocketAddr> {
+    /// Returns the instances to ask for news of the store, in their order. It ends where it is
+    /// this instance's turn to read the store.
+    pub fn store_readers(&self) -> SmallVec<[SocketAddr; READERS]> {
         let settings = self.settings();
         let fleet = self.fleet.borrow();
         let usable = |entry: &InstanceEntry| {
             entry.id == settings.name || self.relay.is_usable(entry.address)
         };
-        let reader = fleet.reader_of(&settings.zone, usable)?;
-        (reader.id != settings.name).then_some(reader.address)
+        let readers = fleet.readers_of(&settings.zone, READERS, usable);
+        let others = readers.iter().take_while(|entry| entry.id != settings.name);
+        others.map(|entry| entry.address).collect()
     }
 
     /// Takes over the members; `places_changed` tells whether connections may have to be divided
--- a/crates/coriander_service/src/store_news.rs
+++ b/crates/coriander_service/src/store_news.rs
@@ -1,5 +1,6 @@
 //! What one instance tells another of the store: the parts that have changed.
 
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,13 @@
 use coriander_sessions::{ControlSnapshot, FleetConfig, InstanceEntry, MemberEntry};
 use serde::{Deserialize, Serialize};
 
+/// Size of a configuration document up to which it is sent with the news. Larger ones would fill
+/// the link of the instance that tells all others of its zone; those read it from the store.
+const NEWS_CONFIG_BYTES: usize = 32 * 1024;
+
+/// Lists of instances that are kept to tell differences.
+const KEPT_LISTS: usize = 8;
+
 /// Digests of the parts of a snapshot, by which an instance tells which of them it has.
 ///
 /// ```
@@ -40,7 +48,7 @@
         Self {
             config_version: snapshot.config.as_ref().map_or(0, |config| config.version),
             members: digest(&members),
-            instances: digest(&snapshot.instances),
+            instances: digest(&sorted(&snapshot.instances)),
             rest: digest(&rest_of(snapshot)),
         }
     }
@@ -56,6 +64,12 @@
     }
 }
 
+fn sorted(instances: &[InstanceEntry]) -> Vec<InstanceEntry> {
+    let mut sorted = instances.to_vec();
+    sorted.sort_by(|a, b| a.id.cmp(&b.id));
+    sorted
+}
+
 fn digest(value: &impl Serialize) -> u64 {
     let mut hasher = DefaultHasher::new();
     match postcard::to_stdvec(value) {
@@ -84,6 +98,80 @@
     }
 }
 
+/// Instances of the fleet, whole or as a difference.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum InstanceNews {
+    /// All instances.
+    Whole(Vec<InstanceEntry>),
+    /// What differs from the list that the asking instance has.
+    Difference {
+        /// Entries that are new or have changed.
+        changed: Vec<InstanceEntry>,
+        /// Instances that are not listed any more.
+        gone: Vec<Arc<str>>,
+    },
+}
+
+impl InstanceNews {
+    fn between(old: &[InstanceEntry], new: &[InstanceEntry]) -> Self {
+        let known: HashMap<_, _> = old.iter().map(|entry| (&entry.id, entry)).collect();
+        let listed: HashSet<_> = new.iter().map(|entry| &entry.id).collect();
+        let differs = |entry: &&InstanceEntry| known.get(&entry.id) != Some(entry);
+        let gone = old.iter().filter(|entry| !listed.contains(&entry.id));
+        Self::Difference {
+            changed: new.iter().filter(differs).cloned().collect(),
+            gone: gone.map(|entry| entry.id.clone()).collect(),
+        }
+    }
+
+    /// Returns the whole list, given the one that the asking instance has.
+    fn complete(self, known: &[InstanceEntry]) -> Vec<InstanceEntry> {
+        let (changed, gone) = match self {
+            Self::Whole(instances) => return instances,
+            Self::Difference { changed, gone } => (changed, gone),
+        };
+        let replaced = |entry: &&InstanceEntry| changed.iter().any(|new| new.id == entry.id);
+        let kept = known
+            .iter()
+            .filter(|entry| !gone.contains(&entry.id) && !replaced(entry));
+        let mut instances: Vec<_> = kept.chain(&changed).cloned().collect();
+        instances.sort_by(|a, b| a.id.cmp(&b.id));
+        instances
+    }
+}
+
+/// Lists of instances that were read lately, so that differences from them can be told.
+#[derive(Debug, Default)]
+pub struct InstanceHistory {
+    lists: VecDeque<(u64, Vec<InstanceEntry>)>,
+}
+
+impl InstanceHistory {
+    /// Keeps the list of a snapshot.
+    pub fn keep(&mut self, digest: &SnapshotDigest, instances: &[InstanceEntry]) {
+        let newest = self.lists.back().map(|(known, _)| *known);
+        if newest == Some(digest.instances) {
+            return;
+        }
+        self.lists.push_back((digest.instances, instances.to_vec()));
+        if self.lists.len() > KEPT_LISTS {
+            self.lists.pop_front();
+        }
+    }
+
+    /// Returns the news for an instance that has the list of a digest.
+    fn news(&self, known: &SnapshotDigest, instances: &[InstanceEntry]) -> InstanceNews {
+        let old = self
+            .lists
+            .iter()
+            .find(|(digest, _)| *digest == known.instances);
+        old.map_or_else(
+            || InstanceNews::Whole(instances.to_vec()),
+            |(_, old)| InstanceNews::between(old, instances),
+        )
+    }
+}
+
 /// What an instance knows of the store. Parts that the asking instance has are left out.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct StoreNews {
@@ -91,12 +179,14 @@
     pub age: Option<Duration>,
     /// Revision of the store.
     pub revision: u64,
-    /// Configuration.
+    /// Version of the newest configuration; 0 if there is none.
+    pub config_version: u64,
+    /// The configuration, unless it is large.
     pub config: Option<Arc<FleetConfig>>,
     /// Members.
     pub members: Option<Vec<MemberEntry>>,
     /// Instances.
-    pub instances: Option<Vec<InstanceEntry>>,
+    pub instances: Option<InstanceNews>,
     /// All other parts.
     pub rest: Option<Box<ControlSnapshot>>,
 }
@@ -105,6 +195,7 @@
     /// Returns what has changed between what the asking instance knows and a snapshot.
     pub fn since(
         known: &SnapshotDigest,
+        history: &InstanceHistory,
         snapshot: &ControlSnapshot,
         digest: &SnapshotDigest,
         age: Duration,
@@ -114,22 +205,35 @@
         Self {
             age: Some(age),
             revision: snapshot.revision,
-            config: config.filter(|config| config.version != known.config_version),
+            config_version: digest.config_version,
+            config: config.filter(|config| {
+                let is_small = config.document_bytes <= NEWS_CONFIG_BYTES;
+                config.version != known.config_version && is_small
+            }),
             members: is_new(known.members, digest.members).then(|| snapshot.members.clone()),
             instances: is_new(known.instances, digest.instances)
-                .then(|| snapshot.instances.clone()),
+                .then(|| history.news(known, &snapshot.instances)),
             rest: is_new(known.rest, digest.rest).then(|| Box::new(rest_of(snapshot))),
         }
     }
 
+    /// Tells whether a configuration is newer than the known one and was left out.
+    pub const fn lacks_config(&self, known_version: u64) -> bool {
+        self.config_version != known_version && self.config.is_none()
+    }
+
     /// Completes the news with what the asking instance knows.
     pub fn complete(self, known: &ControlSnapshot) -> ControlSnapshot {
+        let instances = match self.instances {
+            Some(news) => news.complete(&known.instances),
+            None => known.instances.clone(),
+        };
         let rest = self.rest.map_or_else(|| rest_of(known), |rest| *rest);
         ControlSnapshot {
             revision: self.revision,
             config: self.config.or_else(|| known.config.clone()),
             members: self.members.unwrap_or_else(|| known.members.clone()),
-            instances: self.instances.unwrap_or_else(|| known.instances.clone()),
+            instances,
             ..rest
         }
     }
--- a/crates/coriander_service/tests/promotions.rs
+++ b/crates/coriander_service/tests/promotions.rs
@@ -5,13 +5,15 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use coriander_service::{PromotionTask, ServiceClock, SessionService};
 use coriander_sessions::{
-    ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, FailureCode, InstanceEntry,
-    LeaseId, MemberRole, PromotionApi, PromotionError, ReadFreshness, StoreError, TermStart,
+    ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, FailureCode, FleetConfig,
+    InstanceEntry, LeaseId, MemberRole, PromotionApi, PromotionError, ReadFreshness, StoreError,
+    TermStart,
 };
 
 use support::{FakeGroup, GROUP, code, config, open, run, snapshot, start};
@@ -89,6 +91,10 @@
         Err(StoreError::Refused(503))
     }
 
+    async fn read_config(&self) -> Result<Option<Arc<FleetConfig>>, StoreError> {
+        Err(StoreError::Refused(503))
+    }
+
     async fn start_lease(&self, _ttl: Duration) -> Result<LeaseId, StoreError> {
         Err(StoreError::Refused(503))
     }
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -169,8 +169,11 @@
             .apply_snapshot(&snapshot, ServiceClock.now());
     }
     tokio::time::sleep(Duration::from_millis(20)).await;
-    let readers = [first.service.store_reader(), second.service.store_reader()];
-    let hearing = readers.iter().flatten().count();
+    let readers = [
+        first.service.store_readers(),
+        second.service.store_readers(),
+    ];
+    let hearing = readers.iter().filter(|readers| !readers.is_empty()).count();
     assert_eq!(hearing, 1, "one reads, the other hears: {readers:?}");
 }
 
--- a/crates/coriander_service/tests/store_news.rs
+++ b/crates/coriander_service/tests/store_news.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use coriander_service::{SnapshotDigest, StoreNews};
+use coriander_service::{InstanceHistory, InstanceNews, SnapshotDigest, StoreNews};
 use coriander_sessions::{ControlSnapshot, InstanceEntry, MemberRole, ReadFreshness};
 
 use support::{config, member_entry, snapshot};
@@ -37,7 +37,10 @@
     newer.revision += 1;
     change(&mut newer);
     let digests = [SnapshotDigest::of(&known), SnapshotDigest::of(&newer)];
-    let news = StoreNews::since(&digests[0], &newer, &digests[1], Duration::ZERO);
+    let mut history = InstanceHistory::default();
+    history.keep(&digests[0], &known.instances);
+    history.keep(&digests[1], &newer.instances);
+    let news = StoreNews::since(&digests[0], &history, &newer, &digests[1], Duration::ZERO);
     assert_eq!(news.clone().complete(&known).revision, newer.revision);
     let complete = news.clone().complete(&known);
     assert_eq!(SnapshotDigest::of(&complete), digests[1]);
@@ -62,18 +65,25 @@
     assert!(news.rest.is_some() && news.instances.is_none());
     let (_, news) = news_after(|snapshot| snapshot.members[3].draining = true);
     assert!(news.members.is_some() && news.rest.is_none());
-    let (newer, news) = news_after(|snapshot| {
+    let (_, news) = news_after(|snapshot| {
         snapshot.instances.remove(0);
+        snapshot.instances[7].created += 1;
     });
-    assert_eq!(news.instances.as_ref(), Some(&newer.instances));
+    let Some(InstanceNews::Difference { changed, gone }) = &news.instances else {
+        panic!("the list is known: {:?}", news.instances);
+    };
+    assert_eq!((changed.len(), gone.len()), (1, 1));
+    assert!(size(&news) < 150, "{} bytes", size(&news));
 }
 
 #[test]
 fn since_sends_everything_to_an_instance_that_knows_nothing() {
     let snapshot = large_snapshot();
     let digest = SnapshotDigest::of(&snapshot);
+    let history = InstanceHistory::default();
     let news = StoreNews::since(
         &SnapshotDigest::default(),
+        &history,
         &snapshot,
         &digest,
         Duration::ZERO,
@@ -82,3 +92,17 @@
     assert_eq!(SnapshotDigest::of(&complete), digest);
     assert_eq!(complete.members, snapshot.members);
 }
+
+#[test]
+fn since_leaves_a_large_configuration_to_the_store() {
+    let mut large = config(8, ReadFreshness::Newest);
+    large.document_bytes = 500_000;
+    let known = SnapshotDigest::of(&large_snapshot());
+    let newer = snapshot(large, Vec::new());
+    let digest = SnapshotDigest::of(&newer);
+    let history = InstanceHistory::default();
+    let news = StoreNews::since(&known, &history, &newer, &digest, Duration::ZERO);
+    assert!(news.config.is_none());
+    assert!(news.lacks_config(7));
+    assert!(!news.lacks_config(8));
+}
--- a/crates/coriander_service/tests/support/mod.rs
+++ b/crates/coriander_service/tests/support/mod.rs
@@ -435,6 +435,7 @@
     });
     FleetConfig {
         version,
+        document_bytes: 0,
         routes: [(DATABASE.into(), Arc::new(route))].into_iter().collect(),
         groups: [(GROUP.into(), limits)].into_iter().collect(),
         accounts: [(ACCOUNT.into(), account.clone())].into_iter().collect(),
--- a/crates/coriander_sessions/src/control_store.rs
+++ b/crates/coriander_sessions/src/control_store.rs
@@ -139,6 +139,9 @@
     /// Reads everything; the result is at least as recent as the start of the call.
     async fn read_all(&self) -> Result<ControlSnapshot, StoreError>;
 
+    /// Reads the configuration alone; `None` if there is none that is readable.
+    async fn read_config(&self) -> Result<Option<Arc<FleetConfig>>, StoreError>;
+
     /// Starts a lease.
     async fn start_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
 
--- a/crates/coriander_sessions/src/fleet_config.rs
+++ b/crates/coriander_sessions/src/fleet_config.rs
@@ -80,6 +80,8 @@
 pub struct FleetConfig {
     /// Version number; rises with each change.
     pub version: u64,
+    /// Size of the document that holds it, in bytes.
+    pub document_bytes: usize,
     /// Routes by database name.
     pub routes: HashMap<Arc<str>, Arc<DatabaseRoute>>,
     /// Limits by group.
