Let processes that start together choose ports from different blocks

Four soak processes had started in the same instant and chose from the same 20,000 ports, about 100 of them before any process listened.

Change: a process takes its ports from a block of 200 that follows from its process id.

--- a/crates/coriander_standin/src/process/unused_address.rs
+++ b/crates/coriander_standin/src/process/unused_address.rs
@@ -11,6 +11,10 @@
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
 const ATTEMPTS: u32 = 1_000;
 
+/// Ports of the block that a process prefers. Processes that start together have successive process
+/// ids, so they do not choose the same port before one of them listens on it.
+const BLOCK_PORTS: u16 = 200;
+
 /// Ports that were returned before. Their processes may not listen yet.
 static RETURNED: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
 
@@ -26,8 +30,13 @@
 pub fn unused_address() -> Result<SocketAddr, ProcessError> {
     // A thread that panicked while it held the lock left a usable set.
     let mut returned = RETURNED.lock().unwrap_or_else(PoisonError::into_inner);
-    for _ in 0..ATTEMPTS {
-        let port = rand::random_range(PORTS);
+    for attempt in 0..ATTEMPTS {
+        let ports = if attempt < ATTEMPTS / 2 {
+            own_block()
+        } else {
+            PORTS
+        };
+        let port = rand::random_range(ports);
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let is_free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
         if is_free && returned.insert(port) {
@@ -36,3 +45,11 @@
     }
     Err(ProcessError::NoPort)
 }
+
+fn own_block() -> std::ops::Range<u16> {
+    let blocks = u32::from((PORTS.end - PORTS.start) / BLOCK_PORTS);
+    // The remainder is below the number of blocks, which fits.
+    let block = (std::process::id() % blocks) as u16;
+    let first = PORTS.start + block * BLOCK_PORTS;
+    first..first + BLOCK_PORTS
+}
