--- a/crates/coriander_service/src/control_loop.rs
+++ b/crates/coriander_service/src/control_loop.rs
@@ -74,7 +74,7 @@
 
 async fn hear_from(service: &SessionService, store: &dyn ControlStore, reader: SocketAddr) -> bool {
     let sent_at = service.clock.now();
-    let digest = service.newest_digest();
+    let digest = service.store.digest();
     let Some(mut news) = service.relay.news(reader, digest).await else {
         return false;
     };
@@ -95,7 +95,7 @@
             }
         }
     }
-    let known = service.newest_read().unwrap_or_default();
+    let known = service.store.snapshot().unwrap_or_default();
     let snapshot = news.complete(&known);
     service.metrics.count_store_call("heard");
     // The reader answered after this request was sent, so its read is no older than this.
@@ -131,7 +131,7 @@
     store: &dyn ControlStore,
     free_since: &mut Option<MonotonicTime>,
 ) {
-    let Some(snapshot) = service.newest_read() else {
+    let Some(snapshot) = service.store.snapshot() else {
         return;
     };
     if snapshot.fleet_secret.is_none() {
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -45,6 +45,7 @@
 mod service_settings;
 mod session;
 mod store_news;
+mod store_view;
 mod warm_up_gate;
 
 pub use control_loop::{run_reader, run_registration};
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -30,7 +30,8 @@
 use crate::request_log::{RefusedSession, RequestLog};
 use crate::service_metrics::ServiceMetrics;
 use crate::session::ServedSession;
-use crate::store_news::{InstanceHistory, SnapshotDigest, StoreNews};
+use crate::store_news::{SnapshotDigest, StoreNews};
+use crate::store_view::StoreView;
 use crate::warm_up_gate::WarmUpGate;
 use crate::{ServiceClock, ServiceSettings};
 
@@ -52,14 +53,6 @@
     Closing,
 }
 
-/// Newest read of the store.
-#[derive(Clone)]
-struct NewestRead {
-    snapshot: Rc<ControlSnapshot>,
-    sent_at: MonotonicTime,
-    digest: SnapshotDigest,
-}
-
 /// State that all sessions of the process share.
 pub struct SessionService {
     settings: RefCell<Rc<ServiceSettings>>,
@@ -90,8 +83,8 @@
     fleet: RefCell<FleetView>,
     /// Whether an instance has announced its end since the last read of the store.
     leaves_changed: Cell<bool>,
-    newest: RefCell<Option<NewestRead>>,
-    history: RefCell<InstanceHistory>,
+    /// Newest read of the store.
+    pub store: StoreView,
     /// Rates of client accounts.
     pub rates: RateLoans,
     phase: Cell<ServicePhase>,
@@ -127,8 +120,7 @@
             fleet_key: watch::Sender::new(None),
             fleet: RefCell::default(),
             leaves_changed: Cell::new(false),
-            newest: RefCell::default(),
-            history: RefCell::default(),
+            store: StoreView::default(),
             duty: PromotionDuty::default(),
             phase: Cell::new(ServicePhase::Serving),
             sessions: Cell::new(0),
@@ -140,7 +132,7 @@
 
     /// Takes over what a read of the store that started at `sent_at` has shown.
     pub fn apply_snapshot(&self, snapshot: &ControlSnapshot, sent_at: MonotonicTime) {
-        let Some(known) = self.keep_snapshot(snapshot, sent_at) else {
+        let Some(known) = self.store.keep(snapshot, sent_at) else {
             return;
         };
         let old_config = self.view.config();
@@ -158,7 +150,7 @@
             self.rates.apply_config(config);
         }
         self.rates.set_fleet(&snapshot.instances);
-        let digest = self.newest_digest();
+        let digest = self.store.digest();
         if !digest.same_instances(&known) {
             self.peers.set_peers(&snapshot.instances);
             self.fleet.borrow_mut().apply(&snapshot.instances);
@@ -180,52 +172,9 @@
         self.refreshed.notify_waiters();
     }
 
-    /// Keeps what a read has shown, for other instances. Returns the digest of the one before, or
-    /// `None` if a newer read is known.
-    fn keep_snapshot(
-        &self,
-        snapshot: &ControlSnapshot,
-        sent_at: MonotonicTime,
-    ) -> Option<SnapshotDigest> {
-        let mut newest = self.newest.borrow_mut();
-        if let Some(known) = &*newest
-            && known.snapshot.revision > snapshot.revision
-        {
-            return None;
-        }
-        let known = newest.as_ref().map(|known| known.digest);
-        let digest = SnapshotDigest::of(snapshot);
-        self.history.borrow_mut().keep(&digest, &snapshot.instances);
-        *newest = Some(NewestRead {
-            snapshot: Rc::new(snapshot.clone()),
-            sent_at,
-            digest,
-        });
-        Some(known.unwrap_or_default())
-    }
-
-    /// Returns the newest read of the store.
-    pub fn newest_read(&self) -> Option<Rc<ControlSnapshot>> {
-        let newest = self.newest.borrow();
-        newest.as_ref().map(|read| read.snapshot.clone())
-    }
-
-    /// Returns the digest of the newest read of the store.
-    pub fn newest_digest(&self) -> SnapshotDigest {
-        let newest = self.newest.borrow();
-        newest
-            .as_ref()
-            .map_or_else(SnapshotDigest::default, |read| read.digest)
-    }
-
     /// Returns what this instance knows of the store, for another one.
     pub fn news(&self, known: &SnapshotDigest) -> StoreNews {
-        let Some(read) = self.newest.borrow().clone() else {
-            return StoreNews::default();
-        };
-        let age = self.clock.now().since(read.sent_at);
-        let history = self.history.borrow();
-        StoreNews::since(known, &history, &read.snapshot, &read.digest, age)
+        self.store.news(known, self.clock.now())
     }
 
     /// Returns the instances to ask for news of the store, in their order. It ends where it is
--- /dev/null
+++ b/crates/coriander_service/src/store_view.rs
@@ -0,0 +1,73 @@
+//! The newest read of the store, for this instance and for those that ask it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use coriander_core::MonotonicTime;
+use coriander_sessions::ControlSnapshot;
+
+use crate::store_news::{InstanceHistory, SnapshotDigest, StoreNews};
+
+#[derive(Clone)]
+struct NewestRead {
+    snapshot: Rc<ControlSnapshot>,
+    sent_at: MonotonicTime,
+    digest: SnapshotDigest,
+}
+
+/// The newest read of the store that this instance knows, its own or another instance's.
+#[derive(Default)]
+pub struct StoreView {
+    newest: RefCell<Option<NewestRead>>,
+    history: RefCell<InstanceHistory>,
+}
+
+impl StoreView {
+    /// Keeps what a read that was sent at `sent_at` has shown. Returns the digest of the one
+    /// before, or `None` if a newer read is known.
+    pub fn keep(
+        &self,
+        snapshot: &ControlSnapshot,
+        sent_at: MonotonicTime,
+    ) -> Option<SnapshotDigest> {
+        let mut newest = self.newest.borrow_mut();
+        if let Some(known) = &*newest
+            && known.snapshot.revision > snapshot.revision
+        {
+            return None;
+        }
+        let known = newest.as_ref().map(|known| known.digest);
+        let digest = SnapshotDigest::of(snapshot);
+        let mut history = self.history.borrow_mut();
+        history.keep(&digest, &snapshot.instances);
+        *newest = Some(NewestRead {
+            snapshot: Rc::new(snapshot.clone()),
+            sent_at,
+            digest,
+        });
+        Some(known.unwrap_or_default())
+    }
+
+    /// Returns the newest snapshot.
+    pub fn snapshot(&self) -> Option<Rc<ControlSnapshot>> {
+        let newest = self.newest.borrow();
+        newest.as_ref().map(|read| read.snapshot.clone())
+    }
+
+    /// Returns the digest of the newest snapshot.
+    pub fn digest(&self) -> SnapshotDigest {
+        let newest = self.newest.borrow();
+        let digest = newest.as_ref().map(|read| read.digest);
+        digest.unwrap_or_default()
+    }
+
+    /// Returns what is news for an instance that has the parts of `known`.
+    pub fn news(&self, known: &SnapshotDigest, now: MonotonicTime) -> StoreNews {
+        let Some(read) = self.newest.borrow().clone() else {
+            return StoreNews::default();
+        };
+        let age = now.since(read.sent_at);
+        let history = self.history.borrow();
+        StoreNews::since(known, &history, &read.snapshot, &read.digest, age)
+    }
+}
--- a/crates/coriander_service/tests/promotions.rs
+++ b/crates/coriander_service/tests/promotions.rs
@@ -178,6 +178,14 @@
     service.apply_settings(&settings);
 }
 
+/// Starts a service in front of a group whose primary does not stop itself.
+async fn start_unfenced() -> (Rc<FakeGroup>, Rc<SessionService>) {
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    set_platform_fences(&service, false);
+    (group, service)
+}
+
 async fn wait_until(what: &str, condition: impl Fn() -> bool) {
     for _ in 0..300 {
         if condition() {
@@ -293,9 +301,7 @@
 #[ntex::test]
 async fn primary_is_not_used_without_a_recent_read_where_it_would_not_stop_itself() {
     // A primary that is cut off together with this instance goes on acknowledging writes.
-    let group = FakeGroup::new(&["a", "b"]);
-    let service = start(&group, ReadFreshness::Newest).await;
-    set_platform_fences(&service, false);
+    let (group, service) = start_unfenced().await;
     let mut session = open(&service).await;
     let answer = run(&mut session, "q1", "WRITE 1 x").await;
     assert!(answer.result.is_ok(), "{answer:?}");
@@ -307,9 +313,7 @@
 
 #[ntex::test]
 async fn open_transaction_is_aborted_when_the_lead_is_not_proved_any_more() {
-    let group = FakeGroup::new(&["a", "b"]);
-    let service = start(&group, ReadFreshness::Newest).await;
-    set_platform_fences(&service, false);
+    let (group, service) = start_unfenced().await;
     let mut session = open(&service).await;
     run(&mut session, "q1", "BEGIN").await;
     run(&mut session, "q2", "WRITE 1 x").await;
@@ -321,9 +325,7 @@
 
 #[ntex::test]
 async fn member_that_is_not_designated_is_not_used_as_primary() {
-    let group = FakeGroup::new(&["a", "b"]);
-    let service = start(&group, ReadFreshness::Newest).await;
-    set_platform_fences(&service, false);
+    let (group, service) = start_unfenced().await;
     let mut snapshot = snapshot(config(2, ReadFreshness::Newest), group.entries());
     snapshot.primaries = vec![DesignatedPrimary {
         group: GROUP.into(),
@@ -338,9 +340,7 @@
 
 #[ntex::test]
 async fn silent_primary_is_replaced_only_when_no_instance_uses_it_any_more() {
-    let group = FakeGroup::new(&["a", "b"]);
-    let service = start(&group, ReadFreshness::Newest).await;
-    set_platform_fences(&service, false);
+    let (group, service) = start_unfenced().await;
     let (api, store) = (FakePromotions::new(&group), FakeStore::new(41));
     hold_duty(&service, &group, 41);
     let mut session = open(&service).await;
@@ -363,9 +363,7 @@
 #[ntex::test]
 async fn member_is_not_promoted_when_its_designation_is_refused() {
     // The token is outdated, so another instance may have designated another member.
-    let group = FakeGroup::new(&["a", "b"]);
-    let service = start(&group, ReadFreshness::Newest).await;
-    set_platform_fences(&service, false);
+    let (group, service) = start_unfenced().await;
     let (api, store) = (FakePromotions::new(&group), FakeStore::new(42));
     hold_duty(&service, &group, 41);
     let mut session = open(&service).await;
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -181,7 +181,7 @@
 async fn news_leave_out_the_parts_that_are_known() {
     let group = FakeGroup::new(&["a"]);
     let (far, _home) = start_two(&group).await;
-    let known = far.service.newest_digest();
+    let known = far.service.store.digest();
     let news = far.service.news(&known);
     assert!(news.age.is_some());
     assert!(news.config.is_none() && news.members.is_none());
