Do not touch a port that was returned while looking for another one

Looking for an unused address binds a candidate for a moment, also one that was returned before; a process that starts to listen on it in that moment ends with "Address already in use". The log of the failed instance was deleted, so the link is inferred; logs of instances that do not start are kept now.

Ruled out: the load alone; the same test file passed four times beside the same load.

Change: ports that were returned are not tried again. The new test fails on the earlier code ("Address already in use" within 0.14 s) and passed three times since.

--- a/crates/coriander_standin/src/process/process_group.rs
+++ b/crates/coriander_standin/src/process/process_group.rs
@@ -132,8 +132,13 @@
         fs::write(&path, spec.to_ini()).map_err(ProcessError::system("write settings"))?;
         let args = vec!["--config".to_owned(), path.display().to_string()];
         self.start(&spec.name, &program_path("corianderstile")?, args)?;
-        self.wait_for_url(&format!("http://{}/health", spec.callers))
-            .await
+        let url = format!("http://{}/health", spec.callers);
+        let result = self.wait_for_url(&url).await;
+        if result.is_err() {
+            // Only the log of the instance tells why.
+            self.keep_directory();
+        }
+        result
     }
 
     /// Enters a service into the platform's catalog.
--- a/crates/coriander_standin/src/process/unused_address.rs
+++ b/crates/coriander_standin/src/process/unused_address.rs
@@ -37,9 +37,14 @@
             PORTS
         };
         let port = rand::random_range(ports);
+        // The check below would hold the port while the process that got it starts to listen.
+        if returned.contains(&port) {
+            continue;
+        }
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let is_free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
-        if is_free && returned.insert(port) {
+        if is_free {
+            returned.insert(port);
             return Ok(address);
         }
     }
--- /dev/null
+++ b/crates/coriander_standin/tests/returned_addresses.rs
@@ -0,0 +1,20 @@
+//! Addresses that were returned and whose processes start to listen.
+
+use coriander_standin::process::unused_address;
+
+#[test]
+fn unused_address_leaves_returned_addresses_alone() {
+    // A process that starts to listen while another test looks for addresses must not find its
+    // port in use for a moment.
+    let mine: Vec<_> = (0..50)
+        .map(|_| unused_address().expect("a free port"))
+        .collect();
+    let other = std::thread::spawn(|| (0..300).filter_map(|_| unused_address().ok()).count());
+    while !other.is_finished() {
+        for address in &mine {
+            let listener = std::net::TcpListener::bind(address);
+            assert!(listener.is_ok(), "{address}: {listener:?}");
+        }
+    }
+    assert_eq!(other.join().expect("not panicked"), 300);
+}
