--- a/crates/coriander_core/src/lib.rs
+++ b/crates/coriander_core/src/lib.rs
@@ -20,6 +20,7 @@
 mod monotonic_time;
 mod names;
 mod request_error;
+mod stable_hash;
 
 pub use config_document::{
     AccountLimits, ClassTarget, ConfigDocument, ConfigVersion, FleetMember, KeyDigest,
@@ -33,3 +34,4 @@
     ZoneName,
 };
 pub use request_error::{ErrorCode, RequestError, RequestOutcome};
+pub use stable_hash::stable_hash;
--- a/crates/coriander_limits/src/lib.rs
+++ b/crates/coriander_limits/src/lib.rs
@@ -66,7 +66,7 @@
 pub use grant_client::{AdmitDecision, GrantClient, GrantEvent, rate_error};
 pub use limit_policy::LimitPolicy;
 pub use owner_table::OwnerTable;
-pub use rate_shares::RateShares;
+pub use rate_shares::{LoanOffer, RateShares};
 pub use slot_limiter::SlotLimiter;
 pub use token_bucket::BucketShare;
 pub use token_messages::{
--- a/crates/coriander_limits/src/rate_shares.rs
+++ b/crates/coriander_limits/src/rate_shares.rs
@@ -1,11 +1,10 @@
 //! Shares of each account's rate at its owners, and loans between them.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::MonotonicTime;
+use coriander_core::{MonotonicTime, stable_hash};
 
 use crate::rate_estimate::RateEstimate;
 
@@ -31,19 +30,45 @@
 /// Period of expected demand for which an instance borrows tokens in advance.
 const BORROW_HORIZON: Duration = Duration::from_millis(150);
 
+/// Expected demand in [`BORROW_HORIZON`] from which an instance borrows in advance. With less, most
+/// tokens of a loan would expire unspent; requests then borrow one token each.
+const MIN_ADVANCE_DEMAND: f64 = 3.0;
+
 /// Period of its own expected demand for which a lender keeps tokens.
-const LENDER_HORIZON: Duration = Duration::from_millis(100);
+const LENDER_HORIZON: Duration = Duration::from_millis(50);
 
-/// Minimum interval between two loan requests for one account.
+/// Minimum interval between two loan requests in advance for one account.
 const LOAN_REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Minimum burst per owner of an account. With smaller shares, most tokens would be at instances
-/// without demand.
-const MIN_OWNER_BURST: f64 = 8.0;
+/// Number of owners of an account. The loss of one leaves most of the rate, and a request has to
+/// ask few of them.
+const MIN_OWNERS: usize = 6;
+
+/// Rate per owner from which an account has more owners, in operations per second.
+const MAX_OWNER_RATE: f64 = 100.0;
+
+/// Minimum burst per owner of an account. The refill of a full share is lost.
+const MIN_OWNER_BURST: f64 = 3.0;
 
 /// Maximum fraction of a lender's spare tokens in one loan.
 const MAX_LOAN_FRACTION: f64 = 0.5;
 
+/// Maximum delay after which a refused caller is asked to retry.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+/// Maximum time for which the answers of the owners are taken to hold.
+const MAX_EXHAUSTED_PERIOD: Duration = Duration::from_millis(200);
+
+/// Answer of an owner to a loan request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LoanOffer {
+    /// Number of tokens lent, at least 1.
+    Tokens(u32),
+    /// No token is left. Callers that are refused one after the other get increasing delays, each
+    /// for a token of its own.
+    RetryAfter(Duration),
+}
+
 #[derive(Debug)]
 struct AccountShare {
     rate: f64,
@@ -53,11 +78,17 @@
     /// Whether this instance is one of the owners.
     is_owner: bool,
     tokens: f64,
+    /// Tokens of the future that refused callers have been told to come back for.
+    promised: f64,
     refilled_at: MonotonicTime,
     borrowed: f64,
     borrowed_until: MonotonicTime,
     demand: RateEstimate,
     requested_at: Option<MonotonicTime>,
+    /// Time until which no owner has a token, according to their answers.
+    exhausted_until: MonotonicTime,
+    /// Delay that was last returned to a refused caller.
+    last_retry_after: Duration,
 }
 
 impl AccountShare {
@@ -68,18 +99,26 @@
             owners: Vec::new(),
             is_owner: false,
             tokens: 0.0,
+            promised: 0.0,
             refilled_at: now,
             borrowed: 0.0,
             borrowed_until: now,
             demand: RateEstimate::new(DEMAND_WINDOW, now),
             requested_at: None,
+            exhausted_until: now,
+            last_retry_after: Duration::ZERO,
         }
     }
 
+    /// Returns the fraction of rate and burst of one owner.
+    fn owner_fraction(&self) -> f64 {
+        1.0 / self.owners.len().max(1) as f64
+    }
+
     /// Returns the fraction of rate and burst that this instance owns.
     fn fraction(&self) -> f64 {
         if self.is_owner {
-            return 1.0 / self.owners.len().max(1) as f64;
+            return self.owner_fraction();
         }
         0.0
     }
@@ -88,12 +127,19 @@
         let fraction = self.fraction();
         let gained = now.since(self.refilled_at).as_secs_f64() * self.rate * fraction;
         self.tokens = (self.tokens + gained).min(self.burst * fraction);
+        self.promised = (self.promised - gained).max(0.0);
         self.refilled_at = now;
         if now >= self.borrowed_until {
             self.borrowed = 0.0;
         }
     }
 
+    fn max_owners(&self) -> usize {
+        let by_rate = (self.rate / MAX_OWNER_RATE).ceil() as usize;
+        let by_burst = (self.burst / MIN_OWNER_BURST).floor() as usize;
+        by_rate.max(MIN_OWNERS).min(by_burst).max(1)
+    }
+
     /// Chooses the owners from the instances of the fleet.
     fn choose_owners(
         &mut self,
@@ -103,31 +149,43 @@
         now: MonotonicTime,
     ) {
         self.refill(now);
-        let max_owners = (self.burst / MIN_OWNER_BURST).floor().max(1.0) as usize;
-        let mut ranked = fleet.to_vec();
-        ranked.sort_by_cached_key(|instance| owner_rank(account, instance));
-        ranked.truncate(max_owners);
-        self.is_owner = ranked.iter().any(|instance| **instance == *own_id);
-        self.owners = ranked;
+        let mut ranked: Vec<_> = fleet
+            .iter()
+            .map(|instance| (stable_hash((account, &**instance)), instance))
+            .collect();
+        let max_owners = self.max_owners();
+        if max_owners < ranked.len() {
+            ranked.select_nth_unstable(max_owners);
+            ranked.truncate(max_owners);
+        }
+        ranked.sort_unstable();
+        self.owners = ranked
+            .into_iter()
+            .map(|(_, instance)| instance.clone())
+            .collect();
+        self.is_owner = self.owners.iter().any(|instance| **instance == *own_id);
         self.tokens = self.tokens.min(self.burst * self.fraction());
     }
 
     fn expected_demand(&self, time: Duration, now: MonotonicTime) -> f64 {
         self.demand.per_second(now) * time.as_secs_f64()
     }
-}
 
-fn owner_rank(account: &str, instance: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (account, instance).hash(&mut hasher);
-    hasher.finish()
+    /// Returns the time until this share has a token that no earlier caller was told to come for.
+    fn time_to_token(&self) -> Duration {
+        let missing = (1.0 + self.promised - self.tokens).max(0.0);
+        let rate = (self.rate * self.owner_fraction()).max(0.01);
+        Duration::from_secs_f64(missing / rate).min(MAX_RETRY_AFTER)
+    }
 }
 
 /// Shares of the accounts' rates at one instance.
 ///
-/// The owners of an account have equal shares of its rate and burst. Accounts with a small burst
-/// have few owners; with a large burst all instances are owners. Owners lend tokens that they do
-/// not need. A loan is deducted from the lender's share first, so a lost message loses tokens and
+/// The owners of an account have equal shares of its rate and burst. Their number follows the rate,
+/// not the size of the fleet, so that the tokens of a small account stay in few places. An instance
+/// without tokens borrows one for each request, from one owner after the other; a request is refused
+/// only when no owner has a token left. With much demand for an account, an instance borrows in
+/// advance. A loan is deducted from the lender's share first, so a lost message loses tokens and
 /// never adds any.
 ///
 /// ```
@@ -248,11 +306,7 @@
             share.tokens -= 1.0;
             return Ok(());
         }
-        let fraction = 1.0 / share.owners.len().max(1) as f64;
-        let missing = 1.0 - share.tokens;
-        Err(Duration::from_secs_f64(
-            missing / (share.rate * fraction).max(0.01),
-        ))
+        Err(share.time_to_token())
     }
 
     /// Records that a client requested an operation, whether or not it is admitted.
@@ -262,24 +316,42 @@
         }
     }
 
-    /// Returns the number of tokens to borrow now; 0 if the available ones suffice.
+    /// Returns the number of tokens to borrow in advance; 0 if the available ones suffice or if the
+    /// demand is small.
     pub fn tokens_to_borrow(&mut self, account: &str, now: MonotonicTime) -> u32 {
         let Some(share) = self.accounts.get_mut(account) else {
             return 0;
         };
         share.refill(now);
-        let target = share.expected_demand(BORROW_HORIZON, now) + 1.0;
+        let target = share.expected_demand(BORROW_HORIZON, now);
         let missing = target - share.tokens - share.borrowed;
         let recently_requested = share
             .requested_at
             .is_some_and(|at| now.since(at) < LOAN_REQUEST_INTERVAL);
-        if missing <= 0.0 || recently_requested {
+        let is_exhausted = now < share.exhausted_until;
+        if target < MIN_ADVANCE_DEMAND || missing <= 0.0 || recently_requested || is_exhausted {
             return 0;
         }
         share.requested_at = Some(now);
         missing.ceil() as u32
     }
 
+    /// Records that all owners have refused a request, which is to be retried after a delay.
+    /// Further requests are refused without asking until the rate has yielded another token.
+    pub fn record_exhausted(&mut self, account: &str, retry_after: Duration, now: MonotonicTime) {
+        if let Some(share) = self.accounts.get_mut(account) {
+            let time_per_token = Duration::from_secs_f64(1.0 / share.rate.max(0.01));
+            share.exhausted_until = now + time_per_token.min(MAX_EXHAUSTED_PERIOD);
+            share.last_retry_after = retry_after;
+        }
+    }
+
+    /// Returns the delay for a caller if no owner has a token; `None` if one may have one.
+    pub fn exhausted_retry_after(&self, account: &str, now: MonotonicTime) -> Option<Duration> {
+        let share = self.accounts.get(account)?;
+        (now < share.exhausted_until).then_some(share.last_retry_after)
+    }
+
     /// Returns the other instances that own a share of an account.
     pub fn lenders(&self, account: &str) -> impl Iterator<Item = &Arc<str>> {
         let share = self.accounts.get(account);
@@ -288,17 +360,23 @@
         others.filter(|owner| **owner != self.own_id)
     }
 
-    /// Deducts a loan from the own share and returns its size.
-    pub fn lend(&mut self, account: &str, wanted: u32, now: MonotonicTime) -> u32 {
+    /// Deducts a loan of at most `wanted` tokens from the own share.
+    pub fn lend(&mut self, account: &str, wanted: u32, now: MonotonicTime) -> LoanOffer {
         let Some(share) = self.accounts.get_mut(account) else {
-            return 0;
+            return LoanOffer::RetryAfter(MAX_RETRY_AFTER);
         };
         share.refill(now);
         let spare = (share.tokens - share.expected_demand(LENDER_HORIZON, now)).max(0.0);
         let max_amount = (spare * MAX_LOAN_FRACTION).max(spare.min(1.0)).floor();
         let amount = max_amount.min(f64::from(wanted));
+        if amount < 1.0 {
+            let retry_after = share.time_to_token();
+            // The caller asks all owners and will need a token of one.
+            share.promised += share.owner_fraction();
+            return LoanOffer::RetryAfter(retry_after);
+        }
         share.tokens -= amount;
-        amount as u32
+        LoanOffer::Tokens(amount as u32)
     }
 
     /// Adds a loan that was requested at `requested_at`, unless it has expired.
--- a/crates/coriander_service/src/control_loop.rs
+++ b/crates/coriander_service/src/control_loop.rs
@@ -1,14 +1,16 @@
-//! Reads the store, keeps this instance registered, and applies changes.
+//! Reads the store, or receives its contents from another instance, and applies changes.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
-use coriander_service_api::{ControlSnapshot, ControlStore, InstanceEntry, LeaseId, StoreError};
+use coriander_service_api::{ControlSnapshot, ControlStore, FleetConfig};
 use tokio::time::{sleep, timeout};
 
-use crate::service::{ServicePhase, SessionService};
+use crate::duty_lease::rank_delay;
+use crate::service::SessionService;
 
 /// Interval between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_millis(900);
@@ -19,46 +21,41 @@
 /// Age from which an update of another instance is too old, so that this instance reads the store.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(1_600);
 
-/// Minimum time between two reads that requests have triggered.
-const MIN_READ_INTERVAL: Duration = Duration::from_millis(150);
+/// Age of its own snapshot from which an instance that is no store reader reads the store. While
+/// the store is down, the readers of the zone try for all.
+const MAX_UNCONFIRMED_AGE: Duration = Duration::from_millis(2_600);
 
-/// Lifetime of the instance's lease without renewal.
-const LEASE_TTL: Duration = Duration::from_millis(4_000);
+/// Delay after the first failed read; doubled after each further one.
+const MIN_FAILURE_DELAY: Duration = Duration::from_millis(900);
 
-/// Time after a renewal for which the lease is valid even if clock rates differ.
-pub const SAFE_LEASE_LIFETIME: Duration = Duration::from_millis(3_500);
+/// Maximum delay after a failed read. Updates of other instances are requested meanwhile.
+const MAX_FAILURE_DELAY: Duration = Duration::from_millis(2_700);
 
-/// Interval between two renewals of the lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Minimum time between two reads that requests have triggered.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Length of the secret that authenticates messages between instances.
 const SECRET_BYTES: usize = 32;
 
-/// How long the promotion duty must be free before any instance but the first may acquire it.
-const ACQUIRE_DUTY_DELAY: Duration = Duration::from_millis(700);
-
-/// Mean delay after a failed registration.
-const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(400);
-
 /// Keeps the snapshot of the store up to date until the process ends.
 ///
 /// One instance of each zone reads the store. The others request updates from it, with the age of
 /// the read, and read the store themselves only if it has no recent read.
 pub async fn run_store_sync(service: Rc<SessionService>, store: Rc<dyn ControlStore>) {
-    let mut is_reachable = true;
-    let mut free_since = None;
+    let mut reads = StoreReads::default();
+    let mut secret_missing_since = None;
     loop {
         let started = service.clock.now();
         let is_updated = receive_update(&service, &*store).await;
-        let interval = if is_updated {
+        if !is_updated && reads.may_read(&service, started) {
+            read_store(&service, &*store, &mut reads).await;
+        }
+        let interval = if is_updated || reads.is_failing() {
             UPDATE_INTERVAL
         } else {
             READ_INTERVAL
         };
-        if !is_updated {
-            read_store(&service, &*store, &mut is_reachable).await;
-        }
-        maintain_fleet(&service, &*store, &mut free_since).await;
+        create_missing_secret(&service, &*store, &mut secret_missing_since).await;
         sleep(MIN_READ_INTERVAL).await;
         let remaining = interval.saturating_sub(service.clock.now().since(started));
         // A request that needs a newer snapshot ends the wait early.
@@ -66,6 +63,35 @@
     }
 }
 
+/// The store as this instance last found it.
+#[derive(Default)]
+struct StoreReads {
+    /// Delay after the last read if it failed.
+    failure_delay: Option<Duration>,
+    retry_at: MonotonicTime,
+}
+
+impl StoreReads {
+    const fn is_failing(&self) -> bool {
+        self.failure_delay.is_some()
+    }
+
+    /// Returns whether this instance reads the store, after it received no update.
+    fn may_read(&self, service: &SessionService, now: MonotonicTime) -> bool {
+        let age = service.config_view.age(now);
+        let is_due = service.is_store_reader() || age.is_none_or(|age| age >= MAX_UNCONFIRMED_AGE);
+        is_due && now >= self.retry_at
+    }
+
+    fn record_failure(&mut self, now: MonotonicTime) {
+        let delay = self.failure_delay.map_or(MIN_FAILURE_DELAY, |delay| {
+            (delay * 2).min(MAX_FAILURE_DELAY)
+        });
+        self.failure_delay = Some(delay);
+        self.retry_at = now + delay;
+    }
+}
+
 /// Requests an update from the store readers of the zone. Returns false if this instance must read
 /// the store itself.
 async fn receive_update(service: &SessionService, store: &dyn ControlStore) -> bool {
@@ -90,6 +116,10 @@
     let Some(age) = update.age.filter(|age| *age < MAX_UPDATE_AGE) else {
         return false;
     };
+    let known = service.store_view.snapshot().unwrap_or_default();
+    if update.lacks_config(digest.config_version) {
+        update.config = receive_config(service, store_reader, &known, update.config_version).await;
+    }
     if update.lacks_config(digest.config_version) {
         match store.read_config().await {
             Ok(Some(config)) => update.config = Some(config),
@@ -104,7 +134,6 @@
             }
         }
     }
-    let known = service.store_view.snapshot().unwrap_or_default();
     let snapshot = update.apply_to(&known);
     service.metrics.count_store_call("heard");
     // The store reader replied after this request was sent, so its read is at most this old.
@@ -112,152 +141,65 @@
     true
 }
 
-async fn read_store(service: &SessionService, store: &dyn ControlStore, is_reachable: &mut bool) {
+/// Requests the changes of a configuration that is too large for an update, and applies them to the
+/// known one. Without them the configuration is read from the store.
+async fn receive_config(
+    service: &SessionService,
+    store_reader: SocketAddr,
+    known: &ControlSnapshot,
+    version: u64,
+) -> Option<Arc<FleetConfig>> {
+    let known = known.config.as_ref()?;
+    let relay = &service.relay;
+    let delta = relay
+        .request_config_delta(store_reader, known.version)
+        .await?;
+    let config = delta.apply_to(known)?;
+    (config.version >= version).then(|| Arc::new(config))
+}
+
+async fn read_store(service: &SessionService, store: &dyn ControlStore, reads: &mut StoreReads) {
     let sent_at = service.clock.now();
     match store.read_all().await {
         Ok(snapshot) => {
             service.metrics.count_store_call("ok");
-            if !*is_reachable {
+            if reads.is_failing() {
                 log::info!("store is reachable again");
-                *is_reachable = true;
             }
+            *reads = StoreReads::default();
             service.apply_snapshot(&snapshot, sent_at);
         }
         Err(error) => {
             service.metrics.count_store_call("failed");
-            if *is_reachable {
+            if !reads.is_failing() {
                 let age = service.config_view.age(service.clock.now());
                 log::warn!(error:% = error, proof_age:? = age; "store is not reachable");
-                *is_reachable = false;
             }
+            reads.record_failure(sent_at);
         }
     }
 }
 
-/// Creates the fleet secret if it is missing and acquires the promotion duty if it is free.
-async fn maintain_fleet(
+/// Creates the fleet secret if it is missing. One instance after the other tries, so that few calls
+/// are made when all start together.
+async fn create_missing_secret(
     service: &SessionService,
     store: &dyn ControlStore,
-    free_since: &mut Option<MonotonicTime>,
+    missing_since: &mut Option<MonotonicTime>,
 ) {
-    let Some(snapshot) = service.store_view.snapshot() else {
+    let snapshot = service.store_view.snapshot();
+    let Some(snapshot) = snapshot.filter(|snapshot| snapshot.fleet_secret.is_none()) else {
+        *missing_since = None;
         return;
     };
-    if snapshot.fleet_secret.is_none() {
-        create_secret(store).await;
-    }
-    acquire_promotion_duty(service, store, &snapshot, free_since).await;
-}
-
-/// Keeps this instance registered until the process is asked to stop.
-pub async fn run_registration(service: Rc<SessionService>, store: Rc<dyn ControlStore>) {
-    let settings = service.settings();
-    let entry = InstanceEntry {
-        id: settings.name.clone(),
-        address: settings.peer_address,
-        zone: settings.zone.clone(),
-        created: 0,
-    };
-    while service.phase() == ServicePhase::Serving {
-        let started = service.clock.now();
-        match register(&*store, &entry).await {
-            Ok(lease) => {
-                log::info!(id = &*entry.id, lease = lease.0; "instance registered");
-                service.promotion_duty.record_renewal(started);
-                service.set_registration_lease(Some(lease));
-                keep_registered(&service, &*store, lease).await;
-                service.set_registration_lease(None);
-                service.promotion_duty.release();
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "instance not registered");
-                // Instances that start together must not retry together.
-                sleep(REGISTER_RETRY_DELAY.mul_f64(rand::random_range(0.5..1.5))).await;
-            }
-        }
-    }
-}
-
-async fn register(store: &dyn ControlStore, entry: &InstanceEntry) -> Result<LeaseId, StoreError> {
-    let lease = store.start_lease(LEASE_TTL).await?;
-    store.register(entry, lease).await?;
-    Ok(lease)
-}
-
-/// Renews the lease until it has ended or the process is asked to stop.
-async fn keep_registered(service: &SessionService, store: &dyn ControlStore, lease: LeaseId) {
-    let mut renewed_at: MonotonicTime = service.clock.now();
-    loop {
-        sleep(RENEW_INTERVAL).await;
-        if service.phase() != ServicePhase::Serving {
-            return;
-        }
-        let sent_at = service.clock.now();
-        match store.renew_lease(lease).await {
-            Ok(()) => {
-                renewed_at = sent_at;
-                service.promotion_duty.record_renewal(sent_at);
-            }
-            Err(StoreError::LeaseEnded) => {
-                log::warn!(lease = lease.0; "lease of the registration has expired");
-                return;
-            }
-            Err(error) => {
-                let age = service.clock.now().since(renewed_at);
-                log::warn!(
-                    lease = lease.0, last_renewal:? = age, error:% = error;
-                    "registration not renewed"
-                );
-            }
-        }
+    let now = service.clock.now();
+    let since = *missing_since.get_or_insert(now);
+    let names: Vec<_> = snapshot.instances.iter().map(|entry| &*entry.id).collect();
+    if now.since(since) < rank_delay(&names, &service.settings().name) {
+        return;
     }
-}
-
-async fn create_secret(store: &dyn ControlStore) {
     let secret: [u8; SECRET_BYTES] = rand::random();
     if let Err(error) = store.create_fleet_secret(&secret).await {
         log::warn!(error:% = error; "fleet secret not stored");
     }
 }
-
-/// Acquires the promotion duty if it is free, or replaces a rejected token. The first instance by
-/// name tries at once and the others later, so that few calls are made.
-async fn acquire_promotion_duty(
-    service: &SessionService,
-    store: &dyn ControlStore,
-    snapshot: &ControlSnapshot,
-    free_since: &mut Option<MonotonicTime>,
-) {
-    let Some(lease) = service.registration_lease() else {
-        return;
-    };
-    if service.phase() != ServicePhase::Serving {
-        return;
-    }
-    let now = service.clock.now();
-    let replaced_token = service.promotion_duty.rejected_token();
-    if replaced_token.is_none() {
-        if !service.promotion_duty.is_free() {
-            *free_since = None;
-            return;
-        }
-        let since = *free_since.get_or_insert(now);
-        let first = snapshot.instances.iter().map(|entry| &entry.id).min();
-        let is_first = first.is_none_or(|first| *first == service.settings().name);
-        if !is_first && now.since(since) < ACQUIRE_DUTY_DELAY {
-            return;
-        }
-    }
-    let settings = service.settings();
-    let acquisition = store.acquire_promotion_duty(
-        &settings.process_id,
-        settings.peer_address,
-        lease,
-        replaced_token,
-    );
-    match acquisition.await {
-        Ok(token) => service.promotion_duty.record_acquired(token),
-        Err(StoreError::Conflict) => service.promotion_duty.release(),
-        Err(error) => log::warn!(error:% = error; "promotion duty not acquired"),
-    }
-}
--- a/crates/coriander_service/src/database_group.rs
+++ b/crates/coriander_service/src/database_group.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::{LogPosition, MonotonicTime};
+use coriander_core::{LogPosition, MonotonicTime, stable_hash};
 use coriander_service_api::{MemberConnector, MemberEntry, MemberTarget, PositionTimeline};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
@@ -266,6 +266,21 @@
         member.mark_not_primary(now);
     }
 
+    fn is_read_target(member: &Member, tried: &[Arc<str>], now: MonotonicTime) -> bool {
+        !tried.contains(&member.id)
+            && !member.is_leaving()
+            && member.is_usable(now)
+            && !member.is_lagging(now)
+    }
+
+    /// Returns whether a read may be sent to a member that is not one of `tried`.
+    pub fn has_read_target(&self, tried: &[Arc<str>], now: MonotonicTime) -> bool {
+        let members = self.members.borrow();
+        members
+            .iter()
+            .any(|member| Self::is_read_target(member, tried, now))
+    }
+
     /// Chooses the read target with the lowest cost for an account, leaving out `tried` members.
     pub fn choose_read_target(
         &self,
@@ -275,12 +290,9 @@
     ) -> Option<Rc<Member>> {
         let primary = self.primary(now);
         let members = self.members.borrow();
-        let candidates = members.iter().filter(|member| {
-            !tried.contains(&member.id)
-                && !member.is_leaving()
-                && member.is_usable(now)
-                && !member.is_lagging(now)
-        });
+        let candidates = members
+            .iter()
+            .filter(|member| Self::is_read_target(member, tried, now));
         let cost = |member: &&Rc<Member>| {
             let is_primary = primary
                 .as_ref()
@@ -353,9 +365,5 @@
 /// Returns the rank of a member for an account. It differs by account, so that accounts are spread
 /// over members and each account needs few connections.
 fn account_affinity(account: &str, member: &str) -> u64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    account.hash(&mut hasher);
-    member.hash(&mut hasher);
-    hasher.finish()
+    stable_hash((account, member))
 }
--- a/crates/coriander_service/src/fleet_view.rs
+++ b/crates/coriander_service/src/fleet_view.rs
@@ -2,10 +2,10 @@
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 
+use coriander_core::stable_hash;
 use coriander_service_api::InstanceEntry;
 
 use crate::connection_caps::ConnectionCaps;
@@ -21,12 +21,6 @@
     pub connections: usize,
 }
 
-fn hash_rank(value: impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Instances of the fleet.
 #[derive(Debug, Default)]
 pub struct FleetView {
@@ -65,7 +59,7 @@
 
     /// Returns the home instances of a member, best first. They are in its zone if any instance is.
     fn home_instances(&self, member: &MemberLocation<'_>) -> Rc<[InstanceEntry]> {
-        let key = hash_rank((member.id, member.zone, member.connections));
+        let key = stable_hash((member.id, member.zone, member.connections));
         let mut cached = self.cached_homes.borrow_mut();
         let homes = cached.entry(key);
         homes
@@ -75,7 +69,7 @@
 
     fn choose_home_instances(&self, member: &MemberLocation<'_>) -> Rc<[InstanceEntry]> {
         let mut homes = self.candidates(member.zone);
-        homes.sort_by_cached_key(|entry| hash_rank((member.id, &*entry.id)));
+        homes.sort_by_cached_key(|entry| stable_hash((member.id, &*entry.id)));
         homes.truncate(ConnectionCaps::max_home_instances(member.connections));
         homes.into_iter().cloned().collect()
     }
@@ -100,7 +94,7 @@
         account: &str,
         is_usable: impl Fn(&InstanceEntry) -> bool,
     ) -> Option<InstanceEntry> {
-        let by_rank = |entry: &&InstanceEntry| hash_rank((member.id, account, &*entry.id));
+        let by_rank = |entry: &&InstanceEntry| stable_hash((member.id, account, &*entry.id));
         let homes = self.home_instances(member);
         let usable_homes = homes.iter().filter(|entry| is_usable(entry));
         let best = usable_homes.max_by_key(by_rank).or_else(|| {
@@ -125,7 +119,7 @@
     /// Returns the rank of an instance for a member, starting at 0, and the number of instances.
     pub fn member_rank(&self, member: &str, own_name: &str) -> (usize, usize) {
         let mut ranked: Vec<_> = self.instances.iter().map(|entry| &*entry.id).collect();
-        ranked.sort_by_cached_key(|id| hash_rank((member, *id)));
+        ranked.sort_by_cached_key(|id| stable_hash((member, *id)));
         let index = ranked.iter().position(|id| *id == own_name);
         (index.unwrap_or(0), ranked.len().max(1))
     }
@@ -141,7 +135,7 @@
         let mut in_zone: Vec<_> = in_zone
             .filter(|entry| &*entry.zone == zone && is_usable(entry))
             .collect();
-        in_zone.sort_by_cached_key(|entry| hash_rank((zone, &*entry.id)));
+        in_zone.sort_by_cached_key(|entry| stable_hash((zone, &*entry.id)));
         in_zone.truncate(limit);
         in_zone
     }
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -14,10 +14,13 @@
 
 mod access;
 mod attempt;
+mod busy_backoff;
+mod config_delta;
 mod config_view;
 mod connection_caps;
 mod control_loop;
 mod database_group;
+mod duty_lease;
 mod exchange;
 mod fleet_view;
 mod held_connection;
@@ -36,6 +39,7 @@
 mod promotion_duty;
 mod promotion_task;
 mod rate_limiter;
+mod registration;
 mod relay;
 mod request_log;
 mod service;
@@ -48,7 +52,10 @@
 mod term_history;
 mod warm_up_gate;
 
-pub use control_loop::{run_registration, run_store_sync};
+pub use busy_backoff::BusyBackoff;
+pub use config_delta::{ConfigDelta, ConfigHistory};
+pub use control_loop::run_store_sync;
+pub use duty_lease::{rank_delay, run_promotion_duty};
 pub use member_health::MemberHealth;
 pub use peer_messages::PeerMessage;
 pub use peer_socket::PeerSocket;
@@ -56,6 +63,7 @@
     PrimaryObservation, PromotionCandidate, PromotionCause, SuccessorRule, choose_successor,
 };
 pub use promotion_task::PromotionTask;
+pub use registration::run_registration;
 pub use relay::{RelayClient, RelayServer};
 pub use service::{ServicePhase, SessionService};
 pub use service_clock::ServiceClock;
--- a/crates/coriander_service/src/operation.rs
+++ b/crates/coriander_service/src/operation.rs
@@ -18,6 +18,7 @@
     Attempt, CompletedStatement, aborted, evaluate_reply, in_doubt, link_reason, no_connection,
     record_refusal,
 };
+use crate::busy_backoff::BusyBackoff;
 use crate::database_group::DatabaseGroup;
 use crate::exchange::{
     ExchangeError, ExchangeOutcome, ExchangePlan, PlannedBegin, PlannedStatement,
@@ -39,9 +40,6 @@
 /// leaves the caller time to retry within its own deadline.
 const ACQUIRE_TIMEOUT_FRACTION: f64 = 0.45;
 
-/// Delay before a busy member is tried again.
-const BUSY_MEMBER_DELAY: Duration = Duration::from_millis(15);
-
 /// Interval at which a waiting statement checks for a usable primary.
 const PRIMARY_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -95,6 +93,17 @@
         self.deadline.since(self.now())
     }
 
+    /// Waits before the next attempt at busy members. Returns false if no time would be left for
+    /// it.
+    async fn wait_for_busy_members(&self, backoff: &mut BusyBackoff) -> bool {
+        let remaining = self.time_remaining().saturating_sub(MIN_ATTEMPT_TIME);
+        let Some(delay) = backoff.next_delay(remaining, rand::random()) else {
+            return false;
+        };
+        sleep(delay).await;
+        true
+    }
+
     /// Returns how long a statement may use the member as primary; `None` if it may not.
     fn primary_use_remaining(&self, member: &Member) -> Option<Duration> {
         let group = &self.group.name;
@@ -221,6 +230,12 @@
         }
     }
 
+    /// Returns whether a read that was refused by the tried members may run on another replica.
+    fn has_untried_replica(&self, tried: &TriedMembers) -> bool {
+        let is_read_target = matches!(self.read_requirement(), ReadRequirement::MinPosition(_));
+        !tried.is_empty() && is_read_target && self.group.has_read_target(tried, self.now())
+    }
+
     /// Chooses a member for a read and records it as tried.
     async fn choose_member(
         &self,
@@ -245,7 +260,6 @@
         }
         if !tried.is_empty() {
             tried.clear();
-            sleep(BUSY_MEMBER_DELAY.min(self.time_remaining())).await;
             if let Some(member) = self.group.choose_read_target(account, tried, self.now()) {
                 return Ok(member);
             }
@@ -260,6 +274,7 @@
     statement: &PlannedStatement,
 ) -> Result<CompletedStatement, SessionFailure> {
     let mut tried = TriedMembers::new();
+    let mut backoff = BusyBackoff::default();
     let mut failure = None;
     while context.time_remaining() > MIN_ATTEMPT_TIME {
         let attempt = if statement.writes {
@@ -271,10 +286,15 @@
             Attempt::Completed(completed) => return Ok(completed),
             Attempt::Failed(failure) => return Err(failure),
             Attempt::Retry(retry) => {
-                if retry.code == FailureCode::Busy && retry.reason != FailureReason::MemberSilent {
-                    sleep(BUSY_MEMBER_DELAY.min(context.time_remaining())).await;
-                }
+                let is_busy =
+                    retry.code == FailureCode::Busy && retry.reason != FailureReason::MemberSilent;
                 failure = Some(retry);
+                if is_busy
+                    && !context.has_untried_replica(&tried)
+                    && !context.wait_for_busy_members(&mut backoff).await
+                {
+                    break;
+                }
             }
         }
     }
@@ -333,14 +353,17 @@
     statement: &PlannedStatement,
 ) -> Result<CompletedStatement, SessionFailure> {
     let mut tried = TriedMembers::new();
+    let mut backoff = BusyBackoff::default();
     let mut failure = None;
     while context.time_remaining() > MIN_ATTEMPT_TIME {
         match attempt_begin(context, transaction, statement, &mut tried).await {
             Attempt::Completed(completed) => return Ok(completed),
             Attempt::Failed(failure) => return Err(failure),
             Attempt::Retry(retry) => {
-                sleep(BUSY_MEMBER_DELAY.min(context.time_remaining())).await;
                 failure = Some(retry);
+                if !context.wait_for_busy_members(&mut backoff).await {
+                    break;
+                }
             }
         }
     }
@@ -440,6 +463,7 @@
     let Some(mut link) = transaction.link.take() else {
         return open_transaction(context, transaction, statement).await;
     };
+    let mut backoff = BusyBackoff::default();
     loop {
         let mut plan = context.plan(&link.member, statement, context.time_remaining());
         plan.keep_reserved = true;
@@ -455,9 +479,10 @@
             Ok(completed) => return Ok(completed),
             Err(refusal) => refusal,
         };
-        if refusal.code == FailureCode::Busy && open && context.time_remaining() > MIN_ATTEMPT_TIME
+        if refusal.code == FailureCode::Busy
+            && open
+            && context.wait_for_busy_members(&mut backoff).await
         {
-            sleep(BUSY_MEMBER_DELAY).await;
             continue;
         }
         record_refusal(context, &link.member, refusal.code, None);
--- a/crates/coriander_service/src/peer_messages.rs
+++ b/crates/coriander_service/src/peer_messages.rs
@@ -1,5 +1,7 @@
 //! Messages between instances.
 
+use std::time::Duration;
+
 use coriander_core::LogPosition;
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +27,15 @@
     pub amount: u32,
 }
 
+/// Refusal of a [`LoanRequest`], because no operation is left.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct LoanRefusal {
+    /// Number of the request.
+    pub number: u64,
+    /// Delay after which the caller should retry.
+    pub retry_after: Duration,
+}
+
 /// Notice that a promotion has taken effect.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct PrimaryNotice {
@@ -62,4 +73,6 @@
     Leaving(String),
     /// Outage of a primary, or its end.
     Outage(OutageReport),
+    /// Refusal of a request for a loan.
+    LoanRefusal(LoanRefusal),
 }
--- a/crates/coriander_service/src/promotion_duty.rs
+++ b/crates/coriander_service/src/promotion_duty.rs
@@ -29,6 +29,8 @@
     current_token: Cell<Option<u64>>,
     /// Address of the holder, if another instance holds the duty.
     holder_address: Cell<Option<SocketAddr>>,
+    /// Whether the process is about to stop and must not hold the duty again.
+    is_retired: Cell<bool>,
     /// Whether the token must be replaced, because a call with it was rejected.
     is_token_rejected: Cell<bool>,
     /// Send time of the last successful renewal of the lease.
@@ -49,7 +51,8 @@
             // An older read may still contain the token that a renewal has replaced.
             let known_token = self.token.get().unwrap_or(0);
             let own_token = own_lease.map(|_| lease.token.max(known_token));
-            if own_lease.is_some() || lease.token > known_token {
+            let is_newer = own_lease.is_some() || lease.token > known_token;
+            if is_newer && !self.is_retired.get() {
                 self.token.set(own_token);
             }
         }
@@ -84,7 +87,7 @@
     /// Records that this process has acquired the duty or a new token.
     pub fn record_acquired(&self, token: u64) {
         log::info!(token = token; "promotion duty acquired");
-        self.token.set(Some(token));
+        self.token.set((!self.is_retired.get()).then_some(token));
         self.current_token.set(Some(token));
         self.is_token_rejected.set(false);
     }
@@ -96,6 +99,13 @@
         }
     }
 
+    /// Releases the duty for good, because the process is about to stop. A snapshot that still
+    /// contains the own lease does not restore it.
+    pub fn retire(&self) {
+        self.is_retired.set(true);
+        self.release();
+    }
+
     /// Records that a call with the token was rejected.
     pub fn mark_token_rejected(&self) {
         log::info!(
@@ -120,6 +130,11 @@
         self.holder_address.get()
     }
 
+    /// Returns whether this process holds the duty, even if its token was rejected.
+    pub fn is_held(&self) -> bool {
+        self.token.get().is_some()
+    }
+
     /// Returns whether no process holds the duty according to the newest lease.
     pub fn is_free(&self) -> bool {
         self.token.get().is_none() && self.current_token.get().is_none()
--- a/crates/coriander_service/src/rate_limiter.rs
+++ b/crates/coriander_service/src/rate_limiter.rs
@@ -9,27 +9,32 @@
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
-use coriander_limits::RateShares;
+use coriander_limits::{LoanOffer, RateShares};
 use coriander_service_api::{ClientAccount, FleetConfig, InstanceEntry};
 use smallvec::SmallVec;
-use tokio::sync::Notify;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::ServiceClock;
-use crate::peer_messages::{LoanReply, LoanRequest, PeerMessage};
+use crate::peer_messages::{LoanRefusal, LoanReply, LoanRequest, PeerMessage};
 use crate::peer_socket::PeerSocket;
 
-/// Maximum time for which an operation waits for a loan.
-const LOAN_TIMEOUT: Duration = Duration::from_millis(40);
+/// Maximum time for which an operation waits for loans.
+const BORROW_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Time after which an owner without a reply is skipped and the next one is asked.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(25);
+
+/// Time for which an owner without a reply is asked last.
+const SILENT_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Time after which a loan request without a reply is dropped.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Number of instances that are sent a loan request at a time.
-const MAX_LENDERS: usize = 2;
-
 struct PendingLoan {
     requested_at: MonotonicTime,
+    /// Signals the offer to the operation that waits for it.
+    offered: oneshot::Sender<LoanOffer>,
 }
 
 /// Rate limits of client accounts on this instance.
@@ -39,8 +44,10 @@
     shares: RefCell<RateShares>,
     pending_loans: RefCell<HashMap<u64, PendingLoan>>,
     last_number: Cell<u64>,
-    next_peer: Cell<usize>,
-    loan_received: Notify,
+    /// Number of operations that asked the owners; rotates the order in which they are asked.
+    turn: Cell<usize>,
+    /// Owners that did not reply, with the time until which they are asked last.
+    silent_owners: RefCell<HashMap<SocketAddr, MonotonicTime>>,
 }
 
 impl RateLimiter {
@@ -52,8 +59,8 @@
             shares: RefCell::new(RateShares::new(own_name)),
             pending_loans: RefCell::default(),
             last_number: Cell::new(0),
-            next_peer: Cell::new(0),
-            loan_received: Notify::new(),
+            turn: Cell::new(0),
+            silent_owners: RefCell::default(),
         }
     }
 
@@ -80,97 +87,180 @@
         self.shares.borrow_mut().set_fleet(&names, now);
     }
 
-    /// Takes one operation of an account, waiting for a loan if necessary. Fails with the delay
-    /// after which the caller should retry.
+    /// Takes one operation of an account, borrowing it from other instances if necessary. Fails with
+    /// the delay after which the caller should retry.
     pub async fn acquire(&self, account: &ClientAccount) -> Result<(), Duration> {
         let name = &account.name;
+        let now = self.clock.now();
+        self.shares.borrow_mut().record_demand(name, now);
+        let result = self.shares.borrow_mut().spend(name, now);
+        self.borrow_in_advance(name, now);
+        match result {
+            Ok(()) => Ok(()),
+            Err(own_delay) => self.borrow_and_spend(name, own_delay).await,
+        }
+    }
+
+    /// Describes the remaining operations of an account on this instance, for logs.
+    pub fn describe(&self, account: &str) -> String {
+        self.shares.borrow().describe(account)
+    }
+
+    /// Asks one owner after the other for a token until one lends it.
+    async fn borrow_and_spend(
+        &self,
+        account: &Arc<str>,
+        own_delay: Duration,
+    ) -> Result<(), Duration> {
         let started = self.clock.now();
-        self.shares.borrow_mut().record_demand(name, started);
-        loop {
-            let loan_received = self.loan_received.notified();
+        if let Some(retry_after) = self.exhausted_retry_after(account, started) {
+            return Err(retry_after);
+        }
+        let mut delay = own_delay;
+        let mut all_replied = true;
+        for owner in self.owners_in_turn(account, started) {
+            let waited = self.clock.now().since(started);
+            if waited >= BORROW_TIMEOUT {
+                all_replied = false;
+                break;
+            }
+            match self.ask_owner(owner, account).await {
+                Some(LoanOffer::RetryAfter(retry_after)) => delay = delay.min(retry_after),
+                Some(LoanOffer::Tokens(_)) => {}
+                None => all_replied = false,
+            }
+            // Also finds a late loan of another owner and what the own share has gained.
             let now = self.clock.now();
-            let result = self.shares.borrow_mut().spend(name, now);
-            self.request_loans(name, now);
-            let Err(delay) = result else {
+            if self.shares.borrow_mut().spend(account, now).is_ok() {
                 return Ok(());
-            };
-            let waited = now.since(started);
-            if waited >= LOAN_TIMEOUT {
-                return Err(delay);
             }
-            let limit = (LOAN_TIMEOUT - waited).min(delay);
-            // The share of this instance may have refilled when no loan arrives.
-            let _ = timeout(limit, loan_received).await;
         }
+        if all_replied {
+            let now = self.clock.now();
+            let mut shares = self.shares.borrow_mut();
+            shares.record_exhausted(account, delay, now);
+        }
+        Err(delay)
     }
 
-    /// Describes the remaining operations of an account on this instance, for logs.
-    pub fn describe(&self, account: &str) -> String {
-        self.shares.borrow().describe(account)
+    fn exhausted_retry_after(&self, account: &str, now: MonotonicTime) -> Option<Duration> {
+        self.shares.borrow().exhausted_retry_after(account, now)
     }
 
-    fn request_loans(&self, account: &Arc<str>, now: MonotonicTime) {
-        let amount = self.shares.borrow_mut().tokens_to_borrow(account, now);
-        if amount == 0 {
-            return;
+    /// Returns the other owners of an account in the order in which to ask them. The first one
+    /// rotates, so that all lend alike; owners that did not reply recently come last.
+    fn owners_in_turn(&self, account: &str, now: MonotonicTime) -> SmallVec<[SocketAddr; 8]> {
+        let shares = self.shares.borrow();
+        let lenders = shares.lenders(account);
+        let mut owners: SmallVec<[SocketAddr; 8]> = lenders
+            .filter_map(|name| self.peers.address(name))
+            .collect();
+        if owners.is_empty() {
+            return owners;
         }
-        let peers: SmallVec<[SocketAddr; 8]> = {
-            let shares = self.shares.borrow();
-            let lenders = shares.lenders(account);
-            lenders
-                .filter_map(|name| self.peers.address(name))
-                .collect()
-        };
-        let count = MAX_LENDERS.min(peers.len());
-        if count == 0 {
-            return;
+        self.turn.set(self.turn.get().wrapping_add(1));
+        let first = self.turn.get() % owners.len();
+        owners.rotate_left(first);
+        let silent = self.silent_owners.borrow();
+        owners.sort_by_key(|owner| silent.get(owner).is_some_and(|until| now < *until));
+        owners
+    }
+
+    /// Requests a token from an owner; `None` without a reply.
+    async fn ask_owner(&self, owner: SocketAddr, account: &Arc<str>) -> Option<LoanOffer> {
+        let now = self.clock.now();
+        let offered = self.request_loan(owner, account, 1, now);
+        let offer = timeout(OWNER_TIMEOUT, offered).await;
+        if let Ok(Ok(offer)) = offer {
+            return Some(offer);
         }
-        let amount = amount.div_ceil(count as u32);
+        let until = now + SILENT_PERIOD;
+        self.silent_owners.borrow_mut().insert(owner, until);
+        None
+    }
+
+    /// Sends a loan request and returns a receiver for the offer.
+    fn request_loan(
+        &self,
+        owner: SocketAddr,
+        account: &Arc<str>,
+        amount: u32,
+        now: MonotonicTime,
+    ) -> oneshot::Receiver<LoanOffer> {
+        let (offered, receiver) = oneshot::channel();
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let loan = PendingLoan {
+            requested_at: now,
+            offered,
+        };
         let mut pending_loans = self.pending_loans.borrow_mut();
         pending_loans.retain(|_, loan| now.since(loan.requested_at) < REPLY_TIMEOUT);
-        for _ in 0..count {
-            let index = self.next_peer.get();
-            self.next_peer.set(index.wrapping_add(1));
-            let number = self.last_number.get() + 1;
-            self.last_number.set(number);
-            pending_loans.insert(number, PendingLoan { requested_at: now });
-            let request = LoanRequest {
-                account: account.to_string(),
-                number,
-                amount,
-            };
-            let address = peers[index % peers.len()];
-            self.peers.send(address, &PeerMessage::LoanRequest(request));
+        pending_loans.insert(number, loan);
+        drop(pending_loans);
+        let request = LoanRequest {
+            account: account.to_string(),
+            number,
+            amount,
+        };
+        self.peers.send(owner, &PeerMessage::LoanRequest(request));
+        receiver
+    }
+
+    /// Borrows what the next requests are expected to need, without waiting.
+    fn borrow_in_advance(&self, account: &Arc<str>, now: MonotonicTime) {
+        let amount = self.shares.borrow_mut().tokens_to_borrow(account, now);
+        if amount == 0 {
+            return;
+        }
+        if let Some(owner) = self.owners_in_turn(account, now).first() {
+            // The offer adds to the share when it arrives; no operation waits for it.
+            drop(self.request_loan(*owner, account, amount, now));
         }
     }
 
     /// Handles a loan request of another instance.
     pub fn lend(&self, sender: SocketAddr, request: &LoanRequest) {
         let now = self.clock.now();
-        let amount = self
-            .shares
-            .borrow_mut()
-            .lend(&request.account, request.amount, now);
-        let reply = LoanReply {
-            account: request.account.clone(),
-            number: request.number,
-            amount,
+        let mut shares = self.shares.borrow_mut();
+        let message = match shares.lend(&request.account, request.amount, now) {
+            LoanOffer::Tokens(amount) => PeerMessage::LoanReply(LoanReply {
+                account: request.account.clone(),
+                number: request.number,
+                amount,
+            }),
+            LoanOffer::RetryAfter(retry_after) => PeerMessage::LoanRefusal(LoanRefusal {
+                number: request.number,
+                retry_after,
+            }),
         };
-        self.peers.send(sender, &PeerMessage::LoanReply(reply));
+        self.peers.send(sender, &message);
     }
 
     /// Adds a loan to the share of its account, once per request.
-    pub fn receive_loan(&self, reply: &LoanReply) {
-        let pending_loan = self.pending_loans.borrow_mut().remove(&reply.number);
-        let Some(loan) = pending_loan else {
+    pub fn receive_loan(&self, sender: SocketAddr, reply: &LoanReply) {
+        let Some(loan) = self.take_pending(sender, reply.number) else {
             return;
         };
         let now = self.clock.now();
-        self.shares
-            .borrow_mut()
-            .receive_loan(&reply.account, reply.amount, loan.requested_at, now);
-        if reply.amount > 0 {
-            self.loan_received.notify_waiters();
+        let mut shares = self.shares.borrow_mut();
+        shares.receive_loan(&reply.account, reply.amount, loan.requested_at, now);
+        // No operation waits for a loan in advance.
+        let _ = loan.offered.send(LoanOffer::Tokens(reply.amount));
+    }
+
+    /// Handles the refusal of a loan request.
+    pub fn receive_refusal(&self, sender: SocketAddr, refusal: &LoanRefusal) {
+        if let Some(loan) = self.take_pending(sender, refusal.number) {
+            // No operation waits for a loan in advance.
+            let _ = loan
+                .offered
+                .send(LoanOffer::RetryAfter(refusal.retry_after));
         }
     }
+
+    fn take_pending(&self, sender: SocketAddr, number: u64) -> Option<PendingLoan> {
+        self.silent_owners.borrow_mut().remove(&sender);
+        self.pending_loans.borrow_mut().remove(&number)
+    }
 }
--- a/crates/coriander_service/src/relay.rs
+++ b/crates/coriander_service/src/relay.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 
 use crate::ServiceClock;
+use crate::config_delta::ConfigDelta;
 use crate::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
 use crate::held_connection::HeldConnection;
 use crate::member_pool::PoolError;
@@ -74,6 +75,11 @@
     },
     /// Checks that the instance replies.
     Ping,
+    /// Requests the changes of the configuration since a version.
+    ConfigDelta {
+        /// Version that the sender has.
+        known_version: u64,
+    },
 }
 
 /// The reply to a [`RelayRequest`].
@@ -85,6 +91,8 @@
     StoreUpdate(Box<StoreUpdate>),
     /// Acknowledges the end of a stream or a ping.
     Acknowledged,
+    /// Changes of the configuration; `None` if the version of the request is not known.
+    ConfigDelta(Option<Box<ConfigDelta>>),
 }
 
 /// Executes exchanges on other instances.
@@ -196,6 +204,27 @@
         }
     }
 
+    /// Requests the changes of the configuration since a version from another instance.
+    pub async fn request_config_delta(
+        &self,
+        address: SocketAddr,
+        known_version: u64,
+    ) -> Option<ConfigDelta> {
+        let client = self.client.borrow().clone()?;
+        let request = RelayRequest::ConfigDelta { known_version };
+        match client.call(address, request, UPDATE_TIMEOUT).await {
+            Ok(RelayReply::ConfigDelta(delta)) => delta.map(|delta| *delta),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(
+                    address:% = address, error:% = error;
+                    "no changes of the configuration received from an instance"
+                );
+                None
+            }
+        }
+    }
+
     /// Ends a stream on another instance.
     pub fn end_stream(&self, address: SocketAddr, stream: StreamNumber) {
         let client = self.client.borrow().clone();
@@ -389,6 +418,11 @@
                 })
             }
             RelayRequest::Ping => RelayReply::Acknowledged,
+            RelayRequest::ConfigDelta { known_version } => {
+                let service = self.service.upgrade();
+                let delta = service.and_then(|s| s.store_view.config_delta(known_version));
+                RelayReply::ConfigDelta(delta.map(Box::new))
+            }
         }
     }
 
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -18,8 +18,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::config_view::ConfigView;
-use crate::control_loop::SAFE_LEASE_LIFETIME;
 use crate::database_group::DatabaseGroup;
+use crate::duty_lease::SAFE_LEASE_LIFETIME;
 use crate::fleet_view::FleetView;
 use crate::member::Member;
 use crate::peer_messages::PeerMessage;
@@ -37,7 +37,7 @@
 
 /// Number of store readers per zone from which an instance requests updates, in order. If the first
 /// has no recent read, the second reads the store, so that not every instance does.
-const MAX_STORE_READERS: usize = 2;
+const MAX_STORE_READERS: usize = 4;
 
 /// Account name sent to members for callers of routes that need no key.
 const ANONYMOUS_ACCOUNT: &str = "-";
@@ -136,6 +136,8 @@
         let Some(previous) = self.store_view.record(snapshot, sent_at) else {
             return;
         };
+        // A new account gets its first tokens by its owners, which follow from the instances.
+        self.rate_limiter.set_fleet(&snapshot.instances);
         let old_config = self.config_view.config();
         let groups = |config: &Arc<FleetConfig>| config.groups.clone();
         let same_groups = old_config.as_ref().map(groups) == snapshot.config.as_ref().map(groups);
@@ -150,7 +152,6 @@
             );
             self.rate_limiter.apply_config(config);
         }
-        self.rate_limiter.set_fleet(&snapshot.instances);
         let digest = self.store_view.digest();
         if !digest.same_instances(&previous) {
             self.peers.set_peers(&snapshot.instances);
@@ -192,6 +193,18 @@
         others.map(|entry| entry.address).collect()
     }
 
+    /// Returns whether this instance is one of the store readers of its zone. Without known
+    /// instances it is.
+    pub fn is_store_reader(&self) -> bool {
+        let name = self.settings().name.clone();
+        let fleet = self.fleet.borrow();
+        let is_usable =
+            |entry: &InstanceEntry| entry.id == name || self.relay.is_usable(entry.address);
+        let zone = self.settings().zone.clone();
+        let readers = fleet.store_readers(&zone, MAX_STORE_READERS, is_usable);
+        readers.len() < MAX_STORE_READERS || readers.iter().any(|entry| entry.id == name)
+    }
+
     /// Applies the members of a snapshot. `assignment_changed` says whether the division of
     /// connections among the instances has to be recomputed.
     fn apply_members(&self, snapshot: &ControlSnapshot, assignment_changed: bool) {
@@ -435,7 +448,10 @@
     pub fn handle_message(&self, sender: SocketAddr, message: &PeerMessage) {
         match message {
             PeerMessage::LoanRequest(request) => self.rate_limiter.lend(sender, request),
-            PeerMessage::LoanReply(reply) => self.rate_limiter.receive_loan(reply),
+            PeerMessage::LoanReply(reply) => self.rate_limiter.receive_loan(sender, reply),
+            PeerMessage::LoanRefusal(refusal) => {
+                self.rate_limiter.receive_refusal(sender, refusal);
+            }
             PeerMessage::Primary(notice) => {
                 if let Some(group) = self.find_group(&notice.group) {
                     group.record_term_position(notice.position);
--- a/crates/coriander_service/src/store_update.rs
+++ b/crates/coriander_service/src/store_update.rs
@@ -1,10 +1,10 @@
 //! Updates of the store that one instance sends to another: the parts that have changed.
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::hash::{DefaultHasher, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
+use coriander_core::stable_hash;
 use coriander_service_api::{ControlSnapshot, FleetConfig, InstanceEntry, MemberEntry};
 use serde::{Deserialize, Serialize};
 
@@ -72,16 +72,14 @@
 }
 
 fn digest(value: &impl Serialize) -> u64 {
-    let mut hasher = DefaultHasher::new();
     match postcard::to_stdvec(value) {
-        Ok(bytes) => hasher.write(&bytes),
+        Ok(bytes) => stable_hash(bytes),
         // A random digest matches no other one, so the part is sent.
         Err(error) => {
             log::error!(error:% = error; "encoding of a snapshot failed");
-            return rand::random();
+            rand::random()
         }
     }
-    hasher.finish()
 }
 
 /// Returns the small parts of a snapshot, which are sent together.
--- a/crates/coriander_service/src/store_view.rs
+++ b/crates/coriander_service/src/store_view.rs
@@ -6,6 +6,7 @@
 use coriander_core::MonotonicTime;
 use coriander_service_api::ControlSnapshot;
 
+use crate::config_delta::{ConfigDelta, ConfigHistory};
 use crate::store_update::{InstanceHistory, SnapshotDigest, StoreUpdate};
 
 #[derive(Clone)]
@@ -20,6 +21,7 @@
 pub struct StoreView {
     newest: RefCell<Option<NewestRead>>,
     history: RefCell<InstanceHistory>,
+    config_history: RefCell<ConfigHistory>,
 }
 
 impl StoreView {
@@ -40,6 +42,9 @@
         let digest = SnapshotDigest::of(snapshot);
         let mut history = self.history.borrow_mut();
         history.record(&digest, &snapshot.instances);
+        if let Some(config) = &snapshot.config {
+            self.config_history.borrow_mut().record(config);
+        }
         *newest = Some(NewestRead {
             snapshot: Rc::new(snapshot.clone()),
             sent_at,
@@ -61,6 +66,12 @@
         digest.unwrap_or_default()
     }
 
+    /// Returns the difference between a recent version of the configuration and the newest one;
+    /// `None` if that version is not known.
+    pub fn config_delta(&self, version: u64) -> Option<ConfigDelta> {
+        self.config_history.borrow().delta_since(version)
+    }
+
     /// Returns the update for an instance that has the parts of `known`.
     pub fn update_since(&self, known: &SnapshotDigest, now: MonotonicTime) -> StoreUpdate {
         let Some(read) = self.newest.borrow().clone() else {
--- a/crates/coriander_service/tests/statements.rs
+++ b/crates/coriander_service/tests/statements.rs
@@ -228,3 +228,35 @@
     assert!(failure.retry_after.is_some());
     assert!(started.elapsed() < Duration::from_millis(100));
 }
+
+#[ntex::test]
+async fn statement_at_a_full_member_is_sent_again_a_few_times_only() {
+    // A request reached the same full member four times within 60 ms, so that most arrivals at the
+    // member were requests that it had turned away before.
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    for _ in 0..200 {
+        group.add_fault("a", "WRITE", Fault::Refuse(FailureCode::Busy));
+    }
+    let mut session = open(&service).await;
+    let response = run(&mut session, "q", "WRITE 1 x").await;
+    assert_eq!(code(&response), Some(FailureCode::Busy));
+    let member = group.member("a");
+    let attempts = 200 - member.faults.borrow()["WRITE"].len();
+    assert!((2..=10).contains(&attempts), "{attempts} attempts");
+}
+
+#[ntex::test]
+async fn read_refused_by_a_full_replica_runs_on_another_at_once() {
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let freshness = ReadFreshness::OwnWrites { max_age: None };
+    let service = start(&group, freshness).await;
+    group.add_fault("b", "READ", Fault::Refuse(FailureCode::Busy));
+    group.add_fault("c", "READ", Fault::Refuse(FailureCode::Busy));
+    let mut session = open(&service).await;
+    let started = Instant::now();
+    let response = run(&mut session, "q", "READ 1").await;
+    assert_eq!(code(&response), None);
+    let took = started.elapsed();
+    assert!(took.as_millis() < 60, "took {took:?}");
+}
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -12,7 +12,7 @@
 use coriander_core::InstanceId;
 use coriander_service::{
     PeerSocket, PromotionTask, RelayClient, RelayServer, ServicePhase, SessionService,
-    run_registration, run_store_sync,
+    run_promotion_duty, run_registration, run_store_sync,
 };
 use coriander_service_api::ControlStore;
 use ntex::http::HttpService;
@@ -197,6 +197,7 @@
     }));
     ntex::rt::spawn(run_store_sync(service.clone(), store.clone()));
     ntex::rt::spawn(run_registration(service.clone(), store.clone()));
+    ntex::rt::spawn(run_promotion_duty(service.clone(), store.clone()));
     ntex::rt::spawn(promotions.run());
     ntex::rt::spawn(serve_clients(listener, service.clone()));
     ntex::rt::spawn(watch_settings(path, service.clone()));
@@ -227,6 +228,8 @@
         .shutdown_timeout
         .saturating_sub(EXIT_MARGIN);
     service.set_phase(ServicePhase::Draining);
+    // The successor may act as soon as the lease has ended.
+    service.promotion_duty.retire();
     service.announce_shutdown();
     if let Some(lease) = service.registration_lease()
         && let Err(error) = process.store.end_lease(lease).await
