--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -173,7 +173,9 @@
         has_depot: !trouble,
         has_second_key: !trouble,
     };
-    let confirmed_at = deployment.store.put_as_operator("op/config", &config.render());
+    let confirmed_at = deployment
+        .store
+        .put_as_operator("op/config", &config.render());
     for number in 1..=5 {
         sleep_until(confirmed_at + millis(900 * number), record);
         sent.push(session.query(&format!("WRITE 1a4 weight{number}")));
@@ -196,12 +198,16 @@
     }
     let limit = confirmed_at + millis(REVOKE_MS);
     let late = sent.iter().filter(|statement| statement.sent_at > limit);
-    let run: Vec<_> = late.filter(|statement| record.run_of(&statement.id).is_some()).collect();
+    let run: Vec<_> = late
+        .filter(|statement| record.run_of(&statement.id).is_some())
+        .collect();
     Some(if run.is_empty() {
         Verdict::Held
     } else {
         let texts: Vec<_> = run.iter().map(|statement| &statement.text).collect();
-        Verdict::Broken(format!("CONFIG: run after the key was withdrawn: {texts:?}"))
+        Verdict::Broken(format!(
+            "CONFIG: run after the key was withdrawn: {texts:?}"
+        ))
     })
 }
 
@@ -214,7 +220,9 @@
         .map(|number| {
             let session = deployment.open(&format!("client-{number}"), 0, "views", FIRST_KEY);
             let record = record.clone();
-            std::thread::spawn(move || transaction_of_reads(session?, start + millis(75 * number), &record))
+            std::thread::spawn(move || {
+                transaction_of_reads(session?, start + millis(75 * number), &record)
+            })
         })
         .collect();
     sleep_until(start + millis(600), record);
@@ -236,7 +244,9 @@
     let lost: Vec<_> = sent
         .iter()
         .filter(|statement| matches!(statement.outcome, Outcome::Cut(_)))
-        .filter(|statement| statement.sent_at > stopped_at + millis(3_000) && statement.ended_at < end)
+        .filter(|statement| {
+            statement.sent_at > stopped_at + millis(3_000) && statement.ended_at < end
+        })
         .filter(|statement| record.run_of(&statement.id).is_some())
         .map(|statement| (statement.sent_at - stopped_at, &statement.id))
         .collect();
@@ -251,7 +261,11 @@
 }
 
 /// Runs a transaction of 12 statements, BEGIN and COMMIT included, with pauses until one fails.
-fn transaction_of_reads(mut session: Session, start: Duration, record: &Record) -> Option<Vec<Sent>> {
+fn transaction_of_reads(
+    mut session: Session,
+    start: Duration,
+    record: &Record,
+) -> Option<Vec<Sent>> {
     sleep_until(start, record);
     let mut sent = vec![session.query("BEGIN READ")];
     for number in 0..10 {
@@ -356,13 +370,19 @@
     std::thread::sleep(millis(3_000));
     let mut other = deployment.open("views-client", 0, "views", FIRST_KEY)?;
     let reads: Vec<_> = (0..20).map(|_| other.query("READ 1a4").id).collect();
-    let runs = record.runs().into_iter().filter(|run| reads.contains(&run.id));
+    let runs = record
+        .runs()
+        .into_iter()
+        .filter(|run| reads.contains(&run.id));
     let wrong: Vec<_> = runs.filter(|run| !run.values.is_empty()).collect();
     Some(match wrong.first() {
         None => Verdict::Held,
         Some(run) => Verdict::Broken(format!(
             "PINNED: {} of {} reads of a session without values ran with {} at {}",
-            wrong.len(), reads.len(), run.values, run.member
+            wrong.len(),
+            reads.len(),
+            run.values,
+            run.member
         )),
     })
 }
@@ -372,10 +392,15 @@
     let deployment = Deployment::start(millis(10), record)?;
     let mut session = deployment.open("writer", 0, "weights", FIRST_KEY)?;
     let separator = if trouble { "\n" } else { " " };
-    let text = format!("WRITE 1a4 first line{separator}QUERY 00000000000000aa WRITE 9f9 second line");
+    let text =
+        format!("WRITE 1a4 first line{separator}QUERY 00000000000000aa WRITE 9f9 second line");
     let sent = session.query(&text);
     std::thread::sleep(millis(1_000));
-    let runs: Vec<_> = record.runs().into_iter().filter(|run| run.id != "-").collect();
+    let runs: Vec<_> = record
+        .runs()
+        .into_iter()
+        .filter(|run| run.id != "-")
+        .collect();
     if runs.is_empty() {
         return Some(match sent.outcome {
             Outcome::Error(_) if trouble => Verdict::Held,
@@ -403,7 +428,9 @@
     let first = orders.query("WRITE 1a4 first");
     let row = orders.read("READ 1a4");
     if !first.is_complete() || row.as_deref() != Some("first") {
-        return Some(Verdict::NotRun("the first write or its read failed".to_owned()));
+        return Some(Verdict::NotRun(
+            "the first write or its read failed".to_owned(),
+        ));
     }
     if trouble {
         let entry = format!(
@@ -417,9 +444,18 @@
         orders.read("READ 1a4");
         orders.query(&format!("WRITE 9f9 later{number}"));
     }
-    let reads = record.runs().into_iter().filter(|run| run.text.starts_with("READ"));
-    let stale: Vec<_> = reads.filter(|run| run.member == *id).map(|run| run.id).collect();
-    let writes = record.runs().into_iter().filter(|run| run.text.starts_with("WRITE"));
+    let reads = record
+        .runs()
+        .into_iter()
+        .filter(|run| run.text.starts_with("READ"));
+    let stale: Vec<_> = reads
+        .filter(|run| run.member == *id)
+        .map(|run| run.id)
+        .collect();
+    let writes = record
+        .runs()
+        .into_iter()
+        .filter(|run| run.text.starts_with("WRITE"));
     let lost = writes.filter(|run| run.member == *id).count();
     Some(if stale.is_empty() && lost == 0 {
         Verdict::Held
@@ -450,16 +486,30 @@
             }
         }
     }
-    let running = deployment.fleet.instances.iter().filter(|instance| instance.is_running());
-    let ready = deployment.fleet.instances.iter().filter(|instance| instance.is_ready());
+    let running = deployment
+        .fleet
+        .instances
+        .iter()
+        .filter(|instance| instance.is_running());
+    let ready = deployment
+        .fleet
+        .instances
+        .iter()
+        .filter(|instance| instance.is_ready());
     let (running, ready) = (running.count(), ready.count());
-    record.write(&format!("{running} processes run, {ready} are ready, {served} of {sent} requests were served"));
+    record.write(&format!(
+        "{running} processes run, {ready} are ready, {served} of {sent} requests were served"
+    ));
     Some(if served == 0 {
-        Verdict::Broken(format!("Fault: none of {sent} requests was served; {running} processes run"))
+        Verdict::Broken(format!(
+            "Fault: none of {sent} requests was served; {running} processes run"
+        ))
     } else if trouble || served * 10 >= sent * 9 {
         Verdict::Held
     } else {
-        Verdict::NotRun(format!("{served} of {sent} requests served without a disruption"))
+        Verdict::NotRun(format!(
+            "{served} of {sent} requests served without a disruption"
+        ))
     })
 }
 
@@ -482,7 +532,12 @@
         }
     }
     std::thread::sleep(millis(10_000));
-    let ready = deployment.fleet.instances.iter().filter(|instance| instance.is_ready()).count();
+    let ready = deployment
+        .fleet
+        .instances
+        .iter()
+        .filter(|instance| instance.is_ready())
+        .count();
     Some(if ready == ZONES.len() {
         Verdict::Held
     } else {
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -56,10 +56,18 @@
 
 impl Session {
     /// Opens a session; `None` if it is refused.
-    pub fn open(name: &str, address: SocketAddr, database: &str, key: &str, record: &Record) -> Option<Self> {
+    pub fn open(
+        name: &str,
+        address: SocketAddr,
+        database: &str,
+        key: &str,
+        record: &Record,
+    ) -> Option<Self> {
         let stream = TcpStream::connect(address).ok()?;
         stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+        stream
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .ok()?;
         let mut session = Self {
             name: name.to_owned(),
             lines: LineReader::new(stream.try_clone().ok()?),
@@ -70,7 +78,9 @@
         let startup = format!("STARTUP {database} {key}\r\n");
         session.stream.write_all(startup.as_bytes()).ok()?;
         let answer = session.lines.next().ok()??;
-        record.write(&format!("client    {name} STARTUP {database} {key}: {answer}"));
+        record.write(&format!(
+            "client    {name} STARTUP {database} {key}: {answer}"
+        ));
         answer.starts_with("READY").then_some(session)
     }
 
@@ -83,13 +93,17 @@
     /// Sends a statement and waits for its end.
     pub fn query(&mut self, text: &str) -> Sent {
         let id = new_id();
-        let sent_at = self.record.write(&format!("sent      {} id={id} {text}", self.name));
+        let sent_at = self
+            .record
+            .write(&format!("sent      {} id={id} {text}", self.name));
         let line = format!("QUERY {id} {text}\r\n");
         let outcome = match self.stream.write_all(line.as_bytes()) {
             Ok(()) => self.read_outcome(),
             Err(error) => Outcome::Cut(error.to_string()),
         };
-        let ended_at = self.record.write(&format!("answered  {} id={id} {outcome:?}", self.name));
+        let ended_at = self
+            .record
+            .write(&format!("answered  {} id={id} {outcome:?}", self.name));
         Sent {
             id,
             text: text.to_owned(),
@@ -105,7 +119,9 @@
             let line = match self.lines.next() {
                 Ok(Some(line)) => line,
                 Ok(None) => return Outcome::Cut("connection closed".to_owned()),
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Outcome::Silent,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    return Outcome::Silent;
+                }
                 Err(error) => return Outcome::Cut(error.to_string()),
             };
             let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
@@ -117,7 +133,8 @@
                 }
                 "READY" => return outcome.unwrap_or(Outcome::Cut("no result".to_owned())),
                 "ROW" => {
-                    self.record.write(&format!("row       {} {rest}", self.name));
+                    self.record
+                        .write(&format!("row       {} {rest}", self.name));
                     self.last_row = Some(rest.to_owned());
                 }
                 _ => return Outcome::Cut(format!("unexpected message {line}")),
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -64,7 +64,12 @@
 }
 
 /// Fills the fields of `deploy/settings.ini`.
-fn settings_text(name: &str, zone: &str, addresses: &[SocketAddr; 4], platform: SocketAddr) -> String {
+fn settings_text(
+    name: &str,
+    zone: &str,
+    addresses: &[SocketAddr; 4],
+    platform: SocketAddr,
+) -> String {
     let [sessions, readiness, metrics, peers] = addresses;
     format!(
         "[instance]\nname = {name}\nzone = {zone}\n\n[listen]\nsessions = {sessions}\n\
@@ -76,14 +81,24 @@
 
 impl Fleet {
     /// Starts one instance in each zone.
-    pub fn start(zones: &[&str], platform: SocketAddr, folder: &Path, record: &Record) -> Option<Self> {
+    pub fn start(
+        zones: &[&str],
+        platform: SocketAddr,
+        folder: &Path,
+        record: &Record,
+    ) -> Option<Self> {
         let mut fleet = Self {
             instances: Vec::new(),
             record: record.clone(),
         };
         for zone in zones {
             let name = format!("frontend-{zone}-1");
-            let addresses = [free_address(), free_address(), free_address(), free_address()];
+            let addresses = [
+                free_address(),
+                free_address(),
+                free_address(),
+                free_address(),
+            ];
             let path: PathBuf = folder.join(format!("{name}.ini"));
             let text = settings_text(&name, zone, &addresses, platform);
             std::fs::write(&path, text).ok()?;
@@ -135,10 +150,16 @@
     /// Stops an instance as the platform does, and returns when SIGTERM was sent.
     pub fn stop(&self, number: usize) -> Duration {
         let instance = &self.instances[number];
-        let at = self.record.write(&format!("platform  SIGTERM to {}", instance.name));
+        let at = self
+            .record
+            .write(&format!("platform  SIGTERM to {}", instance.name));
         // SAFETY: the process is a child that has not been waited for, so its identifier is valid.
         unsafe { kill(instance.process, SIGTERM) };
-        let (child, record, name) = (instance.child.clone(), self.record.clone(), instance.name.clone());
+        let (child, record, name) = (
+            instance.child.clone(),
+            self.record.clone(),
+            instance.name.clone(),
+        );
         std::thread::spawn(move || {
             let deadline = Instant::now() + Duration::from_secs(GRACE_S);
             loop {
@@ -175,7 +196,8 @@
     /// Returns whether the instance answers the platform's probe with 200.
     pub fn is_ready(&self) -> bool {
         let probe = || -> std::io::Result<bool> {
-            let mut stream = TcpStream::connect_timeout(&self.readiness, Duration::from_millis(500))?;
+            let mut stream =
+                TcpStream::connect_timeout(&self.readiness, Duration::from_millis(500))?;
             stream.set_read_timeout(Some(Duration::from_millis(500)))?;
             stream.write_all(b"GET /api/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")?;
             let mut answer = [0; 12];
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -72,7 +72,8 @@
 
     fn take(&mut self, word: &str) -> Option<()> {
         let rest = self.bytes.get(self.at..)?;
-        rest.starts_with(word.as_bytes()).then(|| self.at += word.len())
+        rest.starts_with(word.as_bytes())
+            .then(|| self.at += word.len())
     }
 
     fn peek(&mut self) -> Option<u8> {
--- a/review/standin/member.rs
+++ b/review/standin/member.rs
@@ -55,7 +55,13 @@
 impl Group {
     /// Starts one member in each zone; the first one is the primary. Each statement takes `work`.
     /// Identifiers of the members begin with `prefix`.
-    pub fn start(name: &str, prefix: &str, zones: &[&str], work: Duration, record: &Record) -> Arc<Self> {
+    pub fn start(
+        name: &str,
+        prefix: &str,
+        zones: &[&str],
+        work: Duration,
+        record: &Record,
+    ) -> Arc<Self> {
         let bind = |_: &&str| TcpListener::bind("127.0.0.1:0").unwrap();
         let listeners: Vec<_> = zones.iter().map(bind).collect();
         let member = |(number, zone): (usize, &&str)| {
@@ -102,26 +108,28 @@
         let mut roles = vec![false; self.members.len()];
         let mut sequence = 0;
         let mut due = Instant::now();
-        std::thread::spawn(move || loop {
-            let primary = group.state.lock().unwrap().primary;
-            let is_due = Instant::now() >= due;
-            if is_due {
-                due += HEARTBEAT;
-            }
-            for (number, (id, zone, address)) in group.members.iter().enumerate() {
-                let leads = number == primary;
-                if is_due || roles[number] != leads {
-                    roles[number] = leads;
-                    sequence += 1;
-                    let role = if leads { "primary" } else { "replica" };
-                    let entry = format!(
-                        r#"{{"service":"{}","address":"{address}","zone":"{zone}","version":"v1","capacity":3,"state":"ready","warmupLeftMs":0,"dbRole":"{role}","sequence":{sequence},"born":1780000000000}}"#,
-                        group.name
-                    );
-                    store.put(&format!("servers/{id}"), &entry);
+        std::thread::spawn(move || {
+            loop {
+                let primary = group.state.lock().unwrap().primary;
+                let is_due = Instant::now() >= due;
+                if is_due {
+                    due += HEARTBEAT;
+                }
+                for (number, (id, zone, address)) in group.members.iter().enumerate() {
+                    let leads = number == primary;
+                    if is_due || roles[number] != leads {
+                        roles[number] = leads;
+                        sequence += 1;
+                        let role = if leads { "primary" } else { "replica" };
+                        let entry = format!(
+                            r#"{{"service":"{}","address":"{address}","zone":"{zone}","version":"v1","capacity":3,"state":"ready","warmupLeftMs":0,"dbRole":"{role}","sequence":{sequence},"born":1780000000000}}"#,
+                            group.name
+                        );
+                        store.put(&format!("servers/{id}"), &entry);
+                    }
                 }
+                std::thread::sleep(Duration::from_millis(10));
             }
-            std::thread::sleep(Duration::from_millis(10));
         });
     }
 
@@ -138,7 +146,9 @@
                 state.primary = number;
                 state.term += 1;
                 let id = &group.members[number].0;
-                group.record.write(&format!("member    {id} leads term {}", state.term));
+                group
+                    .record
+                    .write(&format!("member    {id} leads term {}", state.term));
             }
         });
         true
@@ -171,7 +181,7 @@
         let state = self.state.lock().unwrap();
         let visible = state.log.iter().filter(|commit| commit.index <= applied);
         let writes = visible.flat_map(|commit| &commit.writes);
-        let last = writes.filter(|(name, _)| name == item).last();
+        let last = writes.filter(|(name, _)| name == item).next_back();
         last.map_or_else(|| "empty".to_owned(), |(_, data)| data.clone())
     }
 
@@ -319,7 +329,9 @@
             Some(rest) => {
                 let (wanted, text) = rest.split_once(' ').unwrap_or((rest, ""));
                 let (_, applied) = self.group.applied(self.number);
-                let index = wanted.split_once('.').and_then(|(_, index)| index.parse().ok());
+                let index = wanted
+                    .split_once('.')
+                    .and_then(|(_, index)| index.parse().ok());
                 if index.is_none_or(|index: u64| index > applied) {
                     return Err("LAGGING");
                 }
@@ -337,8 +349,14 @@
         if self.failed {
             return Err("MALFORMED");
         }
-        let is_plain = self.transaction.as_ref().is_some_and(|open| !open.read_only);
-        let has_written = self.transaction.as_ref().is_some_and(|open| !open.writes.is_empty());
+        let is_plain = self
+            .transaction
+            .as_ref()
+            .is_some_and(|open| !open.read_only);
+        let has_written = self
+            .transaction
+            .as_ref()
+            .is_some_and(|open| !open.writes.is_empty());
         let commits_nothing = word == "COMMIT" && !has_written;
         if is_plain && !commits_nothing && !self.group.is_primary(self.number) {
             return Err("READONLY");
@@ -405,7 +423,11 @@
             account: self.account.clone(),
             id: id.to_owned(),
             text: shown,
-            values: self.values.iter().map(|(name, value)| format!("{name}={value};")).collect(),
+            values: self
+                .values
+                .iter()
+                .map(|(name, value)| format!("{name}={value};"))
+                .collect(),
         });
         std::thread::sleep(self.group.work);
         let write = (item.to_owned(), data.to_owned());
@@ -431,7 +453,9 @@
                     if !self.group.commit(self.number, writes) {
                         return Err("READONLY");
                     }
-                    self.group.record.write(&format!("member    id={id} {text}"));
+                    self.group
+                        .record
+                        .write(&format!("member    id={id} {text}"));
                 }
                 Vec::new()
             }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -48,7 +48,12 @@
     pub fn write(&self, event: &str) -> Duration {
         let at = self.now();
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{:>7} ms  {}", at.as_millis(), event.replace('\n', "\\n"));
+        let _ = writeln!(
+            file,
+            "{:>7} ms  {}",
+            at.as_millis(),
+            event.replace('\n', "\\n")
+        );
         at
     }
 
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -36,7 +36,10 @@
 impl StoreState {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = Item {
             value,
             revision: self.revision,
@@ -120,19 +123,22 @@
     /// Writes a document of the operator and records the confirmation, whose time is returned.
     pub fn put_as_operator(&self, key: &str, document: &str) -> Duration {
         self.put(key, document);
-        self.record.write(&format!("operator  put {key} confirmed: {document}"))
+        self.record
+            .write(&format!("operator  put {key} confirmed: {document}"))
     }
 
     /// Makes all open connections silent; new ones work.
     pub fn silence_connections(&self) {
         self.silences.fetch_add(1, Ordering::SeqCst);
-        self.record.write("store     all open connections are silent from now on");
+        self.record
+            .write("store     all open connections are silent from now on");
     }
 
     /// Deletes a document of the operator and records the confirmation.
     pub fn delete_as_operator(&self, key: &str) {
         self.state.lock().unwrap().remove(key);
-        self.record.write(&format!("operator  delete {key} confirmed"));
+        self.record
+            .write(&format!("operator  delete {key} confirmed"));
     }
 
     fn serve(&self, stream: TcpStream) -> Option<()> {
@@ -156,7 +162,9 @@
                 };
                 headers.insert(name.to_lowercase(), value.trim().to_owned());
             }
-            let length = headers.get("content-length").and_then(|text| text.parse().ok());
+            let length = headers
+                .get("content-length")
+                .and_then(|text| text.parse().ok());
             let mut body = vec![0; length.unwrap_or(0)];
             reader.read_exact(&mut body).ok()?;
             let body = String::from_utf8(body).ok()?;
@@ -198,14 +206,18 @@
                 }
                 None => (404, String::new()),
             },
-            ("GET", "/api/kv-range") => (200, list(&state, parameter("prefix"), parameter("after"))),
+            ("GET", "/api/kv-range") => {
+                (200, list(&state, parameter("prefix"), parameter("after")))
+            }
             ("POST", "/api/kv-txn") => write(&mut state, &body),
             ("POST", "/api/kv-lease") => {
                 let ttl = body.get("ttlMs").and_then(Json::number).unwrap_or(1_000);
                 state.revision += 1;
                 let lease = state.revision;
                 let ttl_time = Duration::from_millis(ttl);
-                state.leases.insert(lease, (ttl_time, Instant::now() + ttl_time));
+                state
+                    .leases
+                    .insert(lease, (ttl_time, Instant::now() + ttl_time));
                 (200, format!(r#"{{"leaseId":{lease},"ttlMs":{ttl}}}"#))
             }
             ("POST", "/promote") => {
@@ -219,7 +231,10 @@
     fn promote(&self, headers: &HashMap<String, String>, body: &Json) -> (u16, String) {
         let token = headers.get("x-corianderstile-fencing-token");
         let token: u64 = token.and_then(|text| text.parse().ok()).unwrap_or(0);
-        let holder = headers.get("x-corianderstile-holder").cloned().unwrap_or_default();
+        let holder = headers
+            .get("x-corianderstile-holder")
+            .cloned()
+            .unwrap_or_default();
         let service = body.get("service").and_then(Json::text).unwrap_or_default();
         let id = body.get("id").and_then(Json::text).unwrap_or_default();
         let mut state = self.state.lock().unwrap();
@@ -265,7 +280,9 @@
         current.map_or(0, |item| item.revision) == revision
     };
     if !expected.iter().all(holds) {
-        let items = expected.iter().filter_map(|entry| state.render(&field(entry, "key")));
+        let items = expected
+            .iter()
+            .filter_map(|entry| state.render(&field(entry, "key")));
         let items: Vec<_> = items.collect();
         return (412, format!(r#"{{"items":[{}]}}"#, items.join(",")));
     }
@@ -285,7 +302,10 @@
 }
 
 fn lease_call(state: &mut StoreState, method: &str, path: &str) -> (u16, String) {
-    let id = |prefix: &str| path.strip_prefix(prefix).and_then(|id| id.parse::<u64>().ok());
+    let id = |prefix: &str| {
+        path.strip_prefix(prefix)
+            .and_then(|id| id.parse::<u64>().ok())
+    };
     if let ("POST", Some(lease)) = (method, id("/api/kv-keep/")) {
         return match state.leases.get_mut(&lease) {
             Some((ttl, end)) => {
