Move the planned stop of the session service into its own crate

Cause: the order of a planned stop was decided in the process (session_server), where no test without real processes could reach it. Change: ShutdownTask in coriander_service holds the steps, unchanged; the fake store of the promotion tests becomes tests/support/fake_store.rs so that further tests can use it.

--- /dev/null
+++ b/crates/coriander_service/src/shutdown_task.rs
@@ -0,0 +1,84 @@
+//! Stops the process: hands over its duties and ends its sessions.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coriander_core::MonotonicTime;
+use coriander_service_api::ControlStore;
+use tokio::time::sleep;
+
+use crate::relay::RelayServer;
+use crate::service::{ServicePhase, SessionService};
+
+/// Time from the stop signal until idle sessions are closed; the platform stops sending sessions
+/// after two failed readiness checks, one second apart.
+const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
+
+/// Part of the shutdown time that is reserved for the exit of the process.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// Interval at which the end of all sessions is checked.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Takes the process out of service within its shutdown timeout.
+pub struct ShutdownTask {
+    service: Rc<SessionService>,
+    relay: Rc<RelayServer>,
+    store: Rc<dyn ControlStore>,
+}
+
+impl ShutdownTask {
+    /// Creates the task; it does nothing until it is run.
+    pub fn new(
+        service: Rc<SessionService>,
+        relay: Rc<RelayServer>,
+        store: Rc<dyn ControlStore>,
+    ) -> Self {
+        Self {
+            service,
+            relay,
+            store,
+        }
+    }
+
+    /// Returns when the process may exit.
+    pub async fn run(self) {
+        let service = &self.service;
+        let started = service.clock.now();
+        let limit = service
+            .settings()
+            .shutdown_timeout
+            .saturating_sub(EXIT_MARGIN);
+        service.set_phase(ServicePhase::Draining);
+        self.hand_over().await;
+        let drain_end = started + DRAIN_DELAY.min(limit / 2);
+        sleep(drain_end.since(service.clock.now())).await;
+        service.set_phase(ServicePhase::Closing);
+        self.wait_for_sessions(started + limit).await;
+        log::info!(
+            sessions = service.session_count(), relayed = self.relay.active_count(),
+            took:? = service.clock.now().since(started);
+            "process stopped"
+        );
+    }
+
+    async fn hand_over(&self) {
+        // The successor may act as soon as the lease has ended.
+        self.service.promotion_duty.retire();
+        self.service.announce_shutdown();
+        if let Some(lease) = self.service.registration_lease()
+            && let Err(error) = self.store.end_lease(lease).await
+        {
+            log::warn!(lease = lease.0, error:% = error; "registration not ended");
+        }
+    }
+
+    /// Waits until no session and no exchange of another instance is left, at most until `end`.
+    async fn wait_for_sessions(&self, end: MonotonicTime) {
+        let clock = self.service.clock;
+        let in_use = || self.service.session_count() + self.relay.active_count();
+        while in_use() > 0 && clock.now() < end {
+            sleep(CLOSE_CHECK_INTERVAL).await;
+        }
+    }
+}
--- a/crates/coriander_service/tests/support/mod.rs
+++ b/crates/coriander_service/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses some items")]
 
+pub mod fake_store;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -11,7 +11,7 @@
 
 use coriander_core::InstanceId;
 use coriander_service::{
-    PeerSocket, PromotionTask, RelayClient, RelayServer, ServicePhase, SessionService,
+    PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask,
     run_promotion_duty, run_registration, run_store_sync,
 };
 use coriander_service_api::ControlStore;
@@ -22,7 +22,6 @@
 use platform_adapter::{KvStore, LineConnector, PromotionClient, READINESS_PATH, serve_clients};
 use rand::Rng;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::sleep;
 
 pub use settings::SessionSettings;
 use settings_watch::watch_settings;
@@ -36,16 +35,6 @@
 /// Maximum duration of one promotion call.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time from the stop signal until idle sessions are closed; the platform stops sending sessions
-/// after two failed readiness checks, one second apart.
-const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
-
-/// Part of the shutdown time that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
-/// Interval at which the end of all sessions is checked.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 thread_local! {
     // The worker builds its HTTP service from the same process state.
     static SERVICE: RefCell<Option<Rc<SessionService>>> = const { RefCell::new(None) };
@@ -78,12 +67,12 @@
             let mut stop = worker_stop.subscribe();
             async move {
                 match start_service(path, settings).await {
-                    Ok(process) => {
-                        SERVICE.set(Some(process.service.clone()));
+                    Ok((service, shutdown)) => {
+                        SERVICE.set(Some(service));
                         let _ = events.send(WorkerEvent::Started);
                         ntex::rt::spawn(async move {
                             let _ = stop.recv().await;
-                            shut_down(&process).await;
+                            shutdown.run().await;
                             let _ = events.send(WorkerEvent::Drained);
                         });
                         Ok::<_, std::io::Error>(())
@@ -159,7 +148,7 @@
 async fn start_service(
     path: PathBuf,
     mut settings: SessionSettings,
-) -> Result<SessionProcess, StartError> {
+) -> Result<(Rc<SessionService>, ShutdownTask), StartError> {
     let epoch: u64 = rand::rng().random();
     let name = settings.service.name.clone();
     let process: InstanceId = format!("{name}-{:08x}", epoch as u32).parse()?;
@@ -209,50 +198,10 @@
         platform_fences = settings.platform_fences;
         "process started"
     );
-    Ok(SessionProcess {
-        service,
-        relay,
-        store,
-    })
+    let shutdown = ShutdownTask::new(service.clone(), relay, store);
+    Ok((service, shutdown))
 }
 
 fn listen_error(address: SocketAddr) -> impl Fn(std::io::Error) -> StartError {
     move |source| StartError::Listen { address, source }
 }
-
-async fn shut_down(process: &SessionProcess) {
-    let service = &process.service;
-    let started = service.clock.now();
-    let limit = service
-        .settings()
-        .shutdown_timeout
-        .saturating_sub(EXIT_MARGIN);
-    service.set_phase(ServicePhase::Draining);
-    // The successor may act as soon as the lease has ended.
-    service.promotion_duty.retire();
-    service.announce_shutdown();
-    if let Some(lease) = service.registration_lease()
-        && let Err(error) = process.store.end_lease(lease).await
-    {
-        log::warn!(lease = lease.0, error:% = error; "registration not ended");
-    }
-    let drain_end = started + DRAIN_DELAY.min(limit / 2);
-    sleep(drain_end.since(service.clock.now())).await;
-    service.set_phase(ServicePhase::Closing);
-    let in_use = || service.session_count() + process.relay.active_count();
-    while in_use() > 0 && service.clock.now().since(started) < limit {
-        sleep(CLOSE_CHECK_INTERVAL).await;
-    }
-    log::info!(
-        sessions = service.session_count(), relayed = process.relay.active_count(),
-        took:? = service.clock.now().since(started);
-        "process stopped"
-    );
-}
-
-/// Services that the worker shuts down before the process exits.
-struct SessionProcess {
-    service: Rc<SessionService>,
-    relay: Rc<RelayServer>,
-    store: Rc<dyn ControlStore>,
-}
