Answer every statement of a stopping instance

Cause: ShutdownTask knew one limit, the exit. Nothing refused statements of open transactions after half of the shutdown time, nothing answered what was running at the exit (a statement is limited by its route's timeout only), and a home instance went on with the exchanges of other instances in the same way.

Change: two phases after Closing. Finishing (from half of the shutdown time): statements are refused with ABORTED or BUSY, a COMMIT is accepted. Stopping (0.8 s before the end): every running statement is answered, INDOUBT where a write may be kept, ABORTED elsewhere. No session is opened from Closing on. The relay follows the same phases. A connection whose replies were not all read is closed instead of reused, since giving up a statement leaves one.

Why it works: from Finishing on only COMMITs start, and from Stopping on nothing waits for a member, so no accepted statement is without its answer at the exit.

Ruled out: closing sessions in a transaction during a pause (the caller would see a broken connection in place of a promise); refusing COMMIT after half of the time (it can be served).

--- a/crates/coriander_service/src/held_connection.rs
+++ b/crates/coriander_service/src/held_connection.rs
@@ -243,7 +243,7 @@
             return;
         };
         let member = self.member.clone();
-        if !self.in_transaction {
+        if !self.in_transaction || !connection.is_reusable() {
             member.pool.release(connection);
             return;
         }
--- a/crates/coriander_service/src/member_pool.rs
+++ b/crates/coriander_service/src/member_pool.rs
@@ -374,7 +374,8 @@
         let _ = timeout(remaining.min(REPLACE_CHECK_INTERVAL), woken).await;
     }
 
-    /// Returns a connection to the pool after its transaction has ended.
+    /// Returns a connection to the pool after its transaction has ended. One that cannot be reused
+    /// is closed.
     pub fn release(&self, mut connection: PooledConnection) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
@@ -385,7 +386,8 @@
     }
 
     fn store_idle(&self, state: &mut PoolState, connection: PooledConnection) {
-        if state.is_closed || state.open_count > self.max_open.get() {
+        let is_surplus = state.is_closed || state.open_count > self.max_open.get();
+        if is_surplus || !connection.is_reusable() {
             state.open_count -= 1;
             Self::wake_all(state);
             return;
--- a/crates/coriander_service/src/pooled_connection.rs
+++ b/crates/coriander_service/src/pooled_connection.rs
@@ -21,6 +21,9 @@
     pub(crate) values: SessionValues,
     prepared: HashMap<PreparedShape, Arc<str>>,
     last_name_number: u32,
+    /// Whether an exchange was started and its replies were not all read; they would be taken for
+    /// those of the next one.
+    has_unread_replies: bool,
     /// Time of the last acquisition or release.
     pub(crate) last_used: MonotonicTime,
 }
@@ -34,6 +37,7 @@
             values: SessionValues::default(),
             prepared: HashMap::new(),
             last_name_number: 0,
+            has_unread_replies: false,
             last_used: now,
         }
     }
@@ -44,7 +48,15 @@
         statements: &[MemberStatement],
         timeout: Duration,
     ) -> Result<ReplyBatch, LinkError> {
-        self.link.run(statements, timeout).await
+        self.has_unread_replies = true;
+        let replies = self.link.run(statements, timeout).await?;
+        self.has_unread_replies = false;
+        Ok(replies)
+    }
+
+    /// Returns whether another operation may use the connection.
+    pub fn is_reusable(&self) -> bool {
+        !self.has_unread_replies
     }
 
     /// Sets the values of a session on the connection; fails with the first refusal.
@@ -60,7 +72,7 @@
         if statements.contains(&MemberStatement::Reset) {
             self.prepared.clear();
         }
-        let replies = self.link.run(&statements, timeout).await?;
+        let replies = self.run(&statements, timeout).await?;
         for reply in replies {
             reply.result?;
         }
@@ -80,7 +92,7 @@
         if self.prepared.len() >= MAX_PREPARED {
             let values = std::mem::take(&mut self.values);
             self.prepared.clear();
-            for reply in self.link.run(&[MemberStatement::Reset], timeout).await? {
+            for reply in self.run(&[MemberStatement::Reset], timeout).await? {
                 reply.result?;
             }
             self.apply_values(&values, timeout).await?;
@@ -92,7 +104,7 @@
             access: shape.access,
             shape: shape.shape.clone(),
         };
-        for reply in self.link.run(&[statement], timeout).await? {
+        for reply in self.run(&[statement], timeout).await? {
             reply.result?;
         }
         self.prepared.insert(shape.clone(), name.clone());
--- a/crates/coriander_service/src/relay.rs
+++ b/crates/coriander_service/src/relay.rs
@@ -25,7 +25,7 @@
 use crate::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
 use crate::held_connection::HeldConnection;
 use crate::member_pool::PoolError;
-use crate::service::SessionService;
+use crate::service::{ServicePhase, SessionService};
 use crate::store_update::{SnapshotDigest, StoreUpdate};
 
 /// Added to the time limit of an exchange for the transfer between the instances.
@@ -340,6 +340,9 @@
         if ServiceClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
         }
+        if self.is_refused_by_phase(must_exist, plan) {
+            return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
+        }
         if plan.needs_primary() && !self.is_primary_confirmed(plan) {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::PrimaryUnconfirmed));
         }
@@ -350,6 +353,18 @@
         outcome
     }
 
+    /// Returns whether the process stops too soon for an exchange. An open transaction may commit.
+    fn is_refused_by_phase(&self, must_exist: bool, plan: &ExchangePlan) -> bool {
+        let service = self.service.upgrade();
+        let phase = service.map_or(ServicePhase::Stopping, |service| service.phase());
+        let last_phase = if must_exist && plan.statement.commits {
+            ServicePhase::Finishing
+        } else {
+            ServicePhase::Closing
+        };
+        phase > last_phase
+    }
+
     /// Returns whether this instance confirms that the member of a plan may be used as primary.
     fn is_primary_confirmed(&self, plan: &ExchangePlan) -> bool {
         let now = ServiceClock.now();
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -42,15 +42,19 @@
 /// Account name sent to members for callers of routes that need no key.
 const ANONYMOUS_ACCOUNT: &str = "-";
 
-/// Phase of the process lifecycle.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Phase of the process lifecycle, in order.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ServicePhase {
     /// Accepts work.
     Serving,
     /// Reports to the platform that it is not ready, but serves callers that still connect.
     Draining,
-    /// Closes sessions as soon as they are idle.
+    /// Closes sessions as soon as they are idle and opens no new ones.
     Closing,
+    /// Refuses statements; an open transaction may only commit or roll back.
+    Finishing,
+    /// Gives a final answer to every statement that still runs.
+    Stopping,
 }
 
 /// State shared by all sessions of the process.
@@ -340,6 +344,17 @@
         self.phase_changed.notify_waiters();
     }
 
+    /// Waits until the process is in a phase or in a later one.
+    pub async fn wait_for_phase(&self, phase: ServicePhase) {
+        loop {
+            let changed = self.phase_changed.notified();
+            if self.phase() >= phase {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Records the lease of this instance's entry.
     pub fn set_registration_lease(&self, lease: Option<LeaseId>) {
         self.registration_lease.set(lease);
@@ -482,12 +497,12 @@
             self.record_refused_session(database, &failure);
             return Err(failure);
         }
-        let Some(service) = self.weak_self.upgrade() else {
-            return Err(SessionFailure::new(
-                FailureCode::Busy,
-                FailureReason::ShuttingDown,
-            ));
-        };
+        let shutting_down = SessionFailure::new(FailureCode::Busy, FailureReason::ShuttingDown);
+        if self.phase() >= ServicePhase::Closing {
+            self.record_refused_session(database, &shutting_down);
+            return Err(shutting_down);
+        }
+        let service = self.weak_self.upgrade().ok_or(shutting_down)?;
         Ok(Box::new(ServedSession::new(service, database, key)))
     }
 }
--- a/crates/coriander_service/src/session.rs
+++ b/crates/coriander_service/src/session.rs
@@ -81,10 +81,69 @@
         }
     }
 
+    /// Handles a statement. If it still runs when the process stops, it gets its final answer then.
+    async fn dispatch_until_stop(&mut self, statement: &ClientStatement) -> SessionResponse {
+        let code = self.code_if_abandoned(&statement.kind);
+        let service = self.service.clone();
+        let answer = tokio::select! {
+            biased;
+            response = self.dispatch(statement) => Some(response),
+            () = service.wait_for_phase(ServicePhase::Stopping) => None,
+        };
+        answer.unwrap_or_else(|| {
+            let failure = SessionFailure::new(code, FailureReason::ShuttingDown);
+            SessionResponse::failed(failure, self.status())
+        })
+    }
+
+    /// Returns the code for a statement that is abandoned while it may run at a member.
+    fn code_if_abandoned(&self, kind: &StatementKind) -> FailureCode {
+        let may_be_kept = match (&self.state, kind) {
+            (SessionState::Open(transaction), StatementKind::Commit) => transaction.has_written,
+            (SessionState::Idle, StatementKind::Write) => true,
+            (SessionState::Idle, StatementKind::Execute { name, .. }) => {
+                let shape = self.prepared.get(name);
+                shape.is_some_and(|shape| shape.access == AccessMode::Write)
+            }
+            _ => false,
+        };
+        if may_be_kept {
+            FailureCode::InDoubt
+        } else {
+            FailureCode::Aborted
+        }
+    }
+
+    /// Returns the failure of a statement that can no longer end before the process does.
+    fn check_phase(&self, kind: &StatementKind) -> Result<(), SessionFailure> {
+        let phase = self.service.phase();
+        let is_open = matches!(self.state, SessionState::Open(_));
+        let is_refused = match kind {
+            StatementKind::Begin { .. }
+            | StatementKind::Read
+            | StatementKind::Write
+            | StatementKind::Execute { .. } => phase >= ServicePhase::Finishing,
+            StatementKind::Commit => phase >= ServicePhase::Stopping,
+            _ => false,
+        };
+        if !is_refused {
+            return Ok(());
+        }
+        let code = if is_open {
+            FailureCode::Aborted
+        } else {
+            FailureCode::Busy
+        };
+        Err(SessionFailure::new(code, FailureReason::ShuttingDown))
+    }
+
     async fn dispatch(&mut self, statement: &ClientStatement) -> SessionResponse {
         if matches!(self.state, SessionState::Failed) {
             return self.respond_in_failed_transaction(&statement.kind);
         }
+        if let Err(failure) = self.check_phase(&statement.kind) {
+            return self.fail(failure);
+        }
         let is_open = matches!(self.state, SessionState::Open(_));
         match &statement.kind {
             StatementKind::Set { name, value } => {
@@ -382,7 +441,7 @@
     async fn execute(&mut self, statement: ClientStatement) -> SessionResponse {
         let started = self.service.clock.now();
         self.trace = OperationTrace::default();
-        let response = self.dispatch(&statement).await;
+        let response = self.dispatch_until_stop(&statement).await;
         self.record_end(&statement, &response, started);
         response
     }
@@ -391,7 +450,7 @@
         loop {
             let changed = self.service.phase_changed.notified();
             let is_open = matches!(self.state, SessionState::Open(_));
-            let closing = self.service.phase() == ServicePhase::Closing;
+            let closing = self.service.phase() >= ServicePhase::Closing;
             if !is_open && (closing || self.service.is_isolated()) {
                 return;
             }
--- a/crates/coriander_service/src/shutdown_task.rs
+++ b/crates/coriander_service/src/shutdown_task.rs
@@ -1,4 +1,4 @@
-//! Stops the process: hands over its duties and ends its sessions.
+//! Stops the process: hands over its duties, ends its sessions, and answers what still runs.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,9 +14,15 @@
 /// after two failed readiness checks, one second apart.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
 
+/// Fraction of the shutdown timeout in which open transactions may go on.
+const TRANSACTION_FRACTION: f64 = 0.5;
+
 /// Part of the shutdown time that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time before the exit at which running statements are answered, so that the answers are sent.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Interval at which the end of all sessions is checked.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -45,15 +51,21 @@
     pub async fn run(self) {
         let service = &self.service;
         let started = service.clock.now();
-        let limit = service
-            .settings()
-            .shutdown_timeout
-            .saturating_sub(EXIT_MARGIN);
+        let timeout = service.settings().shutdown_timeout;
+        let limit = timeout.saturating_sub(EXIT_MARGIN);
         service.set_phase(ServicePhase::Draining);
         self.hand_over().await;
         let drain_end = started + DRAIN_DELAY.min(limit / 2);
         sleep(drain_end.since(service.clock.now())).await;
         service.set_phase(ServicePhase::Closing);
+        self.wait_for_sessions(started + timeout.mul_f64(TRANSACTION_FRACTION))
+            .await;
+        service.set_phase(ServicePhase::Finishing);
+        self.wait_for_sessions(started + limit.saturating_sub(ANSWER_MARGIN))
+            .await;
+        service.set_phase(ServicePhase::Stopping);
+        // The last answers leave the process before its connections close.
+        sleep(CLOSE_CHECK_INTERVAL).await;
         self.wait_for_sessions(started + limit).await;
         log::info!(
             sessions = service.session_count(), relayed = self.relay.active_count(),
--- a/crates/coriander_service/tests/connections.rs
+++ b/crates/coriander_service/tests/connections.rs
@@ -188,3 +188,23 @@
     assert_eq!(failure.reason, FailureReason::NoRoute);
     assert_eq!(group.member("a").open_connections.get(), 0);
 }
+
+#[ntex::test]
+async fn connection_of_an_abandoned_statement_is_not_reused() {
+    // Guards against a reply that is taken for the one to the next statement.
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    let mut session = open(&service).await;
+    run(&mut session, "b", "BEGIN").await;
+    run(&mut session, "w", "WRITE 1 x").await;
+    group
+        .member("a")
+        .statement_time
+        .set(Duration::from_millis(100));
+    let abandoned = run(&mut session, "q", "READ 1");
+    let abandoned = tokio::time::timeout(Duration::from_millis(20), abandoned).await;
+    assert!(abandoned.is_err(), "the statement still runs");
+    drop(session);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(group.member("a").open_connections.get(), 0);
+}
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use coriander_service::{
-    PeerSocket, RelayClient, RelayServer, ServiceClock, ServiceSettings, SessionService,
-    SnapshotDigest,
+    PeerSocket, RelayClient, RelayServer, ServiceClock, ServicePhase, ServiceSettings,
+    SessionService, SnapshotDigest,
 };
-use coriander_service_api::{ControlSnapshot, InstanceEntry, ReadFreshness};
+use coriander_service_api::{ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness};
 use tokio::net::{TcpListener, UdpSocket};
 
-use support::{FakeGroup, config, open, run, snapshot};
+use support::{FakeGroup, code, config, open, run, snapshot};
 
 struct Instance {
     service: Rc<SessionService>,
@@ -153,7 +153,7 @@
     let mut session = open(&remote.service).await;
     let response = run(&mut session, "w1", "WRITE 1 x").await;
     let failure = response.result.expect_err("no reply");
-    assert_eq!(failure.code, coriander_service_api::FailureCode::InDoubt);
+    assert_eq!(failure.code, FailureCode::InDoubt);
     assert!(group.ran_statements.borrow().is_empty());
     let response = run(&mut session, "w2", "WRITE 1 x").await;
     assert!(
@@ -220,3 +220,26 @@
     let update = remote.service.store_update(&SnapshotDigest::default());
     assert!(update.config.is_some() && update.members.is_some());
 }
+
+#[ntex::test]
+async fn stopping_home_instance_lets_open_transactions_commit_only() {
+    // Guards against statements that a home instance accepts shortly before it ends.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home_instance) = start_two(&group).await;
+    let mut going_on = open(&remote.service).await;
+    let mut committing = open(&remote.service).await;
+    for session in [&mut going_on, &mut committing] {
+        run(session, "b", "BEGIN").await;
+        run(session, "w", "WRITE 1 x").await;
+    }
+    home_instance.service.set_phase(ServicePhase::Finishing);
+    let response = run(&mut going_on, "w2", "WRITE 2 y").await;
+    assert_eq!(code(&response), Some(FailureCode::Aborted));
+    let response = run(&mut committing, "c", "COMMIT").await;
+    assert_eq!(code(&response), None);
+    assert_eq!(group.member("a").applied_index.get(), 11);
+    let mut session = open(&remote.service).await;
+    let response = run(&mut session, "q", "READ 1").await;
+    assert_eq!(code(&response), None, "an own connection is used");
+    assert_eq!(opened_count(&remote), 1);
+}
