Check the key of a transaction whose route is gone

Cause: statements of an open transaction went through the admission check of a new operation, which looks for the route first; its failure NoRoute was taken as permission, so neither the key nor the age of the configuration was checked. Found besides: a key that moved to another account went on for its old one.

Change: check_open_transaction keeps the route that the transaction started with and checks key, account and age of the configuration in force; new operations and open transactions share check_key.

Why it works: the check of the key no longer depends on the route being in the configuration.

--- a/crates/coriander_service/src/access.rs
+++ b/crates/coriander_service/src/access.rs
@@ -54,42 +54,77 @@
 
     /// Checks key and database against the configuration in force.
     pub fn check_access(&self, database: &str, key: &str) -> Result<GrantedAccess, SessionFailure> {
-        let Some(config) = self.config_view.config() else {
-            let failure = SessionFailure::new(FailureCode::Busy, FailureReason::NoConfig);
-            return Err(failure.with_retry_after(INSTANCE_RETRY_AFTER));
-        };
+        let config = self.current_config()?;
         let Some(route) = config.routes.get(database).cloned() else {
             return Err(SessionFailure::new(
                 FailureCode::UnknownDatabase,
                 FailureReason::NoRoute,
             ));
         };
+        let account = self.check_key(&config, &route, key)?;
+        Ok(GrantedAccess {
+            account_name: self.account_name(account.as_ref()),
+            config,
+            route,
+            account,
+        })
+    }
+
+    /// Checks that the key of an open transaction still belongs to the account for which it runs.
+    /// The transaction keeps the route that it started with, even if the route is removed.
+    pub fn check_open_transaction(
+        &self,
+        access: &GrantedAccess,
+        key: &str,
+    ) -> Result<(), SessionFailure> {
+        let config = self.current_config()?;
+        let account = self.check_key(&config, &access.route, key)?;
+        if self.account_name(account.as_ref()) == access.account_name {
+            return Ok(());
+        }
+        let code = if access.route.open_to_all {
+            FailureCode::Aborted
+        } else {
+            FailureCode::UnknownKey
+        };
+        Err(SessionFailure::new(code, FailureReason::KeyNotInConfig))
+    }
+
+    fn current_config(&self) -> Result<Arc<FleetConfig>, SessionFailure> {
+        self.config_view.config().ok_or_else(|| {
+            SessionFailure::new(FailureCode::Busy, FailureReason::NoConfig)
+                .with_retry_after(INSTANCE_RETRY_AFTER)
+        })
+    }
+
+    /// Returns the account of a key; `None` for an unknown key on a route that is open to all.
+    fn check_key(
+        &self,
+        config: &FleetConfig,
+        route: &DatabaseRoute,
+        key: &str,
+    ) -> Result<Option<Arc<ClientAccount>>, SessionFailure> {
         let account = config.account_for_key(key).cloned();
         if route.open_to_all {
-            let name = account.as_ref().map(|account| account.name.clone());
-            return Ok(GrantedAccess {
-                account_name: name.unwrap_or_else(|| self.anonymous_account.clone()),
-                config,
-                route,
-                account,
-            });
+            return Ok(account);
         }
-        let Some(account) = account else {
+        if account.is_none() {
             return Err(SessionFailure::new(
                 FailureCode::UnknownKey,
                 FailureReason::KeyNotInConfig,
             ));
-        };
+        }
         if !self.is_config_recent(self.clock.now()) {
             let failure = SessionFailure::new(FailureCode::Busy, FailureReason::ConfigTooOld);
             return Err(failure.with_retry_after(INSTANCE_RETRY_AFTER));
         }
-        Ok(GrantedAccess {
-            account_name: account.name.clone(),
-            config,
-            route,
-            account: Some(account),
-        })
+        Ok(account)
+    }
+
+    /// Returns the account name that is sent to members.
+    fn account_name(&self, account: Option<&Arc<ClientAccount>>) -> Arc<str> {
+        let name = account.map(|account| account.name.clone());
+        name.unwrap_or_else(|| self.anonymous_account.clone())
     }
 
     /// Checks access, and checks it again after the next read of the store if the first check fails
--- a/crates/coriander_service/src/session.rs
+++ b/crates/coriander_service/src/session.rs
@@ -317,24 +317,20 @@
         }
     }
 
-    /// Checks that the key and the route of an open transaction are still valid.
-    fn recheck_access(&self) -> Result<(), SessionFailure> {
-        match self.service.check_access(&self.database, &self.key) {
-            // A removed route stays valid until the end of the transaction.
-            Err(failure) if failure.reason == FailureReason::NoRoute => Ok(()),
-            Err(failure) if failure.code == FailureCode::Busy => {
-                Err(SessionFailure::new(FailureCode::Aborted, failure.reason))
-            }
-            Err(failure) => Err(failure),
-            Ok(_) => Ok(()),
-        }
+    /// Checks that an open transaction may go on.
+    fn recheck_access(&self, access: &GrantedAccess) -> Result<(), SessionFailure> {
+        let checked = self.service.check_open_transaction(access, &self.key);
+        checked.map_err(|failure| match failure.code {
+            FailureCode::Busy => SessionFailure::new(FailureCode::Aborted, failure.reason),
+            _ => failure,
+        })
     }
 
     async fn run_open(&mut self, plan: &PlannedStatement) -> SessionResponse {
         let Some(mut transaction) = self.take_transaction() else {
             return self.fail(wrong_state());
         };
-        if let Err(failure) = self.recheck_access() {
+        if let Err(failure) = self.recheck_access(&transaction.access) {
             return SessionResponse::failed(failure, TransactionStatus::Failed);
         }
         let context = self.context(transaction.access.clone());
@@ -360,7 +356,7 @@
             return self.fail(wrong_state());
         };
         self.state = SessionState::Idle;
-        if let Err(failure) = self.recheck_access() {
+        if let Err(failure) = self.recheck_access(&transaction.access) {
             return SessionResponse::failed(failure, TransactionStatus::Idle);
         }
         let plan = PlannedStatement {
--- a/crates/coriander_service/tests/transactions.rs
+++ b/crates/coriander_service/tests/transactions.rs
@@ -2,13 +2,17 @@
 
 mod support;
 
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use coriander_service::SessionService;
 use coriander_service_api::{
-    FailureCode, FailureReason, MemberRole, ReadFreshness, TransactionStatus,
+    ClientAccount, ClientSession, FailureCode, FailureReason, FleetConfig, MemberRole,
+    ReadFreshness, TransactionStatus,
 };
 
-use support::{FakeGroup, Fault, apply, code, config, open, run, start};
+use support::{FakeGroup, Fault, KEY, apply, code, config, open, run, start};
 
 const BOUNDED: ReadFreshness = ReadFreshness::Bounded {
     max_age: Duration::from_millis(1_500),
@@ -191,3 +195,93 @@
     assert_eq!(failure.reason, FailureReason::KeyNotInConfig);
     assert!(!group.ran_texts().iter().any(|text| text.contains("COMMIT")));
 }
+
+/// Starts a service and a session with an open transaction that has written.
+async fn start_transaction() -> (Rc<FakeGroup>, Rc<SessionService>, Box<dyn ClientSession>) {
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    let mut session = open(&service).await;
+    run(&mut session, "b", "BEGIN").await;
+    run(&mut session, "w", "WRITE 1 x").await;
+    (group, service, session)
+}
+
+/// Returns a configuration without the route of the open transaction.
+fn config_without_route() -> FleetConfig {
+    let mut config = config(2, ReadFreshness::Newest);
+    config.routes.clear();
+    config
+}
+
+#[ntex::test]
+async fn transaction_outlives_its_route() {
+    // A change of a route applies from the next transaction onward.
+    let (group, service, mut session) = start_transaction().await;
+    apply(&service, config_without_route(), group.entries());
+    let response = run(&mut session, "c", "COMMIT").await;
+    assert_eq!(code(&response), None);
+    assert_eq!(group.member("a").applied_index.get(), 11);
+    let response = run(&mut session, "b", "BEGIN").await;
+    assert_eq!(code(&response), Some(FailureCode::UnknownDatabase));
+}
+
+#[ntex::test]
+async fn withdrawn_key_ends_a_transaction_whose_route_is_removed() {
+    // Guards against a key that stays valid because its route is gone.
+    let (group, service, mut session) = start_transaction().await;
+    let mut without_both = config_without_route();
+    without_both.keys.clear();
+    apply(&service, without_both, group.entries());
+    let response = run(&mut session, "w2", "WRITE 2 y").await;
+    assert_eq!(code(&response), Some(FailureCode::UnknownKey));
+    assert_eq!(response.transaction, TransactionStatus::Failed);
+    assert_eq!(group.ran_texts(), ["a WRITE 1 x"]);
+}
+
+#[ntex::test]
+async fn withdrawn_key_does_not_commit_a_transaction_whose_route_is_removed() {
+    // Guards against a key that stays valid because its route is gone.
+    let (group, service, mut session) = start_transaction().await;
+    let mut without_both = config_without_route();
+    without_both.keys.clear();
+    apply(&service, without_both, group.entries());
+    let response = run(&mut session, "c", "COMMIT").await;
+    assert_eq!(code(&response), Some(FailureCode::UnknownKey));
+    assert_eq!(group.member("a").applied_index.get(), 10);
+}
+
+#[ntex::test]
+async fn old_configuration_ends_a_transaction_whose_route_is_removed() {
+    // Guards against an instance without the store that cannot know whether the key is withdrawn.
+    let (group, service, mut session) = start_transaction().await;
+    apply(&service, config_without_route(), group.entries());
+    let mut settings = (*service.settings()).clone();
+    settings.key_lifetime = Some(Duration::from_millis(300));
+    service.apply_settings(&settings);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let response = run(&mut session, "c", "COMMIT").await;
+    let failure = response.result.expect_err("configuration is too old");
+    assert_eq!(failure.code, FailureCode::Aborted);
+    assert_eq!(failure.reason, FailureReason::ConfigTooOld);
+    assert_eq!(group.member("a").applied_index.get(), 10);
+}
+
+#[ntex::test]
+async fn key_of_another_account_ends_a_transaction() {
+    // Guards against statements that run for the account that the key belonged to before.
+    let (group, service, mut session) = start_transaction().await;
+    let mut moved = config(2, ReadFreshness::Newest);
+    let other = ClientAccount {
+        name: "office".into(),
+        rate: None,
+        burst: 0.0,
+    };
+    moved.keys.insert(KEY.into(), Arc::new(other));
+    apply(&service, moved, group.entries());
+    let response = run(&mut session, "c", "COMMIT").await;
+    let failure = response
+        .result
+        .expect_err("the key was withdrawn from the account");
+    assert_eq!(failure.reason, FailureReason::KeyNotInConfig);
+    assert_eq!(group.member("a").applied_index.get(), 10);
+}
