Drop requests between instances that arrive after their deadline

Cause: a partition held the request's bytes in the connection between the instances. Giving the connection up only forgot it, so the kernel delivered them later; the request carried a duration that started anew on arrival; the executing instance did not look whether the member still takes work.

Change: the accepting side sends its time with its first frame and with each reply; the sender adds the time since, which is never ahead, and sends each request with a deadline on that clock. Late requests are dropped and logged, others get the rest of their time. The home instance starts nothing on a leaving member but what only a usable primary can run. ServiceClock moves to coriander_peer as BootClock. A reset is no longer counted as an invalid frame.

write_on_a_silent_home_instance accepted connections and sent nothing; such an instance now gets no request, so the test's instance says hello and never replies. What it asserts is the same.

Ruled out: comparing clocks of the instances (they differ and jump); age on arrival from the socket (unknown).

--- a/crates/coriander_service/src/service_clock.rs
+++ b/crates/coriander_peer/src/boot_clock.rs
@@ -11,15 +11,15 @@
 /// leaves out.
 ///
 /// ```
-/// use coriander_service::ServiceClock;
+/// use coriander_peer::BootClock;
 ///
-/// let clock = ServiceClock;
+/// let clock = BootClock;
 /// assert!(clock.now() <= clock.now());
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ServiceClock;
+pub struct BootClock;
 
-impl ServiceClock {
+impl BootClock {
     /// Returns the current time.
     pub fn now(self) -> MonotonicTime {
         let time = clock_gettime(ClockId::Boottime);
--- a/crates/coriander_peer/src/lib.rs
+++ b/crates/coriander_peer/src/lib.rs
@@ -3,6 +3,10 @@
 //! The crate is generic over the messages. [`PeerClient`] sends requests, and [`serve_peers`]
 //! handles them with a [`PeerService`]. `coriander_wire` authenticates the frames.
 //!
+//! A request carries its deadline in the time of the instance that handles it, as far as the sender
+//! knows that time. A request that was held up on the way is dropped on arrival, however the clocks
+//! of the two instances differ.
+//!
 //! ```no_run
 //! use std::time::Duration;
 //! use coriander_peer::{PeerClient, PeerError};
@@ -15,10 +19,13 @@
 //! }
 //! ```
 
+mod boot_clock;
 mod peer_client;
 mod peer_connection;
 mod peer_server;
+mod peer_time;
 
+pub use boot_clock::BootClock;
 pub use peer_client::PeerClient;
 pub use peer_connection::PeerError;
 pub use peer_server::{ConnectionId, PeerService, serve_peers};
--- a/crates/coriander_peer/src/peer_client.rs
+++ b/crates/coriander_peer/src/peer_client.rs
@@ -50,13 +50,22 @@
         result
     }
 
-    /// Closes the connection to an instance; requests in flight fail with [`PeerError::NoReply`].
+    /// Resets the connection to an instance, so that requests that are held up on the way are not
+    /// delivered; requests in flight fail with [`PeerError::NoReply`].
     pub fn disconnect(&self, address: SocketAddr) {
         if let Some(connection) = self.connections.borrow_mut().remove(&address) {
             connection.close();
         }
     }
 
+    async fn open(&self, address: SocketAddr) -> Result<PeerConnection<Q, R>, PeerError> {
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.map_err(|_| PeerError::NotSent)?;
+        // Without this, small frames are delayed until the previous one is acknowledged.
+        let _ = stream.set_nodelay(true);
+        PeerConnection::open(stream, self.codec.clone()).await
+    }
+
     async fn get_or_connect(
         &self,
         address: SocketAddr,
@@ -65,13 +74,8 @@
         if let Some(connection) = existing.filter(|connection| connection.is_open()) {
             return Ok(connection);
         }
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = stream else {
-            return Err(PeerError::NotSent);
-        };
-        // Without this, small frames are delayed until the previous one is acknowledged.
-        let _ = stream.set_nodelay(true);
-        let connection = Rc::new(PeerConnection::start(stream, self.codec.clone()));
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.open(address)).await;
+        let connection = Rc::new(opened.map_err(|_| PeerError::NotSent)??);
         self.connections
             .borrow_mut()
             .insert(address, connection.clone());
--- a/crates/coriander_peer/src/peer_connection.rs
+++ b/crates/coriander_peer/src/peer_connection.rs
@@ -11,18 +11,40 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-/// One frame of a connection between instances.
+use crate::boot_clock::BootClock;
+use crate::peer_time::PeerTime;
+
+/// One frame of a connection between instances. Times are those of the accepting side.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum PeerFrame<Q, R> {
-    /// A request; its reply has the same number.
-    Request(u64, Box<Q>),
-    /// The reply to the request with the same number.
-    Reply(u64, R),
+    /// The first frame of the accepting side.
+    Hello {
+        /// Time at which it was sent.
+        sent_at: Duration,
+    },
+    /// A request.
+    Request {
+        /// Number of the request on its connection.
+        number: u64,
+        /// Time from which the sender no longer waits for the reply.
+        deadline: Duration,
+        /// The request.
+        body: Box<Q>,
+    },
+    /// A reply.
+    Reply {
+        /// Number of the request.
+        number: u64,
+        /// Time at which it was sent.
+        sent_at: Duration,
+        /// The reply.
+        body: R,
+    },
 }
 
 /// Failure of a request to another instance.
@@ -54,6 +76,9 @@
     next_id: Cell<u64>,
     pending_replies: PendingReplies<R>,
     write_queue: mpsc::Sender<Vec<u8>>,
+    peer_time: Rc<PeerTime>,
+    /// Set when the connection is given up.
+    is_closed: watch::Sender<bool>,
     request: PhantomData<Q>,
 }
 
@@ -62,23 +87,32 @@
     Q: DeserializeOwned + Serialize + 'static,
     R: DeserializeOwned + Serialize + 'static,
 {
-    /// Starts the tasks that read from and write to an open connection.
-    pub fn start(stream: TcpStream, codec: FrameCodec) -> Self {
+    /// Waits for the first frame of the other side and starts the tasks that read and write.
+    pub async fn open(stream: TcpStream, codec: FrameCodec) -> Result<Self, PeerError> {
         let (read, write) = stream.into_split();
+        let mut reader = FrameReader::new(read, codec.clone());
+        let Ok(Some(PeerFrame::Hello { sent_at })) = reader.next::<Q, R>().await else {
+            return Err(PeerError::NotSent);
+        };
+        let peer_time = Rc::new(PeerTime::new(sent_at, BootClock.now()));
         let pending_replies = Rc::new(RefCell::new(Some(HashMap::new())));
-        let write_queue = start_writer(write);
-        ntex::rt::spawn(read_replies::<Q, R>(
-            read,
-            codec.clone(),
-            pending_replies.clone(),
-        ));
-        Self {
+        let (is_closed, closed) = watch::channel(false);
+        let write_queue = start_writer(write, Some(closed.clone()));
+        let replies = ReplyReader {
+            reader,
+            peer_time: peer_time.clone(),
+            pending_replies: pending_replies.clone(),
+        };
+        ntex::rt::spawn(replies.run::<Q>(closed));
+        Ok(Self {
             codec,
             next_id: Cell::new(1),
             pending_replies,
             write_queue,
+            peer_time,
+            is_closed,
             request: PhantomData,
-        }
+        })
     }
 
     /// Returns whether the connection is open.
@@ -87,9 +121,11 @@
         !self.write_queue.is_closed() && self.pending_replies.borrow().is_some()
     }
 
-    /// Marks the connection as closed; requests in flight fail with [`PeerError::NoReply`].
+    /// Resets the connection, which discards what has not been delivered; requests in flight fail
+    /// with [`PeerError::NoReply`].
     pub fn close(&self) {
         self.pending_replies.borrow_mut().take();
+        self.is_closed.send_replace(true);
     }
 
     /// Sends a request and waits for its reply.
@@ -99,9 +135,11 @@
     pub async fn call(&self, request: Q, timeout: Duration) -> Result<R, PeerError> {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        let frame = self
-            .codec
-            .encode(&PeerFrame::<Q, R>::Request(id, Box::new(request)))?;
+        let frame = self.codec.encode(&PeerFrame::<Q, R>::Request {
+            number: id,
+            deadline: self.peer_time.at(BootClock.now()).saturating_add(timeout),
+            body: Box::new(request),
+        })?;
         let (sender, receiver) = oneshot::channel();
         match self.pending_replies.borrow_mut().as_mut() {
             Some(pending) => pending.insert(id, sender),
@@ -128,39 +166,88 @@
     pending_replies.borrow_mut().as_mut()?.remove(&id)
 }
 
-/// Starts a task that writes frames in order until the connection closes.
-pub fn start_writer(mut write: OwnedWriteHalf) -> mpsc::Sender<Vec<u8>> {
+/// Starts a task that writes frames in order until the connection closes or is given up.
+pub fn start_writer(
+    mut write: OwnedWriteHalf,
+    closed: Option<watch::Receiver<bool>>,
+) -> mpsc::Sender<Vec<u8>> {
     let (sender, mut receiver) = mpsc::channel::<Vec<u8>>(WRITE_QUEUE_LENGTH);
     ntex::rt::spawn(async move {
-        while let Some(frame) = receiver.recv().await {
-            if write.write_all(&frame).await.is_err() {
-                return;
-            }
+        let given_up = tokio::select! {
+            biased;
+            () = wait_until_closed(closed) => true,
+            () = write_frames(&mut write, &mut receiver) => false,
+        };
+        if given_up {
+            reset_on_drop(write);
         }
     });
     sender
 }
 
-async fn read_replies<Q: DeserializeOwned, R: DeserializeOwned>(
-    read: OwnedReadHalf,
-    codec: FrameCodec,
-    pending_replies: PendingReplies<R>,
-) {
-    let mut reader = FrameReader::new(read, codec);
-    while let Ok(Some(frame)) = reader.next::<Q, R>().await {
-        if pending_replies.borrow().is_none() {
+async fn write_frames(write: &mut OwnedWriteHalf, receiver: &mut mpsc::Receiver<Vec<u8>>) {
+    while let Some(frame) = receiver.recv().await {
+        if write.write_all(&frame).await.is_err() {
             return;
         }
-        if let PeerFrame::Reply(id, reply) = frame
-            && let Some(waiter) = remove_waiter(&pending_replies, id)
-        {
-            // The waiter may have timed out.
-            let _ = waiter.send(reply);
+    }
+}
+
+/// Waits until the connection is given up; forever if it never is.
+async fn wait_until_closed(closed: Option<watch::Receiver<bool>>) {
+    if let Some(mut closed) = closed
+        && closed.wait_for(|is_closed| *is_closed).await.is_ok()
+    {
+        return;
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Drops the write half so that the connection is reset once the read half is dropped as well.
+fn reset_on_drop(write: OwnedWriteHalf) {
+    if let Err(error) = write.as_ref().set_zero_linger() {
+        log::debug!(error:% = error; "connection to an instance is closed without a reset");
+    }
+    // A regular drop would send the end of the stream after what is still queued.
+    write.forget();
+}
+
+/// Reads the replies of a connection.
+struct ReplyReader<R> {
+    reader: FrameReader,
+    peer_time: Rc<PeerTime>,
+    pending_replies: PendingReplies<R>,
+}
+
+impl<R: DeserializeOwned> ReplyReader<R> {
+    /// Reads until the connection ends or is given up.
+    async fn run<Q: DeserializeOwned>(mut self, closed: watch::Receiver<bool>) {
+        tokio::select! {
+            () = wait_until_closed(Some(closed)) => {}
+            () = self.read_replies::<Q>() => {}
+        }
+        // Dropping the senders ends all waiting requests, and removing the table prevents further
+        // requests on this connection.
+        self.pending_replies.borrow_mut().take();
+    }
+
+    async fn read_replies<Q: DeserializeOwned>(&mut self) {
+        while let Ok(Some(frame)) = self.reader.next::<Q, R>().await {
+            let PeerFrame::Reply {
+                number,
+                sent_at,
+                body,
+            } = frame
+            else {
+                continue;
+            };
+            self.peer_time.record(sent_at, BootClock.now());
+            if let Some(waiter) = remove_waiter(&self.pending_replies, number) {
+                // The waiter may have timed out.
+                let _ = waiter.send(body);
+            }
         }
     }
-    // Dropping the senders ends all waiting requests, and removing the table prevents further
-    // requests on this connection.
-    pending_replies.borrow_mut().take();
 }
 
 /// Error of reading the next frame.
--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! Server for the connections of other instances.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use coriander_wire::FrameCodec;
@@ -8,7 +9,8 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::peer_connection::{FrameReader, PeerFrame, start_writer};
+use crate::boot_clock::BootClock;
+use crate::peer_connection::{FrameReader, PeerFrame, ReadError, start_writer};
 
 /// Identifier of an accepted connection, unique within the process.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -17,8 +19,9 @@
 /// Handles requests of other instances.
 #[async_trait(?Send)]
 pub trait PeerService<Q, R> {
-    /// Handles one request that arrived on a connection.
-    async fn handle(&self, connection: ConnectionId, request: Q) -> R;
+    /// Handles one request that arrived on a connection. Its sender waits for the reply no longer
+    /// than `remaining`.
+    async fn handle(&self, connection: ConnectionId, request: Q, remaining: Duration) -> R;
 
     /// Called after a connection has ended.
     fn connection_ended(&self, _connection: ConnectionId) {}
@@ -51,7 +54,7 @@
             Err(error) => {
                 log::warn!(error:% = error; "failed to accept a connection from an instance");
                 // Prevents a busy loop while no file descriptors are available.
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
@@ -68,28 +71,53 @@
 {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
-    let write_queue = start_writer(write);
+    let write_queue = start_writer(write, None);
+    let hello = PeerFrame::<Q, R>::Hello {
+        sent_at: BootClock.now().since_start(),
+    };
+    let Ok(hello) = codec.encode(&hello) else {
+        return;
+    };
+    // Sending fails only if the connection is closed, which the reader finds out.
+    drop(write_queue.send(hello).await);
     let mut reader = FrameReader::new(read, codec.clone());
     loop {
         match reader.next::<Q, R>().await {
-            Ok(Some(PeerFrame::Request(number, request))) => {
+            Ok(Some(PeerFrame::Request {
+                number,
+                deadline,
+                body,
+            })) => {
+                let arrived_at = BootClock.now();
+                let remaining = deadline.saturating_sub(arrived_at.since_start());
+                if remaining.is_zero() {
+                    let late = arrived_at.since_start().saturating_sub(deadline);
+                    log::warn!(late:? = late; "late request of an instance not handled");
+                    continue;
+                }
                 let service = service.clone();
                 let write_queue = write_queue.clone();
                 let codec = codec.clone();
                 ntex::rt::spawn(async move {
-                    let reply = service.handle(id, *request).await;
-                    match codec.encode(&PeerFrame::<Q, R>::Reply(number, reply)) {
+                    let reply = PeerFrame::<Q, R>::Reply {
+                        number,
+                        body: service.handle(id, *body, remaining).await,
+                        sent_at: BootClock.now().since_start(),
+                    };
+                    match codec.encode(&reply) {
                         // Sending fails only if the connection is closed, so no caller waits.
                         Ok(frame) => drop(write_queue.send(frame).await),
                         Err(error) => log::warn!(error:% = error; "reply dropped: encoding failed"),
                     }
                 });
             }
-            Ok(Some(PeerFrame::Reply(..))) => {}
+            Ok(Some(PeerFrame::Hello { .. } | PeerFrame::Reply { .. })) => {}
             Ok(None) => return,
             Err(error) => {
                 log::warn!(error:% = error; "connection from an instance closed");
-                service.count_invalid_frame();
+                if matches!(error, ReadError::Decode(_)) {
+                    service.count_invalid_frame();
+                }
                 return;
             }
         }
--- a/crates/coriander_service/src/attempt.rs
+++ b/crates/coriander_service/src/attempt.rs
@@ -142,6 +142,10 @@
             FailureCode::Busy,
             FailureReason::ConnectionLost,
         )),
+        ExchangeError::NotSent(PoolError::MemberLeaving) => {
+            let failure = SessionFailure::new(FailureCode::Busy, FailureReason::NoMember);
+            Attempt::Retry(failure.with_retry_after(BUSY_RETRY_AFTER))
+        }
         ExchangeError::NotSent(PoolError::Connect(link)) => {
             let failure = SessionFailure::new(FailureCode::Busy, FailureReason::ConnectionLost);
             let failure = failure.with_detail(link.to_string().into());
--- a/crates/coriander_service/src/exchange.rs
+++ b/crates/coriander_service/src/exchange.rs
@@ -63,6 +63,12 @@
 }
 
 impl ExchangePlan {
+    /// Limits the time of the exchange, for one that was held up on its way.
+    pub fn limit_time(&mut self, remaining: Duration) {
+        self.time_limit = self.time_limit.min(remaining);
+        self.acquire_timeout = self.acquire_timeout.min(remaining);
+    }
+
     /// Returns whether only the primary may run it. The COMMIT of a transaction that has written
     /// counts as a write.
     pub fn needs_primary(&self) -> bool {
@@ -103,6 +109,7 @@
             Err(ExchangeError::NotSent(PoolError::Exhausted { .. })) => "no_connection",
             Err(ExchangeError::NotSent(PoolError::PrimaryUnconfirmed)) => "lead_unproved",
             Err(ExchangeError::NotSent(PoolError::HomeUnavailable)) => "home_not_reached",
+            Err(ExchangeError::NotSent(PoolError::MemberLeaving)) => "member_leaving",
             Err(ExchangeError::NotSent(PoolError::Connect(_))) => "connect_failed",
             Err(ExchangeError::Declined(code, _)) => code.label(),
             Err(ExchangeError::NoReply(_)) => "unanswered",
--- a/crates/coriander_service/src/held_connection.rs
+++ b/crates/coriander_service/src/held_connection.rs
@@ -9,7 +9,7 @@
     FailureCode, LinkError, MemberReply, MemberStatement, ReplyBatch, SessionValues,
 };
 
-use crate::ServiceClock;
+use crate::BootClock;
 use crate::exchange::{
     ExchangeError, ExchangeOutcome, ExchangePlan, PlannedBegin, PlannedStatement,
 };
@@ -33,7 +33,7 @@
     /// Acquires a connection for a plan.
     pub async fn acquire(member: &Rc<Member>, plan: &ExchangePlan) -> Result<Self, PoolError> {
         let request_guard = member.begin_request();
-        let deadline = ServiceClock.now() + plan.acquire_timeout;
+        let deadline = BootClock.now() + plan.acquire_timeout;
         let result = member
             .pool
             .acquire(&plan.account, &plan.values, plan.priority, deadline)
@@ -49,7 +49,7 @@
                 if let PoolError::Connect(link) = &error
                     && link.is_unreachable()
                 {
-                    member.record_failure(ServiceClock.now());
+                    member.record_failure(BootClock.now());
                 }
                 Err(error)
             }
@@ -58,7 +58,7 @@
 
     /// Executes a plan.
     pub async fn exchange(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
-        let deadline = ServiceClock.now() + plan.time_limit;
+        let deadline = BootClock.now() + plan.time_limit;
         let mut primary_position = None;
         if let Some(begin) = plan.begin {
             match self.begin(begin, deadline).await {
@@ -109,7 +109,7 @@
         deadline: MonotonicTime,
     ) -> Result<MemberReply, ExchangeError> {
         let statement = &plan.statement;
-        let remaining = deadline.since(ServiceClock.now());
+        let remaining = deadline.since(BootClock.now());
         let prepared = self.prepare(statement, &plan.values, remaining).await;
         let name = prepared.map_err(|error| match error {
             LinkError::Declined(refusal) => ExchangeError::Declined(refusal.code, None),
@@ -183,7 +183,7 @@
         statements: &[MemberStatement],
         deadline: MonotonicTime,
     ) -> Result<ReplyBatch, LinkError> {
-        let sent_at = ServiceClock.now();
+        let sent_at = BootClock.now();
         let remaining = deadline.since(sent_at);
         let Some(connection) = &mut self.connection else {
             return Err(connection_closed());
@@ -192,7 +192,7 @@
         let result = connection.run(statements, remaining).await;
         drop(outstanding);
         match &result {
-            Ok(_) => self.member.record_success(ServiceClock.now()),
+            Ok(_) => self.member.record_success(BootClock.now()),
             Err(error) => self.discard_connection(error),
         }
         result
@@ -203,7 +203,7 @@
     fn discard_connection(&mut self, error: &LinkError) {
         log::info!(member = &*self.member.id, error:% = error; "connection to a member closed");
         if !matches!(error, LinkError::ReplyTimeout(_)) {
-            self.member.suspect_restart(ServiceClock.now());
+            self.member.suspect_restart(BootClock.now());
         }
         self.in_transaction = false;
         if let Some(connection) = self.connection.take() {
--- a/crates/coriander_service/src/member.rs
+++ b/crates/coriander_service/src/member.rs
@@ -183,6 +183,12 @@
         leaving.is_none_or(|since| now.since(since) < MAX_LEAVING_PRIMARY_USE)
     }
 
+    /// Returns whether new work may start at the member: on a leaving one only what the primary
+    /// must run, for a limited time.
+    pub fn may_start(&self, needs_primary: bool, now: MonotonicTime) -> bool {
+        !self.is_leaving() || (needs_primary && self.is_allowed_as_primary(now))
+    }
+
     /// Records a statement sent at `at`.
     pub fn record_statement_sent(&self, at: MonotonicTime) {
         self.outstanding.borrow_mut().push(at);
--- a/crates/coriander_service/src/member_pool.rs
+++ b/crates/coriander_service/src/member_pool.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::ServiceClock;
+use crate::BootClock;
 use crate::connection_caps::ConnectionCaps;
 use crate::pooled_connection::PooledConnection;
 
@@ -67,6 +67,9 @@
     /// The member may not be used as primary, or no longer.
     #[error("primary role of the member is not confirmed")]
     PrimaryUnconfirmed,
+    /// The member drains or its zone is taken out of service.
+    #[error("member takes no new work")]
+    MemberLeaving,
     /// A connection could not be opened.
     #[error(transparent)]
     Connect(#[from] LinkError),
@@ -104,7 +107,7 @@
 /// Connections to one member.
 pub struct MemberPool {
     connector: Rc<dyn MemberConnector>,
-    clock: ServiceClock,
+    clock: BootClock,
     target: MemberTarget,
     /// Maximum number of open connections.
     max_open: Cell<usize>,
@@ -124,7 +127,7 @@
     ) -> Rc<Self> {
         Rc::new_cyclic(|weak_self| Self {
             connector,
-            clock: ServiceClock,
+            clock: BootClock,
             target,
             max_open: Cell::new(caps.max_open),
             max_idle: Cell::new(caps.max_idle),
--- a/crates/coriander_service/src/operation_link.rs
+++ b/crates/coriander_service/src/operation_link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use crate::ServiceClock;
+use crate::BootClock;
 use crate::database_group::DatabaseGroup;
 use crate::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
 use crate::held_connection::{HeldConnection, OutstandingStatement};
@@ -58,7 +58,7 @@
 
     /// Executes a plan.
     pub async fn exchange(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
-        let sent_at = ServiceClock.now();
+        let sent_at = BootClock.now();
         let outcome = self.exchange_at_location(plan).await;
         if let Some(position) = outcome.primary_position {
             self.group.record_position(sent_at, position);
@@ -129,10 +129,10 @@
             stream,
             armed: plan.keep_reserved,
         };
-        let outstanding = OutstandingStatement::new(&self.member, ServiceClock.now());
+        let outstanding = OutstandingStatement::new(&self.member, BootClock.now());
         let outcome = relay.exchange(address, stream, must_exist, plan).await;
         drop(outstanding);
-        let now = ServiceClock.now();
+        let now = BootClock.now();
         match &outcome.result {
             Ok(_) | Err(ExchangeError::Declined(..)) => self.member.record_success(now),
             Err(ExchangeError::NotSent(PoolError::Connect(link))) if link.is_unreachable() => {
--- a/crates/coriander_service/src/rate_limiter.rs
+++ b/crates/coriander_service/src/rate_limiter.rs
@@ -15,7 +15,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::ServiceClock;
+use crate::BootClock;
 use crate::peer_messages::{LoanRefusal, LoanReply, LoanRequest, PeerMessage};
 use crate::peer_socket::PeerSocket;
 
@@ -39,7 +39,7 @@
 
 /// Rate limits of client accounts on this instance.
 pub struct RateLimiter {
-    clock: ServiceClock,
+    clock: BootClock,
     peers: Rc<PeerSocket>,
     shares: RefCell<RateShares>,
     pending_loans: RefCell<HashMap<u64, PendingLoan>>,
@@ -54,7 +54,7 @@
     /// Creates a rate limiter without accounts.
     pub fn new(own_name: Arc<str>, peers: Rc<PeerSocket>) -> Self {
         Self {
-            clock: ServiceClock,
+            clock: BootClock,
             peers,
             shares: RefCell::new(RateShares::new(own_name)),
             pending_loans: RefCell::default(),
--- a/crates/coriander_service/src/relay.rs
+++ b/crates/coriander_service/src/relay.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use crate::ServiceClock;
+use crate::BootClock;
 use crate::config_delta::ConfigDelta;
 use crate::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
 use crate::held_connection::HeldConnection;
@@ -152,7 +152,7 @@
         let Some(client) = client else {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
         };
-        let started = ServiceClock.now();
+        let started = BootClock.now();
         self.pending_requests
             .borrow_mut()
             .insert(stream, (address, started));
@@ -164,7 +164,7 @@
         let limit = plan.time_limit + REPLY_MARGIN;
         let reply = client.call(address, request, limit).await;
         self.pending_requests.borrow_mut().remove(&stream);
-        let now = ServiceClock.now();
+        let now = BootClock.now();
         match reply {
             Ok(RelayReply::Outcome(outcome)) => *outcome,
             Ok(_) => ExchangeOutcome::failed(no_reply("unexpected reply")),
@@ -198,7 +198,7 @@
                     address:% = address, error:% = error;
                     "no update of the store received from an instance"
                 );
-                self.set_down(address, ServiceClock.now());
+                self.set_down(address, BootClock.now());
                 None
             }
         }
@@ -242,7 +242,7 @@
     pub async fn monitor(service: Rc<SessionService>) {
         loop {
             sleep(WATCH_INTERVAL).await;
-            let now = ServiceClock.now();
+            let now = BootClock.now();
             let peers = service.peers.peers();
             let mut ping_targets: HashSet<SocketAddr> = {
                 let pending_requests = service.relay.pending_requests.borrow();
@@ -271,7 +271,7 @@
         if let Some(client) = client {
             let reply = client.call(address, RelayRequest::Ping, PING_TIMEOUT).await;
             if reply.is_err() {
-                relay.set_down(address, ServiceClock.now());
+                relay.set_down(address, BootClock.now());
             } else if relay.down_instances.borrow_mut().remove(&address).is_some() {
                 log::info!(address:% = address; "instance replies again and is used");
             }
@@ -303,7 +303,7 @@
             streams: RefCell::default(),
             ended_streams: RefCell::default(),
             running_exchanges: RefCell::default(),
-            last_tick: Cell::new(ServiceClock.now()),
+            last_tick: Cell::new(BootClock.now()),
         })
     }
 
@@ -321,7 +321,7 @@
 
     async fn tick(self: Rc<Self>) {
         loop {
-            self.last_tick.set(ServiceClock.now());
+            self.last_tick.set(BootClock.now());
             sleep(WATCH_INTERVAL).await;
         }
     }
@@ -337,7 +337,7 @@
         must_exist: bool,
         plan: &ExchangePlan,
     ) -> ExchangeOutcome {
-        if ServiceClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
+        if BootClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
         }
         if self.is_refused_by_phase(must_exist, plan) {
@@ -367,7 +367,7 @@
 
     /// Returns whether this instance confirms that the member of a plan may be used as primary.
     fn is_primary_confirmed(&self, plan: &ExchangePlan) -> bool {
-        let now = ServiceClock.now();
+        let now = BootClock.now();
         let service = self.service.upgrade();
         service.is_some_and(|service| {
             let remaining = service.primary_use_remaining(&plan.group, &plan.member, now);
@@ -402,19 +402,28 @@
         let service = self.service.upgrade().ok_or(PoolError::HomeUnavailable)?;
         let member = service.find_member(&plan.group, &plan.member);
         let member = member.ok_or(PoolError::HomeUnavailable)?;
+        if !member.may_start(plan.needs_primary(), BootClock.now()) {
+            return Err(PoolError::MemberLeaving);
+        }
         HeldConnection::acquire(&member, plan).await
     }
 }
 
 #[async_trait(?Send)]
 impl PeerService<RelayRequest, RelayReply> for RelayServer {
-    async fn handle(&self, connection: ConnectionId, request: RelayRequest) -> RelayReply {
+    async fn handle(
+        &self,
+        connection: ConnectionId,
+        request: RelayRequest,
+        remaining: Duration,
+    ) -> RelayReply {
         match request {
             RelayRequest::Exchange {
                 stream,
                 must_exist,
-                plan,
+                mut plan,
             } => {
+                plan.limit_time(remaining);
                 let outcome = self.exchange((connection, stream), must_exist, &plan).await;
                 RelayReply::Outcome(Box::new(outcome))
             }
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -33,7 +33,7 @@
 use crate::store_update::{SnapshotDigest, StoreUpdate};
 use crate::store_view::StoreView;
 use crate::warm_up_gate::WarmUpGate;
-use crate::{ServiceClock, ServiceSettings};
+use crate::{BootClock, ServiceSettings};
 
 /// Number of store readers per zone from which an instance requests updates, in order. If the first
 /// has no recent read, the second reads the store, so that not every instance does.
@@ -61,7 +61,7 @@
 pub struct SessionService {
     settings: RefCell<Rc<ServiceSettings>>,
     /// Clock of the process.
-    pub clock: ServiceClock,
+    pub clock: BootClock,
     /// Configuration in force.
     pub config_view: ConfigView,
     /// Requests a read of the store from the control loop.
@@ -110,7 +110,7 @@
         let name = settings.name.clone();
         Rc::new_cyclic(|weak_self| Self {
             settings: RefCell::new(Rc::new(settings)),
-            clock: ServiceClock,
+            clock: BootClock,
             config_view: ConfigView::default(),
             refresh_requested: Notify::new(),
             snapshot_applied: Notify::new(),
--- a/crates/coriander_service/tests/access.rs
+++ b/crates/coriander_service/tests/access.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use coriander_service::{ServiceClock, ServicePhase, ServiceSettings};
+use coriander_service::{BootClock, ServicePhase, ServiceSettings};
 use coriander_service_api::{FailureCode, FailureReason, MemberRole, ReadFreshness, SessionHost};
 
 use support::{
@@ -56,7 +56,7 @@
 async fn apply_snapshot_measures_config_age_from_the_start_of_the_read() {
     let group = FakeGroup::new(&["a"]);
     let service = start_with(&group, settings(Duration::from_millis(400))).await;
-    let sent_at = ServiceClock.now();
+    let sent_at = BootClock.now();
     tokio::time::sleep(Duration::from_millis(200)).await;
     let snapshot = snapshot(config(1, ReadFreshness::Newest), group.entries());
     service.apply_snapshot(&snapshot, sent_at);
@@ -86,7 +86,7 @@
     entries[1].zone = "mohammedia".into();
     let mut evacuated = snapshot(config(1, ReadFreshness::Newest), entries);
     evacuated.evacuated_zones = vec!["mohammedia".into()];
-    service.apply_snapshot(&evacuated, ServiceClock.now());
+    service.apply_snapshot(&evacuated, BootClock.now());
     let mut session = open(&service).await;
     for index in 0..6 {
         let response = run(&mut session, &format!("q{index}"), "READ 1").await;
--- a/crates/coriander_service/tests/admission.rs
+++ b/crates/coriander_service/tests/admission.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use coriander_service::{PeerSocket, ServiceClock, ServiceSettings, SessionService};
+use coriander_service::{BootClock, PeerSocket, ServiceSettings, SessionService};
 use coriander_service_api::{ClientAccount, FailureReason, InstanceEntry, ReadFreshness};
 use tokio::net::UdpSocket;
 
@@ -65,7 +65,7 @@
     let secret: Arc<[u8]> = Arc::from([7; 32].as_slice());
     snapshot.fleet_secret = Some(secret);
     for service in &services {
-        service.apply_snapshot(&snapshot, ServiceClock.now());
+        service.apply_snapshot(&snapshot, BootClock.now());
     }
     services
 }
--- a/crates/coriander_service/tests/duty_lease.rs
+++ b/crates/coriander_service/tests/duty_lease.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use coriander_service::{ServiceClock, rank_delay};
+use coriander_service::{BootClock, rank_delay};
 use coriander_service_api::{DutyLease, ReadFreshness};
 
 use support::{FakeGroup, config, snapshot, start};
@@ -57,11 +57,11 @@
         address: None,
         token: 7,
     });
-    service.apply_snapshot(&held, ServiceClock.now());
-    service.promotion_duty.record_renewal(ServiceClock.now());
+    service.apply_snapshot(&held, BootClock.now());
+    service.promotion_duty.record_renewal(BootClock.now());
     assert_eq!(service.promotion_token(), Some(7));
     service.promotion_duty.retire();
-    service.apply_snapshot(&held, ServiceClock.now());
+    service.apply_snapshot(&held, BootClock.now());
     assert_eq!(service.promotion_token(), None);
     service.promotion_duty.record_acquired(9);
     assert_eq!(service.promotion_token(), None);
--- a/crates/coriander_service/tests/promotions.rs
+++ b/crates/coriander_service/tests/promotions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use coriander_service::{PromotionTask, ServiceClock, SessionService};
+use coriander_service::{BootClock, PromotionTask, SessionService};
 use coriander_service_api::{
     DesignatedPrimary, DutyLease, FailureCode, MemberRole, PromotionApi, PromotionError,
     ReadFreshness,
@@ -83,8 +83,8 @@
         address: None,
         token,
     });
-    service.apply_snapshot(&snapshot, ServiceClock.now());
-    service.promotion_duty.record_renewal(ServiceClock.now());
+    service.apply_snapshot(&snapshot, BootClock.now());
+    service.promotion_duty.record_renewal(BootClock.now());
 }
 
 fn start_promotions(
@@ -181,8 +181,8 @@
         address: None,
         token: 12,
     });
-    service.apply_snapshot(&snapshot, ServiceClock.now());
-    service.promotion_duty.record_renewal(ServiceClock.now());
+    service.apply_snapshot(&snapshot, BootClock.now());
+    service.promotion_duty.record_renewal(BootClock.now());
     start_promotions_with(&service, &group, &api, &FakeStore::new(12));
     wait_until("promotion", || !api.calls.borrow().is_empty()).await;
     let is_demoted = || group.member("a").role.get() == MemberRole::Replica;
@@ -220,7 +220,7 @@
     let api = FakePromotionApi::new(&group);
     hold_promotion_duty(&service, &group, 41);
     set_platform_fences(&service, platform_fences);
-    let long_ago = ServiceClock.now().saturating_sub(Duration::from_secs(4));
+    let long_ago = BootClock.now().saturating_sub(Duration::from_secs(4));
     service.promotion_duty.record_renewal(long_ago);
     group.member("a").reachable.set(false);
     start_promotions(&service, &group, &api);
@@ -229,7 +229,7 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(api.calls.borrow().is_empty());
     set_platform_fences(&service, true);
-    service.promotion_duty.record_renewal(ServiceClock.now());
+    service.promotion_duty.record_renewal(BootClock.now());
     wait_until("promotion", || !api.calls.borrow().is_empty()).await;
 }
 
@@ -270,7 +270,7 @@
     let mut entries = group.entries();
     entries.retain(|entry| listed.contains(&&*entry.id));
     for _ in 0..10 {
-        service.promotion_duty.record_renewal(ServiceClock.now());
+        service.promotion_duty.record_renewal(BootClock.now());
         apply(&service, config(1, ReadFreshness::Newest), entries.clone());
         run(&mut session, "q3", "READ 1").await;
         tokio::time::sleep(Duration::from_millis(200)).await;
@@ -326,7 +326,7 @@
         group: GROUP.into(),
         member: "b".into(),
     }];
-    service.apply_snapshot(&snapshot, ServiceClock.now());
+    service.apply_snapshot(&snapshot, BootClock.now());
     let mut session = open(&service).await;
     let response = run(&mut session, "q1", "WRITE 1 x").await;
     assert_eq!(code(&response), Some(FailureCode::Busy));
@@ -350,7 +350,7 @@
         api.calls.borrow().is_empty(),
         "another instance may still use the old primary"
     );
-    service.promotion_duty.record_renewal(ServiceClock.now());
+    service.promotion_duty.record_renewal(BootClock.now());
     wait_until("promotion", || !api.calls.borrow().is_empty()).await;
     assert_eq!(api.calls.borrow()[0], ("b".to_owned(), 41));
 }
@@ -413,7 +413,7 @@
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     assert!(api.calls.borrow().is_empty());
     store.is_silent.set(false);
-    service.promotion_duty.record_renewal(ServiceClock.now());
+    service.promotion_duty.record_renewal(BootClock.now());
     wait_until("promotion", || !api.calls.borrow().is_empty()).await;
 }
 
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -7,11 +7,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
+use coriander_peer::{ConnectionId, PeerService, serve_peers};
 use coriander_service::{
-    PeerSocket, RelayClient, RelayServer, ServiceClock, ServicePhase, ServiceSettings,
-    SessionService, SnapshotDigest,
+    BootClock, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer, ServicePhase,
+    ServiceSettings, SessionService, SnapshotDigest,
 };
 use coriander_service_api::{ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness};
+use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
 
 use support::{FakeGroup, code, config, open, run, snapshot};
@@ -53,6 +56,24 @@
     snapshot
 }
 
+/// Returns the codec of the fleet that an instance has joined.
+fn fleet_codec(instance: &Instance) -> FrameCodec {
+    let key = *instance.service.fleet_key.borrow();
+    FrameCodec::new(&key.expect("the secret has been read"))
+}
+
+/// Accepts requests and never replies.
+struct SilentService;
+
+#[async_trait(?Send)]
+impl PeerService<RelayRequest, RelayReply> for SilentService {
+    async fn handle(&self, _: ConnectionId, _: RelayRequest, _: Duration) -> RelayReply {
+        std::future::pending().await
+    }
+
+    fn count_invalid_frame(&self) {}
+}
+
 /// Starts two instances; the members are in the zone of the second one only.
 async fn start_two(group: &Rc<FakeGroup>) -> (Instance, Instance) {
     let remote = start_instance("far", "ain-sebaa", group).await;
@@ -60,9 +81,7 @@
     let entries = vec![remote.entry.clone(), home_instance.entry.clone()];
     let snapshot = fleet_snapshot(group, entries);
     for instance in [&remote, &home_instance] {
-        instance
-            .service
-            .apply_snapshot(&snapshot, ServiceClock.now());
+        instance.service.apply_snapshot(&snapshot, BootClock.now());
     }
     tokio::time::sleep(Duration::from_millis(20)).await;
     (remote, home_instance)
@@ -128,7 +147,7 @@
         created: 1,
     };
     let snapshot = fleet_snapshot(&group, vec![remote.entry.clone(), unreachable]);
-    remote.service.apply_snapshot(&snapshot, ServiceClock.now());
+    remote.service.apply_snapshot(&snapshot, BootClock.now());
     let mut session = open(&remote.service).await;
     let response = run(&mut session, "q1", "READ 1").await;
     assert!(response.result.is_ok(), "{response:?}");
@@ -149,7 +168,12 @@
         created: 1,
     };
     let snapshot = fleet_snapshot(&group, vec![remote.entry.clone(), home_instance]);
-    remote.service.apply_snapshot(&snapshot, ServiceClock.now());
+    remote.service.apply_snapshot(&snapshot, BootClock.now());
+    ntex::rt::spawn(serve_peers(
+        silent,
+        fleet_codec(&remote),
+        Rc::new(SilentService),
+    ));
     let mut session = open(&remote.service).await;
     let response = run(&mut session, "w1", "WRITE 1 x").await;
     let failure = response.result.expect_err("no reply");
@@ -170,9 +194,7 @@
     let entries = vec![first.entry.clone(), second.entry.clone()];
     let snapshot = fleet_snapshot(&group, entries);
     for instance in [&first, &second] {
-        instance
-            .service
-            .apply_snapshot(&snapshot, ServiceClock.now());
+        instance.service.apply_snapshot(&snapshot, BootClock.now());
     }
     tokio::time::sleep(Duration::from_millis(20)).await;
     let readers = [
@@ -198,7 +220,7 @@
     newer.config = Some(config(4, ReadFreshness::Newest).into());
     newer.revision += 1;
     let reader = &remote.service;
-    reader.apply_snapshot(&newer, ServiceClock.now());
+    reader.apply_snapshot(&newer, BootClock.now());
     let relay = &home_instance.service.relay;
     let delta = relay.request_config_delta(remote.entry.address, 1).await;
     let known = config(1, ReadFreshness::Newest);
@@ -243,3 +265,28 @@
     assert_eq!(code(&response), None, "an own connection is used");
     assert_eq!(opened_count(&remote), 1);
 }
+
+#[ntex::test]
+async fn home_instance_starts_no_read_on_a_leaving_member() {
+    // Guards against a relayed read that reaches a member which drains, as only the home instance
+    // knows.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home_instance) = start_two(&group).await;
+    let mut entries = group.entries();
+    entries[0].draining = true;
+    let mut draining = snapshot(config(1, ReadFreshness::Newest), entries);
+    draining.instances = vec![remote.entry.clone(), home_instance.entry.clone()];
+    draining.fleet_secret = Some(Arc::from([7; 32].as_slice()));
+    draining.revision += 1;
+    let freshness = ReadFreshness::OwnWrites { max_age: None };
+    let mut bounded = fleet_snapshot(&group, draining.instances.clone());
+    bounded.config = Some(config(2, freshness).into());
+    remote.service.apply_snapshot(&bounded, BootClock.now());
+    home_instance
+        .service
+        .apply_snapshot(&draining, BootClock.now());
+    let mut session = open(&remote.service).await;
+    let response = run(&mut session, "q", "READ 1").await;
+    assert_eq!(code(&response), Some(FailureCode::Busy));
+    assert!(group.ran_texts().is_empty(), "{:?}", group.ran_texts());
+}
--- a/crates/coriander_service/tests/shutdown.rs
+++ b/crates/coriander_service/tests/shutdown.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
-use coriander_service::{RelayServer, ServiceClock, ServicePhase, ServiceSettings, ShutdownTask};
+use coriander_service::{BootClock, RelayServer, ServicePhase, ServiceSettings, ShutdownTask};
 use coriander_service_api::{
     ClientSession, FailureCode, FailureReason, FleetConfig, ReadFreshness, SessionFailure,
     SessionHost, SessionResponse, TransactionStatus,
@@ -40,13 +40,13 @@
 
     /// Sends the stop signal; the returned task ends when the process exits.
     fn stop(&self) -> (MonotonicTime, tokio::sync::oneshot::Receiver<MonotonicTime>) {
-        let started = ServiceClock.now();
+        let started = BootClock.now();
         let relay = RelayServer::new(&self.service);
         let shutdown = ShutdownTask::new(self.service.clone(), relay, FakeStore::new(1));
         let (sender, exit) = tokio::sync::oneshot::channel();
         ntex::rt::spawn(async move {
             shutdown.run().await;
-            let _ = sender.send(ServiceClock.now());
+            let _ = sender.send(BootClock.now());
         });
         (started, exit)
     }
--- a/crates/coriander_service/tests/support/mod.rs
+++ b/crates/coriander_service/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use async_trait::async_trait;
 use coriander_core::{LogPosition, TermNumber};
-use coriander_service::{PeerSocket, ServiceClock, ServiceSettings, SessionService};
+use coriander_service::{BootClock, PeerSocket, ServiceSettings, SessionService};
 use coriander_service_api::{
     ClientAccount, ClientSession, ClientStatement, ControlSnapshot, DatabaseRoute, FailureCode,
     FleetConfig, GroupLimits, LinkError, MemberConnector, MemberEntry, MemberLink, MemberRefusal,
@@ -489,7 +489,7 @@
 }
 
 pub fn apply(service: &SessionService, config: FleetConfig, members: Vec<MemberEntry>) {
-    service.apply_snapshot(&snapshot(config, members), ServiceClock.now());
+    service.apply_snapshot(&snapshot(config, members), BootClock.now());
 }
 
 pub async fn open(service: &Rc<SessionService>) -> Box<dyn ClientSession> {
--- a/crates/corianderstile/src/proxy.rs
+++ b/crates/corianderstile/src/proxy.rs
@@ -412,10 +412,16 @@
 
 #[async_trait(?Send)]
 impl PeerService<PeerRequest, PeerReply> for PeerHandler {
-    async fn handle(&self, _connection: ConnectionId, request: PeerRequest) -> PeerReply {
+    async fn handle(
+        &self,
+        _connection: ConnectionId,
+        request: PeerRequest,
+        remaining: Duration,
+    ) -> PeerReply {
         let proxy = &self.0;
         match request {
-            PeerRequest::Forward(forward) => {
+            PeerRequest::Forward(mut forward) => {
+                forward.remaining = forward.remaining.min(remaining);
                 let is_open = forward.stream.is_some();
                 if !is_open && proxy.membership.admission() != WorkAdmission::Serve {
                     return PeerReply::Forwarded(Err(proxy.membership.refusal()));
