Close a connection whose state the member has not confirmed

Cause: PooledConnection recorded a RESET as done before its reply; when the member refused it, the connection went back to the pool as one without values. A refused SET after a RESET left values on record that the member had dropped (found here).

Change: a change of state is recorded after its reply and counts as unknown until then; the pool closes what is released in unknown state, next to connections with unread replies.

Why it works: there is one place where connections return to the pool, and only a confirmed state passes it.

Evidence: connection_whose_reset_was_refused_is_not_reused and connection_whose_value_was_refused_after_a_reset_is_not_reused failed before (values tz=utc for a session without, none for the session with them) and pass.

--- a/crates/coriander_service/src/pooled_connection.rs
+++ b/crates/coriander_service/src/pooled_connection.rs
@@ -24,6 +24,8 @@
     /// Whether an exchange was started and its replies were not all read; they would be taken for
     /// those of the next one.
     has_unread_replies: bool,
+    /// Whether the member has the values and prepared statements that are recorded here.
+    is_state_known: bool,
     /// Time of the last acquisition or release.
     pub(crate) last_used: MonotonicTime,
 }
@@ -38,6 +40,7 @@
             prepared: HashMap::new(),
             last_name_number: 0,
             has_unread_replies: false,
+            is_state_known: true,
             last_used: now,
         }
     }
@@ -56,7 +59,22 @@
 
     /// Returns whether another operation may use the connection.
     pub fn is_reusable(&self) -> bool {
-        !self.has_unread_replies
+        !self.has_unread_replies && self.is_state_known
+    }
+
+    /// Sends statements that change values or drop prepared statements; fails with the first
+    /// refusal, after which the state of the connection is unknown.
+    async fn change_state(
+        &mut self,
+        statements: &[MemberStatement],
+        timeout: Duration,
+    ) -> Result<(), LinkError> {
+        self.is_state_known = false;
+        for reply in self.run(statements, timeout).await? {
+            reply.result?;
+        }
+        self.is_state_known = true;
+        Ok(())
     }
 
     /// Sets the values of a session on the connection; fails with the first refusal.
@@ -72,10 +90,7 @@
         if statements.contains(&MemberStatement::Reset) {
             self.prepared.clear();
         }
-        let replies = self.run(&statements, timeout).await?;
-        for reply in replies {
-            reply.result?;
-        }
+        self.change_state(&statements, timeout).await?;
         self.values = values.clone();
         Ok(())
     }
@@ -90,11 +105,10 @@
             return Ok(name.clone());
         }
         if self.prepared.len() >= MAX_PREPARED {
-            let values = std::mem::take(&mut self.values);
+            self.change_state(&[MemberStatement::Reset], timeout)
+                .await?;
             self.prepared.clear();
-            for reply in self.run(&[MemberStatement::Reset], timeout).await? {
-                reply.result?;
-            }
+            let values = std::mem::take(&mut self.values);
             self.apply_values(&values, timeout).await?;
         }
         self.last_name_number += 1;
--- a/crates/coriander_service/tests/connections.rs
+++ b/crates/coriander_service/tests/connections.rs
@@ -7,10 +7,14 @@
 
 use coriander_service::SessionService;
 use coriander_service_api::{
-    ClientAccount, ControlSnapshot, FailureCode, FailureReason, ReadFreshness, SessionHost,
+    AccessMode, ClientAccount, ClientSession, ClientStatement, ControlSnapshot, FailureCode,
+    FailureReason, PreparedShape, ReadFreshness, SessionHost, StatementKind,
 };
 
-use support::{DATABASE, FakeGroup, GROUP, apply, code, config, open, run, start};
+use support::{DATABASE, FakeGroup, Fault, GROUP, apply, code, config, open, run, start};
+
+/// Number of prepared statements of a connection above which it is reset.
+const MAX_PREPARED: usize = 256;
 
 const HANDSHAKE: Duration = Duration::from_millis(27);
 
@@ -189,6 +193,83 @@
     assert_eq!(group.member("a").open_connections.get(), 0);
 }
 
+/// Executes a statement prepared under a name that is unique to its shape.
+async fn execute_shape(session: &mut Box<dyn ClientSession>, shape: &str) -> Option<FailureCode> {
+    let prepare = StatementKind::Prepare {
+        name: shape.into(),
+        shape: PreparedShape {
+            access: AccessMode::Read,
+            shape: shape.into(),
+        },
+    };
+    session
+        .execute(ClientStatement::new("p", "PREPARE", prepare))
+        .await;
+    let execute = StatementKind::Execute {
+        name: shape.into(),
+        arguments: "1".into(),
+    };
+    let statement = ClientStatement::new("e", "EXECUTE", execute);
+    code(&session.execute(statement).await)
+}
+
+async fn set_value(session: &mut Box<dyn ClientSession>, name: &str, value: &str) {
+    let kind = StatementKind::Set {
+        name: name.into(),
+        value: value.into(),
+    };
+    session
+        .execute(ClientStatement::new("s", "SET", kind))
+        .await;
+}
+
+fn values_of(group: &FakeGroup, id: &str) -> Vec<(String, String)> {
+    let ran = group.ran_statements.borrow();
+    let statement = ran.iter().find(|statement| statement.id == id);
+    statement.expect("has run").values.clone()
+}
+
+#[ntex::test]
+async fn connection_whose_reset_was_refused_is_not_reused() {
+    // Guards against reads that run with the values of another session.
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    let mut first = open(&service).await;
+    set_value(&mut first, "tz", "utc").await;
+    for number in 0..MAX_PREPARED {
+        assert_eq!(execute_shape(&mut first, &format!("q{number}")).await, None);
+    }
+    run(&mut first, "b", "BEGIN").await;
+    assert_eq!(code(&run(&mut first, "q", "READ 1").await), None);
+    group.add_fault("a", "RESET", Fault::Refuse(FailureCode::Busy));
+    assert!(execute_shape(&mut first, "one more").await.is_some());
+    run(&mut first, "b", "ROLLBACK").await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let mut second = open(&service).await;
+    assert_eq!(code(&run(&mut second, "r", "READ 1").await), None);
+    assert_eq!(values_of(&group, "r"), []);
+}
+
+#[ntex::test]
+async fn connection_whose_value_was_refused_after_a_reset_is_not_reused() {
+    // Guards against reads that run without the values of their session.
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    let mut first = open(&service).await;
+    set_value(&mut first, "tz", "utc").await;
+    assert_eq!(code(&run(&mut first, "r1", "READ 1").await), None);
+    let mut second = open(&service).await;
+    set_value(&mut second, "lang", "fr").await;
+    for _ in 0..20 {
+        group.add_fault("a", "SET", Fault::Refuse(FailureCode::Failed));
+    }
+    run(&mut second, "r2", "READ 1").await;
+    group.member("a").faults.borrow_mut().clear();
+    assert_eq!(code(&run(&mut first, "r3", "READ 1").await), None);
+    let expected = [("tz".to_owned(), "utc".to_owned())];
+    assert_eq!(values_of(&group, "r3"), expected);
+}
+
 #[ntex::test]
 async fn connection_of_an_abandoned_statement_is_not_reused() {
     // Guards against a reply that is taken for the one to the next statement.
