--- a/crates/coriander_service/src/control_loop.rs
+++ b/crates/coriander_service/src/control_loop.rs
@@ -167,6 +167,9 @@
     match store.read_all().await {
         Ok(snapshot) => {
             service.metrics.count_store_call("ok");
+            service
+                .metrics
+                .set_entries_left_out(snapshot.entries_left_out);
             if reads.is_failing() {
                 log::info!("store is reachable again");
             }
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -74,6 +74,7 @@
     attempts: Family<GroupLabels, Counter>,
     attempt_time: Family<MemberGroupLabel, Histogram, fn() -> Histogram>,
     store_calls: Family<ResultLabel, Counter>,
+    entries_left_out: Gauge,
     promotions: Family<GroupLabels, Counter>,
     promotion_time: Histogram,
     sessions: Gauge,
@@ -93,6 +94,7 @@
             attempts: Family::default(),
             attempt_time: Family::new_with_constructor(latency_histogram),
             store_calls: Family::default(),
+            entries_left_out: Gauge::default(),
             promotions: Family::default(),
             promotion_time: latency_histogram(),
             sessions: Gauge::default(),
@@ -143,6 +145,11 @@
             "Reads of the platform's store by result",
             self.store_calls.clone(),
         );
+        registry.register(
+            "store_entries_left_out",
+            "Invalid entries in the last read of the platform's store",
+            self.entries_left_out.clone(),
+        );
         registry.register(
             "promotions",
             "Promotion steps by group and result",
@@ -228,6 +235,12 @@
         self.store_calls.get_or_create(&label).inc();
     }
 
+    /// Sets the number of invalid entries in the last read of the store.
+    pub fn set_entries_left_out(&self, count: u64) {
+        self.entries_left_out
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a step of a promotion.
     pub fn count_promotion(&self, group: &str, result: &'static str) {
         self.promotions
--- a/crates/coriander_service/src/store_update.rs
+++ b/crates/coriander_service/src/store_update.rs
@@ -93,6 +93,7 @@
         fleet_secret: snapshot.fleet_secret.clone(),
         duty_lease: snapshot.duty_lease.clone(),
         primaries: snapshot.primaries.clone(),
+        entries_left_out: snapshot.entries_left_out,
     }
 }
 
--- a/crates/coriander_service_api/src/control_store.rs
+++ b/crates/coriander_service_api/src/control_store.rs
@@ -122,6 +122,8 @@
     pub duty_lease: Option<DutyLease>,
     /// Designated primaries; groups without a promotion have none.
     pub primaries: Vec<DesignatedPrimary>,
+    /// Number of invalid entries that were left out.
+    pub entries_left_out: u64,
 }
 
 /// Identifier of a lease in the store.
