Abort open transactions in a zone that was taken out of service

What the rule allows: DRAIN counts single statements and the first of a transaction; EVAC has no such sentence, so statements of an open transaction count.

Cause: a member is checked when a transaction takes it; later statements only use the connection.

Change: each statement and COMMIT of an open transaction checks the member's zone; after 3 s the transaction is aborted with a promise. Draining members keep their transactions.

Evidence: transaction_in_an_evacuated_zone_ends_after_a_while failed before (the read ran) and passes.

--- a/crates/coriander_service/src/member.rs
+++ b/crates/coriander_service/src/member.rs
@@ -189,6 +189,12 @@
         !self.is_leaving() || (needs_primary && self.is_allowed_as_primary(now))
     }
 
+    /// Returns whether an open transaction may go on at the member. On a draining one it may end; in
+    /// a zone that is taken out of service it has as long as a primary there.
+    pub fn may_continue(&self, now: MonotonicTime) -> bool {
+        !self.is_zone_evacuated() || self.is_allowed_as_primary(now)
+    }
+
     /// Records a statement sent at `at`.
     pub fn record_statement_sent(&self, at: MonotonicTime) {
         self.outstanding.borrow_mut().push(at);
--- a/crates/coriander_service/src/operation.rs
+++ b/crates/coriander_service/src/operation.rs
@@ -424,6 +424,7 @@
         return open_transaction(context, transaction, statement).await;
     };
     let member = link.member.clone();
+    check_member(context, &member)?;
     let mut plan = context.plan(&member, statement, context.time_remaining());
     plan.keep_reserved = true;
     match context.exchange(&mut link, &plan).await.result {
@@ -441,6 +442,15 @@
     }
 }
 
+/// Checks that an open transaction may go on at its member. Dropping its connection rolls back.
+fn check_member(context: &OperationContext<'_>, member: &Member) -> Result<(), SessionFailure> {
+    if member.may_continue(context.now()) {
+        return Ok(());
+    }
+    let detail = "availability zone of the member is out of service";
+    Err(aborted(FailureReason::NoMember, detail))
+}
+
 fn broken_transaction(error: &ExchangeError) -> SessionFailure {
     match error {
         ExchangeError::NoReply(link) | ExchangeError::NotSent(PoolError::Connect(link)) => {
@@ -465,6 +475,7 @@
     };
     let mut backoff = BusyBackoff::default();
     loop {
+        check_member(context, &link.member)?;
         let mut plan = context.plan(&link.member, statement, context.time_remaining());
         plan.keep_reserved = true;
         let reply = match context.exchange(&mut link, &plan).await.result {
--- a/crates/coriander_service/tests/transactions.rs
+++ b/crates/coriander_service/tests/transactions.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_service::SessionService;
+use coriander_service::{BootClock, SessionService};
 use coriander_service_api::{
     ClientAccount, ClientSession, FailureCode, FailureReason, FleetConfig, MemberRole,
     ReadFreshness, TransactionStatus,
 };
 
-use support::{FakeGroup, Fault, KEY, apply, code, config, open, run, start};
+use support::{FakeGroup, Fault, KEY, apply, code, config, open, run, snapshot, start};
 
 const BOUNDED: ReadFreshness = ReadFreshness::Bounded {
     max_age: Duration::from_millis(1_500),
@@ -285,3 +285,33 @@
     assert_eq!(failure.reason, FailureReason::KeyNotInConfig);
     assert_eq!(group.member("a").applied_index.get(), 10);
 }
+
+#[ntex::test]
+async fn transaction_in_an_evacuated_zone_ends_after_a_while() {
+    // Guards against statements that reach members of a zone long after it was taken out of service.
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::OwnWrites { max_age: None }).await;
+    let mut sessions = [open(&service).await, open(&service).await];
+    let mut entries = group.entries();
+    for entry in &mut entries {
+        entry.zone = "mohammedia".into();
+    }
+    let mut evacuated = snapshot(config(2, ReadFreshness::Newest), entries);
+    evacuated.evacuated_zones = vec!["mohammedia".into()];
+    for session in &mut sessions {
+        run(session, "b", "BEGIN READ").await;
+        assert_eq!(code(&run(session, "q1", "READ 1").await), None);
+    }
+    service.apply_snapshot(&evacuated, BootClock.now());
+    for session in &mut sessions {
+        let response = run(session, "q2", "READ 1").await;
+        assert_eq!(code(&response), None, "the transaction may end");
+    }
+    tokio::time::sleep(Duration::from_millis(3_100)).await;
+    let response = run(&mut sessions[0], "late", "READ 1").await;
+    assert_eq!(code(&response), Some(FailureCode::Aborted));
+    let response = run(&mut sessions[1], "late", "COMMIT").await;
+    assert_eq!(code(&response), Some(FailureCode::Aborted));
+    let ran = group.ran_statements.borrow();
+    assert!(ran.iter().all(|statement| statement.id != "late"));
+}
