Split the statements of transactions from operation

operation.rs had grown over 500 lines and held single statements and transactions. transaction.rs holds the latter; nothing but names' visibility changes.

--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -51,6 +51,7 @@
 mod store_update;
 mod store_view;
 mod term_lineage;
+mod transaction;
 mod warm_up_gate;
 
 pub use busy_backoff::BusyBackoff;
--- a/crates/coriander_service/src/operation.rs
+++ b/crates/coriander_service/src/operation.rs
@@ -1,4 +1,4 @@
-//! Runs statements: chooses a member, retries what was not run, and reports the outcome.
+//! Runs single statements: chooses a member, retries what was not run, and reports the outcome.
 
 use std::borrow::Cow;
 use std::cell::RefCell;
@@ -8,16 +8,13 @@
 
 use coriander_core::{LogPosition, MonotonicTime};
 use coriander_service_api::{
-    FailureCode, FailureReason, ReadFreshness, SessionFailure, SessionValues, TransactionStatus,
+    FailureCode, FailureReason, ReadFreshness, SessionFailure, SessionValues,
 };
 use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
 use crate::access::GrantedAccess;
-use crate::attempt::{
-    Attempt, CompletedStatement, aborted, evaluate_reply, in_doubt, link_reason, no_connection,
-    record_refusal,
-};
+use crate::attempt::{Attempt, CompletedStatement, evaluate_reply, no_connection};
 use crate::busy_backoff::BusyBackoff;
 use crate::database_group::DatabaseGroup;
 use crate::exchange::{
@@ -28,7 +25,6 @@
 use crate::operation_link::OperationLink;
 use crate::operation_trace::{AttemptTrace, OperationTrace};
 use crate::service::SessionService;
-use crate::session::OpenTransaction;
 
 /// Fraction of the statement timeout after which a read is retried on another member.
 const READ_ATTEMPT_FRACTION: f64 = 0.45;
@@ -48,13 +44,13 @@
 
 /// Minimum time in which a member can be expected to reply. With less time remaining a statement is
 /// not sent, because its reply would come too late for the caller.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(60);
+pub const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(60);
 
 /// Delay after which a caller should retry while its group has no primary.
 pub const PRIMARY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Members that have been tried for one operation.
-type TriedMembers = SmallVec<[Arc<str>; 4]>;
+pub type TriedMembers = SmallVec<[Arc<str>; 4]>;
 
 /// State that one operation needs.
 pub struct OperationContext<'a> {
@@ -76,7 +72,7 @@
 
 /// What a member must confirm before it may serve a read.
 #[derive(Clone, Copy)]
-enum ReadRequirement {
+pub enum ReadRequirement {
     /// It is the primary.
     Primary,
     /// Its log contains a position, if there is one.
@@ -89,13 +85,14 @@
         self.service.clock.now()
     }
 
-    fn time_remaining(&self) -> Duration {
+    /// Returns the time until the deadline.
+    pub fn time_remaining(&self) -> Duration {
         self.deadline.since(self.now())
     }
 
     /// Waits before the next attempt at busy members. Returns false if no time would be left for
     /// it.
-    async fn wait_for_busy_members(&self, backoff: &mut BusyBackoff) -> bool {
+    pub async fn wait_for_busy_members(&self, backoff: &mut BusyBackoff) -> bool {
         let remaining = self.time_remaining().saturating_sub(MIN_ATTEMPT_TIME);
         let Some(delay) = backoff.next_delay(remaining, rand::random()) else {
             return false;
@@ -111,7 +108,8 @@
             .primary_use_remaining(group, &member.id, self.now())
     }
 
-    fn plan(
+    /// Returns the plan of a statement at a member, outside a transaction.
+    pub fn plan(
         &self,
         member: &Member,
         statement: &PlannedStatement,
@@ -135,7 +133,7 @@
     }
 
     /// Executes a plan and records the attempt.
-    async fn exchange(&self, link: &mut OperationLink, plan: &ExchangePlan) -> ExchangeOutcome {
+    pub async fn exchange(&self, link: &mut OperationLink, plan: &ExchangePlan) -> ExchangeOutcome {
         let started = self.now();
         let outcome = match self.limit_primary_use(plan) {
             Some(plan) => link.exchange(&plan).await,
@@ -173,7 +171,8 @@
         Some(Cow::Owned(plan))
     }
 
-    fn read_requirement(&self) -> ReadRequirement {
+    /// Returns what a member must confirm before it may serve a read of the route.
+    pub fn read_requirement(&self) -> ReadRequirement {
         let freshness = self.access.route.freshness;
         if freshness == ReadFreshness::Newest {
             return ReadRequirement::Primary;
@@ -237,7 +236,7 @@
     }
 
     /// Chooses a member for a read and records it as tried.
-    async fn choose_member(
+    pub async fn choose_member(
         &self,
         requirement: ReadRequirement,
         tried: &mut TriedMembers,
@@ -345,159 +344,3 @@
     let outcome = context.exchange(&mut link, &plan).await;
     evaluate_reply(context, &member, outcome.result, false)
 }
-
-/// Runs the first statement of a transaction, retrying while nothing was run.
-async fn open_transaction(
-    context: &OperationContext<'_>,
-    transaction: &mut OpenTransaction,
-    statement: &PlannedStatement,
-) -> Result<CompletedStatement, SessionFailure> {
-    let mut tried = TriedMembers::new();
-    let mut backoff = BusyBackoff::default();
-    let mut failure = None;
-    while context.time_remaining() > MIN_ATTEMPT_TIME {
-        match attempt_begin(context, transaction, statement, &mut tried).await {
-            Attempt::Completed(completed) => return Ok(completed),
-            Attempt::Failed(failure) => return Err(failure),
-            Attempt::Retry(retry) => {
-                failure = Some(retry);
-                if !context.wait_for_busy_members(&mut backoff).await {
-                    break;
-                }
-            }
-        }
-    }
-    Err(failure.unwrap_or_else(no_connection))
-}
-
-async fn attempt_begin(
-    context: &OperationContext<'_>,
-    transaction: &mut OpenTransaction,
-    statement: &PlannedStatement,
-    tried: &mut TriedMembers,
-) -> Attempt {
-    let requirement = if transaction.read_only {
-        context.read_requirement()
-    } else {
-        ReadRequirement::Primary
-    };
-    let member = match context.choose_member(requirement, tried).await {
-        Ok(member) => member,
-        Err(failure) => return Attempt::Failed(failure),
-    };
-    let mut plan = context.plan(&member, statement, context.time_remaining());
-    plan.keep_reserved = true;
-    plan.begin = Some(match requirement {
-        ReadRequirement::Primary => PlannedBegin {
-            read_only: false,
-            min_position: None,
-        },
-        ReadRequirement::MinPosition(min_position) => PlannedBegin {
-            read_only: true,
-            min_position,
-        },
-    });
-    let mut link = OperationLink::new(context.service, &context.group, &member);
-    let outcome = context.exchange(&mut link, &plan).await;
-    let result = match outcome.result {
-        // Anything that ran is rolled back when the connection closes; a COMMIT had no writes to
-        // keep.
-        Err(ExchangeError::NoReply(lost)) => {
-            return Attempt::Failed(aborted(link_reason(&lost), &lost.to_string()));
-        }
-        result => result,
-    };
-    let attempt = evaluate_reply(context, &member, result, false);
-    if matches!(attempt, Attempt::Completed(_)) && !statement.commits {
-        transaction.link = Some(link);
-    }
-    attempt
-}
-
-/// Runs a statement of an open transaction. After a failure the caller must drop the transaction.
-pub async fn run_in_transaction(
-    context: &OperationContext<'_>,
-    transaction: &mut OpenTransaction,
-    statement: &PlannedStatement,
-) -> Result<CompletedStatement, SessionFailure> {
-    let Some(mut link) = transaction.link.take() else {
-        return open_transaction(context, transaction, statement).await;
-    };
-    let member = link.member.clone();
-    check_member(context, &member)?;
-    let mut plan = context.plan(&member, statement, context.time_remaining());
-    plan.keep_reserved = true;
-    match context.exchange(&mut link, &plan).await.result {
-        Ok(reply) => {
-            let completed = CompletedStatement::new(reply).map_err(|refusal| {
-                record_refusal(context, &member, refusal.code, None);
-                SessionFailure::new(refusal.code, FailureReason::MemberRefused)
-                    .with_detail(refusal.detail)
-            })?;
-            transaction.link = Some(link);
-            Ok(completed)
-        }
-        // The connection is closed, so the member rolls back; no COMMIT was sent.
-        Err(error) => Err(broken_transaction(&error)),
-    }
-}
-
-/// Checks that an open transaction may go on at its member. Dropping its connection rolls back.
-fn check_member(context: &OperationContext<'_>, member: &Member) -> Result<(), SessionFailure> {
-    if member.may_continue(context.now()) {
-        return Ok(());
-    }
-    let detail = "availability zone of the member is out of service";
-    Err(aborted(FailureReason::NoMember, detail))
-}
-
-fn broken_transaction(error: &ExchangeError) -> SessionFailure {
-    match error {
-        ExchangeError::NoReply(link) | ExchangeError::NotSent(PoolError::Connect(link)) => {
-            aborted(link_reason(link), &link.to_string())
-        }
-        ExchangeError::Declined(code, _) => aborted(FailureReason::MemberRefused, code.label()),
-        ExchangeError::NotSent(error @ PoolError::PrimaryUnconfirmed) => {
-            aborted(FailureReason::NoPrimary, &error.to_string())
-        }
-        ExchangeError::NotSent(error) => aborted(FailureReason::NoConnection, &error.to_string()),
-    }
-}
-
-/// Commits the transaction with the client's own statement.
-pub async fn run_commit(
-    context: &OperationContext<'_>,
-    transaction: &mut OpenTransaction,
-    statement: &PlannedStatement,
-) -> Result<CompletedStatement, SessionFailure> {
-    let Some(mut link) = transaction.link.take() else {
-        return open_transaction(context, transaction, statement).await;
-    };
-    let mut backoff = BusyBackoff::default();
-    loop {
-        check_member(context, &link.member)?;
-        let mut plan = context.plan(&link.member, statement, context.time_remaining());
-        plan.keep_reserved = true;
-        let reply = match context.exchange(&mut link, &plan).await.result {
-            Ok(reply) => reply,
-            // Nothing was written, so nothing can be kept.
-            Err(error) if !transaction.has_written => return Err(broken_transaction(&error)),
-            Err(ExchangeError::NoReply(lost)) => return Err(in_doubt(&lost)),
-            Err(error) => return Err(broken_transaction(&error)),
-        };
-        let open = reply.transaction == TransactionStatus::Open;
-        let refusal = match CompletedStatement::new(reply) {
-            Ok(completed) => return Ok(completed),
-            Err(refusal) => refusal,
-        };
-        if refusal.code == FailureCode::Busy
-            && open
-            && context.wait_for_busy_members(&mut backoff).await
-        {
-            continue;
-        }
-        record_refusal(context, &link.member, refusal.code, None);
-        let failure = SessionFailure::new(refusal.code, FailureReason::MemberRefused);
-        return Err(failure.with_detail(refusal.detail));
-    }
-}
--- a/crates/coriander_service/src/session.rs
+++ b/crates/coriander_service/src/session.rs
@@ -15,11 +15,12 @@
 
 use crate::access::GrantedAccess;
 use crate::exchange::PlannedStatement;
-use crate::operation::{OperationContext, run_commit, run_in_transaction, run_single};
+use crate::operation::{OperationContext, run_single};
 use crate::operation_link::OperationLink;
 use crate::operation_trace::OperationTrace;
 use crate::request_log::{EndedStatement, kind_label};
 use crate::service::{ServicePhase, SessionService};
+use crate::transaction::{run_commit, run_in_transaction};
 
 /// Interval at which an idle session checks whether it should close.
 const IDLE_CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
