Start the wait for a whole log anew with each outage

Cause, found when the diff was read: the time since which no candidate had a whole log was only cleared by a candidate with one, so an earlier outage, or the start of the fleet, counted, and a log with discarded commits could be promoted at once. Records that were removed from a full list, and none from before the first one, were taken for none at all.

Change: the wait ends when the group needs no promotion or this instance may not promote; terms before the oldest record count as unknown.

Evidence: wait_for_a_whole_log_starts_anew_with_each_outage (new); term_lineage as before.

--- a/crates/coriander_service/src/promotion_cause.rs
+++ b/crates/coriander_service/src/promotion_cause.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns the cause for a promotion, if there is one.
-    pub fn promotion_cause(&self) -> Option<PromotionCause> {
+    pub fn promotion_cause(self) -> Option<PromotionCause> {
         if self.failing_for >= OUTAGE_DELAY {
             // If no other instance reports the outage, this instance is cut off rather than the
             // primary.
--- a/crates/coriander_service/src/promotion_task.rs
+++ b/crates/coriander_service/src/promotion_task.rs
@@ -112,15 +112,13 @@
         if let Some(primary) = &primary {
             self.report_outage(group, primary, now);
         }
-        if self.service.promotion_token().is_none()
-            || self.promoting_groups.borrow().contains(&group.name)
-        {
+        if self.promoting_groups.borrow().contains(&group.name) {
             return;
         }
-        let Some(cause) = self
-            .observe_primary(group, primary.as_ref(), now)
-            .promotion_cause()
-        else {
+        let token = self.service.promotion_token();
+        let observation = token.map(|_| self.observe_primary(group, primary.as_ref(), now));
+        let Some(cause) = observation.and_then(PrimaryObservation::promotion_cause) else {
+            self.no_whole_log_since.borrow_mut().remove(&group.name);
             return;
         };
         self.promoting_groups
@@ -303,6 +301,11 @@
         }
     }
 
+    /// Returns whether the group waits for a member with a whole log.
+    pub fn is_waiting_for_whole_log(&self, group: &str) -> bool {
+        self.no_whole_log_since.borrow().contains_key(group)
+    }
+
     /// Returns for how long no candidate of a group has had a whole log.
     fn time_without_whole_log(
         &self,
--- a/crates/coriander_service/src/term_lineage.rs
+++ b/crates/coriander_service/src/term_lineage.rs
@@ -51,7 +51,7 @@
             !origin.is_certain || newest_certain == Some(*index)
         };
         let mut newest = self.origins.iter().enumerate().filter(possible);
-        !self.is_forgotten(position) && newest.all(|(index, _)| self.admits(index, position))
+        !self.is_unknown(position) && newest.all(|(index, _)| self.admits(index, position))
     }
 
     /// Returns whether a log that ends at `position` is part of the log of a promoted member.
@@ -71,11 +71,10 @@
         earlier.all(|earlier| self.admits(earlier, position))
     }
 
-    /// Returns whether promotions that concern a position may have been removed.
-    fn is_forgotten(&self, position: LogPosition) -> bool {
+    /// Returns whether a promotion that concerns a position may not be recorded, or no longer.
+    fn is_unknown(&self, position: LogPosition) -> bool {
         let oldest = self.origins.first();
-        self.origins.len() == MAX_ORIGINS
-            && oldest.is_some_and(|oldest| position.term < oldest.parent.term)
+        oldest.is_some_and(|oldest| position.term < oldest.parent.term)
     }
 
     /// Records a promotion before it is requested. `parent` is the end of the member's log, and
--- a/crates/coriander_service/tests/promotions.rs
+++ b/crates/coriander_service/tests/promotions.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use coriander_core::{LogPosition, TermNumber};
 use coriander_service::{BootClock, PromotionTask, SessionService};
 use coriander_service_api::{
-    DesignatedPrimary, DutyLease, FailureCode, MemberRole, PromotionApi, PromotionError,
-    ReadFreshness,
+    ControlStore, DesignatedPrimary, DutyLease, FailureCode, LineageRecord, MemberRole,
+    PromotionApi, PromotionError, ReadFreshness, TermOrigin,
 };
 
 use support::fake_store::FakeStore;
@@ -438,3 +439,37 @@
     assert_eq!(api.calls.borrow().len(), 1);
     assert_eq!(service.promotion_duty.spent_token(), Some(41));
 }
+
+#[ntex::test]
+async fn wait_for_a_whole_log_starts_anew_with_each_outage() {
+    // Guards against an earlier outage, such as the time before the first members were listed, that
+    // counts as the wait for a whole log.
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    let (api, store) = (FakePromotionApi::new(&group), FakeStore::new(41));
+    let origin = TermOrigin {
+        member: "c".into(),
+        term: TermNumber::new(2),
+        previous_term: TermNumber::new(1),
+        parent: LogPosition::new(TermNumber::new(1), 5),
+        is_certain: false,
+    };
+    let record = LineageRecord {
+        group: GROUP.into(),
+        origins: vec![origin],
+        revision: 0,
+    };
+    store.write_lineage(&record, 41).await.expect("written");
+    hold_promotion_duty(&service, &group, 41);
+    let waits = PromotionTask::new(service.clone(), group.clone(), store.clone(), api.clone());
+    ntex::rt::spawn(waits.clone().run());
+    let mut session = open(&service).await;
+    run(&mut session, "q1", "READ 1").await;
+    group.member("a").reachable.set(false);
+    run(&mut session, "q2", "READ 1").await;
+    wait_until("wait", || waits.is_waiting_for_whole_log(GROUP)).await;
+    group.member("a").reachable.set(true);
+    service.promotion_duty.record_renewal(BootClock.now());
+    wait_until("end", || !waits.is_waiting_for_whole_log(GROUP)).await;
+    assert!(api.calls.borrow().is_empty());
+}
