Give each duty of the session service its own folder

Cause: 40 files of coriander_service lay in one folder, so a newcomer could not see which belong together.

Change: sessions, admission, members, promotion, fleet and configuration are folders; files moved as they were, only the paths of modules changed. The circle of files around SessionService is not smaller yet.

Result: clippy clean, all tests of the crate pass; no behaviour changed.

--- a/crates/coriander_service/src/rate_limiter.rs
+++ b/crates/coriander_service/src/admission/rate_limiter.rs
@@ -16,8 +16,8 @@
 use tokio::time::timeout;
 
 use crate::BootClock;
-use crate::peer_messages::{LoanRefusal, LoanReply, LoanRequest, PeerMessage};
-use crate::peer_socket::PeerSocket;
+use crate::fleet::peer_messages::{LoanRefusal, LoanReply, LoanRequest, PeerMessage};
+use crate::fleet::peer_socket::PeerSocket;
 
 /// Maximum time for which an operation waits for loans.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(120);
--- a/crates/coriander_service/src/store_view.rs
+++ b/crates/coriander_service/src/configuration/store_view.rs
@@ -6,8 +6,8 @@
 use coriander_core::MonotonicTime;
 use coriander_service_api::ControlSnapshot;
 
-use crate::config_delta::{ConfigDelta, ConfigHistory};
-use crate::store_update::{InstanceHistory, SnapshotDigest, StoreUpdate};
+use crate::configuration::config_delta::{ConfigDelta, ConfigHistory};
+use crate::configuration::store_update::{InstanceHistory, SnapshotDigest, StoreUpdate};
 
 #[derive(Clone)]
 struct NewestRead {
--- a/crates/coriander_service/src/fleet_view.rs
+++ b/crates/coriander_service/src/fleet/fleet_view.rs
@@ -8,7 +8,7 @@
 use coriander_core::stable_hash;
 use coriander_service_api::InstanceEntry;
 
-use crate::connection_caps::ConnectionCaps;
+use crate::members::connection_caps::ConnectionCaps;
 
 /// Input of the choice of the home instances of a member.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/crates/coriander_service/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! The other instances: their list, messages and relayed exchanges.
+
+pub mod fleet_view;
+pub mod peer_messages;
+pub mod peer_socket;
+pub mod registration;
+pub mod relay;
--- a/crates/coriander_service/src/peer_socket.rs
+++ b/crates/coriander_service/src/fleet/peer_socket.rs
@@ -14,7 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::peer_messages::PeerMessage;
+use crate::fleet::peer_messages::PeerMessage;
 
 /// Size of the receive buffer, in bytes; a longer datagram is invalid.
 const MAX_DATAGRAM_BYTES: usize = 2048;
--- a/crates/coriander_service/src/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -21,12 +21,12 @@
 use tokio::time::sleep;
 
 use crate::BootClock;
-use crate::config_delta::ConfigDelta;
-use crate::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
-use crate::held_connection::HeldConnection;
-use crate::member_pool::PoolError;
+use crate::configuration::config_delta::ConfigDelta;
+use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
+use crate::members::held_connection::HeldConnection;
+use crate::members::member_pool::PoolError;
 use crate::service::{ServicePhase, SessionService};
-use crate::store_update::{SnapshotDigest, StoreUpdate};
+use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
 
 /// Added to the time limit of an exchange for the transfer between the instances.
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -12,65 +12,35 @@
 //! assert_eq!(&*settings.zone, "berrechid");
 //! ```
 
-mod access;
-mod attempt;
-mod busy_backoff;
-mod config_delta;
-mod config_view;
-mod connection_caps;
-mod control_loop;
-mod database_group;
-mod duty_lease;
-mod exchange;
-mod fleet_view;
-mod held_connection;
-mod lineage_store;
-mod member;
-mod member_health;
-mod member_inquiry;
-mod member_pool;
-mod operation;
-mod operation_link;
-mod operation_trace;
-mod peer_messages;
-mod peer_socket;
-mod pooled_connection;
-mod primary_confirmation;
-mod promotion_cause;
-mod promotion_duty;
-mod promotion_task;
-mod rate_limiter;
-mod registration;
-mod relay;
-mod request_log;
+mod admission;
+mod configuration;
+mod fleet;
+mod members;
+mod promotion;
 mod service;
 mod service_metrics;
 mod service_settings;
-mod session;
-mod shutdown_task;
-mod store_update;
-mod store_view;
-mod term_lineage;
-mod transaction;
-mod warm_up_gate;
+mod sessions;
 
-pub use busy_backoff::BusyBackoff;
-pub use config_delta::{ConfigDelta, ConfigHistory};
-pub use control_loop::run_store_sync;
+pub use configuration::config_delta::{ConfigDelta, ConfigHistory};
+pub use configuration::control_loop::run_store_sync;
+pub use configuration::store_update::{
+    InstanceHistory, InstanceUpdate, SnapshotDigest, StoreUpdate,
+};
 pub use coriander_peer::BootClock;
-pub use duty_lease::{rank_delay, run_promotion_duty};
-pub use member_health::MemberHealth;
-pub use peer_messages::PeerMessage;
-pub use peer_socket::PeerSocket;
-pub use promotion_cause::{
+pub use fleet::peer_messages::PeerMessage;
+pub use fleet::peer_socket::PeerSocket;
+pub use fleet::registration::run_registration;
+pub use fleet::relay::{RelayClient, RelayReply, RelayRequest, RelayServer};
+pub use members::member_health::MemberHealth;
+pub use members::warm_up_gate::WarmUpGate;
+pub use promotion::duty_lease::{rank_delay, run_promotion_duty};
+pub use promotion::promotion_cause::{
     PrimaryObservation, PromotionCandidate, PromotionCause, SuccessorRule, choose_successor,
 };
-pub use promotion_task::PromotionTask;
-pub use registration::run_registration;
-pub use relay::{RelayClient, RelayReply, RelayRequest, RelayServer};
+pub use promotion::promotion_task::PromotionTask;
+pub use promotion::term_lineage::TermLineage;
 pub use service::{ServicePhase, SessionService};
 pub use service_settings::ServiceSettings;
-pub use shutdown_task::ShutdownTask;
-pub use store_update::{InstanceHistory, InstanceUpdate, SnapshotDigest, StoreUpdate};
-pub use term_lineage::TermLineage;
-pub use warm_up_gate::WarmUpGate;
+pub use sessions::busy_backoff::BusyBackoff;
+pub use sessions::shutdown_task::ShutdownTask;
--- a/crates/coriander_service/src/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -10,10 +10,10 @@
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
-use crate::connection_caps::ConnectionCaps;
-use crate::fleet_view::MemberLocation;
-use crate::member::Member;
-use crate::member_pool::MemberPool;
+use crate::fleet::fleet_view::MemberLocation;
+use crate::members::connection_caps::ConnectionCaps;
+use crate::members::member::Member;
+use crate::members::member_pool::MemberPool;
 
 /// How long a member without an entry is still used. Entries lost in an outage of the store return
 /// within this time.
--- a/crates/coriander_service/src/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -10,12 +10,12 @@
 };
 
 use crate::BootClock;
-use crate::exchange::{
+use crate::members::member::{Member, RequestGuard};
+use crate::members::member_pool::PoolError;
+use crate::members::pooled_connection::PooledConnection;
+use crate::sessions::exchange::{
     ExchangeError, ExchangeOutcome, ExchangePlan, PlannedBegin, PlannedStatement,
 };
-use crate::member::{Member, RequestGuard};
-use crate::member_pool::PoolError;
-use crate::pooled_connection::PooledConnection;
 
 /// Timeout of the rollback of an abandoned transaction.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/coriander_service/src/member.rs
+++ b/crates/coriander_service/src/members/member.rs
@@ -8,10 +8,10 @@
 use coriander_core::MonotonicTime;
 use coriander_service_api::{MemberEntry, MemberRole};
 
-use crate::fleet_view::MemberLocation;
-use crate::member_health::MemberHealth;
-use crate::member_pool::MemberPool;
-use crate::warm_up_gate::WarmUpGate;
+use crate::fleet::fleet_view::MemberLocation;
+use crate::members::member_health::MemberHealth;
+use crate::members::member_pool::MemberPool;
+use crate::members::warm_up_gate::WarmUpGate;
 
 /// How long a member's refusal to act as primary takes precedence over its entry, which is updated
 /// later than its role.
--- a/crates/coriander_service/src/member_pool.rs
+++ b/crates/coriander_service/src/members/member_pool.rs
@@ -13,8 +13,8 @@
 use tokio::time::timeout;
 
 use crate::BootClock;
-use crate::connection_caps::ConnectionCaps;
-use crate::pooled_connection::PooledConnection;
+use crate::members::connection_caps::ConnectionCaps;
+use crate::members::pooled_connection::PooledConnection;
 
 /// Timeout of opening a connection. It is independent of the request that needs the connection: an
 /// abandoned attempt would cost the member as much as a completed one.
--- /dev/null
+++ b/crates/coriander_service/src/members/mod.rs
@@ -0,0 +1,10 @@
+//! Members of the database groups: entries, health and connections.
+
+pub mod connection_caps;
+pub mod database_group;
+pub mod held_connection;
+pub mod member;
+pub mod member_health;
+pub mod member_pool;
+pub mod pooled_connection;
+pub mod warm_up_gate;
--- a/crates/coriander_service/src/lineage_store.rs
+++ b/crates/coriander_service/src/promotion/lineage_store.rs
@@ -7,7 +7,7 @@
 
 use coriander_service_api::{ControlStore, LineageRecord, StoreError};
 
-use crate::term_lineage::TermLineage;
+use crate::promotion::term_lineage::TermLineage;
 
 #[derive(Clone, Default)]
 struct KnownLineage {
--- a/crates/coriander_service/src/member_inquiry.rs
+++ b/crates/coriander_service/src/promotion/member_inquiry.rs
@@ -6,9 +6,9 @@
 use coriander_core::TermNumber;
 use coriander_service_api::{MemberConnector, MemberStatement, MemberStatus, MemberTarget};
 
-use crate::database_group::DatabaseGroup;
-use crate::member::Member;
-use crate::promotion_cause::PromotionCandidate;
+use crate::members::database_group::DatabaseGroup;
+use crate::members::member::Member;
+use crate::promotion::promotion_cause::PromotionCandidate;
 
 /// Timeout of a status query.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/coriander_service/src/promotion_cause.rs
+++ b/crates/coriander_service/src/promotion/promotion_cause.rs
@@ -5,7 +5,7 @@
 
 use coriander_core::{LogPosition, TermNumber};
 
-use crate::term_lineage::TermLineage;
+use crate::promotion::term_lineage::TermLineage;
 
 /// How long the primary must have failed before a successor is promoted.
 const OUTAGE_DELAY: Duration = Duration::from_millis(250);
--- a/crates/coriander_service/src/promotion_duty.rs
+++ b/crates/coriander_service/src/promotion/promotion_duty.rs
@@ -8,7 +8,7 @@
 use coriander_core::MonotonicTime;
 use coriander_service_api::DutyLease;
 
-use crate::peer_messages::OutageReport;
+use crate::fleet::peer_messages::OutageReport;
 
 /// How long an outage report of another instance is valid.
 const REPORT_LIFETIME: Duration = Duration::from_millis(700);
--- a/crates/coriander_service/src/promotion_task.rs
+++ b/crates/coriander_service/src/promotion/promotion_task.rs
@@ -13,17 +13,17 @@
 };
 use tokio::time::sleep;
 
-use crate::database_group::DatabaseGroup;
-use crate::lineage_store::LineageStore;
-use crate::member::Member;
-use crate::member_inquiry::MemberInquiry;
-use crate::peer_messages::{OutageReport, PeerMessage, PrimaryNotice};
-use crate::primary_confirmation::HAND_OVER_DELAY;
-use crate::promotion_cause::{
+use crate::fleet::peer_messages::{OutageReport, PeerMessage, PrimaryNotice};
+use crate::members::database_group::DatabaseGroup;
+use crate::members::member::Member;
+use crate::promotion::lineage_store::LineageStore;
+use crate::promotion::member_inquiry::MemberInquiry;
+use crate::promotion::primary_confirmation::HAND_OVER_DELAY;
+use crate::promotion::promotion_cause::{
     PrimaryObservation, PromotionCandidate, PromotionCause, SuccessorRule, choose_successor,
 };
+use crate::promotion::term_lineage::TermLineage;
 use crate::service::SessionService;
-use crate::term_lineage::TermLineage;
 
 /// Interval at which all groups are checked.
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -17,22 +17,22 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, watch};
 
-use crate::config_view::ConfigView;
-use crate::database_group::DatabaseGroup;
-use crate::duty_lease::SAFE_LEASE_LIFETIME;
-use crate::fleet_view::FleetView;
-use crate::member::Member;
-use crate::peer_messages::PeerMessage;
-use crate::peer_socket::PeerSocket;
-use crate::promotion_duty::PromotionDuty;
-use crate::rate_limiter::RateLimiter;
-use crate::relay::RelayClient;
-use crate::request_log::{RefusedSession, RequestLog};
+use crate::admission::rate_limiter::RateLimiter;
+use crate::configuration::config_view::ConfigView;
+use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
+use crate::configuration::store_view::StoreView;
+use crate::fleet::fleet_view::FleetView;
+use crate::fleet::peer_messages::PeerMessage;
+use crate::fleet::peer_socket::PeerSocket;
+use crate::fleet::relay::RelayClient;
+use crate::members::database_group::DatabaseGroup;
+use crate::members::member::Member;
+use crate::members::warm_up_gate::WarmUpGate;
+use crate::promotion::duty_lease::SAFE_LEASE_LIFETIME;
+use crate::promotion::promotion_duty::PromotionDuty;
 use crate::service_metrics::ServiceMetrics;
-use crate::session::ServedSession;
-use crate::store_update::{SnapshotDigest, StoreUpdate};
-use crate::store_view::StoreView;
-use crate::warm_up_gate::WarmUpGate;
+use crate::sessions::request_log::{RefusedSession, RequestLog};
+use crate::sessions::session::ServedSession;
 use crate::{BootClock, ServiceSettings};
 
 /// Number of store readers per zone from which an instance requests updates, in order. If the first
--- a/crates/coriander_service/src/attempt.rs
+++ b/crates/coriander_service/src/sessions/attempt.rs
@@ -9,10 +9,10 @@
     FailureCode, FailureReason, LinkError, MemberRefusal, MemberReply, SessionFailure,
 };
 
-use crate::exchange::ExchangeError;
-use crate::member::Member;
-use crate::member_pool::PoolError;
-use crate::operation::{OperationContext, PRIMARY_REFRESH_AGE, PRIMARY_RETRY_AFTER};
+use crate::members::member::Member;
+use crate::members::member_pool::PoolError;
+use crate::sessions::exchange::ExchangeError;
+use crate::sessions::operation::{OperationContext, PRIMARY_REFRESH_AGE, PRIMARY_RETRY_AFTER};
 
 /// Delay after which a caller should retry when its members were busy.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/coriander_service/src/exchange.rs
+++ b/crates/coriander_service/src/sessions/exchange.rs
@@ -9,7 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::member_pool::PoolError;
+use crate::members::member_pool::PoolError;
 
 /// A statement of a client as a member runs it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- a/crates/coriander_service/src/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -13,18 +13,18 @@
 use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
-use crate::access::GrantedAccess;
-use crate::attempt::{Attempt, CompletedStatement, evaluate_reply, no_connection};
-use crate::busy_backoff::BusyBackoff;
-use crate::database_group::DatabaseGroup;
-use crate::exchange::{
+use crate::admission::access::GrantedAccess;
+use crate::members::database_group::DatabaseGroup;
+use crate::members::member::Member;
+use crate::members::member_pool::PoolError;
+use crate::service::SessionService;
+use crate::sessions::attempt::{Attempt, CompletedStatement, evaluate_reply, no_connection};
+use crate::sessions::busy_backoff::BusyBackoff;
+use crate::sessions::exchange::{
     ExchangeError, ExchangeOutcome, ExchangePlan, PlannedBegin, PlannedStatement,
 };
-use crate::member::Member;
-use crate::member_pool::PoolError;
-use crate::operation_link::OperationLink;
-use crate::operation_trace::{AttemptTrace, OperationTrace};
-use crate::service::SessionService;
+use crate::sessions::operation_link::OperationLink;
+use crate::sessions::operation_trace::{AttemptTrace, OperationTrace};
 
 /// Fraction of the statement timeout after which a read is retried on another member.
 const READ_ATTEMPT_FRACTION: f64 = 0.45;
--- a/crates/coriander_service/src/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 
 use crate::BootClock;
-use crate::database_group::DatabaseGroup;
-use crate::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
-use crate::held_connection::{HeldConnection, OutstandingStatement};
-use crate::member::{Member, RequestGuard};
-use crate::member_pool::PoolError;
-use crate::relay::StreamNumber;
+use crate::fleet::relay::StreamNumber;
+use crate::members::database_group::DatabaseGroup;
+use crate::members::held_connection::{HeldConnection, OutstandingStatement};
+use crate::members::member::{Member, RequestGuard};
+use crate::members::member_pool::PoolError;
 use crate::service::SessionService;
+use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
 
 enum LinkLocation {
     /// No connection has been acquired.
--- a/crates/coriander_service/src/request_log.rs
+++ b/crates/coriander_service/src/sessions/request_log.rs
@@ -7,7 +7,7 @@
 use coriander_journal::LineBudget;
 use coriander_service_api::{ClientStatement, SessionFailure, StatementKind};
 
-use crate::operation_trace::OperationTrace;
+use crate::sessions::operation_trace::OperationTrace;
 
 /// Lines per second for successful statements; the counters include all of them.
 const SUCCESS_LINES_PER_SECOND: f64 = 5.0;
--- a/crates/coriander_service/src/session.rs
+++ b/crates/coriander_service/src/sessions/session.rs
@@ -13,14 +13,14 @@
 };
 use tokio::time::{sleep, timeout};
 
-use crate::access::GrantedAccess;
-use crate::exchange::PlannedStatement;
-use crate::operation::{OperationContext, run_single};
-use crate::operation_link::OperationLink;
-use crate::operation_trace::OperationTrace;
-use crate::request_log::{EndedStatement, kind_label};
+use crate::admission::access::GrantedAccess;
 use crate::service::{ServicePhase, SessionService};
-use crate::transaction::{run_commit, run_in_transaction};
+use crate::sessions::exchange::PlannedStatement;
+use crate::sessions::operation::{OperationContext, run_single};
+use crate::sessions::operation_link::OperationLink;
+use crate::sessions::operation_trace::OperationTrace;
+use crate::sessions::request_log::{EndedStatement, kind_label};
+use crate::sessions::transaction::{run_commit, run_in_transaction};
 
 /// Interval at which an idle session checks whether it should close.
 const IDLE_CHECK_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
--- a/crates/coriander_service/src/shutdown_task.rs
+++ b/crates/coriander_service/src/sessions/shutdown_task.rs
@@ -7,7 +7,7 @@
 use coriander_service_api::ControlStore;
 use tokio::time::sleep;
 
-use crate::relay::RelayServer;
+use crate::fleet::relay::RelayServer;
 use crate::service::{ServicePhase, SessionService};
 
 /// Time from the stop signal until idle sessions are closed; the platform stops sending sessions
--- a/crates/coriander_service/src/transaction.rs
+++ b/crates/coriander_service/src/sessions/transaction.rs
@@ -2,17 +2,19 @@
 
 use coriander_service_api::{FailureCode, FailureReason, SessionFailure, TransactionStatus};
 
-use crate::attempt::{
+use crate::members::member::Member;
+use crate::members::member_pool::PoolError;
+use crate::sessions::attempt::{
     Attempt, CompletedStatement, aborted, evaluate_reply, in_doubt, link_reason, no_connection,
     record_refusal,
 };
-use crate::busy_backoff::BusyBackoff;
-use crate::exchange::{ExchangeError, PlannedBegin, PlannedStatement};
-use crate::member::Member;
-use crate::member_pool::PoolError;
-use crate::operation::{MIN_ATTEMPT_TIME, OperationContext, ReadRequirement, TriedMembers};
-use crate::operation_link::OperationLink;
-use crate::session::OpenTransaction;
+use crate::sessions::busy_backoff::BusyBackoff;
+use crate::sessions::exchange::{ExchangeError, PlannedBegin, PlannedStatement};
+use crate::sessions::operation::{
+    MIN_ATTEMPT_TIME, OperationContext, ReadRequirement, TriedMembers,
+};
+use crate::sessions::operation_link::OperationLink;
+use crate::sessions::session::OpenTransaction;
 
 /// Runs the first statement of a transaction, retrying while nothing was run.
 async fn open_transaction(
