Let the settings name the optional parts of the service

Cause: new parts may work only where a deployment's settings ask for them, and nothing of the platform's contracts and duties reached the service.

Change: the settings file has a section [features] with the platform's contracts and duties; platform/ translates them into ServiceFeatures. Nothing uses them yet.

--- a/crates/coriander_service/src/service_settings.rs
+++ b/crates/coriander_service/src/service_settings.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coriander_service_api::ServiceFeatures;
+
 /// Identity and limits of one instance.
 ///
 /// ```
@@ -32,6 +34,8 @@
     pub shutdown_timeout: Duration,
     /// Whether the platform rejects promotions with an outdated fencing token.
     pub platform_fences: bool,
+    /// Optional parts of the service that work.
+    pub features: ServiceFeatures,
 }
 
 impl ServiceSettings {
@@ -45,6 +49,7 @@
             key_lifetime: Some(Duration::from_secs(5)),
             shutdown_timeout: Duration::from_secs(6),
             platform_fences: false,
+            features: ServiceFeatures::default(),
         }
     }
 
@@ -75,4 +80,11 @@
         self.platform_fences = fences;
         self
     }
+
+    /// Sets which optional parts of the service work.
+    #[must_use]
+    pub const fn with_features(mut self, features: ServiceFeatures) -> Self {
+        self.features = features;
+        self
+    }
 }
--- a/crates/coriander_service_api/src/lib.rs
+++ b/crates/coriander_service_api/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_config;
 mod member_link;
 mod position_timeline;
+mod service_features;
 mod session_host;
 mod session_response;
 mod session_values;
@@ -32,6 +33,7 @@
     MemberStatus, MemberTarget, ReplyBatch,
 };
 pub use position_timeline::PositionTimeline;
+pub use service_features::ServiceFeatures;
 pub use session_host::{ClientSession, SessionHost};
 pub use session_response::{
     FailureCode, FailureReason, SessionFailure, SessionResponse, TransactionStatus,
--- a/crates/corianderstile/src/session_server/settings.rs
+++ b/crates/corianderstile/src/session_server/settings.rs
@@ -6,6 +6,7 @@
 
 use coriander_core::{InstanceId, ZoneName};
 use coriander_service::ServiceSettings;
+use platform_adapter::decode_features;
 
 use crate::settings::SettingsError;
 use crate::settings_reader::SettingsReader;
@@ -19,6 +20,7 @@
         "bounds",
         &["key_lifetime_ms", "shutdown_ms", "platform_fences"],
     ),
+    ("features", &["contracts", "duties"]),
 ];
 
 const ALLOWED_ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
@@ -61,13 +63,16 @@
         let key_lifetime = reader.number("bounds", "key_lifetime_ms", 5_000, 0..=3_600_000);
         let shutdown_timeout = reader.number("bounds", "shutdown_ms", 6_000, 500..=600_000);
         let fences = reader.number("bounds", "platform_fences", 0, 0..=1);
+        let contracts = reader.text("features", "contracts").unwrap_or_default();
+        let duties = reader.text("features", "duties").unwrap_or_default();
         reader.finish()?;
         // Every value is present because `finish` reports all that are missing.
         let settings = (|| {
             let service = ServiceSettings::new(name?.as_str(), zone?.as_str(), peer_address?)
                 .with_key_lifetime((key_lifetime > 0).then(|| Duration::from_millis(key_lifetime)))
                 .with_shutdown_timeout(Duration::from_millis(shutdown_timeout))
-                .with_platform_fences(fences == 1);
+                .with_platform_fences(fences == 1)
+                .with_features(decode_features(&contracts, &duties));
             Some(Self {
                 service,
                 session_address: session_address?,
