Check a configuration before it is sent

Cause: an operator learned only from refused callers that an entry of a new configuration was left out, replaced by a later one, or took access away.

Change: corianderctl check-config FILE [--in-force FILE] [--format text|json].

Not checked: rates of all accounts against what members can do, bounds of the settings files.

--- a/crates/coriander_service_api/src/lib.rs
+++ b/crates/coriander_service_api/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod client_statement;
+mod config_finding;
 mod control_store;
 mod fleet_config;
 mod member_link;
@@ -23,6 +24,7 @@
 mod session_values;
 
 pub use client_statement::{AccessMode, ClientStatement, PreparedShape, StatementKind};
+pub use config_finding::{ConfigFinding, ConfigProblem, FindingSeverity};
 pub use control_store::{
     ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, InstanceEntry, LeaseId,
     LineageRecord, MemberEntry, MemberRole, PromotionApi, PromotionError, StoreError, TermOrigin,
--- a/crates/corianderctl/src/arguments.rs
+++ b/crates/corianderctl/src/arguments.rs
@@ -1,6 +1,7 @@
 //! Arguments of the command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 use coriander_core::{AccountName, ClassName, DatabaseName, InstanceId, WriteCertainty, ZoneName};
@@ -40,6 +41,7 @@
     Database(DatabaseArguments),
     Show(ShowArguments),
     Explain(ExplainArguments),
+    CheckConfig(CheckConfigArguments),
 }
 
 /// Sets or removes a class of work.
@@ -295,6 +297,39 @@
     pub id: String,
 }
 
+/// Form of the report of a check.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportFormat {
+    /// JSON.
+    Json,
+    /// Lines of text.
+    Text,
+}
+
+/// Checks a configuration of the platform before it is sent; needs no instance. Exit codes: 0
+/// clean, 1 errors, 2 usage, 3 warnings only.
+#[derive(Clone, Debug, FromArgs, PartialEq)]
+#[argh(subcommand, name = "check-config")]
+pub struct CheckConfigArguments {
+    /// file with the configuration
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// file with the configuration in force, to show what changes
+    #[argh(option, arg_name = "file")]
+    pub in_force: Option<PathBuf>,
+    /// form of the report: text (default) or json
+    #[argh(option, default = "ReportFormat::Text", from_str_fn(parse_format))]
+    pub format: ReportFormat,
+}
+
+fn parse_format(text: &str) -> Result<ReportFormat, String> {
+    match text {
+        "json" => Ok(ReportFormat::Json),
+        "text" => Ok(ReportFormat::Text),
+        _ => Err("format must be text or json".into()),
+    }
+}
+
 fn parse_certainty(text: &str) -> Result<WriteCertainty, String> {
     match text {
         "majority" => Ok(WriteCertainty::Majority),
--- a/crates/corianderctl/src/change_builder.rs
+++ b/crates/corianderctl/src/change_builder.rs
@@ -73,7 +73,7 @@
                 database: remove.database.clone(),
             },
         },
-        Command::Show(_) | Command::Explain(_) => return None,
+        Command::CheckConfig(_) | Command::Explain(_) | Command::Show(_) => return None,
     };
     Some(PreparedChange {
         change,
--- a/crates/corianderctl/src/exit_code.rs
+++ b/crates/corianderctl/src/exit_code.rs
@@ -10,11 +10,12 @@
 pub enum ExitCode {
     /// The change was accepted, or the requested information was shown.
     Accepted = 0,
-    /// The change is not possible, or the identifier is unknown; nothing was changed.
+    /// The change is not possible, the identifier is unknown, or a check found errors; nothing was
+    /// changed.
     Refused = 1,
     /// The arguments are wrong.
     Usage = 2,
-    /// The change is recorded, but not confirmed by a majority yet.
+    /// The change is recorded, but not confirmed by a majority yet; of a check: only warnings.
     Unconfirmed = 3,
     /// Another change was made first; nothing was changed.
     Conflict = 4,
--- a/crates/corianderctl/src/lib.rs
+++ b/crates/corianderctl/src/lib.rs
@@ -16,6 +16,7 @@
 mod admin_client;
 pub mod arguments;
 mod change_builder;
+mod check_file;
 mod exit_code;
 mod render;
 mod run;
--- a/crates/corianderctl/src/run.rs
+++ b/crates/corianderctl/src/run.rs
@@ -7,11 +7,19 @@
 
 use crate::arguments::Command;
 use crate::change_builder::{PreparedChange, new_change_id, prepare_change};
+use crate::check_file::check_file;
 use crate::render::{render_config, render_explanation, render_key, render_result};
 use crate::{AdminClient, AdminError, Arguments, ExitCode};
 
 /// Runs a command, writes its result to `output`, and returns the exit code.
 pub async fn run(arguments: &Arguments, output: &mut dyn Write) -> eyre::Result<ExitCode> {
+    if let Command::CheckConfig(check) = &arguments.command {
+        let result = check_file(check);
+        let (text, code) =
+            result.unwrap_or_else(|error| (error.to_string(), ExitCode::from(&error)));
+        writeln!(output, "{}", text.trim_end())?;
+        return Ok(code);
+    }
     if arguments.admin.is_empty() {
         writeln!(output, "at least one --admin address is needed")?;
         return Ok(ExitCode::Usage);
