Split the ending of a change from its coordinator, and join the control calls of a member

Change: accept, conflict, refusal and expiry of a change have a file of their own; one function sends the control calls.

--- a/crates/coriander_config/src/change_coordinator.rs
+++ b/crates/coriander_config/src/change_coordinator.rs
@@ -1,5 +1,7 @@
 //! Writes one operator's change and determines whether it is accepted.
 
+mod change_ending;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,10 +9,10 @@
 
 use coriander_core::{ConfigDocument, ConfigVersion, FleetMember, InstanceId, MonotonicTime};
 
-use crate::change_plan::{ChangePlan, unreferenced_keys};
+use crate::change_plan::ChangePlan;
 use crate::{
-    AcceptanceTally, ChangeRequest, ChangeResult, ConfigRoot, CoordinatorAction, RefusalReason,
-    RootRead, VersionConfirmed, WriteResult,
+    AcceptanceTally, ChangeRequest, ConfigRoot, CoordinatorAction, RefusalReason, RootRead,
+    VersionConfirmed, WriteResult,
 };
 
 /// Time within which a change has a result.
@@ -424,75 +426,6 @@
         )]
     }
 
-    fn accept(&mut self) -> Vec<CoordinatorAction> {
-        let mut actions = Vec::new();
-        if let (Some((base, _)), Some(plan)) = (&self.base, &self.plan) {
-            let superseded = unreferenced_keys(base, &plan.root);
-            if !superseded.is_empty() {
-                actions.push(CoordinatorAction::DeleteSections(superseded));
-            }
-        }
-        let version = self.recorded_version.unwrap_or_default();
-        actions.extend(self.finish(ChangeResult::Accepted { version }));
-        actions
-    }
-
-    fn report_conflict(&mut self, root: Option<&Rc<ConfigRoot>>) -> Vec<CoordinatorAction> {
-        let expected = self.request.expected;
-        let Some(root) = root.filter(|root| root.version > expected) else {
-            return self.refuse(RefusalReason::VersionUnknown);
-        };
-        let Some(winner) = root.change_at(expected.next()) else {
-            // So many changes followed that the root no longer lists whether this one was made.
-            return self.finish(ChangeResult::Undetermined);
-        };
-        let result = ChangeResult::Conflict {
-            version: root.version,
-            winner: winner.author.clone(),
-            winner_version: winner.version,
-        };
-        let mut actions = Vec::new();
-        if let Some(plan) = &self.plan {
-            let mut orphans = unreferenced_keys(&plan.root, root);
-            // The sections of other changes are deleted by their own coordinators.
-            let own_suffix = format!(".{}", self.request.change_id);
-            orphans.retain(|key| key.ends_with(&own_suffix));
-            actions.push(CoordinatorAction::DeleteSections(orphans));
-        }
-        actions.extend(self.finish(result));
-        actions
-    }
-
-    fn expire(&mut self) -> Vec<CoordinatorAction> {
-        let result = match (self.recorded_version, &self.tally) {
-            (Some(version), tally) => ChangeResult::Unconfirmed {
-                version,
-                missing: tally
-                    .as_ref()
-                    .map(AcceptanceTally::missing)
-                    .unwrap_or_default(),
-            },
-            (None, _) if self.has_unresolved_write || self.is_writing() => {
-                ChangeResult::Undetermined
-            }
-            (None, _) => ChangeResult::NotRecorded,
-        };
-        self.finish(result)
-    }
-
-    fn is_writing(&self) -> bool {
-        matches!(self.phase, ChangePhase::Writing) && self.retry_at.is_none()
-    }
-
-    fn refuse(&mut self, reason: RefusalReason) -> Vec<CoordinatorAction> {
-        self.finish(ChangeResult::Refused { reason })
-    }
-
-    fn finish(&mut self, result: ChangeResult) -> Vec<CoordinatorAction> {
-        self.phase = ChangePhase::Finished;
-        vec![CoordinatorAction::Finish(result)]
-    }
-
     fn retry_later(&mut self, now: MonotonicTime) -> Vec<CoordinatorAction> {
         self.retry_at = Some(now + RETRY_DELAY);
         Vec::new()
--- a/crates/coriander_upstream/src/http_member.rs
+++ b/crates/coriander_upstream/src/http_member.rs
@@ -92,20 +92,28 @@
         parse_json(&body.await?)
     }
 
-    async fn post(
+    /// Sends a call that changes the member's part in its group.
+    async fn control_group(
         &self,
-        path: &str,
-        body: &ControlBody<'_>,
+        call: &str,
+        term: TermNumber,
+        proposer: &InstanceId,
+        primary_address: Option<&str>,
     ) -> Result<ControlReply, UpstreamError> {
-        let request = self.control.post(format!("{}{path}", self.base_url));
-        let body = call_with_timeout(self.settings.control_timeout, async {
+        let body = ControlBody {
+            term,
+            proposer,
+            primary_address,
+        };
+        let request = self.control.post(format!("{}/group/{call}", self.base_url));
+        let reply = call_with_timeout(self.settings.control_timeout, async {
             let response = request
-                .send_json(body)
+                .send_json(&body)
                 .await
                 .map_err(|e| classify_error(&e))?;
             self.read_success(response).await.map(|(_, body)| body)
         });
-        parse_json(&body.await?)
+        parse_json(&reply.await?)
     }
 
     async fn read_success(
@@ -143,12 +151,7 @@
         term: TermNumber,
         proposer: &InstanceId,
     ) -> Result<ControlReply, UpstreamError> {
-        let body = ControlBody {
-            term,
-            proposer,
-            primary_address: None,
-        };
-        self.post("/group/fence", &body).await
+        self.control_group("fence", term, proposer, None).await
     }
 
     async fn promote(
@@ -156,12 +159,7 @@
         term: TermNumber,
         proposer: &InstanceId,
     ) -> Result<ControlReply, UpstreamError> {
-        let body = ControlBody {
-            term,
-            proposer,
-            primary_address: None,
-        };
-        self.post("/group/promote", &body).await
+        self.control_group("promote", term, proposer, None).await
     }
 
     async fn follow(
@@ -170,12 +168,8 @@
         proposer: &InstanceId,
         primary_address: &str,
     ) -> Result<ControlReply, UpstreamError> {
-        let body = ControlBody {
-            term,
-            proposer,
-            primary_address: Some(primary_address),
-        };
-        self.post("/group/follow", &body).await
+        self.control_group("follow", term, proposer, Some(primary_address))
+            .await
     }
 
     async fn confirm(
