Pass the contents of the store along a tree in each zone

All instances of a zone requested updates from one store reader. At 100 instances in a zone a change of the members filled its link, replies came after their timeout, the reader was taken for lost, and the whole fleet read the store.

Members are sent as differences, the revision of the configuration is passed on, and a late update no longer ends the exchanges on its instance. Reads of the store by instances below the first level are spread. Counters show messages and bytes between instances by kind.

--- a/crates/coriander_peer/src/peer_connection.rs
+++ b/crates/coriander_peer/src/peer_connection.rs
@@ -266,6 +266,8 @@
     read: OwnedReadHalf,
     codec: FrameCodec,
     buffer: Vec<u8>,
+    /// Size of the last frame.
+    frame_bytes: usize,
 }
 
 impl FrameReader {
@@ -275,9 +277,15 @@
             read,
             codec,
             buffer: Vec::with_capacity(READ_BUFFER_LENGTH),
+            frame_bytes: 0,
         }
     }
 
+    /// Returns the size of the last frame in bytes.
+    pub const fn frame_bytes(&self) -> usize {
+        self.frame_bytes
+    }
+
     /// Returns the next frame, or `None` at the end of the connection.
     pub async fn next<Q: DeserializeOwned, R: DeserializeOwned>(
         &mut self,
@@ -285,6 +293,7 @@
         loop {
             if let FrameStatus::Complete { message, consumed } = self.codec.decode(&self.buffer)? {
                 self.buffer.drain(..consumed);
+                self.frame_bytes = consumed;
                 return Ok(Some(message));
             }
             if self.read.read_buf(&mut self.buffer).await? == 0 {
--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -23,6 +23,12 @@
     /// than `remaining`.
     async fn handle(&self, connection: ConnectionId, request: Q, remaining: Duration) -> R;
 
+    /// Counts a request and its size on the connection.
+    fn record_request(&self, _request: &Q, _bytes: usize) {}
+
+    /// Counts a reply and its size on the connection.
+    fn record_reply(&self, _reply: &R, _bytes: usize) {}
+
     /// Called after a connection has ended.
     fn connection_ended(&self, _connection: ConnectionId) {}
 
@@ -88,6 +94,7 @@
                 deadline,
                 body,
             })) => {
+                service.record_request(&body, reader.frame_bytes());
                 let arrived_at = BootClock.now();
                 let remaining = deadline.saturating_sub(arrived_at.since_start());
                 if remaining.is_zero() {
@@ -105,8 +112,13 @@
                         sent_at: BootClock.now().since_start(),
                     };
                     match codec.encode(&reply) {
-                        // Sending fails only if the connection is closed, so no caller waits.
-                        Ok(frame) => drop(write_queue.send(frame).await),
+                        Ok(frame) => {
+                            if let PeerFrame::Reply { body, .. } = &reply {
+                                service.record_reply(body, frame.len());
+                            }
+                            // Sending fails only if the connection is closed, so no caller waits.
+                            drop(write_queue.send(frame).await);
+                        }
                         Err(error) => log::warn!(error:% = error; "reply dropped: encoding failed"),
                     }
                 });
--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -15,15 +15,19 @@
 /// Interval between two reads of the store.
 const READ_INTERVAL: Duration = Duration::from_millis(900);
 
-/// Interval between two update requests to a store reader of the zone.
+/// Interval between two update requests if none of them brought a recent read.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time for which the first source holds a request until it has applied a newer snapshot. A change
+/// then passes through the tree at once, and an instance asks about once for each read of the store.
+const HOLD_TIME: Duration = Duration::from_millis(600);
+
 /// Age from which an update of another instance is too old, so that this instance reads the store.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(1_600);
 
-/// Age of its own snapshot from which an instance that is no store reader reads the store. While
-/// the store is down, the readers of the zone try for all.
-const MAX_UNCONFIRMED_AGE: Duration = Duration::from_millis(2_600);
+/// Age of its own snapshot from which an instance also asks any instance of the fleet, so that a
+/// recent read spreads between zones and around instances that are cut off.
+const GOSSIP_AGE: Duration = Duration::from_millis(2_000);
 
 /// Delay after the first failed read; doubled after each further one.
 const MIN_FAILURE_DELAY: Duration = Duration::from_millis(900);
@@ -39,36 +43,74 @@
 
 /// Keeps the snapshot of the store up to date until the process ends.
 ///
-/// One instance of each zone reads the store. The others request updates from it, with the age of
-/// the read, and read the store themselves only if it has no recent read.
+/// One instance of each zone reads the store. The others request updates along the update tree of
+/// the zone, with the age of the read, and read the store themselves only if they get none.
 pub async fn run_store_sync(service: Rc<SessionService>, store: Rc<dyn ControlStore>) {
     let mut reads = StoreReads::default();
     let mut secret_missing_since = None;
+    // A request for a newer snapshot is not held by its receiver.
+    let mut hold = Duration::ZERO;
     loop {
         let started = service.clock.now();
-        let is_updated = receive_update(&service, &*store, reads.is_failing()).await;
-        if !is_updated && reads.may_read(&service, started) {
+        let result = receive_update(&service, &*store, &mut reads, hold).await;
+        let is_updated = result == UpdateResult::Recent;
+        let now = service.clock.now();
+        if !is_updated && reads.may_read(&service, result, now) {
             read_store(&service, &*store, &mut reads).await;
         }
-        let interval = if is_updated || reads.is_failing() {
+        let is_reader = service.update_tree().is_reader();
+        let interval = if is_updated || reads.is_failing() || !is_reader {
             UPDATE_INTERVAL
         } else {
             READ_INTERVAL
         };
         create_missing_secret(&service, &*store, &mut secret_missing_since).await;
         sleep(MIN_READ_INTERVAL).await;
+        // The source of a recent update holds the next request, so it can be sent at once.
+        let interval = if is_updated && !hold.is_zero() {
+            Duration::ZERO
+        } else {
+            interval
+        };
         let remaining = interval.saturating_sub(service.clock.now().since(started));
         // A request that needs a newer snapshot ends the wait early.
-        let _ = timeout(remaining, service.refresh_requested.notified()).await;
+        let woken = timeout(remaining, service.refresh_requested.notified()).await;
+        hold = if woken.is_ok() || !is_updated {
+            Duration::ZERO
+        } else {
+            HOLD_TIME
+        };
     }
 }
 
+/// What the sources of updates replied.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum UpdateResult {
+    /// None replied.
+    NoReply,
+    /// Those that replied have no recent read.
+    Old,
+    /// This instance now has a recent read.
+    Recent,
+}
+
 /// The store as this instance last found it.
-#[derive(Default)]
 struct StoreReads {
     /// Delay after the last read if it failed.
     failure_delay: Option<Duration>,
     retry_at: MonotonicTime,
+    /// Number of rounds of update requests, from a random start.
+    turn: usize,
+}
+
+impl Default for StoreReads {
+    fn default() -> Self {
+        Self {
+            failure_delay: None,
+            retry_at: MonotonicTime::ZERO,
+            turn: rand::random_range(0..1 << 16),
+        }
+    }
 }
 
 impl StoreReads {
@@ -76,11 +118,13 @@
         self.failure_delay.is_some()
     }
 
-    /// Returns whether this instance reads the store, after it received no update.
-    fn may_read(&self, service: &SessionService, now: MonotonicTime) -> bool {
+    /// Returns whether this instance reads the store, after it received no recent update.
+    fn may_read(&self, service: &SessionService, result: UpdateResult, now: MonotonicTime) -> bool {
+        let has_reply = result != UpdateResult::NoReply;
+        let spread = f64::from(self.turn as u8) / f64::from(u8::MAX);
+        let read_age = service.update_tree().read_age(has_reply, spread);
         let age = service.config_view.age(now);
-        let is_due = service.is_store_reader() || age.is_none_or(|age| age >= MAX_UNCONFIRMED_AGE);
-        is_due && now >= self.retry_at
+        age.is_none_or(|age| age >= read_age) && now >= self.retry_at
     }
 
     fn record_failure(&mut self, now: MonotonicTime) {
@@ -92,57 +136,94 @@
     }
 }
 
-/// Requests an update from the store readers of the zone. Returns false if this instance must read
-/// the store itself.
+/// Requests an update from the sources of this instance until one has a recent read. Only the first
+/// holds the request.
 async fn receive_update(
     service: &SessionService,
     store: &dyn ControlStore,
-    own_reads_fail: bool,
-) -> bool {
-    for store_reader in service.store_readers(own_reads_fail) {
-        if request_update(service, store, store_reader).await {
-            return true;
+    reads: &mut StoreReads,
+    hold: Duration,
+) -> UpdateResult {
+    reads.turn = reads.turn.wrapping_add(1);
+    let mut sources = service.update_sources(reads.is_failing(), reads.turn);
+    let age = service.config_view.age(service.clock.now());
+    if age.is_some_and(|age| age >= GOSSIP_AGE) {
+        sources.extend(service.any_other_instance(rand::random_range(0..1 << 16)));
+    }
+    let mut result = UpdateResult::NoReply;
+    let mut hold = hold;
+    for source in sources {
+        match request_update(service, store, source, hold).await {
+            UpdateResult::Recent => return UpdateResult::Recent,
+            UpdateResult::Old => result = UpdateResult::Old,
+            UpdateResult::NoReply => {}
         }
+        hold = Duration::ZERO;
     }
-    false
+    result
 }
 
 async fn request_update(
     service: &SessionService,
     store: &dyn ControlStore,
-    store_reader: SocketAddr,
-) -> bool {
+    source: SocketAddr,
+    hold: Duration,
+) -> UpdateResult {
     let sent_at = service.clock.now();
     let digest = service.store_view.digest();
-    let Some(mut update) = service.relay.request_update(store_reader, digest).await else {
-        return false;
+    let Some(reply) = service.relay.request_update(source, digest, hold).await else {
+        return UpdateResult::NoReply;
     };
-    let Some(age) = update.age.filter(|age| *age < MAX_UPDATE_AGE) else {
-        return false;
+    let mut update = reply.update;
+    let Some(age) = update.age else {
+        return UpdateResult::Old;
     };
+    // The source replied this long after the request was sent, so its read is at most as old as
+    // that reply said.
+    let read_at = (sent_at + reply.held).saturating_sub(age);
+    let now = service.clock.now();
+    let own_age = service.config_view.age(now);
+    if own_age.is_some_and(|own_age| own_age <= now.since(read_at)) && age >= MAX_UPDATE_AGE {
+        return UpdateResult::Old;
+    }
     let known = service.store_view.snapshot().unwrap_or_default();
     if update.lacks_config(digest.config_version) {
-        update.config = receive_config(service, store_reader, &known, update.config_version).await;
+        update.config = receive_config(service, source, &known, update.config_version).await;
     }
     if update.lacks_config(digest.config_version) {
         match store.read_config().await {
             Ok(Some(config)) => update.config = Some(config),
             // It has been deleted since, or it is invalid, which has been logged.
-            Ok(None) => return false,
+            Ok(None) => return UpdateResult::Old,
             Err(error) => {
                 log::warn!(
                     version = update.config_version, error:% = error;
                     "read of a new configuration failed"
                 );
-                return false;
+                return UpdateResult::Old;
             }
         }
     }
-    let snapshot = update.apply_to(&known);
     service.metrics.count_store_call("heard");
-    // The store reader replied after this request was sent, so its read is at most this old.
-    service.apply_snapshot(&snapshot, sent_at.saturating_sub(age));
-    true
+    if update.is_unchanged(digest.config_version) {
+        service.confirm_snapshot(update.revision, read_at);
+    } else {
+        if let Some(config) = &update.config {
+            if config.version == update.config_version {
+                store.adopt_config(update.config_revision, config);
+            } else {
+                // It is newer than the update, which has the revision of an older one.
+                update.config_revision = 0;
+            }
+        }
+        let snapshot = update.apply_to(&known);
+        service.apply_snapshot(&snapshot, read_at);
+    }
+    if age < MAX_UPDATE_AGE {
+        UpdateResult::Recent
+    } else {
+        UpdateResult::Old
+    }
 }
 
 /// Requests the changes of a configuration that is too large for an update, and applies them to the
@@ -173,7 +254,8 @@
             if reads.is_failing() {
                 log::info!("store is reachable again");
             }
-            *reads = StoreReads::default();
+            reads.failure_delay = None;
+            reads.retry_at = MonotonicTime::ZERO;
             service.apply_snapshot(&snapshot, sent_at);
         }
         Err(error) => {
--- a/crates/coriander_service/src/configuration/store_update.rs
+++ b/crates/coriander_service/src/configuration/store_update.rs
@@ -1,6 +1,5 @@
 //! Updates of the store that one instance sends to another: the parts that have changed.
 
-use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,13 +7,18 @@
 use coriander_service_api::{ControlSnapshot, FleetConfig, InstanceEntry, MemberEntry};
 use serde::{Deserialize, Serialize};
 
+use crate::configuration::list_update::{ListHistory, ListUpdate, sorted};
+
 /// Maximum size of a configuration document in an update, in bytes. Larger ones would saturate the
 /// network link of a store reader that serves all instances of its zone; those instances read them
 /// from the store.
 const MAX_UPDATE_CONFIG_BYTES: usize = 32 * 1024;
 
-/// Number of recent instance lists that are kept to compute differences.
-const MAX_INSTANCE_LISTS: usize = 8;
+/// Instances of the fleet, as a full list or as a difference.
+pub type InstanceUpdate = ListUpdate<InstanceEntry>;
+
+/// Members, as a full list or as a difference.
+pub type MemberUpdate = ListUpdate<MemberEntry>;
 
 /// Digests of the parts of a snapshot, by which an instance states which parts it has.
 ///
@@ -42,7 +46,7 @@
     /// Computes the digests of a snapshot. They ignore the revisions of members, because members
     /// renew their entries continuously.
     pub fn of(snapshot: &ControlSnapshot) -> Self {
-        let mut members = snapshot.members.clone();
+        let mut members = sorted(&snapshot.members);
         for member in &mut members {
             member.revision = 0;
         }
@@ -65,12 +69,6 @@
     }
 }
 
-fn sorted(instances: &[InstanceEntry]) -> Vec<InstanceEntry> {
-    let mut sorted = instances.to_vec();
-    sorted.sort_by(|a, b| a.id.cmp(&b.id));
-    sorted
-}
-
 fn digest(value: &impl Serialize) -> u64 {
     match postcard::to_stdvec(value) {
         Ok(bytes) => stable_hash(bytes),
@@ -87,6 +85,7 @@
     ControlSnapshot {
         revision: 0,
         config: None,
+        config_revision: 0,
         members: Vec::new(),
         instances: Vec::new(),
         evacuated_zones: snapshot.evacuated_zones.clone(),
@@ -97,77 +96,18 @@
     }
 }
 
-/// Instances of the fleet, as a full list or as a difference.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum InstanceUpdate {
-    /// All instances.
-    Full(Vec<InstanceEntry>),
-    /// Difference from the list that the requesting instance has.
-    Delta {
-        /// Entries that are new or have changed.
-        changed: Vec<InstanceEntry>,
-        /// Instances that are no longer listed.
-        removed: Vec<Arc<str>>,
-    },
-}
-
-impl InstanceUpdate {
-    fn between(old: &[InstanceEntry], new: &[InstanceEntry]) -> Self {
-        let known: HashMap<_, _> = old.iter().map(|entry| (&entry.id, entry)).collect();
-        let listed: HashSet<_> = new.iter().map(|entry| &entry.id).collect();
-        let differs = |entry: &&InstanceEntry| known.get(&entry.id) != Some(entry);
-        let removed = old.iter().filter(|entry| !listed.contains(&entry.id));
-        Self::Delta {
-            changed: new.iter().filter(differs).cloned().collect(),
-            removed: removed.map(|entry| entry.id.clone()).collect(),
-        }
-    }
-
-    /// Returns the full list, given the one that the requesting instance has.
-    fn apply_to(self, known: &[InstanceEntry]) -> Vec<InstanceEntry> {
-        let (changed, removed) = match self {
-            Self::Full(instances) => return instances,
-            Self::Delta { changed, removed } => (changed, removed),
-        };
-        let replaced = |entry: &&InstanceEntry| changed.iter().any(|new| new.id == entry.id);
-        let kept = known
-            .iter()
-            .filter(|entry| !removed.contains(&entry.id) && !replaced(entry));
-        let mut instances: Vec<_> = kept.chain(&changed).cloned().collect();
-        instances.sort_by(|a, b| a.id.cmp(&b.id));
-        instances
-    }
-}
-
-/// Recent instance lists, from which differences are computed.
+/// Recent lists of instances and members, from which differences are computed.
 #[derive(Debug, Default)]
-pub struct InstanceHistory {
-    lists: VecDeque<(u64, Vec<InstanceEntry>)>,
+pub struct SnapshotHistory {
+    instances: ListHistory<InstanceEntry>,
+    members: ListHistory<MemberEntry>,
 }
 
-impl InstanceHistory {
-    /// Records the list of a snapshot.
-    pub fn record(&mut self, digest: &SnapshotDigest, instances: &[InstanceEntry]) {
-        let newest = self.lists.back().map(|(known, _)| *known);
-        if newest == Some(digest.instances) {
-            return;
-        }
-        self.lists.push_back((digest.instances, instances.to_vec()));
-        if self.lists.len() > MAX_INSTANCE_LISTS {
-            self.lists.pop_front();
-        }
-    }
-
-    /// Returns the update for an instance that has the list with the digest `known`.
-    fn update_since(&self, known: &SnapshotDigest, instances: &[InstanceEntry]) -> InstanceUpdate {
-        let old = self
-            .lists
-            .iter()
-            .find(|(digest, _)| *digest == known.instances);
-        old.map_or_else(
-            || InstanceUpdate::Full(instances.to_vec()),
-            |(_, old)| InstanceUpdate::between(old, instances),
-        )
+impl SnapshotHistory {
+    /// Records the lists of a snapshot.
+    pub fn record(&mut self, digest: &SnapshotDigest, snapshot: &ControlSnapshot) {
+        self.instances.record(digest.instances, &snapshot.instances);
+        self.members.record(digest.members, &snapshot.members);
     }
 }
 
@@ -182,8 +122,10 @@
     pub config_version: u64,
     /// The configuration, unless it is large or unchanged.
     pub config: Option<Arc<FleetConfig>>,
+    /// Revision at which the configuration was written; 0 if it is not known.
+    pub config_revision: u64,
     /// Members, if changed.
-    pub members: Option<Vec<MemberEntry>>,
+    pub members: Option<MemberUpdate>,
     /// Instances, if changed.
     pub instances: Option<InstanceUpdate>,
     /// All other parts, if changed.
@@ -194,7 +136,7 @@
     /// Returns the parts of a snapshot that an instance with the digest `known` lacks.
     pub fn since(
         known: &SnapshotDigest,
-        history: &InstanceHistory,
+        history: &SnapshotHistory,
         snapshot: &ControlSnapshot,
         digest: &SnapshotDigest,
         age: Duration,
@@ -209,9 +151,15 @@
                 let is_small = config.document_bytes <= MAX_UPDATE_CONFIG_BYTES;
                 config.version != known.config_version && is_small
             }),
-            members: is_new(known.members, digest.members).then(|| snapshot.members.clone()),
-            instances: is_new(known.instances, digest.instances)
-                .then(|| history.update_since(known, &snapshot.instances)),
+            config_revision: snapshot.config_revision,
+            members: is_new(known.members, digest.members).then(|| {
+                let members = &history.members;
+                members.update_since(known.members, &snapshot.members)
+            }),
+            instances: is_new(known.instances, digest.instances).then(|| {
+                let instances = &history.instances;
+                instances.update_since(known.instances, &snapshot.instances)
+            }),
             other: is_new(known.other, digest.other).then(|| Box::new(other_parts(snapshot))),
         }
     }
@@ -221,19 +169,34 @@
         self.config_version != known_version && self.config.is_none()
     }
 
+    /// Returns whether the requesting instance has all parts, given the version of its
+    /// configuration.
+    pub const fn is_unchanged(&self, known_version: u64) -> bool {
+        self.config_version == known_version
+            && self.config.is_none()
+            && self.members.is_none()
+            && self.instances.is_none()
+            && self.other.is_none()
+    }
+
     /// Returns the snapshot that results from applying the update to a known one.
     pub fn apply_to(self, known: &ControlSnapshot) -> ControlSnapshot {
         let instances = match self.instances {
             Some(update) => update.apply_to(&known.instances),
             None => known.instances.clone(),
         };
+        let members = match self.members {
+            Some(update) => update.apply_to(&known.members),
+            None => known.members.clone(),
+        };
         let other = self
             .other
             .map_or_else(|| other_parts(known), |other| *other);
         ControlSnapshot {
             revision: self.revision,
             config: self.config.or_else(|| known.config.clone()),
-            members: self.members.unwrap_or_else(|| known.members.clone()),
+            config_revision: self.config_revision,
+            members,
             instances,
             ..other
         }
--- a/crates/coriander_service/src/configuration/store_view.rs
+++ b/crates/coriander_service/src/configuration/store_view.rs
@@ -7,7 +7,7 @@
 use coriander_service_api::ControlSnapshot;
 
 use crate::configuration::config_delta::{ConfigDelta, ConfigHistory};
-use crate::configuration::store_update::{InstanceHistory, SnapshotDigest, StoreUpdate};
+use crate::configuration::store_update::{SnapshotDigest, SnapshotHistory, StoreUpdate};
 
 #[derive(Clone)]
 struct NewestRead {
@@ -20,7 +20,7 @@
 #[derive(Default)]
 pub struct StoreView {
     newest: RefCell<Option<NewestRead>>,
-    history: RefCell<InstanceHistory>,
+    history: RefCell<SnapshotHistory>,
     config_history: RefCell<ConfigHistory>,
 }
 
@@ -41,7 +41,7 @@
         let previous = newest.as_ref().map(|known| known.digest);
         let digest = SnapshotDigest::of(snapshot);
         let mut history = self.history.borrow_mut();
-        history.record(&digest, &snapshot.instances);
+        history.record(&digest, snapshot);
         if let Some(config) = &snapshot.config {
             self.config_history.borrow_mut().record(config);
         }
@@ -53,6 +53,23 @@
         Some(previous.unwrap_or_default())
     }
 
+    /// Records that the newest snapshot was still current at a later revision, by a read sent at
+    /// `sent_at`. Returns the snapshot; `None` if there is none or if it is newer.
+    pub fn confirm(&self, revision: u64, sent_at: MonotonicTime) -> Option<Rc<ControlSnapshot>> {
+        let mut newest = self.newest.borrow_mut();
+        let read = newest.as_mut()?;
+        if read.snapshot.revision > revision {
+            return None;
+        }
+        read.sent_at = read.sent_at.max(sent_at);
+        if read.snapshot.revision < revision {
+            let mut snapshot = (*read.snapshot).clone();
+            snapshot.revision = revision;
+            read.snapshot = Rc::new(snapshot);
+        }
+        Some(read.snapshot.clone())
+    }
+
     /// Returns the newest snapshot.
     pub fn snapshot(&self) -> Option<Rc<ControlSnapshot>> {
         let newest = self.newest.borrow();
--- a/crates/coriander_service/src/fleet/fleet_view.rs
+++ b/crates/coriander_service/src/fleet/fleet_view.rs
@@ -9,6 +9,7 @@
 use coriander_service_api::InstanceEntry;
 
 use crate::members::connection_caps::ConnectionCaps;
+use crate::spread::update_tree::UpdateTree;
 
 /// Input of the choice of the home instances of a member.
 #[derive(Clone, Copy, Debug)]
@@ -124,20 +125,33 @@
         (index.unwrap_or(0), ranked.len().max(1))
     }
 
-    /// Returns the usable store readers of a zone, best first.
-    pub fn store_readers(
+    /// Returns the position of an instance in the update tree of its zone, and the usable instances
+    /// of the zone by rank.
+    pub fn update_tree(
         &self,
         zone: &str,
-        limit: usize,
+        own_name: &str,
         is_usable: impl Fn(&InstanceEntry) -> bool,
-    ) -> Vec<&InstanceEntry> {
+    ) -> (UpdateTree, Vec<&InstanceEntry>) {
         let in_zone = self.candidates(zone).into_iter();
         let mut in_zone: Vec<_> = in_zone
             .filter(|entry| &*entry.zone == zone && is_usable(entry))
             .collect();
-        in_zone.sort_by_cached_key(|entry| stable_hash((zone, &*entry.id)));
-        in_zone.truncate(limit);
-        in_zone
+        let rank = |name: &str| stable_hash((zone, name));
+        in_zone.sort_by_cached_key(|entry| rank(&entry.id));
+        let listed = in_zone.iter().position(|entry| &*entry.id == own_name);
+        let own_rank = listed.unwrap_or_else(|| {
+            let own = rank(own_name);
+            in_zone.partition_point(|entry| rank(&entry.id) < own)
+        });
+        let tree = UpdateTree::new(own_rank, listed.is_some(), in_zone.len());
+        (tree, in_zone)
+    }
+
+    /// Returns an instance of the whole fleet, by a number that the caller chooses.
+    pub fn any_instance(&self, number: usize) -> Option<&InstanceEntry> {
+        let count = self.instances.len();
+        (count > 0).then(|| &self.instances[number % count])
     }
 
     /// Returns a description of the fleet in one line.
--- a/crates/coriander_service/src/fleet/peer_messages.rs
+++ b/crates/coriander_service/src/fleet/peer_messages.rs
@@ -73,3 +73,17 @@
     /// Refusal of a request for a loan.
     LoanRefusal(LoanRefusal),
 }
+
+impl PeerMessage {
+    /// Returns the kind of the message, for counters.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::LoanRequest(_) => "loan_request",
+            Self::LoanReply(_) => "loan_reply",
+            Self::LoanRefusal(_) => "loan_refusal",
+            Self::Primary(_) => "primary",
+            Self::Leaving(_) => "leaving",
+            Self::Outage(_) => "outage",
+        }
+    }
+}
--- a/crates/coriander_service/src/fleet/peer_socket.rs
+++ b/crates/coriander_service/src/fleet/peer_socket.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::fleet::peer_messages::PeerMessage;
+use crate::fleet::peer_traffic::PeerTraffic;
 
 /// Size of the receive buffer, in bytes; a longer datagram is invalid.
 const MAX_DATAGRAM_BYTES: usize = 2048;
@@ -34,6 +35,8 @@
     codec: RefCell<Option<(Arc<[u8]>, DatagramCodec)>>,
     /// Addresses of the other instances by name.
     peers: RefCell<HashMap<Arc<str>, SocketAddr>>,
+    /// Counters of the messages between instances.
+    pub traffic: PeerTraffic,
 }
 
 impl PeerSocket {
@@ -46,6 +49,7 @@
             epoch,
             codec: RefCell::default(),
             peers: RefCell::default(),
+            traffic: PeerTraffic::default(),
         }
     }
 
@@ -95,8 +99,11 @@
                 return;
             }
         };
-        if let Err(error) = self.socket.try_send_to(&datagram, address) {
-            log::debug!(address:% = address, error:% = error; "datagram not sent");
+        match self.socket.try_send_to(&datagram, address) {
+            Ok(_) => self.traffic.count_sent(message.kind(), datagram.len()),
+            Err(error) => {
+                log::debug!(address:% = address, error:% = error; "datagram not sent");
+            }
         }
     }
 
@@ -126,7 +133,11 @@
             let decoded = known.decode::<PeerMessage>(&buffer[..length]);
             drop(codec);
             match decoded {
-                Ok(datagram) => handle(sender, datagram.message),
+                Ok(datagram) => {
+                    let kind = datagram.message.kind();
+                    self.traffic.count_received(kind, length);
+                    handle(sender, datagram.message);
+                }
                 Err(error) => log::debug!("peers: datagram from {sender} dropped: {error}"),
             }
         }
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -16,13 +16,13 @@
 use coriander_peer::{ConnectionId, PeerClient, PeerError, PeerService, serve_peers};
 use coriander_service_api::LinkError;
 use coriander_wire::FrameCodec;
-use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::BootClock;
 use crate::configuration::config_delta::ConfigDelta;
-use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
+use crate::configuration::store_update::SnapshotDigest;
+use crate::fleet::relay_messages::{HeldUpdate, RelayReply, RelayRequest, StreamNumber};
 use crate::members::held_connection::HeldConnection;
 use crate::members::member_pool::PoolError;
 use crate::service::{ServicePhase, SessionService};
@@ -37,6 +37,9 @@
 /// Timeout of a request for an update of the store.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Maximum time for which a request for an update is held.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
+
 /// Timeout of a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -51,50 +54,6 @@
 /// suspended or blocked, and the requests have timed out at their senders.
 const MAX_TICK_GAP: Duration = Duration::from_millis(400);
 
-/// Number of a reserved connection, assigned by the requesting instance.
-pub type StreamNumber = u64;
-
-/// A request to a home instance.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum RelayRequest {
-    /// Executes an exchange, on the reserved connection of the stream if there is one.
-    Exchange {
-        /// Stream of the operation.
-        stream: StreamNumber,
-        /// Whether the stream must already exist.
-        must_exist: bool,
-        /// Plan of the exchange.
-        plan: Box<ExchangePlan>,
-    },
-    /// Rolls back and releases the connection of a stream.
-    EndStream(StreamNumber),
-    /// Requests the parts of the newest snapshot of the store that the sender lacks.
-    StoreUpdate {
-        /// Digest of the snapshot that the sender has.
-        known: SnapshotDigest,
-    },
-    /// Checks that the instance replies.
-    Ping,
-    /// Requests the changes of the configuration since a version.
-    ConfigDelta {
-        /// Version that the sender has.
-        known_version: u64,
-    },
-}
-
-/// The reply to a [`RelayRequest`].
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum RelayReply {
-    /// Outcome of an exchange.
-    Outcome(Box<ExchangeOutcome>),
-    /// Update of the store.
-    StoreUpdate(Box<StoreUpdate>),
-    /// Acknowledges the end of a stream or a ping.
-    Acknowledged,
-    /// Changes of the configuration; `None` if the version of the request is not known.
-    ConfigDelta(Option<Box<ConfigDelta>>),
-}
-
 /// Executes exchanges on other instances.
 #[derive(Default)]
 pub struct RelayClient {
@@ -104,6 +63,8 @@
     down_instances: RefCell<HashMap<SocketAddr, MonotonicTime>>,
     pending_requests: RefCell<HashMap<StreamNumber, (SocketAddr, MonotonicTime)>>,
     pinging_instances: RefCell<HashSet<SocketAddr>>,
+    /// Instances that did not reply to a request for an update and are to be pinged.
+    suspects: RefCell<HashSet<SocketAddr>>,
 }
 
 impl RelayClient {
@@ -182,15 +143,17 @@
         }
     }
 
-    /// Requests an update of the store from another instance.
+    /// Requests an update of the store from another instance, which may hold the request until it
+    /// has applied a newer snapshot.
     pub async fn request_update(
         &self,
         address: SocketAddr,
         known: SnapshotDigest,
-    ) -> Option<StoreUpdate> {
+        hold: Duration,
+    ) -> Option<HeldUpdate> {
         let client = self.client.borrow().clone()?;
-        let request = RelayRequest::StoreUpdate { known };
-        match client.call(address, request, UPDATE_TIMEOUT).await {
+        let request = RelayRequest::StoreUpdate { known, hold };
+        match client.call(address, request, hold + UPDATE_TIMEOUT).await {
             Ok(RelayReply::StoreUpdate(update)) => Some(*update),
             Ok(_) => None,
             Err(error) => {
@@ -198,7 +161,13 @@
                     address:% = address, error:% = error;
                     "no update of the store received from an instance"
                 );
-                self.set_down(address, BootClock.now());
+                if matches!(error, PeerError::NoReply) {
+                    // Its link or processor may be busy with updates. Only a failed ping ends the
+                    // exchanges that run there.
+                    self.suspects.borrow_mut().insert(address);
+                } else {
+                    self.set_down(address, BootClock.now());
+                }
                 None
             }
         }
@@ -251,6 +220,7 @@
                     .filter(|(_, sent_at)| now.since(*sent_at) >= PING_REQUEST_AGE);
                 late.map(|(address, _)| *address).collect()
             };
+            ping_targets.extend(service.relay.suspects.take());
             {
                 let mut down = service.relay.down_instances.borrow_mut();
                 down.retain(|address, _| peers.contains(address));
@@ -398,6 +368,20 @@
         outcome
     }
 
+    /// Returns the update for an instance with the digest `known`, as soon as it lacks a part or
+    /// this instance has applied another snapshot, and at the latest after `hold`.
+    async fn store_update(&self, known: &SnapshotDigest, hold: Duration) -> Option<HeldUpdate> {
+        let arrived_at = BootClock.now();
+        let service = self.service.upgrade()?;
+        let current = service.store_view.digest();
+        if !hold.is_zero() && current == *known {
+            let _ = timeout(hold, service.snapshot_applied.notified()).await;
+        }
+        let update = service.store_update(known);
+        let held = BootClock.now().since(arrived_at);
+        Some(HeldUpdate { held, update })
+    }
+
     async fn acquire(&self, plan: &ExchangePlan) -> Result<HeldConnection, PoolError> {
         let service = self.service.upgrade().ok_or(PoolError::HomeUnavailable)?;
         let member = service.find_member(&plan.group, &plan.member);
@@ -435,10 +419,10 @@
                 self.streams.borrow_mut().remove(&key);
                 RelayReply::Acknowledged
             }
-            RelayRequest::StoreUpdate { known } => {
-                let service = self.service.upgrade();
-                service.map_or(RelayReply::Acknowledged, |service| {
-                    RelayReply::StoreUpdate(Box::new(service.store_update(&known)))
+            RelayRequest::StoreUpdate { known, hold } => {
+                let update = self.store_update(&known, hold.min(MAX_HOLD_TIME)).await;
+                update.map_or(RelayReply::Acknowledged, |update| {
+                    RelayReply::StoreUpdate(Box::new(update))
                 })
             }
             RelayRequest::Ping => RelayReply::Acknowledged,
@@ -450,6 +434,19 @@
         }
     }
 
+    fn record_request(&self, request: &RelayRequest, bytes: usize) {
+        if let Some(service) = self.service.upgrade() {
+            let traffic = &service.peers.traffic;
+            traffic.count_received(request.kind(), bytes);
+        }
+    }
+
+    fn record_reply(&self, reply: &RelayReply, bytes: usize) {
+        if let Some(service) = self.service.upgrade() {
+            service.peers.traffic.count_sent(reply.kind(), bytes);
+        }
+    }
+
     fn count_invalid_frame(&self) {
         log::warn!("connection closed after an invalid frame");
     }
--- /dev/null
+++ b/crates/coriander_service/src/fleet/relay_messages.rs
@@ -0,0 +1,89 @@
+//! Requests and replies between instances over connections.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::config_delta::ConfigDelta;
+use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
+use crate::sessions::exchange::{ExchangeOutcome, ExchangePlan};
+
+/// Number of a reserved connection, assigned by the requesting instance.
+pub type StreamNumber = u64;
+
+/// A request to a home instance.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum RelayRequest {
+    /// Executes an exchange, on the reserved connection of the stream if there is one.
+    Exchange {
+        /// Stream of the operation.
+        stream: StreamNumber,
+        /// Whether the stream must already exist.
+        must_exist: bool,
+        /// Plan of the exchange.
+        plan: Box<ExchangePlan>,
+    },
+    /// Rolls back and releases the connection of a stream.
+    EndStream(StreamNumber),
+    /// Requests the parts of the newest snapshot of the store that the sender lacks.
+    StoreUpdate {
+        /// Digest of the snapshot that the sender has.
+        known: SnapshotDigest,
+        /// Time for which the receiver may wait for a snapshot that it has not applied yet.
+        hold: Duration,
+    },
+    /// Checks that the instance replies.
+    Ping,
+    /// Requests the changes of the configuration since a version.
+    ConfigDelta {
+        /// Version that the sender has.
+        known_version: u64,
+    },
+}
+
+/// The reply to a [`RelayRequest`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum RelayReply {
+    /// Outcome of an exchange.
+    Outcome(Box<ExchangeOutcome>),
+    /// Update of the store.
+    StoreUpdate(Box<HeldUpdate>),
+    /// Acknowledges the end of a stream or a ping.
+    Acknowledged,
+    /// Changes of the configuration; `None` if the version of the request is not known.
+    ConfigDelta(Option<Box<ConfigDelta>>),
+}
+
+impl RelayRequest {
+    /// Returns the kind of the request, for counters.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Exchange { .. } => "exchange",
+            Self::EndStream(_) => "end_stream",
+            Self::StoreUpdate { .. } => "store_update_request",
+            Self::Ping => "ping",
+            Self::ConfigDelta { .. } => "config_delta_request",
+        }
+    }
+}
+
+impl RelayReply {
+    /// Returns the kind of the reply, for counters.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Outcome(_) => "outcome",
+            Self::StoreUpdate(_) => "store_update",
+            Self::Acknowledged => "acknowledgement",
+            Self::ConfigDelta(_) => "config_delta",
+        }
+    }
+}
+
+/// An update of the store that its sender held back until there was one.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct HeldUpdate {
+    /// Time from the arrival of the request until the update was made.
+    pub held: Duration,
+    /// The update.
+    pub update: StoreUpdate,
+}
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -21,17 +21,20 @@
 mod service_metrics;
 mod service_settings;
 mod sessions;
+mod spread;
 
 pub use configuration::config_delta::{ConfigDelta, ConfigHistory};
 pub use configuration::control_loop::run_store_sync;
+pub use configuration::list_update::ListUpdate;
 pub use configuration::store_update::{
-    InstanceHistory, InstanceUpdate, SnapshotDigest, StoreUpdate,
+    InstanceUpdate, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
 };
 pub use coriander_peer::BootClock;
 pub use fleet::peer_messages::PeerMessage;
 pub use fleet::peer_socket::PeerSocket;
 pub use fleet::registration::run_registration;
-pub use fleet::relay::{RelayClient, RelayReply, RelayRequest, RelayServer};
+pub use fleet::relay::{RelayClient, RelayServer};
+pub use fleet::relay_messages::{HeldUpdate, RelayReply, RelayRequest};
 pub use members::member_health::MemberHealth;
 pub use members::warm_up_gate::WarmUpGate;
 pub use promotion::duty_lease::{rank_delay, run_promotion_duty};
@@ -44,3 +47,4 @@
 pub use service_settings::ServiceSettings;
 pub use sessions::busy_backoff::BusyBackoff;
 pub use sessions::shutdown_task::ShutdownTask;
+pub use spread::update_tree::{FAN_OUT, READERS_PER_ZONE, UpdateTree};
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -14,7 +14,6 @@
     LeaseId, MemberConnector, MemberEntry, SessionFailure, SessionHost,
 };
 use coriander_wire::FrameCodec;
-use smallvec::SmallVec;
 use tokio::sync::{Notify, watch};
 
 use crate::admission::rate_limiter::RateLimiter;
@@ -35,10 +34,6 @@
 use crate::sessions::session::ServedSession;
 use crate::{BootClock, ServiceSettings};
 
-/// Number of store readers per zone from which an instance requests updates, in order. If the first
-/// has no recent read, the second reads the store, so that not every instance does.
-const MAX_STORE_READERS: usize = 4;
-
 /// Account name sent to members for callers of routes that need no key.
 const ANONYMOUS_ACCOUNT: &str = "-";
 
@@ -85,7 +80,8 @@
     /// Key that authenticates messages between instances; `None` until the fleet secret has been
     /// read.
     pub fleet_key: watch::Sender<Option<[u8; 32]>>,
-    fleet: RefCell<FleetView>,
+    /// Instances of the fleet.
+    pub(crate) fleet: RefCell<FleetView>,
     /// Whether an instance has announced its shutdown since the last applied snapshot.
     leaving_changed: Cell<bool>,
     /// Newest snapshot of the store.
@@ -118,9 +114,9 @@
             connector,
             groups: RefCell::default(),
             rate_limiter: RateLimiter::new(name, peers.clone()),
+            metrics: ServiceMetrics::with_traffic(&peers.traffic),
             peers,
             request_log: RequestLog::default(),
-            metrics: ServiceMetrics::default(),
             relay: RelayClient::default(),
             fleet_key: watch::Sender::new(None),
             fleet: RefCell::default(),
@@ -179,38 +175,26 @@
         self.snapshot_applied.notify_waiters();
     }
 
-    /// Returns the parts of the newest snapshot that an instance with the digest `known` lacks.
-    pub fn store_update(&self, known: &SnapshotDigest) -> StoreUpdate {
-        self.store_view.update_since(known, self.clock.now())
-    }
-
-    /// Returns the store readers to request updates from, in order. If this instance is one of
-    /// them, the list ends before it, because it then reads the store itself; while its reads fail,
-    /// the others follow.
-    pub fn store_readers(&self, own_reads_fail: bool) -> SmallVec<[SocketAddr; MAX_STORE_READERS]> {
-        let settings = self.settings();
-        let fleet = self.fleet.borrow();
-        let is_usable = |entry: &InstanceEntry| {
-            entry.id == settings.name || self.relay.is_usable(entry.address)
+    /// Applies that the newest snapshot was still current at a later revision, by a read sent at
+    /// `sent_at`. Most updates say just this, so nothing that follows from the contents is computed
+    /// again.
+    pub fn confirm_snapshot(&self, revision: u64, sent_at: MonotonicTime) {
+        let Some(snapshot) = self.store_view.confirm(revision, sent_at) else {
+            return;
         };
-        let readers = fleet.store_readers(&settings.zone, MAX_STORE_READERS, is_usable);
-        let own_rank = readers.iter().position(|entry| entry.id == settings.name);
-        let count = own_rank.filter(|_| !own_reads_fail);
-        let asked = readers.iter().take(count.unwrap_or(readers.len()));
-        let others = asked.filter(|entry| entry.id != settings.name);
-        others.map(|entry| entry.address).collect()
+        self.rate_limiter.set_fleet(&snapshot.instances);
+        if let Some(config) = &snapshot.config {
+            self.config_view.apply(config, sent_at);
+        }
+        self.promotion_duty
+            .apply(snapshot.duty_lease.as_ref(), &self.settings().process_id);
+        self.apply_members(&snapshot, self.leaving_changed.take());
+        self.snapshot_applied.notify_waiters();
     }
 
-    /// Returns whether this instance is one of the store readers of its zone. Without known
-    /// instances it is.
-    pub fn is_store_reader(&self) -> bool {
-        let name = self.settings().name.clone();
-        let fleet = self.fleet.borrow();
-        let is_usable =
-            |entry: &InstanceEntry| entry.id == name || self.relay.is_usable(entry.address);
-        let zone = self.settings().zone.clone();
-        let readers = fleet.store_readers(&zone, MAX_STORE_READERS, is_usable);
-        readers.len() < MAX_STORE_READERS || readers.iter().any(|entry| entry.id == name)
+    /// Returns the parts of the newest snapshot that an instance with the digest `known` lacks.
+    pub fn store_update(&self, known: &SnapshotDigest) -> StoreUpdate {
+        self.store_view.update_since(known, self.clock.now())
     }
 
     /// Applies the members of a snapshot. `assignment_changed` says whether the division of
@@ -238,9 +222,11 @@
                 fleet.connection_caps(member, &own_name)
             });
             for member in group.members() {
-                let (rank, instances) = fleet.member_rank(&member.id, &own_name);
-                let share = |rate| WarmUpGate::share(rate, rank, instances);
-                member.set_cold_share(limits.warm_up_rate.map(share));
+                let share = limits.warm_up_rate.map(|rate| {
+                    let (rank, instances) = fleet.member_rank(&member.id, &own_name);
+                    WarmUpGate::share(rate, rank, instances)
+                });
+                member.set_cold_share(share);
             }
         }
         let mut groups = self.groups.borrow_mut();
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::fleet::peer_traffic::PeerTraffic;
+
 /// Upper bound of the first bucket of latency histograms, in seconds.
 const FIRST_BUCKET_SECS: f64 = 0.001;
 
@@ -108,6 +110,13 @@
 }
 
 impl ServiceMetrics {
+    /// Creates the metrics of a service with the counters of its messages to other instances.
+    pub fn with_traffic(traffic: &PeerTraffic) -> Self {
+        let mut metrics = Self::default();
+        traffic.register(&mut metrics.registry);
+        metrics
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::BootClock;
-use crate::fleet::relay::StreamNumber;
+use crate::fleet::relay_messages::StreamNumber;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::held_connection::{HeldConnection, OutstandingStatement};
 use crate::members::member::{Member, RequestGuard};
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -198,8 +198,8 @@
     }
     tokio::time::sleep(Duration::from_millis(20)).await;
     let readers = [
-        first.service.store_readers(false),
-        second.service.store_readers(false),
+        first.service.update_sources(false, 0),
+        second.service.update_sources(false, 0),
     ];
     let updated = readers.iter().filter(|readers| !readers.is_empty()).count();
     assert_eq!(
@@ -208,7 +208,7 @@
     );
     // The store may turn away the first reader alone, which then needs the others.
     for instance in [&first, &second] {
-        assert_eq!(instance.service.store_readers(true).len(), 1);
+        assert_eq!(instance.service.update_sources(true, 0).len(), 1);
     }
 }
 
@@ -243,6 +243,52 @@
     assert!(update.config.is_some() && update.members.is_some());
 }
 
+#[ntex::test]
+async fn held_update_is_sent_when_a_snapshot_is_applied() {
+    // A request that is answered at once tells a change only with the next request, so that each
+    // level of the tree would add the interval between two of them.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home) = start_two(&group).await;
+    let known = remote.service.store_view.digest();
+    let hold = Duration::from_millis(600);
+    let mut newer = (*remote.service.store_view.snapshot().expect("applied")).clone();
+    newer.revision += 1;
+    newer.evacuated_zones.push("berrechid".into());
+    let service = remote.service.clone();
+    ntex::rt::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        service.apply_snapshot(&newer, BootClock.now());
+    });
+    let relay = &home.service.relay;
+    let request = relay.request_update(remote.entry.address, known, hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.update.other.is_some(), "{reply:?}");
+    assert!(reply.held >= Duration::from_millis(40), "{:?}", reply.held);
+    assert!(reply.held < hold, "{:?}", reply.held);
+    // The sender lacks a part now, so the next request is not held.
+    let request = relay.request_update(remote.entry.address, known, hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.held < Duration::from_millis(40), "{:?}", reply.held);
+}
+
+#[ntex::test]
+async fn held_update_without_news_has_the_age_of_its_reply() {
+    // The sender takes the held time off the age; an age from before the hold would let it believe
+    // that the store was read later than it was.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home) = start_two(&group).await;
+    let known = remote.service.store_view.digest();
+    let hold = Duration::from_millis(120);
+    let relay = &home.service.relay;
+    let request = relay.request_update(remote.entry.address, known, hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.update.is_unchanged(known.config_version));
+    assert!(
+        reply.held >= hold && reply.update.age >= Some(reply.held),
+        "{reply:?}"
+    );
+}
+
 #[ntex::test]
 async fn stopping_home_instance_lets_open_transactions_commit_only() {
     // Guards against statements that a home instance accepts shortly before it ends.
--- a/crates/coriander_service/tests/store_update.rs
+++ b/crates/coriander_service/tests/store_update.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use coriander_service::{InstanceHistory, InstanceUpdate, SnapshotDigest, StoreUpdate};
+use coriander_service::{
+    InstanceUpdate, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
+};
 use coriander_service_api::{ControlSnapshot, InstanceEntry, MemberRole, ReadFreshness};
 
 use support::{config, member_entry, snapshot};
@@ -37,9 +39,9 @@
     newer.revision += 1;
     change(&mut newer);
     let digests = [SnapshotDigest::of(&known), SnapshotDigest::of(&newer)];
-    let mut history = InstanceHistory::default();
-    history.record(&digests[0], &known.instances);
-    history.record(&digests[1], &newer.instances);
+    let mut history = SnapshotHistory::default();
+    history.record(&digests[0], &known);
+    history.record(&digests[1], &newer);
     let update = StoreUpdate::since(&digests[0], &history, &newer, &digests[1], Duration::ZERO);
     assert_eq!(update.clone().apply_to(&known).revision, newer.revision);
     let complete = update.clone().apply_to(&known);
@@ -88,7 +90,7 @@
 fn since_sends_all_parts_for_an_empty_digest() {
     let snapshot = large_snapshot();
     let digest = SnapshotDigest::of(&snapshot);
-    let history = InstanceHistory::default();
+    let history = SnapshotHistory::default();
     let update = StoreUpdate::since(
         &SnapshotDigest::default(),
         &history,
@@ -108,9 +110,39 @@
     let known = SnapshotDigest::of(&large_snapshot());
     let newer = snapshot(large, Vec::new());
     let digest = SnapshotDigest::of(&newer);
-    let history = InstanceHistory::default();
+    let history = SnapshotHistory::default();
     let update = StoreUpdate::since(&known, &history, &newer, &digest, Duration::ZERO);
     assert!(update.config.is_none());
     assert!(update.lacks_config(7));
     assert!(!update.lacks_config(8));
 }
+
+#[test]
+fn since_sends_a_change_of_one_member_as_a_change() {
+    // All members in each update, about 10 kB at 100 members, saturated the link of a store reader
+    // whenever one member changed its role or was drained.
+    let (newer, update) = update_after(|snapshot| {
+        for member in &mut snapshot.members {
+            member.revision += 40;
+        }
+        snapshot.members[3].draining = true;
+        snapshot.members.remove(7);
+    });
+    let Some(MemberUpdate::Delta { changed, removed }) = &update.members else {
+        panic!("expected a delta: {:?}", update.members);
+    };
+    assert_eq!((changed.len(), removed.len()), (1, 1));
+    assert!(encoded_size(&update) < 150, "{}", encoded_size(&update));
+    let complete = update.apply_to(&large_snapshot());
+    assert_eq!(complete.members[3], newer.members[3]);
+}
+
+#[test]
+fn is_unchanged_only_without_any_part() {
+    let (_, update) = update_after(|_| {});
+    assert!(update.is_unchanged(7) && !update.is_unchanged(6));
+    let (_, update) = update_after(|snapshot| snapshot.members[3].draining = true);
+    assert!(!update.is_unchanged(7));
+    let (_, update) = update_after(|snapshot| snapshot.evacuated_zones.push("berrechid".into()));
+    assert!(!update.is_unchanged(7));
+}
--- a/crates/coriander_service_api/src/control_store.rs
+++ b/crates/coriander_service_api/src/control_store.rs
@@ -110,6 +110,8 @@
     pub revision: u64,
     /// Newest valid configuration.
     pub config: Option<Arc<FleetConfig>>,
+    /// Revision at which the configuration was written; 0 if it is not known.
+    pub config_revision: u64,
     /// Availability zones that operators have taken out of service.
     pub evacuated_zones: Vec<Arc<str>>,
     /// Members.
@@ -159,6 +161,10 @@
     /// Reads only the configuration; `None` if the store contains no valid one.
     async fn read_config(&self) -> Result<Option<Arc<FleetConfig>>, StoreError>;
 
+    /// Takes over a configuration that another instance has read at `revision`, so that later reads
+    /// need not transfer it.
+    fn adopt_config(&self, _revision: u64, _config: &Arc<FleetConfig>) {}
+
     /// Starts a lease.
     async fn start_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
 
