Bound the memory and connections of clients

Clients could run a process out of memory or descriptors with messages inside the limits: input buffers, session values, rows and connections had no common bound, and input was kept as long as a part of a message followed it.

The new crate coriander_memory decides who may hold how many bytes and which connection closes; the front and the connector report to it and obey. Input beyond 4 KiB, session values beyond 1 KiB and rows beyond 4 KiB need a permit. Without one, reading stops for up to 1 s; then the message is discarded while it arrives and refused as BUSY. Holders that fall behind give way first. Connections between instances start with a short frame in both directions, before which the receiver buffers 16 KiB.

--- /dev/null
+++ b/crates/coriander_memory/tests/connection_table.rs
@@ -0,0 +1,70 @@
+//! Tests the admission of connections and the choice of those that close.
+
+use std::sync::Arc;
+
+use coriander_memory::{Admission, ConnectionTable, MachineLimits, MemoryLimits};
+
+fn small_table() -> (ConnectionTable, MemoryLimits) {
+    let machine = MachineLimits {
+        memory_mb: 64,
+        descriptors: 360,
+    };
+    let limits = MemoryLimits::new(&machine);
+    assert_eq!((limits.max_connections, limits.max_unidentified), (32, 8));
+    (ConnectionTable::new(&limits), limits)
+}
+
+#[test]
+fn accept_replaces_oldest_unidentified_connection() {
+    // Guards against silent connections that keep callers from saying who they are.
+    let (mut table, limits) = small_table();
+    for _ in 0..limits.max_unidentified {
+        assert_eq!(table.accept().1, Admission::Admitted);
+    }
+    assert_eq!(table.accept().1, Admission::Replaces(1));
+    assert_eq!(table.accept().1, Admission::Replaces(2));
+    assert_eq!(table.unidentified_count(), limits.max_unidentified);
+}
+
+#[test]
+fn accept_replaces_longest_idle_session_of_largest_account() {
+    // Guards against a crowd of one account that leaves no connection to another.
+    let (mut table, limits) = small_table();
+    let (crowd, other): (Arc<str>, Arc<str>) = ("crowd".into(), "other".into());
+    for number in 0..limits.max_connections {
+        let (connection, _) = table.accept();
+        let account = if number < 4 { &other } else { &crowd };
+        assert_eq!(table.identify(connection, account), Admission::Admitted);
+        table.set_idle(connection, true);
+    }
+    table.set_idle(5, false);
+    assert_eq!(table.accept().1, Admission::Replaces(6));
+    assert_eq!(table.len(), limits.max_connections);
+}
+
+#[test]
+fn accept_refuses_when_every_session_is_in_use() {
+    // Guards against a statement whose connection is closed for a newcomer.
+    let (mut table, limits) = small_table();
+    for number in 0..limits.max_connections {
+        let (connection, _) = table.accept();
+        table.identify(connection, &format!("account{}", number % 2).into());
+    }
+    assert_eq!(table.accept().1, Admission::Refused);
+    assert_eq!(table.len(), limits.max_connections);
+}
+
+#[test]
+fn identify_refuses_session_over_limit_of_account() {
+    // Guards against an account that holds all connections while it uses them.
+    let (mut table, limits) = small_table();
+    let account: Arc<str> = "crowd".into();
+    for _ in 0..limits.max_per_account {
+        let (connection, _) = table.accept();
+        assert_eq!(table.identify(connection, &account), Admission::Admitted);
+    }
+    let (connection, _) = table.accept();
+    assert_eq!(table.identify(connection, &account), Admission::Refused);
+    table.set_idle(1, true);
+    assert_eq!(table.identify(connection, &account), Admission::Replaces(1));
+}
--- a/crates/coriander_peer/src/peer_connection.rs
+++ b/crates/coriander_peer/src/peer_connection.rs
@@ -22,7 +22,7 @@
 /// One frame of a connection between instances. Times are those of the accepting side.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum PeerFrame<Q, R> {
-    /// The first frame of the accepting side.
+    /// The first frame of each side.
     Hello {
         /// Time at which it was sent.
         sent_at: Duration,
@@ -64,7 +64,8 @@
 /// Maximum number of frames queued for writing to one peer.
 const WRITE_QUEUE_LENGTH: usize = 1024;
 
-/// Initial size of the receive buffer in bytes.
+/// Initial size of the receive buffer in bytes, and maximum of what is received from a sender that
+/// has not sent a valid frame yet.
 const READ_BUFFER_LENGTH: usize = 16 * 1024;
 
 /// Waiting callers by request number; `None` once the connection is closed.
@@ -95,9 +96,14 @@
             return Err(PeerError::NotSent);
         };
         let peer_time = Rc::new(PeerTime::new(sent_at, BootClock.now()));
+        let own_hello = codec.encode(&PeerFrame::<Q, R>::Hello {
+            sent_at: BootClock.now().since_start(),
+        })?;
         let pending_replies = Rc::new(RefCell::new(Some(HashMap::new())));
         let (is_closed, closed) = watch::channel(false);
         let write_queue = start_writer(write, Some(closed.clone()));
+        // The other side receives long frames only after a short one that is valid.
+        drop(write_queue.send(own_hello).await);
         let replies = ReplyReader {
             reader,
             peer_time: peer_time.clone(),
@@ -256,6 +262,9 @@
     /// The connection failed.
     #[error("connection failed: {0}")]
     Connection(#[from] std::io::Error),
+    /// The first frame of a peer is longer than a valid one.
+    #[error("first frame is too long")]
+    FirstFrame,
     /// The peer sent an invalid frame.
     #[error("invalid frame: {0}")]
     Decode(#[from] DecodeError),
@@ -266,6 +275,8 @@
     read: OwnedReadHalf,
     codec: FrameCodec,
     buffer: Vec<u8>,
+    /// Whether the peer has sent a valid frame, which proves that it knows the key of the fleet.
+    is_authenticated: bool,
 }
 
 impl FrameReader {
@@ -275,6 +286,7 @@
             read,
             codec,
             buffer: Vec::with_capacity(READ_BUFFER_LENGTH),
+            is_authenticated: false,
         }
     }
 
@@ -285,8 +297,13 @@
         loop {
             if let FrameStatus::Complete { message, consumed } = self.codec.decode(&self.buffer)? {
                 self.buffer.drain(..consumed);
+                self.buffer.shrink_to(READ_BUFFER_LENGTH);
+                self.is_authenticated = true;
                 return Ok(Some(message));
             }
+            if !self.is_authenticated && self.buffer.len() >= READ_BUFFER_LENGTH {
+                return Err(ReadError::FirstFrame);
+            }
             if self.read.read_buf(&mut self.buffer).await? == 0 {
                 return Ok(None);
             }
--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! Server for the connections of other instances.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -8,10 +9,20 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 use crate::boot_clock::BootClock;
 use crate::peer_connection::{FrameReader, PeerFrame, ReadError, start_writer};
 
+/// Maximum number of connections that have not sent a valid frame. An instance sends one as soon as
+/// it is connected.
+const MAX_UNKNOWN_CONNECTIONS: usize = 32;
+
+/// Time limit for the first frame of a connection. Longer than any round trip between instances,
+/// and short enough that silent connections do not keep instances away.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Identifier of an accepted connection, unique within the process.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct ConnectionId(u64);
@@ -40,14 +51,19 @@
     R: DeserializeOwned + Serialize + 'static,
 {
     let mut accepted = 0;
+    let unknown = Arc::new(Semaphore::new(MAX_UNKNOWN_CONNECTIONS));
     loop {
+        // Further connections wait to be accepted. The timeout of the first frame ends the wait.
+        let Ok(permit) = unknown.clone().acquire_owned().await else {
+            return;
+        };
         match listener.accept().await {
             Ok((stream, _)) => {
                 accepted += 1;
                 let id = ConnectionId(accepted);
                 let (codec, service) = (codec.clone(), service.clone());
                 ntex::rt::spawn(async move {
-                    serve_connection(id, stream, codec, service.clone()).await;
+                    serve_connection(id, stream, codec, service.clone(), permit).await;
                     service.connection_ended(id);
                 });
             }
@@ -65,10 +81,12 @@
     stream: TcpStream,
     codec: FrameCodec,
     service: Rc<dyn PeerService<Q, R>>,
+    unknown_permit: OwnedSemaphorePermit,
 ) where
     Q: DeserializeOwned + Serialize + 'static,
     R: DeserializeOwned + Serialize + 'static,
 {
+    let mut unknown_permit = Some(unknown_permit);
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
     let write_queue = start_writer(write, None);
@@ -82,7 +100,19 @@
     drop(write_queue.send(hello).await);
     let mut reader = FrameReader::new(read, codec.clone());
     loop {
-        match reader.next::<Q, R>().await {
+        let received = if unknown_permit.is_some() {
+            let first = timeout(FIRST_FRAME_TIMEOUT, reader.next::<Q, R>()).await;
+            let Ok(first) = first else {
+                return;
+            };
+            if matches!(first, Ok(Some(_))) {
+                unknown_permit = None;
+            }
+            first
+        } else {
+            reader.next::<Q, R>().await
+        };
+        match received {
             Ok(Some(PeerFrame::Request {
                 number,
                 deadline,
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -484,16 +484,24 @@
         database: &str,
         key: &str,
     ) -> Result<Box<dyn ClientSession>, SessionFailure> {
-        if let Err(failure) = self.check_access_with_retry(database, key).await {
-            self.record_refused_session(database, &failure);
-            return Err(failure);
-        }
+        let access = match self.check_access_with_retry(database, key).await {
+            Ok(access) => access,
+            Err(failure) => {
+                self.record_refused_session(database, &failure);
+                return Err(failure);
+            }
+        };
         let shutting_down = SessionFailure::new(FailureCode::Busy, FailureReason::ShuttingDown);
         if self.phase() >= ServicePhase::Closing {
             self.record_refused_session(database, &shutting_down);
             return Err(shutting_down);
         }
         let service = self.weak_self.upgrade().ok_or(shutting_down)?;
-        Ok(Box::new(ServedSession::new(service, database, key)))
+        Ok(Box::new(ServedSession::new(
+            service,
+            database,
+            key,
+            access.account_name,
+        )))
     }
 }
--- a/crates/coriander_service/src/sessions/session.rs
+++ b/crates/coriander_service/src/sessions/session.rs
@@ -8,8 +8,9 @@
 use async_trait::async_trait;
 use coriander_core::{LogPosition, MonotonicTime};
 use coriander_service_api::{
-    AccessMode, ClientSession, ClientStatement, FailureCode, FailureReason, PreparedShape,
-    SessionFailure, SessionResponse, SessionValues, StatementKind, TransactionStatus,
+    AccessMode, ClientSession, ClientStatement, ENTRY_BYTES, FailureCode, FailureReason,
+    PreparedShape, SessionFailure, SessionResponse, SessionValues, StatementKind,
+    TransactionStatus,
 };
 use tokio::time::{sleep, timeout};
 
@@ -49,6 +50,8 @@
     service: Rc<SessionService>,
     database: Arc<str>,
     key: Arc<str>,
+    /// Account of the key when the session was opened.
+    account: Arc<str>,
     values: SessionValues,
     prepared: HashMap<Arc<str>, PreparedShape>,
     /// Log position of the last commit of this session.
@@ -60,12 +63,13 @@
 
 impl ServedSession {
     /// Opens a session.
-    pub fn new(service: Rc<SessionService>, database: &str, key: &str) -> Self {
+    pub fn new(service: Rc<SessionService>, database: &str, key: &str, account: Arc<str>) -> Self {
         service.count_session(true);
         Self {
             service,
             database: database.into(),
             key: key.into(),
+            account,
             values: SessionValues::default(),
             prepared: HashMap::new(),
             last_commit: None,
@@ -435,6 +439,26 @@
 
 #[async_trait(?Send)]
 impl ClientSession for ServedSession {
+    fn account(&self) -> Arc<str> {
+        self.account.clone()
+    }
+
+    fn kept_bytes(&self) -> usize {
+        let prepared = self.prepared.iter();
+        let prepared = prepared.map(|(name, shape)| name.len() + shape.shape.len() + ENTRY_BYTES);
+        self.values.kept_bytes() + prepared.sum::<usize>()
+    }
+
+    fn refuse(&mut self) -> SessionResponse {
+        if matches!(self.state, SessionState::Failed) {
+            return self.respond_in_failed_transaction(&StatementKind::Unknown);
+        }
+        self.fail(SessionFailure::new(
+            FailureCode::Busy,
+            FailureReason::NoMemory,
+        ))
+    }
+
     async fn execute(&mut self, statement: ClientStatement) -> SessionResponse {
         let started = self.service.clock.now();
         self.trace = OperationTrace::default();
--- a/crates/coriander_service_api/src/lib.rs
+++ b/crates/coriander_service_api/src/lib.rs
@@ -38,4 +38,4 @@
 pub use session_response::{
     FailureCode, FailureReason, SessionFailure, SessionResponse, TransactionStatus,
 };
-pub use session_values::SessionValues;
+pub use session_values::{ENTRY_BYTES, SessionValues};
--- a/crates/coriander_service_api/src/session_host.rs
+++ b/crates/coriander_service_api/src/session_host.rs
@@ -1,5 +1,7 @@
 //! Interface between protocol fronts and the process: sessions that execute statements.
 
+use std::sync::Arc;
+
 use async_trait::async_trait;
 
 use crate::{ClientStatement, SessionFailure, SessionResponse};
@@ -18,6 +20,16 @@
 /// A client's session. Dropping it rolls back an open transaction.
 #[async_trait(?Send)]
 pub trait ClientSession {
+    /// Returns the client account of the session.
+    fn account(&self) -> Arc<str>;
+
+    /// Returns the memory of its values and prepared statements, which it keeps until it ends.
+    fn kept_bytes(&self) -> usize;
+
+    /// Refuses a statement that the front has not passed on, for lack of memory. Nothing of an
+    /// open transaction is kept.
+    fn refuse(&mut self) -> SessionResponse;
+
     /// Executes one statement.
     async fn execute(&mut self, statement: ClientStatement) -> SessionResponse;
 
--- a/crates/coriander_service_api/src/session_response.rs
+++ b/crates/coriander_service_api/src/session_response.rs
@@ -120,6 +120,8 @@
     WrongState,
     /// The statement could not be parsed.
     BadStatement,
+    /// Clients hold all the memory that the process has for them.
+    NoMemory,
     /// The process is shutting down.
     ShuttingDown,
 }
@@ -143,6 +145,7 @@
             Self::TransactionFailed => "transaction_failed",
             Self::WrongState => "wrong_state",
             Self::BadStatement => "bad_statement",
+            Self::NoMemory => "no_memory",
             Self::ShuttingDown => "shutting_down",
         }
     }
--- a/crates/coriander_service_api/src/session_values.rs
+++ b/crates/coriander_service_api/src/session_values.rs
@@ -7,6 +7,9 @@
 
 use crate::MemberStatement;
 
+/// Memory of one value or prepared statement beside its texts.
+pub const ENTRY_BYTES: usize = 64;
+
 /// Values set on a client session or on a member connection.
 ///
 /// ```
@@ -32,6 +35,14 @@
         }
     }
 
+    /// Returns the memory of the values.
+    pub fn kept_bytes(&self) -> usize {
+        let entries = self.entries.iter();
+        entries
+            .map(|(name, value)| name.len() + value.len() + ENTRY_BYTES)
+            .sum()
+    }
+
     /// Returns whether there are no values.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use coriander_core::InstanceId;
+use coriander_memory::MemoryLimits;
 use coriander_service::{
     PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask,
     run_promotion_duty, run_registration, run_store_sync,
@@ -19,7 +20,9 @@
 use ntex::time::Seconds;
 use ntex::web::types::State;
 use ntex::web::{self, App, HttpResponse};
-use platform_adapter::{KvStore, LineConnector, PromotionClient, READINESS_PATH, serve_clients};
+use platform_adapter::{
+    BoundedConnector, KvStore, MemoryGate, PromotionClient, READINESS_PATH, serve_clients,
+};
 use rand::Rng;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -35,9 +38,13 @@
 /// Maximum duration of one promotion call.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Maximum number of connections for readiness and metrics; further ones wait to be accepted.
+const MAX_HTTP_CONNECTIONS: usize = 32;
+
 thread_local! {
     // The worker builds its HTTP service from the same process state.
     static SERVICE: RefCell<Option<Rc<SessionService>>> = const { RefCell::new(None) };
+    static GATE: RefCell<Option<Rc<MemoryGate>>> = const { RefCell::new(None) };
 }
 
 enum WorkerEvent {
@@ -60,6 +67,7 @@
     let server = ntex::server::build()
         .workers(1)
         .disable_signals()
+        .maxconn(MAX_HTTP_CONNECTIONS)
         .shutdown_timeout(Seconds(1))
         .on_worker_start(move || {
             let (path, settings) = (path.clone(), settings.clone());
@@ -128,7 +136,14 @@
 async fn show_metrics(service: State<Rc<SessionService>>) -> HttpResponse {
     HttpResponse::Ok()
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-        .body(service.encode_metrics())
+        .body(join_metrics(&service.encode_metrics()))
+}
+
+/// Adds the metrics of the limits before the last line, which ends the text.
+fn join_metrics(text: &str) -> String {
+    let limits = GATE.with_borrow(|gate| gate.as_ref().map(|gate| gate.encode_metrics()));
+    let body = text.strip_suffix("# EOF\n").unwrap_or(text);
+    format!("{body}{}# EOF\n", limits.unwrap_or_default())
 }
 
 async fn show_state(service: State<Rc<SessionService>>) -> HttpResponse {
@@ -166,7 +181,10 @@
     let store: Rc<dyn ControlStore> = Rc::new(store);
     let promotion_client =
         PromotionClient::new(settings.promotion_address, PROMOTION_TIMEOUT).await?;
-    let connector = Rc::new(LineConnector);
+    let limits = MemoryLimits::new(&settings.machine);
+    let gate = MemoryGate::new(&limits);
+    GATE.set(Some(gate.clone()));
+    let connector = Rc::new(BoundedConnector::new(gate.clone()));
     let service = SessionService::new(settings.service, connector.clone(), peers.clone());
     let promotions = PromotionTask::new(
         service.clone(),
@@ -188,14 +206,15 @@
     ntex::rt::spawn(run_registration(service.clone(), store.clone()));
     ntex::rt::spawn(run_promotion_duty(service.clone(), store.clone()));
     ntex::rt::spawn(promotions.run());
-    ntex::rt::spawn(serve_clients(listener, service.clone()));
+    ntex::rt::spawn(serve_clients(listener, service.clone(), gate));
     ntex::rt::spawn(watch_settings(path, service.clone()));
     let settings = service.settings();
     log::info!(
         version = env!("CARGO_PKG_VERSION"), name = &*settings.name, id = &*settings.process_id,
         zone = &*settings.zone, peers:% = settings.peer_address,
         key_lifetime:? = settings.key_lifetime, shutdown:? = settings.shutdown_timeout,
-        platform_fences = settings.platform_fences;
+        platform_fences = settings.platform_fences,
+        max_connections = limits.max_connections, share_bytes:? = limits.share_bytes;
         "process started"
     );
     let shutdown = ShutdownTask::new(service.clone(), relay, store);
--- a/crates/corianderstile/src/session_server/settings.rs
+++ b/crates/corianderstile/src/session_server/settings.rs
@@ -1,10 +1,12 @@
 //! Settings of an instance that serves sessions on the users' platform.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
 use coriander_core::{InstanceId, ZoneName};
+use coriander_memory::MachineLimits;
 use coriander_service::ServiceSettings;
 use platform_adapter::decode_features;
 
@@ -21,13 +23,22 @@
         &["key_lifetime_ms", "shutdown_ms", "platform_fences"],
     ),
     ("features", &["contracts", "duties"]),
+    ("machine", &["memory_mb", "descriptors"]),
 ];
 
+/// Memory of the machine in MiB: with less, the program itself has no room.
+const MEMORY_RANGE_MB: RangeInclusive<u64> = 48..=1_048_576;
+
+/// Descriptors of the machine. 200 are for files and 128 for members, store and other instances.
+const DESCRIPTOR_RANGE: RangeInclusive<u64> = 360..=10_000_000;
+
 const ALLOWED_ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
 
 /// Checked settings of an instance that serves sessions.
 #[derive(Clone, Debug)]
 pub struct SessionSettings {
+    /// Memory and descriptors of the machine.
+    pub machine: MachineLimits,
     /// Settings of the session service.
     pub service: ServiceSettings,
     /// Address for callers.
@@ -65,6 +76,15 @@
         let fences = reader.number("bounds", "platform_fences", 0, 0..=1);
         let contracts = reader.text("features", "contracts").unwrap_or_default();
         let duties = reader.text("features", "duties").unwrap_or_default();
+        let default = MachineLimits::default();
+        let mut limit = |key, default: usize, range| {
+            let value = reader.number("machine", key, default as u64, range);
+            usize::try_from(value).unwrap_or(default)
+        };
+        let machine = MachineLimits {
+            memory_mb: limit("memory_mb", default.memory_mb, MEMORY_RANGE_MB),
+            descriptors: limit("descriptors", default.descriptors, DESCRIPTOR_RANGE),
+        };
         reader.finish()?;
         // Every value is present because `finish` reports all that are missing.
         let settings = (|| {
@@ -74,6 +94,7 @@
                 .with_platform_fences(fences == 1)
                 .with_features(decode_features(&contracts, &duties));
             Some(Self {
+                machine,
                 service,
                 session_address: session_address?,
                 readiness_address: readiness_address?,
