--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -9,7 +9,7 @@
 use coriander_service_api::{ControlSnapshot, ControlStore, FleetConfig};
 use tokio::time::{sleep, timeout};
 
-use crate::promotion::duty_lease::rank_delay;
+use crate::duties::duty_lease::rank_delay;
 use crate::service::SessionService;
 
 /// Interval between two reads of the store.
--- a/crates/coriander_service/src/configuration/store_update.rs
+++ b/crates/coriander_service/src/configuration/store_update.rs
@@ -92,6 +92,7 @@
         evacuated_zones: snapshot.evacuated_zones.clone(),
         fleet_secret: snapshot.fleet_secret.clone(),
         duty_lease: snapshot.duty_lease.clone(),
+        usage_lease: snapshot.usage_lease.clone(),
         primaries: snapshot.primaries.clone(),
         entries_left_out: snapshot.entries_left_out,
     }
--- a/crates/coriander_service/src/promotion/promotion_duty.rs
+++ b/crates/coriander_service/src/duties/duty_state.rs
@@ -1,28 +1,16 @@
-//! The promotion duty and the reports of other instances about primaries.
+//! State of a duty in this process: its fencing token and its holder.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
-use coriander_service_api::DutyLease;
+use coriander_service_api::{Duty, DutyLease};
 
-use crate::fleet::peer_messages::OutageReport;
-
-/// How long an outage report of another instance is valid.
-const REPORT_LIFETIME: Duration = Duration::from_millis(700);
-
-#[derive(Clone, Debug)]
-struct ReceivedReport {
-    member: String,
-    failing: bool,
-    received_at: MonotonicTime,
-}
-
-/// The right to promote members: its fencing token and the outage reports of other instances.
-#[derive(Debug, Default)]
-pub struct PromotionDuty {
+/// The right to perform a duty of one instance at a time.
+#[derive(Debug)]
+pub struct DutyState {
+    duty: Duty,
     /// Fencing token of this process, if it holds the duty.
     token: Cell<Option<u64>>,
     /// Fencing token in the newest lease, of any holder.
@@ -37,10 +25,28 @@
     tenure: Cell<u64>,
     /// Send time of the last successful renewal of the lease.
     renewed_at: Cell<MonotonicTime>,
-    reports: RefCell<HashMap<(SocketAddr, String), ReceivedReport>>,
 }
 
-impl PromotionDuty {
+impl DutyState {
+    /// Creates the state of a duty that no process is known to hold.
+    pub fn new(duty: Duty) -> Self {
+        Self {
+            duty,
+            token: Cell::default(),
+            current_token: Cell::default(),
+            holder_address: Cell::default(),
+            is_retired: Cell::default(),
+            is_token_spent: Cell::default(),
+            tenure: Cell::default(),
+            renewed_at: Cell::default(),
+        }
+    }
+
+    /// Returns the duty.
+    pub const fn duty(&self) -> Duty {
+        self.duty
+    }
+
     /// Applies the lease of a snapshot of the store.
     pub fn apply(&self, lease: Option<&DutyLease>, own_process: &str) {
         let was_held = self.token.get().is_some();
@@ -62,8 +68,8 @@
             let holder = lease.map_or("-", |lease| &*lease.holder);
             let token = self.current_token.get();
             log::info!(
-                holder = holder, token:? = token;
-                "another instance holds the promotion duty"
+                duty = self.duty.label(), holder = holder, token:? = token;
+                "another instance holds the duty"
             );
         }
     }
@@ -83,7 +89,7 @@
 
     /// Records that this process has acquired the duty or a new token.
     pub fn record_acquired(&self, token: u64) {
-        log::info!(token = token; "promotion duty acquired");
+        log::info!(duty = self.duty.label(), token = token; "duty acquired");
         self.set_token((!self.is_retired.get()).then_some(token));
         self.current_token.set(Some(token));
         self.is_token_spent.set(false);
@@ -104,7 +110,7 @@
     /// Releases the duty, for example because its lease has ended.
     pub fn release(&self) {
         if let Some(token) = self.token.take() {
-            log::info!(token = token; "promotion duty released");
+            log::info!(duty = self.duty.label(), token = token; "duty released");
         }
     }
 
@@ -119,7 +125,7 @@
     /// and may still be executed unless a newer token is used.
     pub fn mark_token_spent(&self) {
         log::info!(
-            token:? = self.token.get();
+            duty = self.duty.label(), token:? = self.token.get();
             "fencing token is not used again; a new one will be acquired"
         );
         self.is_token_spent.set(true);
@@ -149,32 +155,4 @@
     pub fn is_free(&self) -> bool {
         self.token.get().is_none() && self.current_token.get().is_none()
     }
-
-    /// Records an outage report of another instance.
-    pub fn record_outage_report(
-        &self,
-        sender: SocketAddr,
-        report: &OutageReport,
-        now: MonotonicTime,
-    ) {
-        let received_report = ReceivedReport {
-            member: report.member.clone(),
-            failing: report.failing,
-            received_at: now,
-        };
-        let mut reports = self.reports.borrow_mut();
-        reports.insert((sender, report.group.clone()), received_report);
-    }
-
-    /// Returns the number of other instances that report an outage of a primary.
-    pub fn outage_reports(&self, group: &str, member: &str, now: MonotonicTime) -> usize {
-        let reports = self.reports.borrow();
-        let is_valid = |((_, report_group), report): &(&(SocketAddr, String), &ReceivedReport)| {
-            report_group == group
-                && report.member == member
-                && report.failing
-                && now.since(report.received_at) < REPORT_LIFETIME
-        };
-        reports.iter().filter(is_valid).count()
-    }
 }
--- a/crates/coriander_service/src/fleet/fleet_view.rs
+++ b/crates/coriander_service/src/fleet/fleet_view.rs
@@ -140,6 +140,21 @@
         in_zone
     }
 
+    /// Returns the usable collectors of the usage of a zone, best first. Their order differs from
+    /// that of the store readers, so that the two tasks are spread.
+    pub fn usage_collectors(
+        &self,
+        zone: &str,
+        limit: usize,
+        is_usable: impl Fn(&InstanceEntry) -> bool,
+    ) -> Vec<InstanceEntry> {
+        let mut collectors = self.candidates(zone);
+        collectors.retain(|entry| is_usable(entry));
+        collectors.sort_by_cached_key(|entry| stable_hash(("usage", zone, &*entry.id)));
+        collectors.truncate(limit);
+        collectors.into_iter().cloned().collect()
+    }
+
     /// Returns a description of the fleet in one line.
     pub fn describe(&self) -> String {
         let names: Vec<&str> = self.instances.iter().map(|entry| &*entry.id).collect();
--- a/crates/coriander_service/src/fleet/peer_messages.rs
+++ b/crates/coriander_service/src/fleet/peer_messages.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use coriander_usage::{InstanceCounts, ZoneCounts};
 use serde::{Deserialize, Serialize};
 
 /// Request for a loan of operations of an account.
@@ -57,6 +58,22 @@
     pub failing: bool,
 }
 
+/// Usage of client accounts, on its way to the holder of the duty to report it.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum UsageMessage {
+    /// Counts of the sender for the collectors of its zone, with its clock since the Unix epoch.
+    Counts(InstanceCounts, Duration),
+    /// Sums of a zone for the holder of the duty.
+    Zone(ZoneCounts),
+    /// The time at a collector, for a process that has sent counts.
+    Time {
+        /// Process of the collector.
+        collector: u64,
+        /// Time since the Unix epoch.
+        wall_time: Duration,
+    },
+}
+
 /// A datagram between instances.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum PeerMessage {
@@ -72,4 +89,6 @@
     Outage(OutageReport),
     /// Refusal of a request for a loan.
     LoanRefusal(LoanRefusal),
+    /// Usage of client accounts.
+    Usage(UsageMessage),
 }
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -27,6 +27,7 @@
 use crate::members::member_pool::PoolError;
 use crate::service::{ServicePhase, SessionService};
 use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
+use crate::usage::begun_operation::exchange_counted;
 
 /// Added to the time limit of an exchange for the transfer between the instances.
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
@@ -390,7 +391,10 @@
                 Err(error) => return ExchangeOutcome::failed(ExchangeError::NotSent(error)),
             },
         };
-        let outcome = held.exchange(plan).await;
+        let Some(service) = self.service.upgrade() else {
+            return ExchangeOutcome::failed(no_reply("the process has ended"));
+        };
+        let outcome = exchange_counted(&service, &mut held, plan).await;
         let ended = self.ended_streams.borrow_mut().remove(&key);
         if outcome.keeps_connection(plan) && !ended {
             self.streams.borrow_mut().insert(key, held);
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -14,13 +14,16 @@
 
 mod admission;
 mod configuration;
+mod duties;
 mod fleet;
 mod members;
 mod promotion;
 mod service;
+mod service_description;
 mod service_metrics;
 mod service_settings;
 mod sessions;
+mod usage;
 
 pub use configuration::config_delta::{ConfigDelta, ConfigHistory};
 pub use configuration::control_loop::run_store_sync;
@@ -28,13 +31,13 @@
     InstanceHistory, InstanceUpdate, SnapshotDigest, StoreUpdate,
 };
 pub use coriander_peer::BootClock;
+pub use duties::duty_lease::{rank_delay, run_duty};
 pub use fleet::peer_messages::PeerMessage;
 pub use fleet::peer_socket::PeerSocket;
 pub use fleet::registration::run_registration;
 pub use fleet::relay::{RelayClient, RelayReply, RelayRequest, RelayServer};
 pub use members::member_health::MemberHealth;
 pub use members::warm_up_gate::WarmUpGate;
-pub use promotion::duty_lease::{rank_delay, run_promotion_duty};
 pub use promotion::promotion_cause::{
     PrimaryObservation, PromotionCandidate, PromotionCause, SuccessorRule, choose_successor,
 };
@@ -44,3 +47,4 @@
 pub use service_settings::ServiceSettings;
 pub use sessions::busy_backoff::BusyBackoff;
 pub use sessions::shutdown_task::ShutdownTask;
+pub use usage::usage_task::UsageTask;
--- a/crates/coriander_service/src/promotion/promotion_task.rs
+++ b/crates/coriander_service/src/promotion/promotion_task.rs
@@ -200,8 +200,8 @@
             return PrimaryObservation::default().with_no_primary(now.since(since));
         };
         no_primary_since.remove(&group.name);
-        let duty = &self.service.promotion_duty;
-        let reports = duty.outage_reports(&group.name, &primary.id, now);
+        let reports = &self.service.outage_reports;
+        let reports = reports.count(&group.name, &primary.id, now);
         PrimaryObservation::default()
             .with_failing(primary.failing_for(now).unwrap_or_default())
             .with_reports(reports, self.service.peers.peers().len())
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -10,7 +10,7 @@
 use async_trait::async_trait;
 use coriander_core::MonotonicTime;
 use coriander_service_api::{
-    ClientSession, ControlSnapshot, FailureCode, FailureReason, FleetConfig, InstanceEntry,
+    ClientSession, ControlSnapshot, Duty, FailureCode, FailureReason, FleetConfig, InstanceEntry,
     LeaseId, MemberConnector, MemberEntry, SessionFailure, SessionHost,
 };
 use coriander_wire::FrameCodec;
@@ -21,6 +21,8 @@
 use crate::configuration::config_view::ConfigView;
 use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
 use crate::configuration::store_view::StoreView;
+use crate::duties::duty_lease::SAFE_LEASE_LIFETIME;
+use crate::duties::duty_state::DutyState;
 use crate::fleet::fleet_view::FleetView;
 use crate::fleet::peer_messages::PeerMessage;
 use crate::fleet::peer_socket::PeerSocket;
@@ -28,11 +30,11 @@
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
 use crate::members::warm_up_gate::WarmUpGate;
-use crate::promotion::duty_lease::SAFE_LEASE_LIFETIME;
-use crate::promotion::promotion_duty::PromotionDuty;
+use crate::promotion::outage_reports::OutageReports;
 use crate::service_metrics::ServiceMetrics;
 use crate::sessions::request_log::{RefusedSession, RequestLog};
 use crate::sessions::session::ServedSession;
+use crate::usage::usage_meter::UsageMeter;
 use crate::{BootClock, ServiceSettings};
 
 /// Number of store readers per zone from which an instance requests updates, in order. If the first
@@ -75,7 +77,13 @@
     /// Datagram socket to the other instances.
     pub peers: Rc<PeerSocket>,
     /// The promotion duty: the right to promote members.
-    pub promotion_duty: PromotionDuty,
+    pub promotion_duty: DutyState,
+    /// Reports of other instances about primaries.
+    pub outage_reports: OutageReports,
+    /// The duty to report the usage of client accounts.
+    pub usage_duty: DutyState,
+    /// Usage of client accounts; `None` where the platform expects no reports.
+    pub usage: Option<Rc<UsageMeter>>,
     /// Log of statements and refused sessions.
     pub request_log: RequestLog,
     /// Counters and histograms.
@@ -85,7 +93,7 @@
     /// Key that authenticates messages between instances; `None` until the fleet secret has been
     /// read.
     pub fleet_key: watch::Sender<Option<[u8; 32]>>,
-    fleet: RefCell<FleetView>,
+    pub(crate) fleet: RefCell<FleetView>,
     /// Whether an instance has announced its shutdown since the last applied snapshot.
     leaving_changed: Cell<bool>,
     /// Newest snapshot of the store.
@@ -108,6 +116,8 @@
         peers: Rc<PeerSocket>,
     ) -> Rc<Self> {
         let name = settings.name.clone();
+        let features = settings.features;
+        let usage = features.usage_reports.then(|| UsageMeter::new(&settings));
         Rc::new_cyclic(|weak_self| Self {
             settings: RefCell::new(Rc::new(settings)),
             clock: BootClock,
@@ -126,7 +136,10 @@
             fleet: RefCell::default(),
             leaving_changed: Cell::new(false),
             store_view: StoreView::default(),
-            promotion_duty: PromotionDuty::default(),
+            promotion_duty: DutyState::new(Duty::Promotion),
+            outage_reports: OutageReports::default(),
+            usage_duty: DutyState::new(Duty::UsageReport),
+            usage: usage.map(Rc::new),
             phase: Cell::new(ServicePhase::Serving),
             session_count: Cell::new(0),
             registration_lease: Cell::new(None),
@@ -167,8 +180,11 @@
             self.relay.set_codec(FrameCodec::new(&key));
             self.fleet_key.send_replace(Some(key));
         }
+        let process_id = self.settings().process_id.clone();
         self.promotion_duty
-            .apply(snapshot.duty_lease.as_ref(), &self.settings().process_id);
+            .apply(snapshot.duty_lease.as_ref(), &process_id);
+        self.usage_duty
+            .apply(snapshot.usage_lease.as_ref(), &process_id);
         // The announcement of a shutdown changes the assignment of connections before the store
         // changes.
         let same_assignment = digest.same_instances(&previous)
@@ -283,6 +299,24 @@
         (home_instance.id != own_name).then_some(home_instance.address)
     }
 
+    /// Returns the state of a duty.
+    pub const fn duty(&self, duty: Duty) -> &DutyState {
+        match duty {
+            Duty::Promotion => &self.promotion_duty,
+            Duty::UsageReport => &self.usage_duty,
+        }
+    }
+
+    /// Returns up to `limit` instances of the own zone that collect its usage, in order.
+    pub fn usage_collectors(&self, limit: usize) -> Vec<InstanceEntry> {
+        let settings = self.settings();
+        let is_usable = |entry: &InstanceEntry| {
+            entry.id == settings.name || self.relay.is_usable(entry.address)
+        };
+        let fleet = self.fleet.borrow();
+        fleet.usage_collectors(&settings.zone, limit, is_usable)
+    }
+
     /// Announces to the other instances that this one is about to stop.
     pub fn announce_shutdown(&self) {
         let name = self.settings().name.to_string();
@@ -358,51 +392,6 @@
         self.registration_lease.get()
     }
 
-    /// Returns all metrics in the text format of OpenMetrics.
-    pub fn encode_metrics(&self) -> String {
-        let config = self.config_view.config();
-        let version = config.map_or(0, |config| config.version);
-        let age = self.config_view.age(self.clock.now());
-        self.metrics.set_gauges(self.session_count(), version, age);
-        for group in self.groups() {
-            let members = group.members();
-            let open = members.iter().map(|member| member.pool.open_count()).sum();
-            let waiting = members
-                .iter()
-                .map(|member| member.pool.waiting_count())
-                .sum();
-            self.metrics.set_connections(&group.name, open, waiting);
-        }
-        self.metrics.encode()
-    }
-
-    /// Returns a description of the state of the process, one line for each part.
-    pub fn describe(&self) -> String {
-        let now = self.clock.now();
-        let settings = self.settings();
-        let version = self.config_view.config().map_or(0, |config| config.version);
-        let mut lines = vec![
-            format!(
-                "process name={} id={} zone={} phase={:?} sessions={}",
-                settings.name,
-                settings.process_id,
-                settings.zone,
-                self.phase(),
-                self.session_count()
-            ),
-            format!(
-                "config version={version} age={:?}",
-                self.config_view.age(now)
-            ),
-            format!("duty token={:?}", self.promotion_duty.token()),
-            self.fleet.borrow().describe(),
-        ];
-        for group in self.groups() {
-            lines.extend(group.describe(now));
-        }
-        lines.join("\n") + "\n"
-    }
-
     /// Returns the number of open sessions.
     pub fn session_count(&self) -> usize {
         self.session_count.get()
@@ -470,8 +459,12 @@
             }
             PeerMessage::Leaving(name) => self.record_leaving_instance(name),
             PeerMessage::Outage(report) => {
-                self.promotion_duty
-                    .record_outage_report(sender, report, self.clock.now());
+                self.outage_reports.record(sender, report, self.clock.now());
+            }
+            PeerMessage::Usage(message) => {
+                if let Some(usage) = &self.usage {
+                    usage.handle(sender, message, self);
+                }
             }
         }
     }
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -77,6 +77,8 @@
     entries_left_out: Gauge,
     promotions: Family<GroupLabels, Counter>,
     promotion_time: Histogram,
+    usage_reports: Family<ResultLabel, Counter>,
+    late_usage: Counter,
     sessions: Gauge,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
@@ -97,6 +99,8 @@
             entries_left_out: Gauge::default(),
             promotions: Family::default(),
             promotion_time: latency_histogram(),
+            usage_reports: Family::default(),
+            late_usage: Counter::default(),
             sessions: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
@@ -160,6 +164,16 @@
             "Time from a promotion call until the member leads",
             self.promotion_time.clone(),
         );
+        registry.register(
+            "usage_windows",
+            "Usage windows by the result of their report",
+            self.usage_reports.clone(),
+        );
+        registry.register(
+            "usage_late_operations",
+            "Operations that became known after their window was reported",
+            self.late_usage.clone(),
+        );
         registry.register("sessions", "Open sessions", self.sessions.clone());
         registry.register(
             "config_version",
@@ -241,6 +255,17 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts windows of usage by the result of their report.
+    pub fn count_usage(&self, result: &'static str, windows: u64) {
+        let label = ResultLabel { result };
+        self.usage_reports.get_or_create(&label).inc_by(windows);
+    }
+
+    /// Counts operations that became known after their window was reported.
+    pub fn count_late_usage(&self, operations: u64) {
+        self.late_usage.inc_by(operations);
+    }
+
     /// Counts a step of a promotion.
     pub fn count_promotion(&self, group: &str, result: &'static str) {
         self.promotions
--- a/crates/coriander_service/src/service_settings.rs
+++ b/crates/coriander_service/src/service_settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coriander_service_api::ServiceFeatures;
+use coriander_usage::UsagePolicy;
 
 /// Identity and limits of one instance.
 ///
@@ -36,6 +37,8 @@
     pub platform_fences: bool,
     /// Optional parts of the service that work.
     pub features: ServiceFeatures,
+    /// Windows of usage reports, and their times.
+    pub usage: UsagePolicy,
 }
 
 impl ServiceSettings {
@@ -50,6 +53,7 @@
             shutdown_timeout: Duration::from_secs(6),
             platform_fences: false,
             features: ServiceFeatures::default(),
+            usage: UsagePolicy::default(),
         }
     }
 
@@ -87,4 +91,11 @@
         self.features = features;
         self
     }
+
+    /// Sets the windows of usage reports, and their times.
+    #[must_use]
+    pub const fn with_usage(mut self, usage: UsagePolicy) -> Self {
+        self.usage = usage;
+        self
+    }
 }
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -11,6 +11,7 @@
 use crate::members::member_pool::PoolError;
 use crate::service::SessionService;
 use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
+use crate::usage::begun_operation::exchange_counted;
 
 enum LinkLocation {
     /// No connection has been acquired.
@@ -106,7 +107,7 @@
         mut held: Box<HeldConnection>,
         plan: &ExchangePlan,
     ) -> ExchangeOutcome {
-        let outcome = held.exchange(plan).await;
+        let outcome = exchange_counted(&self.service, &mut held, plan).await;
         if outcome.keeps_connection(plan) {
             self.location = LinkLocation::Local(held);
         }
--- a/crates/coriander_service/src/sessions/shutdown_task.rs
+++ b/crates/coriander_service/src/sessions/shutdown_task.rs
@@ -67,6 +67,9 @@
         // The last answers leave the process before its connections close.
         sleep(CLOSE_CHECK_INTERVAL).await;
         self.wait_for_sessions(started + limit).await;
+        if let Some(usage) = &service.usage {
+            usage.send_all(service);
+        }
         log::info!(
             sessions = service.session_count(), relayed = self.relay.active_count(),
             took:? = service.clock.now().since(started);
@@ -77,7 +80,11 @@
     async fn hand_over(&self) {
         // The successor may act as soon as the lease has ended.
         self.service.promotion_duty.retire();
+        self.service.usage_duty.retire();
         self.service.announce_shutdown();
+        if let Some(usage) = &self.service.usage {
+            usage.send_all(&self.service);
+        }
         if let Some(lease) = self.service.registration_lease()
             && let Err(error) = self.store.end_lease(lease).await
         {
--- /dev/null
+++ b/crates/coriander_service/src/usage/usage_meter.rs
@@ -0,0 +1,202 @@
+//! Counts of this instance, sums of its zone as a collector, and their way to the holder.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use coriander_core::stable_hash;
+use coriander_usage::{
+    AccountCounter, ClockEstimate, InstanceCounts, UsageLedger, UsagePolicy, ZoneCollector,
+    ZoneCounts, split_counts,
+};
+
+use crate::fleet::peer_messages::{PeerMessage, UsageMessage};
+use crate::service::SessionService;
+use crate::{BootClock, ServiceSettings};
+
+/// Number of collectors of a zone. The second one has the counts if the first is lost.
+const COLLECTORS: usize = 2;
+
+/// Time after the end of a window from which its sums are sent, so that the counts of most processes
+/// have arrived and a sum is sent once.
+const SETTLE_TIME: Duration = Duration::from_millis(1_400);
+
+/// Usage of client accounts at this instance.
+pub struct UsageMeter {
+    policy: UsagePolicy,
+    process: u64,
+    zone: Arc<str>,
+    peer_address: SocketAddr,
+    clock: RefCell<ClockEstimate>,
+    counter: RefCell<AccountCounter>,
+    collector: RefCell<ZoneCollector>,
+    /// The windows of the fleet, while this process holds the duty.
+    pub ledger: RefCell<UsageLedger>,
+    /// Collectors to which the last counts were sent.
+    collectors: RefCell<Vec<SocketAddr>>,
+    /// Holder to which the last sums were sent.
+    holder: Cell<Option<SocketAddr>>,
+}
+
+impl UsageMeter {
+    /// Creates the meter.
+    pub fn new(settings: &ServiceSettings) -> Self {
+        let meter = Self {
+            policy: settings.usage,
+            process: stable_hash(&*settings.process_id),
+            zone: settings.zone.clone(),
+            peer_address: settings.peer_address,
+            clock: RefCell::default(),
+            counter: RefCell::default(),
+            collector: RefCell::default(),
+            ledger: RefCell::new(UsageLedger::new(settings.usage)),
+            collectors: RefCell::default(),
+            holder: Cell::default(),
+        };
+        meter.update_clock();
+        meter
+    }
+
+    /// Returns the estimated true time since the Unix epoch.
+    pub fn wall_time(&self) -> Duration {
+        self.clock.borrow().wall_time(BootClock.now())
+    }
+
+    /// Returns the window of the present time.
+    pub fn current_window(&self) -> u64 {
+        self.policy.window_at(self.wall_time())
+    }
+
+    /// Counts an operation that began in a window.
+    pub fn count(&self, account: &Arc<str>, window: u64) {
+        self.counter.borrow_mut().count(account, window);
+    }
+
+    /// Returns the operations that this process has counted in the windows that it keeps.
+    pub fn counted(&self) -> u64 {
+        self.counter.borrow().total()
+    }
+
+    /// Compares the clock of the machine with those of other instances.
+    pub fn update_clock(&self) {
+        let mut clock = self.clock.borrow_mut();
+        clock.record_own(machine_time(), BootClock.now());
+    }
+
+    /// Sends the counts and sums that are due.
+    pub fn send_due(&self, service: &SessionService) {
+        let now = self.wall_time();
+        let open_window = self.policy.window_at(now);
+        let settled_window = self.policy.window_at(now.saturating_sub(SETTLE_TIME));
+        self.send_counts(service, open_window);
+        self.send_sums(service, settled_window);
+    }
+
+    /// Sends all counts and sums, because the process is about to stop.
+    pub fn send_all(&self, service: &SessionService) {
+        self.counter.borrow_mut().resend_all();
+        self.collector.borrow_mut().resend_all();
+        let open_window = self.current_window();
+        self.send_counts(service, open_window);
+        // The open window is not complete, but no other message of this process follows.
+        self.send_sums(service, open_window + 1);
+    }
+
+    fn send_counts(&self, service: &SessionService, open_window: u64) {
+        let entries = service.usage_collectors(COLLECTORS);
+        let collectors: Vec<_> = entries.iter().map(|entry| entry.address).collect();
+        if collectors.is_empty() {
+            // Before the instances are known, or while none replies, the counts stay due.
+            return;
+        }
+        if *self.collectors.borrow() != collectors {
+            self.counter.borrow_mut().resend_all();
+            (*self.collectors.borrow_mut()).clone_from(&collectors);
+        }
+        let due = self.counter.borrow_mut().take_due(open_window);
+        for (window, is_closed, counts) in due {
+            for part in split_counts(counts) {
+                let zone = self.zone.clone();
+                let counts = InstanceCounts::new(self.process, zone, window, is_closed, part);
+                let message = PeerMessage::Usage(UsageMessage::Counts(counts, machine_time()));
+                for address in &collectors {
+                    self.deliver(service, *address, &message);
+                }
+            }
+        }
+    }
+
+    fn send_sums(&self, service: &SessionService, settled_window: u64) {
+        let duty = &service.usage_duty;
+        let own_address = duty.is_held().then_some(self.peer_address);
+        let Some(holder) = own_address.or_else(|| duty.other_holder()) else {
+            return;
+        };
+        let mut collector = self.collector.borrow_mut();
+        if self.holder.replace(Some(holder)) != Some(holder) {
+            collector.resend_all();
+        }
+        let due = collector.take_due(self.process, settled_window);
+        drop(collector);
+        for sums in due {
+            for part in split_counts(sums.counts.clone()) {
+                let counts = ZoneCounts {
+                    counts: part,
+                    ..sums.clone()
+                };
+                let message = PeerMessage::Usage(UsageMessage::Zone(counts));
+                self.deliver(service, holder, &message);
+            }
+        }
+    }
+
+    fn deliver(&self, service: &SessionService, address: SocketAddr, message: &PeerMessage) {
+        if address != self.peer_address {
+            service.peers.send(address, message);
+        } else if let PeerMessage::Usage(message) = message {
+            self.record(message);
+        }
+    }
+
+    fn record(&self, message: &UsageMessage) {
+        match message {
+            UsageMessage::Counts(counts, _) => self.collector.borrow_mut().record(counts),
+            UsageMessage::Zone(sums) => self.ledger.borrow_mut().receive(sums),
+            UsageMessage::Time { .. } => {}
+        }
+    }
+
+    /// Handles a message of another instance.
+    pub fn handle(&self, sender: SocketAddr, message: &UsageMessage, service: &SessionService) {
+        let now = BootClock.now();
+        match message {
+            UsageMessage::Counts(counts, wall_time) => {
+                let mut clock = self.clock.borrow_mut();
+                clock.record_peer(counts.process, *wall_time, now);
+                if counts.is_closed {
+                    let reply = UsageMessage::Time {
+                        collector: self.process,
+                        wall_time: clock.wall_time(now),
+                    };
+                    service.peers.send(sender, &PeerMessage::Usage(reply));
+                }
+            }
+            UsageMessage::Time {
+                collector,
+                wall_time,
+            } => {
+                let mut clock = self.clock.borrow_mut();
+                clock.record_peer(*collector, *wall_time, now);
+            }
+            UsageMessage::Zone(_) => {}
+        }
+        self.record(message);
+    }
+}
+
+/// Returns the time of the machine's clock since the Unix epoch.
+fn machine_time() -> Duration {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default()
+}
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -13,7 +13,9 @@
     BootClock, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer, ServicePhase,
     ServiceSettings, SessionService, SnapshotDigest,
 };
-use coriander_service_api::{ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness};
+use coriander_service_api::{
+    ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures,
+};
 use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -31,7 +33,11 @@
     let socket = UdpSocket::bind(address).await.expect("same port is free");
     let id = format!("{name}-a").parse().expect("valid name");
     let peers = Rc::new(PeerSocket::new(socket, name.into(), id, 1));
-    let settings = ServiceSettings::new(name, zone, address);
+    let features = ServiceFeatures {
+        usage_reports: true,
+        ..ServiceFeatures::default()
+    };
+    let settings = ServiceSettings::new(name, zone, address).with_features(features);
     let service = SessionService::new(settings, group.clone(), peers);
     let relay = RelayServer::new(&service);
     ntex::rt::spawn(relay.clone().run(listener, service.clone()));
@@ -290,3 +296,21 @@
     assert_eq!(code(&response), Some(FailureCode::Busy));
     assert!(group.ran_texts().is_empty(), "{:?}", group.ran_texts());
 }
+
+#[ntex::test]
+async fn relayed_operations_count_on_their_home_instance_only() {
+    // Counted by both instances, the usage of an account would be twice the truth.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home_instance) = start_two(&group).await;
+    let counted = |instance: &Instance| {
+        let usage = instance.service.usage.as_ref();
+        usage.expect("reports are expected").counted()
+    };
+    let mut session = open(&remote.service).await;
+    run(&mut session, "q1", "WRITE 1 x").await;
+    run(&mut session, "b", "BEGIN").await;
+    run(&mut session, "w1", "WRITE 2 x").await;
+    run(&mut session, "w2", "WRITE 3 x").await;
+    run(&mut session, "c", "COMMIT").await;
+    assert_eq!((counted(&remote), counted(&home_instance)), (0, 2));
+}
--- a/crates/coriander_service/tests/support/fake_store.rs
+++ b/crates/coriander_service/tests/support/fake_store.rs
@@ -9,15 +9,17 @@
 
 use async_trait::async_trait;
 use coriander_service_api::{
-    ControlSnapshot, ControlStore, DesignatedPrimary, FleetConfig, InstanceEntry, LeaseId,
+    ControlSnapshot, ControlStore, DesignatedPrimary, Duty, FleetConfig, InstanceEntry, LeaseId,
     LineageRecord, StoreError,
 };
+use coriander_usage::UsageRecord;
 
 /// Accepts writes with the fencing token `token` only.
 pub struct FakeStore {
     token: u64,
     pub primaries: RefCell<Vec<DesignatedPrimary>>,
     pub lineages: RefCell<HashMap<Arc<str>, LineageRecord>>,
+    pub usage_record: RefCell<UsageRecord>,
     /// Whether it sends no response.
     pub is_silent: Cell<bool>,
 }
@@ -28,6 +30,7 @@
             token,
             primaries: RefCell::default(),
             lineages: RefCell::default(),
+            usage_record: RefCell::default(),
             is_silent: Cell::new(false),
         })
     }
@@ -70,8 +73,9 @@
         Err(StoreError::Refused(503))
     }
 
-    async fn acquire_promotion_duty(
+    async fn acquire_duty(
         &self,
+        _duty: Duty,
         _holder: &str,
         _address: SocketAddr,
         _lease: LeaseId,
@@ -103,6 +107,29 @@
         Ok(revision)
     }
 
+    async fn read_usage_record(&self) -> Result<UsageRecord, StoreError> {
+        self.check_reachable()?;
+        Ok(self.usage_record.borrow().clone())
+    }
+
+    async fn write_usage_record(
+        &self,
+        record: &UsageRecord,
+        token: u64,
+    ) -> Result<u64, StoreError> {
+        self.check_reachable()?;
+        let mut known = self.usage_record.borrow_mut();
+        if token != self.token || record.revision != known.revision {
+            return Err(StoreError::Conflict);
+        }
+        let revision = known.revision + 1;
+        *known = UsageRecord {
+            revision,
+            ..record.clone()
+        };
+        Ok(revision)
+    }
+
     async fn designate_primary(
         &self,
         primary: &DesignatedPrimary,
--- /dev/null
+++ b/crates/coriander_service/tests/usage.rs
@@ -0,0 +1,163 @@
+//! What counts as usage, and the way of the counts of one instance into a report.
+
+mod support;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coriander_service::{BootClock, ServiceSettings, SessionService, UsageTask};
+use coriander_service_api::{
+    DutyLease, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures, UsageApi,
+    UsageReportError,
+};
+use coriander_usage::{UsagePolicy, WindowUsage};
+
+use support::fake_store::FakeStore;
+use support::{FakeGroup, Fault, apply, config, open, run, snapshot, start, start_with};
+
+fn settings() -> ServiceSettings {
+    let features = ServiceFeatures {
+        usage_reports: true,
+        ..ServiceFeatures::default()
+    };
+    let policy = UsagePolicy::default()
+        .with_window(Duration::from_millis(500))
+        .with_report_delay(Duration::from_millis(1_000));
+    ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 9).into())
+        .with_features(features)
+        .with_usage(policy)
+}
+
+async fn start_counting(group: &Rc<FakeGroup>) -> Rc<SessionService> {
+    let service = start_with(group, settings()).await;
+    apply(&service, config(1, ReadFreshness::Newest), group.entries());
+    service
+}
+
+fn counted(service: &SessionService) -> u64 {
+    service.usage.as_ref().expect("counts").counted()
+}
+
+#[ntex::test]
+async fn service_without_the_feature_has_no_usage() {
+    // A deployment without the duty must not send anything new.
+    let group = FakeGroup::new(&["a"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    assert!(service.usage.is_none());
+}
+
+#[ntex::test]
+async fn transaction_counts_once() {
+    // Each statement would count, and a transaction costs an account as much as its statements.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_counting(&group).await;
+    let mut session = open(&service).await;
+    run(&mut session, "q1", "READ 7").await;
+    assert_eq!(counted(&service), 1);
+    run(&mut session, "b", "BEGIN").await;
+    assert_eq!(counted(&service), 1, "no member has run anything yet");
+    run(&mut session, "w1", "WRITE 1 x").await;
+    run(&mut session, "w2", "WRITE 2 x").await;
+    run(&mut session, "c", "COMMIT").await;
+    assert_eq!(counted(&service), 2);
+}
+
+#[ntex::test]
+async fn operation_repeated_after_not_run_counts_once() {
+    // A busy member would add to the usage of an account for work that it refused.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_counting(&group).await;
+    let mut session = open(&service).await;
+    group.add_fault("a", "WRITE", Fault::Refuse(FailureCode::Busy));
+    let response = run(&mut session, "w1", "WRITE 1 x").await;
+    assert!(response.result.is_ok());
+    assert_eq!(counted(&service), 1);
+}
+
+#[ntex::test]
+async fn operation_without_a_reply_counts() {
+    // The member has run it, though the proxy does not know.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_counting(&group).await;
+    let mut session = open(&service).await;
+    group.add_fault("a", "WRITE", Fault::LoseReply);
+    let response = run(&mut session, "w1", "WRITE 1 x").await;
+    assert!(response.result.is_err());
+    assert_eq!(counted(&service), 1);
+}
+
+/// Notes the reports and loses the first answer.
+#[derive(Default)]
+struct FakeUsageApi {
+    reports: RefCell<Vec<WindowUsage>>,
+    calls: Cell<u64>,
+}
+
+#[async_trait(?Send)]
+impl UsageApi for FakeUsageApi {
+    async fn report(
+        &self,
+        usage: &WindowUsage,
+        _holder: &str,
+        token: u64,
+    ) -> Result<(), UsageReportError> {
+        assert_eq!(token, 41);
+        self.calls.set(self.calls.get() + 1);
+        let mut reports = self.reports.borrow_mut();
+        match reports.iter().find(|known| known.window == usage.window) {
+            Some(known) => assert_eq!(known, usage, "a report is final"),
+            None => reports.push(usage.clone()),
+        }
+        if self.calls.get() == 1 {
+            return Err(UsageReportError::NoResponse("lost".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+#[ntex::test]
+async fn holder_reports_the_operations_of_each_window_once() {
+    // Guards the whole way: counted here, collected, summed, recorded, sent, and sent again.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_with(&group, settings()).await;
+    let mut held = snapshot(config(1, ReadFreshness::Newest), group.entries());
+    held.instances = vec![InstanceEntry {
+        id: "instance-1".into(),
+        address: service.settings().peer_address,
+        zone: "berrechid".into(),
+        created: 1,
+    }];
+    held.fleet_secret = Some([7; 32].as_slice().into());
+    held.usage_lease = Some(DutyLease {
+        holder: service.settings().process_id.clone(),
+        address: None,
+        token: 41,
+    });
+    service.apply_snapshot(&held, BootClock.now());
+    let store = FakeStore::new(41);
+    let api = Rc::new(FakeUsageApi::default());
+    let task = UsageTask::new(service.clone(), store.clone(), api.clone());
+    let task = task.expect("reports are expected");
+    let mut session = open(&service).await;
+    for round in 0..32 {
+        service.usage_duty.record_renewal(BootClock.now());
+        if round < 8 {
+            run(&mut session, &format!("w{round}"), "WRITE 1 x").await;
+        }
+        task.run_round().await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let reports = api.reports.borrow();
+    let operations: u64 = reports.iter().flat_map(|usage| usage.counts.values()).sum();
+    assert_eq!(operations, 8, "{reports:?}");
+    let windows: Vec<_> = reports.iter().map(|usage| usage.window).collect();
+    let following = windows.windows(2).all(|pair| pair[1] == pair[0] + 1);
+    assert!(following, "{windows:?}");
+    assert_eq!(api.calls.get(), windows.len() as u64 + 1);
+    assert_eq!(
+        store.usage_record.borrow().last_window,
+        *windows.last().expect("reports")
+    );
+}
--- a/crates/coriander_service_api/src/control_store.rs
+++ b/crates/coriander_service_api/src/control_store.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use coriander_core::{LogPosition, TermNumber};
+use coriander_usage::{UsageRecord, WindowUsage};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -56,7 +57,30 @@
     pub created: u64,
 }
 
-/// Lease of the promotion duty.
+/// A duty that one instance performs at a time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Duty {
+    /// Promotes members.
+    Promotion,
+    /// Reports the usage of client accounts.
+    UsageReport,
+}
+
+impl Duty {
+    /// Returns the name of the duty in logs.
+    ///
+    /// ```
+    /// assert_eq!(coriander_service_api::Duty::UsageReport.label(), "usage_report");
+    /// ```
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Promotion => "promotion",
+            Self::UsageReport => "usage_report",
+        }
+    }
+}
+
+/// Lease of a duty.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DutyLease {
     /// Identifier of the process that holds the lease.
@@ -120,6 +144,8 @@
     pub fleet_secret: Option<Arc<[u8]>>,
     /// Lease of the promotion duty, if an instance holds it.
     pub duty_lease: Option<DutyLease>,
+    /// Lease of the duty to report usage, if an instance holds it.
+    pub usage_lease: Option<DutyLease>,
     /// Designated primaries; groups without a promotion have none.
     pub primaries: Vec<DesignatedPrimary>,
     /// Number of invalid entries that were left out.
@@ -174,10 +200,11 @@
     /// Stores the fleet secret unless the store already contains one.
     async fn create_fleet_secret(&self, secret: &[u8]) -> Result<(), StoreError>;
 
-    /// Acquires the promotion duty if it has no holder, or replaces its token if `replaced_token`
-    /// is the current token. Returns the new fencing token.
-    async fn acquire_promotion_duty(
+    /// Acquires a duty if it has no holder, or replaces its token if `replaced_token` is the
+    /// current token. Returns the new fencing token.
+    async fn acquire_duty(
         &self,
+        duty: Duty,
         holder: &str,
         address: SocketAddr,
         lease: LeaseId,
@@ -198,6 +225,14 @@
     /// Replaces the recorded promotions of a group and returns the new revision, if `token` is the
     /// current token of the promotion duty and the record still has the given revision.
     async fn write_lineage(&self, record: &LineageRecord, token: u64) -> Result<u64, StoreError>;
+
+    /// Reads the record of usage reports; an empty one if there is none.
+    async fn read_usage_record(&self) -> Result<UsageRecord, StoreError>;
+
+    /// Replaces the record of usage reports and returns the new revision, if `token` is the current
+    /// token of the duty to report usage and the record still has the given revision.
+    async fn write_usage_record(&self, record: &UsageRecord, token: u64)
+    -> Result<u64, StoreError>;
 }
 
 /// Failure of a promotion call.
@@ -229,3 +264,32 @@
         token: u64,
     ) -> Result<(), PromotionError>;
 }
+
+/// Failure of a usage report.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum UsageReportError {
+    /// A higher fencing token was used.
+    #[error("usage report was rejected: the fencing token is outdated")]
+    Rejected,
+    /// The call had no effect.
+    #[error("usage report was refused with status {0}")]
+    Refused(u16),
+    /// The call was not sent.
+    #[error("usage report was not sent: {0}")]
+    NotSent(String),
+    /// No response was received; the call may still take effect.
+    #[error("no response to the usage report: {0}")]
+    NoResponse(String),
+}
+
+/// The platform's call for usage reports.
+#[async_trait(?Send)]
+pub trait UsageApi {
+    /// Reports the usage of a window. A repeat with the same counts has no effect.
+    async fn report(
+        &self,
+        usage: &WindowUsage,
+        holder: &str,
+        token: u64,
+    ) -> Result<(), UsageReportError>;
+}
--- a/crates/coriander_service_api/src/lib.rs
+++ b/crates/coriander_service_api/src/lib.rs
@@ -1,8 +1,8 @@
 //! Session model, fleet configuration and the interfaces to members and platform.
 //!
 //! The crate does no I/O. Protocol fronts parse requests into [`ClientStatement`]s and render
-//! [`SessionResponse`]s; adapters implement [`MemberConnector`], [`ControlStore`] and
-//! [`PromotionApi`].
+//! [`SessionResponse`]s; adapters implement [`MemberConnector`], [`ControlStore`],
+//! [`PromotionApi`] and [`UsageApi`].
 //!
 //! ```
 //! use coriander_service_api::{FailureCode, SessionResponse, TransactionStatus};
@@ -24,8 +24,9 @@
 
 pub use client_statement::{AccessMode, ClientStatement, PreparedShape, StatementKind};
 pub use control_store::{
-    ControlSnapshot, ControlStore, DesignatedPrimary, DutyLease, InstanceEntry, LeaseId,
+    ControlSnapshot, ControlStore, DesignatedPrimary, Duty, DutyLease, InstanceEntry, LeaseId,
     LineageRecord, MemberEntry, MemberRole, PromotionApi, PromotionError, StoreError, TermOrigin,
+    UsageApi, UsageReportError,
 };
 pub use fleet_config::{ClientAccount, DatabaseRoute, FleetConfig, GroupLimits, ReadFreshness};
 pub use member_link::{
--- /dev/null
+++ b/crates/coriander_usage/src/usage_ledger.rs
@@ -0,0 +1,210 @@
+//! Decides which counts of a window are recorded and sent.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::KEPT_WINDOWS;
+use crate::usage_messages::{UsageRecord, WindowUsage, ZoneCounts};
+use crate::usage_policy::UsagePolicy;
+
+/// How long a new holder waits for the sums of the collectors before it reports an incomplete
+/// window. They learn of the holder with their next update of the store and send within a second.
+const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+
+/// What the holder of the duty does next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LedgerStep {
+    /// Nothing is due.
+    Wait,
+    /// Reads the record from the store; see [`UsageLedger::set_record`].
+    ReadRecord,
+    /// Writes the record under the fencing token; see [`UsageLedger::set_record`] and
+    /// [`UsageLedger::forget_record`].
+    WriteRecord(UsageRecord),
+    /// Sends a recorded report; see [`UsageLedger::accept`].
+    Send(WindowUsage),
+}
+
+/// Operations of a reported window that were not in its report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WindowDifference {
+    /// Number of the window.
+    pub window: u64,
+    /// Operations in the report.
+    pub reported: u64,
+    /// Operations that became known after it was recorded.
+    pub missing: u64,
+}
+
+#[derive(Debug, Default)]
+struct ZoneSums {
+    closed_processes: u32,
+    counts: HashMap<Arc<str>, u64>,
+}
+
+/// The windows of the fleet, and the state of their reports while this process holds the duty.
+#[derive(Debug, Default)]
+pub struct UsageLedger {
+    policy: UsagePolicy,
+    windows: BTreeMap<u64, HashMap<Arc<str>, ZoneSums>>,
+    /// The record in the store; `None` until it has been read.
+    record: Option<UsageRecord>,
+    /// Recorded windows that the platform has accepted.
+    accepted: BTreeSet<u64>,
+    /// Operations in the reports that this process has recorded.
+    reported: BTreeMap<u64, u64>,
+    /// Since when this process has held the duty.
+    held_since: Duration,
+}
+
+impl UsageLedger {
+    /// Creates an empty ledger.
+    pub fn new(policy: UsagePolicy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
+    /// Records the sums of a collector. The sums of the collectors of a zone are lower bounds, so
+    /// the highest one counts for each account.
+    pub fn receive(&mut self, message: &ZoneCounts) {
+        let zones = self.windows.entry(message.window).or_default();
+        let zone = zones.entry(message.zone.clone()).or_default();
+        zone.closed_processes = zone.closed_processes.max(message.closed_processes);
+        for (account, count) in &message.counts {
+            let known = zone.counts.entry(account.clone()).or_default();
+            *known = (*known).max(*count);
+        }
+    }
+
+    /// Starts a tenure of the duty: another process may have recorded reports before.
+    pub fn start_tenure(&mut self, wall_time: Duration) {
+        self.record = None;
+        self.accepted.clear();
+        self.reported.clear();
+        self.held_since = wall_time;
+    }
+
+    /// Sets the record as it was read from the store or written by this process.
+    pub fn set_record(&mut self, record: UsageRecord) {
+        for usage in &record.reports {
+            self.reported
+                .insert(usage.window, usage.counts.values().sum());
+        }
+        self.record = Some(record);
+    }
+
+    /// Requires another read of the record: a write has failed, or may have taken effect.
+    pub fn forget_record(&mut self) {
+        self.record = None;
+    }
+
+    /// Records that the platform has accepted the report of a window. Returns whether it was late.
+    pub fn accept(&mut self, window: u64, wall_time: Duration) -> bool {
+        self.accepted.insert(window);
+        wall_time > self.policy.due_at(window)
+    }
+
+    /// Returns what to do next, for a fleet with a number of instances.
+    pub fn next_step(&self, wall_time: Duration, instances: usize) -> LedgerStep {
+        let Some(record) = &self.record else {
+            return LedgerStep::ReadRecord;
+        };
+        let is_unsent = |usage: &&WindowUsage| !self.accepted.contains(&usage.window);
+        if let Some(usage) = record.reports.iter().find(is_unsent) {
+            return LedgerStep::Send(usage.clone());
+        }
+        let mut reports = Vec::new();
+        let mut window = self.first_unrecorded(record, wall_time);
+        while self.is_due(window, wall_time, instances) {
+            reports.push(self.usage(window));
+            window += 1;
+        }
+        let Some(last) = reports.last() else {
+            return LedgerStep::Wait;
+        };
+        LedgerStep::WriteRecord(UsageRecord {
+            last_window: last.window,
+            revision: record.revision,
+            reports,
+        })
+    }
+
+    /// Returns how many windows a new record leaves out because they are no longer kept.
+    pub fn skipped_windows(&self, record: &UsageRecord) -> u64 {
+        let last_window = self.record.as_ref().map_or(0, |known| known.last_window);
+        let first = record.reports.first().map(|usage| usage.window);
+        first
+            .filter(|_| last_window > 0)
+            .map_or(0, |first| first.saturating_sub(last_window + 1))
+    }
+
+    /// Returns the number of processes that have closed a window.
+    pub fn closed_processes(&self, window: u64) -> u32 {
+        let zones = self.windows.get(&window);
+        zones.map_or(0, |zones| {
+            zones.values().map(|zone| zone.closed_processes).sum()
+        })
+    }
+
+    /// Removes windows that are too old, and returns the reported ones of which operations became
+    /// known too late.
+    pub fn remove_old(&mut self, wall_time: Duration) -> Vec<WindowDifference> {
+        let open_window = self.policy.window_at(wall_time);
+        let kept = self
+            .windows
+            .split_off(&open_window.saturating_sub(KEPT_WINDOWS));
+        let old = std::mem::replace(&mut self.windows, kept);
+        let mut differences = Vec::new();
+        for (window, zones) in old {
+            let Some(reported) = self.reported.remove(&window) else {
+                continue;
+            };
+            let counts = zones.values().flat_map(|zone| zone.counts.values());
+            let missing = counts.sum::<u64>().saturating_sub(reported);
+            if missing > 0 {
+                differences.push(WindowDifference {
+                    window,
+                    reported,
+                    missing,
+                });
+            }
+        }
+        differences
+    }
+
+    /// Returns the first window that is not recorded. Without a record it is the one in which the
+    /// tenure began; windows that are no longer kept are given up.
+    fn first_unrecorded(&self, record: &UsageRecord, wall_time: Duration) -> u64 {
+        let first = if record.last_window == 0 {
+            self.policy.window_at(self.held_since)
+        } else {
+            record.last_window + 1
+        };
+        let open_window = self.policy.window_at(wall_time);
+        first.max(open_window.saturating_sub(KEPT_WINDOWS))
+    }
+
+    fn is_due(&self, window: u64, wall_time: Duration, instances: usize) -> bool {
+        if wall_time < self.policy.earliest_report(window) {
+            return false;
+        }
+        let closed = usize::try_from(self.closed_processes(window)).unwrap_or(usize::MAX);
+        let is_settled = wall_time >= self.held_since + SETTLE_TIME;
+        closed >= instances || is_settled && wall_time >= self.policy.latest_report(window)
+    }
+
+    fn usage(&self, window: u64) -> WindowUsage {
+        let mut counts: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        let zones = self.windows.get(&window).into_iter();
+        for (account, count) in zones
+            .flat_map(HashMap::values)
+            .flat_map(|zone| &zone.counts)
+        {
+            *counts.entry(account.clone()).or_default() += count;
+        }
+        WindowUsage { window, counts }
+    }
+}
--- /dev/null
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -0,0 +1,79 @@
+//! Length of the windows and times of the reports.
+
+use std::time::Duration;
+
+/// Fraction of the report delay before which a window is not reported. By then the last counts of
+/// all instances have arrived, and one lost datagram has been repeated.
+const EARLIEST_FRACTION: f64 = 0.3;
+
+/// Fraction of the report delay after which an incomplete window is reported. The rest is left for
+/// the record, the call and one repetition of each.
+const LATEST_FRACTION: f64 = 0.6;
+
+/// Length of the windows and times of the reports.
+///
+/// ```
+/// use std::time::Duration;
+/// use coriander_usage::UsagePolicy;
+///
+/// let policy = UsagePolicy::default().with_window(Duration::from_secs(10));
+/// assert_eq!(policy.window_at(Duration::from_secs(25)), 2);
+/// assert_eq!(policy.end_of(2), Duration::from_secs(30));
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UsagePolicy {
+    window: Duration,
+    report_delay: Duration,
+}
+
+impl Default for UsagePolicy {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(5),
+            report_delay: Duration::from_secs(10),
+        }
+    }
+}
+
+impl UsagePolicy {
+    /// Sets the length of a window.
+    #[must_use]
+    pub fn with_window(mut self, window: Duration) -> Self {
+        self.window = window.max(Duration::from_millis(1));
+        self
+    }
+
+    /// Sets the time after the end of a window by which it must be reported.
+    #[must_use]
+    pub const fn with_report_delay(mut self, report_delay: Duration) -> Self {
+        self.report_delay = report_delay;
+        self
+    }
+
+    /// Returns the number of the window at a time since the Unix epoch.
+    pub fn window_at(&self, wall_time: Duration) -> u64 {
+        let number = wall_time.as_millis() / self.window.as_millis().max(1);
+        u64::try_from(number).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the end of a window, since the Unix epoch.
+    pub fn end_of(&self, window: u64) -> Duration {
+        let millis = u128::from(window + 1) * self.window.as_millis();
+        Duration::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the earliest time at which a window is reported.
+    pub fn earliest_report(&self, window: u64) -> Duration {
+        self.end_of(window) + self.report_delay.mul_f64(EARLIEST_FRACTION)
+    }
+
+    /// Returns the time at which a window is reported although counts may be missing.
+    pub fn latest_report(&self, window: u64) -> Duration {
+        self.end_of(window) + self.report_delay.mul_f64(LATEST_FRACTION)
+    }
+
+    /// Returns the time by which the report of a window is due at the platform.
+    pub fn due_at(&self, window: u64) -> Duration {
+        self.end_of(window) + self.report_delay
+    }
+}
--- /dev/null
+++ b/crates/coriander_usage/src/zone_collector.rs
@@ -0,0 +1,90 @@
+//! Sums the counts of the processes of availability zones.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::KEPT_WINDOWS;
+use crate::usage_messages::{AccountCounts, InstanceCounts, ZoneCounts};
+
+/// How often an unchanged sum is sent, because datagrams may be lost.
+const SUM_SENDS: u8 = 2;
+
+#[derive(Debug, Default)]
+struct ProcessCounts {
+    is_closed: bool,
+    counts: HashMap<Arc<str>, u64>,
+}
+
+#[derive(Debug, Default)]
+struct ZoneWindow {
+    processes: HashMap<u64, ProcessCounts>,
+    /// How often the present sum was sent.
+    sends: u8,
+}
+
+/// Sums the counts of processes by availability zone and window. Every process counts once, however
+/// often its messages arrive.
+#[derive(Debug, Default)]
+pub struct ZoneCollector {
+    windows: BTreeMap<(u64, Arc<str>), ZoneWindow>,
+}
+
+impl ZoneCollector {
+    /// Records the counts of a process.
+    pub fn record(&mut self, message: &InstanceCounts) {
+        let key = (message.window, message.zone.clone());
+        let window = self.windows.entry(key).or_default();
+        let process = window.processes.entry(message.process).or_default();
+        let mut is_changed = message.is_closed && !process.is_closed;
+        process.is_closed |= message.is_closed;
+        for (account, count) in &message.counts {
+            let known = process.counts.entry(account.clone()).or_default();
+            is_changed |= *known < *count;
+            *known = (*known).max(*count);
+        }
+        if is_changed {
+            window.sends = 0;
+        }
+    }
+
+    /// Returns the sums to be sent now to the holder of the duty: those of windows before
+    /// `settled_window` that are new, have changed or were sent once.
+    pub fn take_due(&mut self, collector: u64, settled_window: u64) -> Vec<ZoneCounts> {
+        self.windows
+            .retain(|(window, _), _| window + KEPT_WINDOWS > settled_window);
+        let due = self.windows.iter_mut().filter(|((window, _), state)| {
+            *window < settled_window && state.sends < SUM_SENDS && !state.processes.is_empty()
+        });
+        due.map(|((window, zone), state)| {
+            state.sends += 1;
+            let closed = state.processes.values().filter(|process| process.is_closed);
+            ZoneCounts {
+                collector,
+                zone: zone.clone(),
+                window: *window,
+                closed_processes: u32::try_from(closed.count()).unwrap_or(u32::MAX),
+                counts: state.sums(),
+            }
+        })
+        .collect()
+    }
+
+    /// Makes all sums due again, for a new holder of the duty.
+    pub fn resend_all(&mut self) {
+        for window in self.windows.values_mut() {
+            window.sends = 0;
+        }
+    }
+}
+
+impl ZoneWindow {
+    fn sums(&self) -> AccountCounts {
+        let mut sums: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+        for (account, count) in self.processes.values().flat_map(|process| &process.counts) {
+            *sums.entry(account).or_default() += count;
+        }
+        let sums = sums.into_iter();
+        sums.map(|(account, count)| (account.clone(), count))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/coriander_usage/tests/counting.rs
@@ -0,0 +1,133 @@
+//! Counting in processes, collecting in zones, and the time of a window.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coriander_core::MonotonicTime;
+use coriander_usage::{
+    AccountCounter, ClockEstimate, InstanceCounts, KEPT_WINDOWS, ZoneCollector, split_counts,
+};
+use proptest::prelude::*;
+
+fn counts(process: u64, window: u64, count: u64) -> InstanceCounts {
+    InstanceCounts::new(
+        process,
+        "north",
+        window,
+        true,
+        vec![("harbour".into(), count)],
+    )
+}
+
+#[test]
+fn closed_window_is_sent_twice_and_after_changes() {
+    // A single datagram may be lost; endless repetition would cost every instance each second.
+    let mut counter = AccountCounter::default();
+    counter.count(&"harbour".into(), 7);
+    assert_eq!(counter.take_due(7).len(), 1);
+    assert_eq!(counter.take_due(7).len(), 0);
+    assert_eq!(counter.take_due(8).len(), 1);
+    assert_eq!(counter.take_due(8).len(), 1);
+    assert_eq!(counter.take_due(8).len(), 0);
+    counter.count(&"harbour".into(), 7);
+    assert_eq!(
+        counter.take_due(8),
+        [(7, true, vec![("harbour".into(), 2)])]
+    );
+}
+
+#[test]
+fn window_without_operations_is_closed() {
+    // The holder would wait for an idle instance with every report.
+    let mut counter = AccountCounter::default();
+    counter.take_due(7);
+    assert_eq!(counter.take_due(8), [(7, true, Vec::new())]);
+}
+
+#[test]
+fn old_windows_are_removed() {
+    // The memory of an instance must not grow with its age.
+    let mut counter = AccountCounter::default();
+    counter.count(&"harbour".into(), 7);
+    counter.resend_all();
+    assert!(counter.take_due(7 + KEPT_WINDOWS).is_empty());
+}
+
+#[test]
+fn restarted_process_counts_besides_its_former_one() {
+    // With the name of the instance as key, the counts of one of the two processes would be lost.
+    let mut collector = ZoneCollector::default();
+    collector.record(&counts(1, 7, 5));
+    collector.record(&counts(2, 7, 3));
+    let due = collector.take_due(9, 8);
+    assert_eq!(due[0].counts, [("harbour".into(), 8)]);
+    assert_eq!(due[0].closed_processes, 2);
+}
+
+#[test]
+fn new_holder_gets_all_sums_again() {
+    // The former holder may have been killed with what it had received.
+    let mut collector = ZoneCollector::default();
+    collector.record(&counts(1, 7, 5));
+    collector.take_due(9, 8);
+    collector.take_due(9, 8);
+    assert!(collector.take_due(9, 8).is_empty());
+    collector.resend_all();
+    assert_eq!(collector.take_due(9, 8).len(), 1);
+}
+
+#[test]
+fn stepped_third_of_the_clocks_does_not_move_the_time() {
+    // A clock that steps by 2 s moves two fifths of the operations of a window into another one.
+    let now = MonotonicTime::from_millis(4_000);
+    let wall_time = Duration::from_secs(1_000);
+    let stepped = wall_time + Duration::from_secs(2);
+    let mut clock = ClockEstimate::default();
+    for process in 0..24 {
+        let is_stepped = process % 3 == 0;
+        clock.record_peer(process, if is_stepped { stepped } else { wall_time }, now);
+    }
+    clock.record_own(stepped, now);
+    assert_eq!(clock.wall_time(now), wall_time);
+    // An instance that is no collector compares its clock with those of two.
+    let mut clock = ClockEstimate::default();
+    clock.record_peer(1, wall_time, now);
+    clock.record_peer(2, wall_time, now);
+    clock.record_own(stepped, now);
+    assert_eq!(clock.wall_time(now), wall_time);
+}
+
+#[test]
+fn split_counts_fit_into_a_datagram() {
+    // A longer datagram is invalid at its receiver.
+    let accounts = (0..500).map(|n| (Arc::from(format!("account-{n}")), 1));
+    let parts = split_counts(accounts.collect());
+    assert_eq!(parts.iter().map(Vec::len).sum::<usize>(), 500);
+    let bytes = |part: &Vec<(Arc<str>, u64)>| part.iter().map(|(name, _)| name.len() + 6).sum();
+    assert!(parts.iter().map(bytes).all(|bytes: usize| bytes <= 1_200));
+    assert_eq!(split_counts(Vec::new()).len(), 1);
+}
+
+proptest! {
+    #[test]
+    fn sums_do_not_depend_on_order_or_repetition(
+        mut messages in prop::collection::vec((0_u64..4, 0_u64..20), 1..30),
+        seed in any::<usize>(),
+    ) {
+        // Datagrams are lost, repeated and reordered; a count must never be added twice.
+        let mut newest: BTreeMap<u64, u64> = BTreeMap::new();
+        for (process, count) in &messages {
+            let known = newest.entry(*process).or_default();
+            *known = (*known).max(*count);
+        }
+        let mut collector = ZoneCollector::default();
+        let shift = seed % messages.len();
+        messages.rotate_left(shift);
+        for (process, count) in messages.iter().chain(&messages) {
+            collector.record(&counts(*process, 7, *count));
+        }
+        let due = collector.take_due(9, 8);
+        prop_assert_eq!(due[0].counts[0].1, newest.values().sum::<u64>());
+    }
+}
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -11,15 +11,17 @@
 
 use coriander_core::InstanceId;
 use coriander_service::{
-    PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask,
-    run_promotion_duty, run_registration, run_store_sync,
+    PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask, UsageTask,
+    run_duty, run_registration, run_store_sync,
 };
-use coriander_service_api::ControlStore;
+use coriander_service_api::{ControlStore, Duty};
 use ntex::http::HttpService;
 use ntex::time::Seconds;
 use ntex::web::types::State;
 use ntex::web::{self, App, HttpResponse};
-use platform_adapter::{KvStore, LineConnector, PromotionClient, READINESS_PATH, serve_clients};
+use platform_adapter::{
+    KvStore, LineConnector, PromotionClient, READINESS_PATH, UsageClient, serve_clients,
+};
 use rand::Rng;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -35,6 +37,9 @@
 /// Maximum duration of one promotion call.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Maximum duration of one usage report; a report is repeated each second.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(800);
+
 thread_local! {
     // The worker builds its HTTP service from the same process state.
     static SERVICE: RefCell<Option<Rc<SessionService>>> = const { RefCell::new(None) };
@@ -186,7 +191,13 @@
     }));
     ntex::rt::spawn(run_store_sync(service.clone(), store.clone()));
     ntex::rt::spawn(run_registration(service.clone(), store.clone()));
-    ntex::rt::spawn(run_promotion_duty(service.clone(), store.clone()));
+    ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::Promotion));
+    let usage_client = UsageClient::new(settings.usage_address, USAGE_TIMEOUT).await?;
+    let usage = UsageTask::new(service.clone(), store.clone(), Rc::new(usage_client));
+    if let Some(usage) = usage {
+        ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::UsageReport));
+        ntex::rt::spawn(usage.run());
+    }
     ntex::rt::spawn(promotions.run());
     ntex::rt::spawn(serve_clients(listener, service.clone()));
     ntex::rt::spawn(watch_settings(path, service.clone()));
--- a/crates/corianderstile/src/session_server/settings.rs
+++ b/crates/corianderstile/src/session_server/settings.rs
@@ -6,6 +6,7 @@
 
 use coriander_core::{InstanceId, ZoneName};
 use coriander_service::ServiceSettings;
+use coriander_usage::UsagePolicy;
 use platform_adapter::decode_features;
 
 use crate::settings::SettingsError;
@@ -21,6 +22,7 @@
         &["key_lifetime_ms", "shutdown_ms", "platform_fences"],
     ),
     ("features", &["contracts", "duties"]),
+    ("usage", &["address", "window_ms", "report_delay_ms"]),
 ];
 
 const ALLOWED_ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
@@ -40,6 +42,8 @@
     pub store_address: SocketAddr,
     /// Address of the platform's promotion call.
     pub promotion_address: SocketAddr,
+    /// Address of the platform's call for usage reports.
+    pub usage_address: SocketAddr,
 }
 
 impl SessionSettings {
@@ -60,6 +64,17 @@
         let peer_address = address("listen", "peers");
         let store_address = address("store", "address");
         let promotion_address = address("promotion", "address");
+        // Usually the platform takes both calls at one address.
+        let usage_text = reader.text("usage", "address");
+        let usage_address = match usage_text {
+            Some(_) => reader.parse("usage", "address", ALLOWED_ADDRESS),
+            None => promotion_address,
+        };
+        let window = reader.number("usage", "window_ms", 5_000, 100..=3_600_000);
+        let report_delay = reader.number("usage", "report_delay_ms", 10_000, 100..=3_600_000);
+        let usage = UsagePolicy::default()
+            .with_window(Duration::from_millis(window))
+            .with_report_delay(Duration::from_millis(report_delay));
         let key_lifetime = reader.number("bounds", "key_lifetime_ms", 5_000, 0..=3_600_000);
         let shutdown_timeout = reader.number("bounds", "shutdown_ms", 6_000, 500..=600_000);
         let fences = reader.number("bounds", "platform_fences", 0, 0..=1);
@@ -72,7 +87,8 @@
                 .with_key_lifetime((key_lifetime > 0).then(|| Duration::from_millis(key_lifetime)))
                 .with_shutdown_timeout(Duration::from_millis(shutdown_timeout))
                 .with_platform_fences(fences == 1)
-                .with_features(decode_features(&contracts, &duties));
+                .with_features(decode_features(&contracts, &duties))
+                .with_usage(usage);
             Some(Self {
                 service,
                 session_address: session_address?,
@@ -80,6 +96,7 @@
                 metrics_address: metrics_address?,
                 store_address: store_address?,
                 promotion_address: promotion_address?,
+                usage_address: usage_address?,
             })
         })();
         settings.ok_or_else(|| SettingsError::Invalid(Vec::new()))
