--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -14,14 +14,17 @@
 
 mod admission;
 mod configuration;
+mod duties;
 mod fleet;
 mod members;
 mod promotion;
 mod service;
+mod service_description;
 mod service_metrics;
 mod service_settings;
 mod sessions;
 mod spread;
+mod usage;
 
 pub use configuration::config_delta::{ConfigDelta, ConfigHistory};
 pub use configuration::control_loop::run_store_sync;
@@ -30,6 +33,7 @@
     InstanceUpdate, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
 };
 pub use coriander_peer::BootClock;
+pub use duties::duty_lease::{rank_delay, run_duty};
 pub use fleet::peer_messages::PeerMessage;
 pub use fleet::peer_socket::PeerSocket;
 pub use fleet::registration::run_registration;
@@ -37,7 +41,6 @@
 pub use fleet::relay_messages::{HeldUpdate, RelayReply, RelayRequest};
 pub use members::member_health::MemberHealth;
 pub use members::warm_up_gate::WarmUpGate;
-pub use promotion::duty_lease::{rank_delay, run_promotion_duty};
 pub use promotion::promotion_cause::{
     PrimaryObservation, PromotionCandidate, PromotionCause, SuccessorRule, choose_successor,
 };
@@ -48,3 +51,4 @@
 pub use sessions::busy_backoff::BusyBackoff;
 pub use sessions::shutdown_task::ShutdownTask;
 pub use spread::update_tree::{FAN_OUT, READERS_PER_ZONE, UpdateTree};
+pub use usage::usage_task::UsageTask;
