Hand connections to waiting requests in the order of the queue

Callers refused for their rate were told the time of the next token, all the same one, after asking every owner.

Change, where ordered waiting is set: a freed connection is handed to the request that coriander_queue names, refusals come as soon as they are known and carry a return time of their own, new connections follow the member's handshakes, and a saturated account asks two owners per operation instead of all. A request that a home instance gave up no longer starts its time limit again on this instance.

--- a/crates/coriander_limits/src/rate_shares.rs
+++ b/crates/coriander_limits/src/rate_shares.rs
@@ -59,6 +59,13 @@
 /// Maximum time for which the answers of the owners are taken to hold.
 const MAX_EXHAUSTED_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time after a refusal by all owners during which a request asks only a few of them. The account
+/// sends more than its rate, and its other requests ask the other owners.
+const SATURATED_PERIOD: Duration = Duration::from_millis(200);
+
+/// Number of owners that a request of a saturated account asks.
+const SATURATED_ASKS: usize = 2;
+
 /// Answer of an owner to a loan request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoanOffer {
@@ -89,6 +96,8 @@
     exhausted_until: MonotonicTime,
     /// Delay that was last returned to a refused caller.
     last_retry_after: Duration,
+    /// Time until which a request asks few owners.
+    saturated_until: MonotonicTime,
 }
 
 impl AccountShare {
@@ -107,6 +116,7 @@
             requested_at: None,
             exhausted_until: now,
             last_retry_after: Duration::ZERO,
+            saturated_until: now,
         }
     }
 
@@ -346,6 +356,29 @@
         }
     }
 
+    /// Records that a request has asked all owners and that all have refused it.
+    pub fn record_saturated(&mut self, account: &str, now: MonotonicTime) {
+        if let Some(share) = self.accounts.get_mut(account) {
+            share.saturated_until = now + SATURATED_PERIOD;
+        }
+    }
+
+    /// Returns the maximum number of owners that a request should ask, given how many there are.
+    /// Soon after all owners have refused a request, few of them are asked.
+    pub fn owners_to_ask(&self, account: &str, owners: usize, now: MonotonicTime) -> usize {
+        let share = self.accounts.get(account);
+        if share.is_some_and(|share| now < share.saturated_until) {
+            return owners.min(SATURATED_ASKS);
+        }
+        owners
+    }
+
+    /// Returns whether this instance owns a share of an account.
+    pub fn is_owner(&self, account: &str) -> bool {
+        let share = self.accounts.get(account);
+        share.is_some_and(|share| share.is_owner)
+    }
+
     /// Returns the delay for a caller if no owner has a token; `None` if one may have one.
     pub fn exhausted_retry_after(&self, account: &str, now: MonotonicTime) -> Option<Duration> {
         let share = self.accounts.get(account)?;
@@ -360,8 +393,21 @@
         others.filter(|owner| **owner != self.own_id)
     }
 
-    /// Deducts a loan of at most `wanted` tokens from the own share.
+    /// Deducts a loan of at most `wanted` tokens from the own share, for a request that asks all
+    /// owners.
     pub fn lend(&mut self, account: &str, wanted: u32, now: MonotonicTime) -> LoanOffer {
+        self.lend_to_one_of(account, wanted, None, now)
+    }
+
+    /// Deducts a loan of at most `wanted` tokens from the own share, for a request that asks
+    /// `asked_owners`; `None`: all of them.
+    pub fn lend_to_one_of(
+        &mut self,
+        account: &str,
+        wanted: u32,
+        asked_owners: Option<u32>,
+        now: MonotonicTime,
+    ) -> LoanOffer {
         let Some(share) = self.accounts.get_mut(account) else {
             return LoanOffer::RetryAfter(MAX_RETRY_AFTER);
         };
@@ -371,8 +417,11 @@
         let amount = max_amount.min(f64::from(wanted));
         if amount < 1.0 {
             let retry_after = share.time_to_token();
-            // The caller asks all owners and will need a token of one.
-            share.promised += share.owner_fraction();
+            // The caller will need a token of one of the owners that it asks.
+            let owner_fraction = share.owner_fraction();
+            share.promised += asked_owners.map_or(owner_fraction, |asked| {
+                (1.0 / f64::from(asked.max(1))).max(owner_fraction)
+            });
             return LoanOffer::RetryAfter(retry_after);
         }
         share.tokens -= amount;
--- a/crates/coriander_limits/tests/rate_shares.rs
+++ b/crates/coriander_limits/tests/rate_shares.rs
@@ -216,3 +216,26 @@
     shares[0].record_demand(ACCOUNT, ms(10_000));
     assert_eq!(shares[0].tokens_to_borrow(ACCOUNT, ms(10_000)), 0);
 }
+
+#[test]
+fn lend_promises_a_whole_token_to_a_caller_who_asks_few_owners() {
+    // Callers who asked two of six owners were all told the time of the next token.
+    let mut shares = fleet(6, 60.0, 60.0, ms(0));
+    let now = ms(10_000);
+    let owner = &mut shares[0];
+    while owner.spend(ACCOUNT, now).is_ok() {}
+    let delays: Vec<_> = (0..3)
+        .map(|_| refused(owner.lend_to_one_of(ACCOUNT, 1, Some(2), now)).as_millis())
+        .collect();
+    assert_eq!(delays, [100, 150, 200]);
+}
+
+#[test]
+fn owners_to_ask_are_few_after_all_have_refused() {
+    // An account far above its rate cost two messages per owner for each refused operation.
+    let mut owner = lone_owner(20.0, 20.0);
+    assert_eq!(owner.owners_to_ask(ACCOUNT, 8, ms(10_000)), 8);
+    owner.record_saturated(ACCOUNT, ms(10_000));
+    let asked = [10_100, 10_250].map(|at| owner.owners_to_ask(ACCOUNT, 8, ms(at)));
+    assert_eq!(asked, [2, 8], "all owners are asked again after a while");
+}
--- a/crates/coriander_queue/src/queued_request.rs
+++ b/crates/coriander_queue/src/queued_request.rs
@@ -19,6 +19,8 @@
     pub priority: u32,
     /// Time by which the request should be served to meet its latency target.
     pub target: MonotonicTime,
-    /// Time after which the request is refused.
+    /// Time by which the request must get a connection.
     pub deadline: MonotonicTime,
+    /// Time by which the request must have released the connection.
+    pub finish_by: MonotonicTime,
 }
--- a/crates/coriander_queue/src/waiting_queue.rs
+++ b/crates/coriander_queue/src/waiting_queue.rs
@@ -90,7 +90,8 @@
 ///     weight: 1,
 ///     priority,
 ///     target: MonotonicTime::from_millis(200),
-///     deadline: MonotonicTime::from_millis(800),
+///     deadline: MonotonicTime::from_millis(700),
+///     finish_by: MonotonicTime::from_millis(800),
 /// };
 /// let mut queue = WaitingQueue::default();
 /// queue.enqueue(request(2), now);
@@ -225,8 +226,10 @@
                 .interval()
                 .div_f64(self.remaining_fraction(&rank, rate, now));
             let starts_at = now + interval.saturating_mul(ahead);
-            let deadline = self.requests[&rank.ticket].deadline;
-            if now >= deadline || starts_at > deadline || ahead as usize >= MAX_WAITING {
+            let request = &self.requests[&rank.ticket];
+            let cannot_start = now >= request.deadline || starts_at > request.deadline;
+            let cannot_finish = starts_at + rate.mean_hold > request.finish_by;
+            if cannot_start || cannot_finish || ahead as usize >= MAX_WAITING {
                 refused.push(rank.ticket);
             } else {
                 ahead += 1;
--- a/crates/coriander_queue/tests/waiting_queue.rs
+++ b/crates/coriander_queue/tests/waiting_queue.rs
@@ -46,6 +46,7 @@
         priority,
         target: ms(now + target),
         deadline: ms(now + deadline),
+        finish_by: ms(now + deadline) + RATE.mean_hold,
     }
 }
 
@@ -243,3 +244,15 @@
     let refused = queue.refuse_unservable(RATE, ms(0));
     assert!(refused.contains(&last));
 }
+
+#[test]
+fn request_that_cannot_end_in_time_is_refused() {
+    // Guards against a statement that is sent although its reply will come after its timeout.
+    let mut queue = WaitingQueue::default();
+    let short = QueuedRequest {
+        finish_by: ms(15),
+        ..request("a", 0, 0)
+    };
+    let ticket = queue.enqueue(short, ms(0));
+    assert_eq!(queue.refuse_unservable(RATE, ms(0)), [ticket]);
+}
--- a/crates/coriander_service/src/admission/access.rs
+++ b/crates/coriander_service/src/admission/access.rs
@@ -29,6 +29,9 @@
 /// Delay after which a caller should retry a failure that may concern this instance only.
 const INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Weight of an account without a rate limit.
+const DEFAULT_WEIGHT: u32 = 100;
+
 /// Result of an admission check: who may run statements on which route.
 #[derive(Clone)]
 pub struct GrantedAccess {
@@ -42,6 +45,16 @@
     pub account_name: Arc<str>,
 }
 
+impl GrantedAccess {
+    /// Returns the share of the account relative to others, in operations per second of its rate
+    /// limit.
+    pub fn weight(&self) -> u32 {
+        let account = self.account.as_ref();
+        let rate = account.and_then(|account| account.rate);
+        rate.map_or(DEFAULT_WEIGHT, |rate| rate.ceil().max(1.0) as u32)
+    }
+}
+
 impl SessionService {
     /// Returns whether the configuration is recent enough to accept keys.
     pub fn is_config_recent(&self, now: MonotonicTime) -> bool {
--- a/crates/coriander_service/src/admission/rate_limiter.rs
+++ b/crates/coriander_service/src/admission/rate_limiter.rs
@@ -48,6 +48,8 @@
     turn: Cell<usize>,
     /// Owners that did not reply, with the time until which they are asked last.
     silent_owners: RefCell<HashMap<SocketAddr, MonotonicTime>>,
+    /// Whether refused callers get a time behind those already asked to come back.
+    orders_returns: bool,
 }
 
 impl RateLimiter {
@@ -61,9 +63,18 @@
             last_number: Cell::new(0),
             turn: Cell::new(0),
             silent_owners: RefCell::default(),
+            orders_returns: false,
         }
     }
 
+    /// Sets whether refused callers get a time behind those already asked to come back, and whether
+    /// a request of an account that sends more than its rate asks few owners.
+    #[must_use]
+    pub const fn with_ordered_returns(mut self, orders_returns: bool) -> Self {
+        self.orders_returns = orders_returns;
+        self
+    }
+
     /// Applies the accounts of a configuration.
     pub fn apply_config(&self, config: &FleetConfig) {
         let now = self.clock.now();
@@ -116,18 +127,24 @@
         if let Some(retry_after) = self.exhausted_retry_after(account, started) {
             return Err(retry_after);
         }
-        let mut delay = own_delay;
+        let owners = self.owners_to_ask(account, started);
+        let asks_all = owners.len() == self.shares.borrow().lenders(account).count();
+        let asked_owners = self
+            .orders_returns
+            .then(|| u32::try_from(owners.len()).unwrap_or(u32::MAX));
+        // The delay of an instance that owns no share says nothing about the owners' tokens.
+        let mut delay = (!self.orders_returns || self.is_owner(account)).then_some(own_delay);
         let mut has_replied = false;
         let mut all_replied = true;
-        for owner in self.owners_in_turn(account) {
+        for owner in owners {
             let waited = self.clock.now().since(started);
             if waited >= BORROW_TIMEOUT || (has_replied && self.is_silent(owner)) {
                 all_replied = false;
                 break;
             }
-            match self.ask_owner(owner, account).await {
+            match self.ask_owner(owner, account, asked_owners).await {
                 Some(LoanOffer::RetryAfter(retry_after)) => {
-                    delay = delay.min(retry_after);
+                    delay = Some(delay.map_or(retry_after, |delay| delay.min(retry_after)));
                     has_replied = true;
                 }
                 Some(LoanOffer::Tokens(_)) => has_replied = true,
@@ -139,14 +156,32 @@
                 return Ok(());
             }
         }
+        let delay = delay.unwrap_or(own_delay);
         if all_replied {
             let now = self.clock.now();
             let mut shares = self.shares.borrow_mut();
             shares.record_exhausted(account, delay, now);
+            if asks_all {
+                shares.record_saturated(account, now);
+            }
         }
         Err(delay)
     }
 
+    fn is_owner(&self, account: &str) -> bool {
+        self.shares.borrow().is_owner(account)
+    }
+
+    /// Returns the owners that a request asks, in order.
+    fn owners_to_ask(&self, account: &str, now: MonotonicTime) -> SmallVec<[SocketAddr; 8]> {
+        let mut owners = self.owners_in_turn(account);
+        if self.orders_returns {
+            let shares = self.shares.borrow();
+            owners.truncate(shares.owners_to_ask(account, owners.len(), now));
+        }
+        owners
+    }
+
     fn exhausted_retry_after(&self, account: &str, now: MonotonicTime) -> Option<Duration> {
         self.shares.borrow().exhausted_retry_after(account, now)
     }
@@ -177,9 +212,14 @@
     }
 
     /// Requests a token from an owner; `None` without a reply.
-    async fn ask_owner(&self, owner: SocketAddr, account: &Arc<str>) -> Option<LoanOffer> {
+    async fn ask_owner(
+        &self,
+        owner: SocketAddr,
+        account: &Arc<str>,
+        asked_owners: Option<u32>,
+    ) -> Option<LoanOffer> {
         let now = self.clock.now();
-        let offered = self.request_loan(owner, account, 1, now);
+        let offered = self.request_loan(owner, account, 1, asked_owners, now);
         let offer = timeout(OWNER_TIMEOUT, offered).await;
         if let Ok(Ok(offer)) = offer {
             return Some(offer);
@@ -195,6 +235,7 @@
         owner: SocketAddr,
         account: &Arc<str>,
         amount: u32,
+        asked_owners: Option<u32>,
         now: MonotonicTime,
     ) -> oneshot::Receiver<LoanOffer> {
         let (offered, receiver) = oneshot::channel();
@@ -212,6 +253,7 @@
             account: account.to_string(),
             number,
             amount,
+            asked_owners,
         };
         self.peers.send(owner, &PeerMessage::LoanRequest(request));
         receiver
@@ -225,7 +267,7 @@
         }
         if let Some(owner) = self.owners_in_turn(account).first() {
             // The offer adds to the share when it arrives; no operation waits for it.
-            drop(self.request_loan(*owner, account, amount, now));
+            drop(self.request_loan(*owner, account, amount, None, now));
         }
     }
 
@@ -233,7 +275,12 @@
     pub fn lend(&self, sender: SocketAddr, request: &LoanRequest) {
         let now = self.clock.now();
         let mut shares = self.shares.borrow_mut();
-        let message = match shares.lend(&request.account, request.amount, now) {
+        let message = match shares.lend_to_one_of(
+            &request.account,
+            request.amount,
+            request.asked_owners,
+            now,
+        ) {
             LoanOffer::Tokens(amount) => PeerMessage::LoanReply(LoanReply {
                 account: request.account.clone(),
                 number: request.number,
--- a/crates/coriander_service/src/fleet/peer_messages.rs
+++ b/crates/coriander_service/src/fleet/peer_messages.rs
@@ -13,6 +13,8 @@
     pub number: u64,
     /// Number of operations requested.
     pub amount: u32,
+    /// Number of owners that the operation asks at most; `None`: all of them.
+    pub asked_owners: Option<u32>,
 }
 
 /// Reply to a [`LoanRequest`].
--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -32,6 +32,7 @@
     /// Signals a change of members or of the primary.
     pub changed: Notify,
     connector: Rc<dyn MemberConnector>,
+    ordered_waiting: bool,
     members: RefCell<Vec<Rc<Member>>>,
     position_timeline: RefCell<PositionTimeline>,
     /// Primary reported by a promotion, until the entry of the member agrees.
@@ -49,6 +50,7 @@
             name,
             changed: Notify::new(),
             connector,
+            ordered_waiting: false,
             members: RefCell::default(),
             position_timeline: RefCell::default(),
             promoted_primary: RefCell::default(),
@@ -57,6 +59,13 @@
         }
     }
 
+    /// Sets whether the queue decides the order of requests that wait for connections.
+    #[must_use]
+    pub const fn with_ordered_waiting(mut self, ordered_waiting: bool) -> Self {
+        self.ordered_waiting = ordered_waiting;
+        self
+    }
+
     /// Sets how many connections each member accepts from the fleet, and how many of them this
     /// instance may open.
     pub fn set_connections(
@@ -118,6 +127,7 @@
             account: "".into(),
         };
         let pool = MemberPool::new(self.connector.clone(), target, ConnectionCaps::default());
+        pool.set_ordered_waiting(self.ordered_waiting);
         log::info!(
             group = &*self.name, member = &*entry.id, role:? = entry.role, zone = &*entry.zone,
             address:% = entry.address, revision = entry.revision;
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::BootClock;
+use crate::members::connection_request::ConnectionRequest;
 use crate::members::member::{Member, RequestGuard};
 use crate::members::member_pool::PoolError;
 use crate::members::pooled_connection::PooledConnection;
@@ -33,12 +34,8 @@
     /// Acquires a connection for a plan.
     pub async fn acquire(member: &Rc<Member>, plan: &ExchangePlan) -> Result<Self, PoolError> {
         let request_guard = member.begin_request();
-        let deadline = BootClock.now() + plan.acquire_timeout;
-        let result = member
-            .pool
-            .acquire(&plan.account, &plan.values, plan.priority, deadline)
-            .await;
-        match result {
+        let request = ConnectionRequest::new(plan, BootClock.now());
+        match member.pool.acquire(&request).await {
             Ok(connection) => Ok(Self {
                 member: member.clone(),
                 connection: Some(connection),
--- a/crates/coriander_service/src/members/member_pool.rs
+++ b/crates/coriander_service/src/members/member_pool.rs
@@ -6,14 +6,17 @@
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
-use coriander_service_api::{FailureCode, LinkError, MemberConnector, MemberTarget, SessionValues};
-use serde::{Deserialize, Serialize};
-use thiserror::Error;
-use tokio::sync::oneshot;
+use coriander_service_api::{
+    FailureCode, LinkError, MemberConnector, MemberLink, MemberTarget, SessionValues,
+};
 use tokio::time::timeout;
 
 use crate::BootClock;
 use crate::members::connection_caps::ConnectionCaps;
+use crate::members::connection_request::ConnectionRequest;
+use crate::members::ordered_waiting::{ConnectionWait, OrderedWaiting};
+pub use crate::members::pool_error::PoolError;
+use crate::members::pool_waiters::PoolWaiters;
 use crate::members::pooled_connection::PooledConnection;
 
 /// Timeout of opening a connection. It is independent of the request that needs the connection: an
@@ -31,13 +34,13 @@
 
 /// How long a connection must be idle before another account may replace it. Replacing it costs the
 /// member a handshake, so a connection in steady use is kept.
-const MIN_REPLACE_IDLE: Duration = Duration::from_millis(40);
+pub(crate) const MIN_REPLACE_IDLE: Duration = Duration::from_millis(40);
 
 /// How long a request waits before it may replace any idle connection.
-const REPLACE_ANY_DELAY: Duration = Duration::from_millis(120);
+pub(crate) const REPLACE_ANY_DELAY: Duration = Duration::from_millis(120);
 
 /// Interval at which a waiting request checks for replaceable connections.
-const REPLACE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const REPLACE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Idle time after which connections above `max_idle` are closed.
 const SURPLUS_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -48,73 +51,37 @@
 /// Fraction of the remaining time that the expected wait of a request may take.
 const MAX_WAIT_FRACTION: f64 = 0.8;
 
-/// Failure to acquire a connection; nothing was sent to the member.
-#[derive(Clone, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
-pub enum PoolError {
-    /// No connection became free in time.
-    #[error("no connection became free: open={open} cap={cap} waiting={waiting}")]
-    Exhausted {
-        /// Open connections of the instance to the member.
-        open: usize,
-        /// Maximum number of connections of the instance to the member.
-        cap: usize,
-        /// Requests that wait for one.
-        waiting: usize,
-    },
-    /// The home instance is unreachable or has no such member.
-    #[error("home instance is not available")]
-    HomeUnavailable,
-    /// The member may not be used as primary, or no longer.
-    #[error("primary role of the member is not confirmed")]
-    PrimaryUnconfirmed,
-    /// The member drains or its zone is taken out of service.
-    #[error("member takes no new work")]
-    MemberLeaving,
-    /// A connection could not be opened.
-    #[error(transparent)]
-    Connect(#[from] LinkError),
-}
-
-struct PoolWaiter {
-    account: Arc<str>,
-    priority: u32,
-    /// When the request started to wait.
-    waiting_since: MonotonicTime,
-    /// Identifies the waiter within its pool.
-    number: u64,
-    /// Taken when the request is woken; the entry stays in the queue until the request runs.
-    wake: Option<oneshot::Sender<()>>,
-}
-
+/// Connections of a pool and the requests that wait for them.
 #[derive(Default)]
-struct PoolState {
-    idle: Vec<PooledConnection>,
+pub(crate) struct PoolState {
+    pub(crate) idle: Vec<PooledConnection>,
     /// Number of connections, including idle ones and those being opened.
-    open_count: usize,
-    opening_count: usize,
-    waiters: Vec<PoolWaiter>,
-    last_waiter_number: u64,
+    pub(crate) open_count: usize,
+    pub(crate) opening_count: usize,
+    waiters: PoolWaiters,
+    /// Waiting requests, if the queue decides their order.
+    pub(crate) ordered: Option<OrderedWaiting>,
     /// Earliest time of the next connection attempt.
-    connect_after: MonotonicTime,
+    pub(crate) connect_after: MonotonicTime,
     connect_backoff: Duration,
     /// Error and time of the last failed connection attempt.
-    last_failure: Option<(MonotonicTime, LinkError)>,
+    pub(crate) last_failure: Option<(MonotonicTime, LinkError)>,
     /// Mean time for which an operation holds a connection, in seconds.
-    mean_hold_secs: f64,
-    is_closed: bool,
+    pub(crate) mean_hold_secs: f64,
+    pub(crate) is_closed: bool,
 }
 
 /// Connections to one member.
 pub struct MemberPool {
     connector: Rc<dyn MemberConnector>,
-    clock: BootClock,
+    pub(crate) clock: BootClock,
     target: MemberTarget,
     /// Maximum number of open connections.
-    max_open: Cell<usize>,
+    pub(crate) max_open: Cell<usize>,
     /// Maximum number of connections that stay open when idle.
     max_idle: Cell<usize>,
     opened_count: Cell<u64>,
-    state: RefCell<PoolState>,
+    pub(crate) state: RefCell<PoolState>,
     weak_self: Weak<Self>,
 }
 
@@ -137,6 +104,18 @@
         })
     }
 
+    /// Lets the queue decide the order of waiting requests.
+    pub fn set_ordered_waiting(&self, is_ordered: bool) {
+        self.state.borrow_mut().ordered = is_ordered.then(OrderedWaiting::default);
+    }
+
+    /// Returns the waits for connections since the last call, if the queue decides their order.
+    pub fn take_waits(&self) -> Vec<ConnectionWait> {
+        let mut state = self.state.borrow_mut();
+        let ordered = state.ordered.as_mut();
+        ordered.map(OrderedWaiting::take_waits).unwrap_or_default()
+    }
+
     /// Sets the limits on connections.
     pub fn set_caps(&self, caps: ConnectionCaps) {
         self.max_open.set(caps.max_open);
@@ -170,7 +149,9 @@
 
     /// Returns the number of requests that wait for a connection.
     pub fn waiting_count(&self) -> usize {
-        self.state.borrow().waiters.len()
+        let state = self.state.borrow();
+        let ordered = state.ordered.as_ref();
+        state.waiters.len() + ordered.map_or(0, OrderedWaiting::len)
     }
 
     /// Returns whether the account has an idle connection.
@@ -182,11 +163,18 @@
     /// Acquires a connection for an account, preferably one that holds the session values already.
     pub async fn acquire(
         &self,
-        account: &Arc<str>,
-        values: &SessionValues,
-        priority: u32,
-        deadline: MonotonicTime,
+        request: &ConnectionRequest<'_>,
     ) -> Result<PooledConnection, PoolError> {
+        if self.state.borrow().ordered.is_some() {
+            return self.acquire_ordered(request).await;
+        }
+        let ConnectionRequest {
+            account,
+            values,
+            priority,
+            deadline,
+            ..
+        } = *request;
         let started = self.clock.now();
         loop {
             if let Some(connection) = self.take_idle(account, values) {
@@ -226,15 +214,15 @@
     /// Returns the expected wait of a request that started to wait at `since` behind earlier ones.
     fn expected_wait(&self, since: MonotonicTime) -> Duration {
         let state = self.state.borrow();
-        let earlier = state
-            .waiters
-            .iter()
-            .filter(|waiter| waiter.waiting_since < since);
-        let ahead = earlier.count() as f64;
+        let ahead = state.waiters.count_before(since) as f64;
         Duration::from_secs_f64(ahead * state.mean_hold_secs / self.max_open.get() as f64)
     }
 
-    fn take_idle(&self, account: &str, values: &SessionValues) -> Option<PooledConnection> {
+    pub(crate) fn take_idle(
+        &self,
+        account: &str,
+        values: &SessionValues,
+    ) -> Option<PooledConnection> {
         loop {
             let mut state = self.state.borrow_mut();
             let is_same_account = |idle: &&PooledConnection| &*idle.account == account;
@@ -257,20 +245,25 @@
         if self.is_other_account_overdue(account, since) || !self.reserve_slot(since) {
             return;
         }
+        self.spawn_opening(account.clone());
+    }
+
+    /// Opens a connection for which a slot is reserved.
+    pub(crate) fn spawn_opening(&self, account: Arc<str>) {
         let Some(pool) = self.weak_self.upgrade() else {
             return;
         };
-        ntex::rt::spawn(pool.open_connection(account.clone()));
+        ntex::rt::spawn(pool.open_connection(account));
     }
 
     /// Returns whether an earlier request of another account has waited for [`REPLACE_ANY_DELAY`].
     fn is_other_account_overdue(&self, account: &str, since: MonotonicTime) -> bool {
         let now = self.clock.now();
         let state = self.state.borrow();
-        state.waiters.iter().any(|waiter| {
-            let is_overdue = now.since(waiter.waiting_since) >= REPLACE_ANY_DELAY;
-            is_overdue && waiter.waiting_since < since && *waiter.account != *account
-        })
+        let overdue_since = now.saturating_sub(REPLACE_ANY_DELAY);
+        state
+            .waiters
+            .is_other_overdue(account, since, overdue_since)
     }
 
     /// Reserves a slot for a new connection, closing an idle one of another account if the limit is
@@ -303,10 +296,7 @@
     ) -> Option<usize> {
         let is_overdue = now.since(since) >= REPLACE_ANY_DELAY;
         state.idle.iter().position(|idle| {
-            let is_awaited = state
-                .waiters
-                .iter()
-                .any(|waiter| waiter.account == idle.account && waiter.waiting_since < since);
+            let is_awaited = state.waiters.is_awaited(&idle.account, since);
             !is_awaited && (is_overdue || now.since(idle.last_used) >= MIN_REPLACE_IDLE)
         })
     }
@@ -316,13 +306,28 @@
             account: account.clone(),
             ..self.target.clone()
         };
+        let started = self.clock.now();
         let result = self.connector.connect(&target, CONNECT_TIMEOUT).await;
         let now = self.clock.now();
+        self.record_connection_attempt(&account, result, now.since(started), now);
+        self.dispatch(now);
+    }
+
+    fn record_connection_attempt(
+        &self,
+        account: &Arc<str>,
+        result: Result<Box<dyn MemberLink>, LinkError>,
+        handshake: Duration,
+        now: MonotonicTime,
+    ) {
         let mut state = self.state.borrow_mut();
         state.opening_count -= 1;
         match result {
             Ok(link) => {
                 state.connect_backoff = Duration::ZERO;
+                if let Some(ordered) = &mut state.ordered {
+                    ordered.record_opened(account, handshake);
+                }
                 self.opened_count.set(self.opened_count.get() + 1);
                 let connection = PooledConnection::new(link, account.clone(), now);
                 self.store_idle(&mut state, connection);
@@ -340,8 +345,14 @@
                         "connection to a member failed"
                     );
                 }
+                if let Some(ordered) = &mut state.ordered {
+                    ordered.record_not_opened(account);
+                    if error.is_unreachable() {
+                        ordered.refuse_all(&PoolError::Connect(error.clone()));
+                    }
+                }
                 state.last_failure = Some((now, error));
-                Self::wake_all(&mut state);
+                state.waiters.wake_all();
             }
         }
     }
@@ -353,25 +364,12 @@
         since: MonotonicTime,
         remaining: Duration,
     ) {
-        let (wake, woken) = oneshot::channel();
-        let number = {
-            let mut state = self.state.borrow_mut();
-            state.last_waiter_number += 1;
-            let number = state.last_waiter_number;
-            let is_later =
-                |waiter: &PoolWaiter| (waiter.priority, waiter.waiting_since) > (priority, since);
-            let index = state.waiters.iter().position(is_later);
-            let index = index.unwrap_or(state.waiters.len());
-            let waiter = PoolWaiter {
-                account: account.clone(),
-                priority,
-                waiting_since: since,
-                number,
-                wake: Some(wake),
-            };
-            state.waiters.insert(index, waiter);
-            number
-        };
+        let added = self
+            .state
+            .borrow_mut()
+            .waiters
+            .add(account, priority, since);
+        let (number, woken) = added;
         let _guard = WaiterGuard { pool: self, number };
         // Idle connections become replaceable without a wake-up.
         let _ = timeout(remaining.min(REPLACE_CHECK_INTERVAL), woken).await;
@@ -383,51 +381,44 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let held = now.since(connection.last_used).as_secs_f64();
+        if state.ordered.is_some() && state.mean_hold_secs == 0.0 {
+            // A mean that starts at zero would admit requests that cannot end in time.
+            state.mean_hold_secs = held;
+        }
         state.mean_hold_secs += HOLD_TIME_WEIGHT * (held - state.mean_hold_secs);
         connection.last_used = now;
+        if let Some(ordered) = &mut state.ordered {
+            ordered.end_use(&connection.account);
+        }
         self.store_idle(&mut state, connection);
+        drop(state);
+        self.dispatch(now);
     }
 
     fn store_idle(&self, state: &mut PoolState, connection: PooledConnection) {
         let is_surplus = state.is_closed || state.open_count > self.max_open.get();
         if is_surplus || !connection.is_reusable() {
             state.open_count -= 1;
-            Self::wake_all(state);
+            state.waiters.wake_all();
             return;
         }
         let account = connection.account.clone();
         state.idle.push(connection);
-        Self::wake_one(state, &account);
+        state.waiters.wake_one(&account);
     }
 
     /// Closes a connection.
     pub fn discard(&self, connection: PooledConnection) {
+        let account = connection.account.clone();
         drop(connection);
         let mut state = self.state.borrow_mut();
         state.open_count -= 1;
-        Self::wake_all(&mut state);
-    }
-
-    /// Wakes the first waiting request of an account, or else the first one of any account.
-    fn wake_one(state: &mut PoolState, account: &str) {
-        let is_same_account =
-            |waiter: &PoolWaiter| waiter.wake.is_some() && *waiter.account == *account;
-        let is_waiting = |waiter: &PoolWaiter| waiter.wake.is_some();
-        let index = state.waiters.iter().position(is_same_account);
-        let index = index.or_else(|| state.waiters.iter().position(is_waiting));
-        if let Some(wake) = index.and_then(|index| state.waiters[index].wake.take()) {
-            // The receiver is gone if the request timed out; the others check at intervals.
-            let _ = wake.send(());
-        }
-    }
-
-    fn wake_all(state: &mut PoolState) {
-        for waiter in &mut state.waiters {
-            if let Some(wake) = waiter.wake.take() {
-                // The receiver is gone if the request timed out.
-                let _ = wake.send(());
-            }
+        if let Some(ordered) = &mut state.ordered {
+            ordered.end_use(&account);
         }
+        state.waiters.wake_all();
+        drop(state);
+        self.dispatch(self.clock.now());
     }
 
     /// Closes all idle connections, and every other one when it is released.
@@ -436,7 +427,9 @@
         state.is_closed = true;
         let idle = std::mem::take(&mut state.idle);
         state.open_count -= idle.len();
-        Self::wake_all(&mut state);
+        state.waiters.wake_all();
+        drop(state);
+        self.dispatch(self.clock.now());
     }
 }
 
@@ -449,6 +442,6 @@
 impl Drop for WaiterGuard<'_> {
     fn drop(&mut self) {
         let mut state = self.pool.state.borrow_mut();
-        state.waiters.retain(|waiter| waiter.number != self.number);
+        state.waiters.remove(self.number);
     }
 }
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -108,6 +108,7 @@
         peers: Rc<PeerSocket>,
     ) -> Rc<Self> {
         let name = settings.name.clone();
+        let ordered_waiting = settings.features.ordered_waiting;
         Rc::new_cyclic(|weak_self| Self {
             settings: RefCell::new(Rc::new(settings)),
             clock: BootClock,
@@ -117,7 +118,8 @@
             phase_changed: Notify::new(),
             connector,
             groups: RefCell::default(),
-            rate_limiter: RateLimiter::new(name, peers.clone()),
+            rate_limiter: RateLimiter::new(name, peers.clone())
+                .with_ordered_returns(ordered_waiting),
             peers,
             request_log: RequestLog::default(),
             metrics: ServiceMetrics::default(),
@@ -257,7 +259,11 @@
     /// Returns the group with a name, creating it if necessary.
     pub fn group(&self, name: &Arc<str>) -> Rc<DatabaseGroup> {
         let mut groups = self.groups.borrow_mut();
-        let create = || Rc::new(DatabaseGroup::new(name.clone(), self.connector.clone()));
+        let ordered_waiting = self.settings().features.ordered_waiting;
+        let create = || {
+            let group = DatabaseGroup::new(name.clone(), self.connector.clone());
+            Rc::new(group.with_ordered_waiting(ordered_waiting))
+        };
         groups.entry(name.clone()).or_insert_with(create).clone()
     }
 
@@ -372,6 +378,14 @@
                 .map(|member| member.pool.waiting_count())
                 .sum();
             self.metrics.set_connections(&group.name, open, waiting);
+            for wait in group
+                .members()
+                .iter()
+                .flat_map(|member| member.pool.take_waits())
+            {
+                self.metrics
+                    .record_connection_wait(wait.priority, wait.served, wait.duration);
+            }
         }
         self.metrics.encode()
     }
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -59,6 +59,12 @@
     group: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WaitLabels {
+    priority: u32,
+    result: &'static str,
+}
+
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_SECS, 2.0, BUCKET_COUNT))
 }
@@ -81,6 +87,7 @@
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     connections: Family<GroupLabels, Gauge>,
+    connection_wait: Family<WaitLabels, Histogram, fn() -> Histogram>,
 }
 
 impl Default for ServiceMetrics {
@@ -101,6 +108,7 @@
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             connections: Family::default(),
+            connection_wait: Family::new_with_constructor(latency_histogram),
         };
         metrics.register();
         metrics
@@ -176,6 +184,11 @@
             "Connections to members by group, open and waited for",
             self.connections.clone(),
         );
+        registry.register(
+            "connection_wait_seconds",
+            "Time for which requests waited for connections, by priority, served or refused",
+            self.connection_wait.clone(),
+        );
     }
 
     /// Counts a statement that has ended.
@@ -271,6 +284,14 @@
         gauge("waited_for", waiting);
     }
 
+    /// Records the wait of a request for a connection.
+    pub fn record_connection_wait(&self, priority: u32, served: bool, duration: Duration) {
+        let result = if served { "served" } else { "refused" };
+        let labels = WaitLabels { priority, result };
+        let histogram = self.connection_wait.get_or_create(&labels);
+        histogram.observe(duration.as_secs_f64());
+    }
+
     /// Returns all values in the text format of OpenMetrics.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/coriander_service/src/sessions/attempt.rs
+++ b/crates/coriander_service/src/sessions/attempt.rs
@@ -129,6 +129,17 @@
         ExchangeError::NotSent(error @ PoolError::Exhausted { .. }) => {
             Attempt::Failed(no_connection().with_decision_inputs(error.to_string()))
         }
+        ExchangeError::NotSent(ref error @ PoolError::NoRoom { retry_after, .. }) => {
+            let failure = no_connection()
+                .with_retry_after(retry_after)
+                .with_decision_inputs(error.to_string());
+            if writes {
+                Attempt::Failed(failure)
+            } else {
+                // Another replica may have room.
+                Attempt::Retry(failure)
+            }
+        }
         ExchangeError::NotSent(PoolError::Connect(link)) if !link.is_unreachable() => {
             // Usually the member accepts no more connections, and the request has waited for one as
             // long as it may.
--- a/crates/coriander_service/src/sessions/exchange.rs
+++ b/crates/coriander_service/src/sessions/exchange.rs
@@ -54,6 +54,10 @@
     pub min_position: Option<LogPosition>,
     /// Priority of waiting requests; lower values are served first.
     pub priority: u32,
+    /// Share of the account relative to others, from its rate limit.
+    pub account_weight: u32,
+    /// Time within which the latency target can still be met; zero if it is missed.
+    pub target_remaining: Duration,
     /// Maximum wait for a connection.
     pub acquire_timeout: Duration,
     /// Time limit of the whole exchange.
@@ -107,6 +111,7 @@
                 Err(refusal) => refusal.code.label(),
             },
             Err(ExchangeError::NotSent(PoolError::Exhausted { .. })) => "no_connection",
+            Err(ExchangeError::NotSent(PoolError::NoRoom { .. })) => "no_room",
             Err(ExchangeError::NotSent(PoolError::PrimaryUnconfirmed)) => "lead_unproved",
             Err(ExchangeError::NotSent(PoolError::HomeUnavailable)) => "home_not_reached",
             Err(ExchangeError::NotSent(PoolError::MemberLeaving)) => "member_leaving",
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -117,6 +117,8 @@
     ) -> ExchangePlan {
         let timeout = self.access.route.statement_timeout;
         let acquire_timeout = timeout.mul_f64(ACQUIRE_TIMEOUT_FRACTION);
+        let started = self.deadline.saturating_sub(timeout);
+        let target = started + self.access.route.latency_target;
         ExchangePlan {
             group: self.group.name.clone(),
             member: member.id.clone(),
@@ -126,6 +128,8 @@
             statement: statement.clone(),
             min_position: None,
             priority: self.access.route.priority,
+            account_weight: self.access.weight(),
+            target_remaining: target.since(self.now()),
             acquire_timeout: acquire_timeout.min(time_limit.saturating_sub(MIN_ATTEMPT_TIME)),
             time_limit,
             keep_reserved: false,
@@ -287,11 +291,13 @@
             Attempt::Retry(retry) => {
                 let is_busy =
                     retry.code == FailureCode::Busy && retry.reason != FailureReason::MemberSilent;
+                let has_no_room = retry.reason == FailureReason::NoConnection;
                 failure = Some(retry);
-                if is_busy
-                    && !context.has_untried_replica(&tried)
-                    && !context.wait_for_busy_members(&mut backoff).await
-                {
+                if !is_busy || context.has_untried_replica(&tried) {
+                    continue;
+                }
+                // A request without room is refused at once: waiting would only repeat it.
+                if has_no_room || !context.wait_for_busy_members(&mut backoff).await {
                     break;
                 }
             }
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -67,6 +67,7 @@
     }
 
     async fn exchange_at_location(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
+        let started = BootClock.now();
         match std::mem::replace(&mut self.location, LinkLocation::None) {
             LinkLocation::Local(held) => self.exchange_local(held, plan).await,
             LinkLocation::Relayed {
@@ -93,8 +94,14 @@
                     }
                 }
                 self.last_home_instance = None;
-                match HeldConnection::acquire(&self.member, plan).await {
-                    Ok(held) => self.exchange_local(Box::new(held), plan).await,
+                // The home instance may have held the request up before it gave up.
+                let mut plan = plan.clone();
+                plan.limit_time(
+                    plan.time_limit
+                        .saturating_sub(BootClock.now().since(started)),
+                );
+                match HeldConnection::acquire(&self.member, &plan).await {
+                    Ok(held) => self.exchange_local(Box::new(held), &plan).await,
                     Err(error) => ExchangeOutcome::failed(ExchangeError::NotSent(error)),
                 }
             }
--- a/crates/coriander_service/src/sessions/transaction.rs
+++ b/crates/coriander_service/src/sessions/transaction.rs
@@ -30,8 +30,9 @@
             Attempt::Completed(completed) => return Ok(completed),
             Attempt::Failed(failure) => return Err(failure),
             Attempt::Retry(retry) => {
+                let has_no_room = retry.reason == FailureReason::NoConnection;
                 failure = Some(retry);
-                if !context.wait_for_busy_members(&mut backoff).await {
+                if has_no_room || !context.wait_for_busy_members(&mut backoff).await {
                     break;
                 }
             }
--- /dev/null
+++ b/crates/coriander_service/tests/ordered_waiting.rs
@@ -0,0 +1,219 @@
+//! Connections handed over in the order of the queue, and what happens to waiting requests when
+//! the member or the home instance fails.
+
+mod support;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coriander_service::{ServiceSettings, SessionService};
+use coriander_service_api::{
+    ClientAccount, ClientSession, DatabaseRoute, FailureCode, FailureReason, ReadFreshness,
+    ServiceFeatures, SessionHost, SessionResponse,
+};
+
+use support::{DATABASE, FakeGroup, GROUP, apply, config, run, start_with};
+
+/// Latency target of the urgent database; [`config`] has the same for the usual one.
+const TARGET: Duration = Duration::from_millis(150);
+
+/// Database whose requests are served before those of [`DATABASE`].
+const URGENT_DATABASE: &str = "urgent";
+
+/// Starts an instance with ordered waiting and `count` accounts, each with a key `key-N`. The
+/// home instance of a member may open `connections` of them.
+async fn start_ordered(
+    group: &Rc<FakeGroup>,
+    count: usize,
+    connections: usize,
+) -> Rc<SessionService> {
+    let features = ServiceFeatures {
+        ordered_waiting: true,
+        ..ServiceFeatures::default()
+    };
+    let settings = ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 0).into())
+        .with_platform_fences(true)
+        .with_features(features);
+    let service = start_with(group, settings).await;
+    let mut config = config(1, ReadFreshness::Newest);
+    let urgent = DatabaseRoute {
+        database: URGENT_DATABASE.into(),
+        priority: 0,
+        latency_target: TARGET,
+        ..(*config.routes[DATABASE]).clone()
+    };
+    config
+        .routes
+        .insert(URGENT_DATABASE.into(), Arc::new(urgent));
+    for index in 0..count {
+        let account = ClientAccount {
+            name: format!("account-{index}").into(),
+            rate: None,
+            burst: 0.0,
+        };
+        config
+            .keys
+            .insert(format!("key-{index}").into(), account.into());
+    }
+    let limits = config.groups.get_mut(GROUP).expect("group is configured");
+    limits.connections_per_member = connections;
+    apply(&service, config, group.entries());
+    service
+}
+
+async fn open_as(
+    service: &Rc<SessionService>,
+    database: &str,
+    account: usize,
+) -> Box<dyn ClientSession> {
+    let session = service.open(database, &format!("key-{account}")).await;
+    session.unwrap_or_else(|failure| panic!("{}", failure.message()))
+}
+
+async fn read_as(
+    service: &Rc<SessionService>,
+    database: &str,
+    account: usize,
+) -> (SessionResponse, Duration) {
+    let mut session = open_as(service, database, account).await;
+    let started = Instant::now();
+    let response = run(&mut session, "q", "READ 1").await;
+    (response, started.elapsed())
+}
+
+/// Starts a read in a task of its own.
+fn spawn_read(
+    service: &Rc<SessionService>,
+    database: &'static str,
+    account: usize,
+) -> ntex::rt::JoinHandle<(SessionResponse, Duration)> {
+    let service = service.clone();
+    ntex::rt::spawn(async move { read_as(&service, database, account).await })
+}
+
+fn member_pool_counts(service: &SessionService) -> (usize, usize) {
+    let groups = service.groups();
+    let members = groups.iter().flat_map(|group| group.members());
+    members.fold((0, 0), |(open, waiting), member| {
+        (
+            open + member.pool.open_count(),
+            waiting + member.pool.waiting_count(),
+        )
+    })
+}
+
+#[ntex::test]
+async fn load_of_many_accounts_on_few_connections_is_served() {
+    // Guards against handshakes that keep the member busy while requests wait.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_ordered(&group, 8, 8).await;
+    let member = group.member("a");
+    member.handshake_time.set(Duration::from_millis(27));
+    member.statement_time.set(Duration::from_millis(3));
+    let mut tasks = Vec::new();
+    for index in 0..200 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        tasks.push(spawn_read(&service, DATABASE, index % 8));
+    }
+    for task in tasks {
+        let (response, _) = task.await.expect("not cancelled");
+        assert!(response.result.is_ok(), "{:?}", response.result);
+    }
+    let opened = member.opened_connections.get();
+    assert!(opened <= 100, "at most one per two requests, got {opened}");
+}
+
+#[ntex::test]
+async fn urgent_request_is_served_before_a_waiting_crowd() {
+    // Guards against a queue in which a class with a short target waits behind a burst of another.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_ordered(&group, 1, 4).await;
+    let member = group.member("a");
+    member.statement_time.set(Duration::from_millis(20));
+    let crowd: Vec<_> = (0..40).map(|_| spawn_read(&service, DATABASE, 0)).collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let (response, _) = read_as(&service, URGENT_DATABASE, 0).await;
+    assert!(response.result.is_ok());
+    let served = group.ran_statements.borrow().len();
+    // What three connections serve in 50 ms and the target, at 40 ms each.
+    assert!(
+        served <= 15 + 1,
+        "served up to the urgent request: {served}"
+    );
+    for task in crowd {
+        task.await.expect("not cancelled");
+    }
+}
+
+#[ntex::test]
+async fn request_without_room_is_refused_early_with_a_return_time() {
+    // Guards against callers who wait until their deadline for nothing, and who all return at the
+    // same moment.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_ordered(&group, 1, 4).await;
+    let member = group.member("a");
+    member.statement_time.set(Duration::from_millis(40));
+    for _ in 0..20 {
+        let _ = read_as(&service, DATABASE, 0).await;
+    }
+    let crowd: Vec<_> = (0..100)
+        .map(|_| spawn_read(&service, DATABASE, 0))
+        .collect();
+    let mut delays = Vec::new();
+    for task in crowd {
+        let (response, took) = task.await.expect("not cancelled");
+        if let Err(failure) = response.result {
+            assert_eq!(failure.code, FailureCode::Busy);
+            assert_eq!(failure.reason, FailureReason::NoConnection);
+            if took < Duration::from_millis(60) {
+                delays.push(failure.retry_after.expect("a refused caller is told when"));
+            }
+        }
+    }
+    assert!(delays.len() > 50, "refused early: {}", delays.len());
+    delays.sort_unstable();
+    delays.dedup();
+    assert!(delays.len() > 30, "distinct delays: {}", delays.len());
+    let refused_ran = group.ran_statements.borrow().len();
+    assert!(refused_ran < 120, "refused requests have not run");
+}
+
+#[ntex::test]
+async fn cancelled_request_leaves_the_queue_and_its_connection() {
+    // Guards against connections lost when a caller goes away while its request is handed one.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_ordered(&group, 1, 4).await;
+    let member = group.member("a");
+    member.statement_time.set(Duration::from_millis(30));
+    let mut tasks = Vec::new();
+    for _ in 0..12 {
+        let service = service.clone();
+        tasks.push(ntex::rt::spawn(async move {
+            let read = read_as(&service, DATABASE, 0);
+            let _ = tokio::time::timeout(Duration::from_millis(45), read).await;
+        }));
+    }
+    for task in tasks {
+        task.await.expect("not cancelled");
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(member_pool_counts(&service).1, 0);
+    let (response, took) = read_as(&service, DATABASE, 0).await;
+    assert!(response.result.is_ok());
+    assert!(took < TARGET, "a connection is free, took {took:?}");
+}
+
+#[ntex::test]
+async fn requests_waiting_at_an_unreachable_member_are_refused_at_once() {
+    // Guards against requests that wait until their deadline at a member that has stopped.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_ordered(&group, 1, 4).await;
+    group.member("a").reachable.set(false);
+    let started = Instant::now();
+    let mut session = open_as(&service, DATABASE, 0).await;
+    let response = run(&mut session, "q", "READ 1").await;
+    assert!(response.result.is_err());
+    assert_eq!(member_pool_counts(&service), (0, 0));
+    assert!(started.elapsed() < Duration::from_millis(800));
+}
