--- a/crates/coriander_limits/src/rate_shares.rs
+++ b/crates/coriander_limits/src/rate_shares.rs
@@ -63,6 +63,9 @@
 /// sends more than its rate, and its other requests ask the other owners.
 const SATURATED_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time beyond which callers who were asked to come back are not counted: most have given up.
+const MAX_PROMISED_PERIOD: Duration = Duration::from_secs(2);
+
 /// Number of owners that a request of a saturated account asks.
 const SATURATED_ASKS: usize = 2;
 
@@ -259,6 +262,11 @@
         }
     }
 
+    /// Returns the identifier of this instance.
+    pub fn own_id(&self) -> &str {
+        &self.own_id
+    }
+
     /// Returns the instances of the fleet, including those that were listed shortly before.
     pub fn fleet(&self) -> &[Arc<str>] {
         &self.fleet
@@ -419,9 +427,15 @@
             let retry_after = share.time_to_token();
             // The caller will need a token of one of the owners that it asks.
             let owner_fraction = share.owner_fraction();
-            share.promised += asked_owners.map_or(owner_fraction, |asked| {
-                (1.0 / f64::from(asked.max(1))).max(owner_fraction)
-            });
+            match asked_owners {
+                Some(asked) => {
+                    let promise = (1.0 / f64::from(asked.max(1))).max(owner_fraction);
+                    let max_promised =
+                        share.rate * owner_fraction * MAX_PROMISED_PERIOD.as_secs_f64();
+                    share.promised = (share.promised + promise).min(max_promised.max(1.0));
+                }
+                None => share.promised += owner_fraction,
+            }
             return LoanOffer::RetryAfter(retry_after);
         }
         share.tokens -= amount;
--- a/crates/coriander_limits/tests/rate_shares.rs
+++ b/crates/coriander_limits/tests/rate_shares.rs
@@ -239,3 +239,54 @@
     let asked = [10_100, 10_250].map(|at| owner.owners_to_ask(ACCOUNT, 8, ms(at)));
     assert_eq!(asked, [2, 8], "all owners are asked again after a while");
 }
+
+/// Admits an operation at an instance, which asks owners like the service does.
+fn admit(shares: &mut [RateShares], instance: usize, turn: usize, now: MonotonicTime) -> bool {
+    shares[instance].record_demand(ACCOUNT, now);
+    if shares[instance].spend(ACCOUNT, now).is_ok() {
+        return true;
+    }
+    let mut owners: Vec<_> = shares[instance].lenders(ACCOUNT).cloned().collect();
+    if owners.is_empty() {
+        return false;
+    }
+    let all = owners.len();
+    owners.rotate_left(turn % all);
+    owners.truncate(shares[instance].owners_to_ask(ACCOUNT, all, now));
+    let asked = u32::try_from(owners.len()).ok();
+    for owner in &owners {
+        let lender = shares.iter().position(|share| share.own_id() == &**owner);
+        let lender = lender.expect("the owner is in the fleet");
+        let offer = shares[lender].lend_to_one_of(ACCOUNT, 1, asked, now);
+        if let LoanOffer::Tokens(amount) = offer {
+            shares[instance].receive_loan(ACCOUNT, amount, now, now);
+        }
+        if shares[instance].spend(ACCOUNT, now).is_ok() {
+            return true;
+        }
+    }
+    if owners.len() == all {
+        shares[instance].record_saturated(ACCOUNT, now);
+    }
+    false
+}
+
+#[test]
+fn account_at_four_times_its_rate_is_served_at_its_rate() {
+    // Guards against tokens that stay at owners whom the requests of a saturated account do not ask.
+    let rate = 700.0;
+    let mut shares = fleet(78, rate, rate, ms(0));
+    let mut admitted = 0;
+    for operation in 0..28_000_usize {
+        let now = ms(10_000 + operation as u64 * 10 / 28);
+        let instance = operation * 31 % shares.len();
+        let turn = operation * 7 / 3;
+        // The first second empties the burst.
+        if admit(&mut shares, instance, turn, now) && operation >= 2_800 {
+            admitted += 1;
+        }
+    }
+    let entitled = rate * 9.0;
+    assert!(f64::from(admitted) > 0.97 * entitled, "{admitted}");
+    assert!(f64::from(admitted) < 1.01 * entitled + rate, "{admitted}");
+}
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -371,21 +371,7 @@
         let age = self.config_view.age(self.clock.now());
         self.metrics.set_gauges(self.session_count(), version, age);
         for group in self.groups() {
-            let members = group.members();
-            let open = members.iter().map(|member| member.pool.open_count()).sum();
-            let waiting = members
-                .iter()
-                .map(|member| member.pool.waiting_count())
-                .sum();
-            self.metrics.set_connections(&group.name, open, waiting);
-            for wait in group
-                .members()
-                .iter()
-                .flat_map(|member| member.pool.take_waits())
-            {
-                self.metrics
-                    .record_connection_wait(wait.priority, wait.served, wait.duration);
-            }
+            self.metrics.record_pools(&group);
         }
         self.metrics.encode()
     }
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::members::database_group::DatabaseGroup;
+
 /// Upper bound of the first bucket of latency histograms, in seconds.
 const FIRST_BUCKET_SECS: f64 = 0.001;
 
@@ -274,8 +276,19 @@
         self.config_age.set(age);
     }
 
-    /// Sets the number of connections to the members of a group.
-    pub fn set_connections(&self, group: &str, open: usize, waiting: usize) {
+    /// Records the connections to the members of a group, and the waits for them since the last
+    /// call.
+    pub fn record_pools(&self, group: &DatabaseGroup) {
+        let members = group.members();
+        let open = members.iter().map(|member| member.pool.open_count()).sum();
+        let waiting = members.iter().map(|member| member.pool.waiting_count());
+        self.set_connections(&group.name, open, waiting.sum());
+        for wait in members.iter().flat_map(|member| member.pool.take_waits()) {
+            self.record_connection_wait(wait.priority, wait.served, wait.duration);
+        }
+    }
+
+    fn set_connections(&self, group: &str, open: usize, waiting: usize) {
         let gauge = |result, value: usize| {
             let labels = group_labels(group, result);
             self.connections.get_or_create(&labels).set(value as i64);
@@ -284,8 +297,7 @@
         gauge("waited_for", waiting);
     }
 
-    /// Records the wait of a request for a connection.
-    pub fn record_connection_wait(&self, priority: u32, served: bool, duration: Duration) {
+    fn record_connection_wait(&self, priority: u32, served: bool, duration: Duration) {
         let result = if served { "served" } else { "refused" };
         let labels = WaitLabels { priority, result };
         let histogram = self.connection_wait.get_or_create(&labels);
