--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -123,7 +123,8 @@
             phase_changed: Notify::new(),
             connector,
             groups: RefCell::default(),
-            rate_limiter: RateLimiter::new(name, peers.clone()),
+            rate_limiter: RateLimiter::new(name, peers.clone())
+                .with_ordered_returns(features.ordered_waiting),
             metrics: ServiceMetrics::with_traffic(&peers.traffic),
             peers,
             request_log: RequestLog::default(),
@@ -259,7 +260,11 @@
     /// Returns the group with a name, creating it if necessary.
     pub fn group(&self, name: &Arc<str>) -> Rc<DatabaseGroup> {
         let mut groups = self.groups.borrow_mut();
-        let create = || Rc::new(DatabaseGroup::new(name.clone(), self.connector.clone()));
+        let ordered_waiting = self.settings().features.ordered_waiting;
+        let create = || {
+            let group = DatabaseGroup::new(name.clone(), self.connector.clone());
+            Rc::new(group.with_ordered_waiting(ordered_waiting))
+        };
         groups.entry(name.clone()).or_insert_with(create).clone()
     }
 
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::members::database_group::DatabaseGroup;
 use crate::fleet::peer_traffic::PeerTraffic;
 
 /// Upper bound of the first bucket of latency histograms, in seconds.
@@ -61,6 +62,12 @@
     group: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WaitLabels {
+    priority: u32,
+    result: &'static str,
+}
+
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_SECS, 2.0, BUCKET_COUNT))
 }
@@ -85,6 +92,7 @@
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     connections: Family<GroupLabels, Gauge>,
+    connection_wait: Family<WaitLabels, Histogram, fn() -> Histogram>,
 }
 
 impl Default for ServiceMetrics {
@@ -107,6 +115,7 @@
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             connections: Family::default(),
+            connection_wait: Family::new_with_constructor(latency_histogram),
         };
         metrics.register();
         metrics
@@ -199,6 +208,11 @@
             "Connections to members by group, open and waited for",
             self.connections.clone(),
         );
+        registry.register(
+            "connection_wait_seconds",
+            "Time for which requests waited for connections, by priority, served or refused",
+            self.connection_wait.clone(),
+        );
     }
 
     /// Counts a statement that has ended.
@@ -295,8 +309,19 @@
         self.config_age.set(age);
     }
 
-    /// Sets the number of connections to the members of a group.
-    pub fn set_connections(&self, group: &str, open: usize, waiting: usize) {
+    /// Records the connections to the members of a group, and the waits for them since the last
+    /// call.
+    pub fn record_pools(&self, group: &DatabaseGroup) {
+        let members = group.members();
+        let open = members.iter().map(|member| member.pool.open_count()).sum();
+        let waiting = members.iter().map(|member| member.pool.waiting_count());
+        self.set_connections(&group.name, open, waiting.sum());
+        for wait in members.iter().flat_map(|member| member.pool.take_waits()) {
+            self.record_connection_wait(wait.priority, wait.served, wait.duration);
+        }
+    }
+
+    fn set_connections(&self, group: &str, open: usize, waiting: usize) {
         let gauge = |result, value: usize| {
             let labels = group_labels(group, result);
             self.connections.get_or_create(&labels).set(value as i64);
@@ -305,6 +330,13 @@
         gauge("waited_for", waiting);
     }
 
+    fn record_connection_wait(&self, priority: u32, served: bool, duration: Duration) {
+        let result = if served { "served" } else { "refused" };
+        let labels = WaitLabels { priority, result };
+        let histogram = self.connection_wait.get_or_create(&labels);
+        histogram.observe(duration.as_secs_f64());
+    }
+
     /// Returns all values in the text format of OpenMetrics.
     pub fn encode(&self) -> String {
         let mut text = String::new();
