Learn members' capacity and set outliers aside

The choice of a read target counted only this instance's own statements, and a reply of any kind counted as health. The new crate coriander_capacity learns a concurrency limit per member and sets members aside by outcome and latency; the service uses it where the settings ask for learned capacity. Instances report set-aside members on relayed requests and replies.

--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coriander_capacity::ReadCandidate;
 use coriander_core::{LogPosition, MonotonicTime, stable_hash};
 use coriander_service_api::{MemberConnector, MemberEntry, MemberTarget, PositionTimeline};
 use smallvec::SmallVec;
@@ -13,6 +14,7 @@
 use crate::fleet::fleet_view::MemberLocation;
 use crate::members::connection_caps::ConnectionCaps;
 use crate::members::member::Member;
+use crate::members::member_capacity::{MemberCapacity, SharedCapacity};
 use crate::members::member_pool::MemberPool;
 
 /// How long a member without an entry is still used. Entries lost in an outage of the store return
@@ -32,6 +34,7 @@
     /// Signals a change of members or of the primary.
     pub changed: Notify,
     connector: Rc<dyn MemberConnector>,
+    capacity: Option<SharedCapacity>,
     members: RefCell<Vec<Rc<Member>>>,
     position_timeline: RefCell<PositionTimeline>,
     /// Primary reported by a promotion, until the entry of the member agrees.
@@ -44,11 +47,16 @@
 
 impl DatabaseGroup {
     /// Creates a group without members.
-    pub fn new(name: Arc<str>, connector: Rc<dyn MemberConnector>) -> Self {
+    pub fn new(
+        name: Arc<str>,
+        connector: Rc<dyn MemberConnector>,
+        capacity: Option<SharedCapacity>,
+    ) -> Self {
         Self {
             name,
             changed: Notify::new(),
             connector,
+            capacity,
             members: RefCell::default(),
             position_timeline: RefCell::default(),
             promoted_primary: RefCell::default(),
@@ -90,6 +98,12 @@
                 .leaving_since
                 .set(member.is_leaving().then_some(leaving_since));
         }
+        for member in members.iter() {
+            if let Some(capacity) = &member.capacity {
+                let others = members.iter().filter(|other| other.id != member.id);
+                capacity.set_peers(others.map(|other| other.id.clone()).collect());
+            }
+        }
         drop(members);
         self.clear_promoted_primary();
         self.changed.notify_waiters();
@@ -108,7 +122,7 @@
                 group = &*self.name, member = &*entry.id, address:% = entry.address;
                 "member restarted"
             );
-            member.pool.close();
+            member.close();
             members.remove(index);
         }
         let target = MemberTarget {
@@ -123,7 +137,10 @@
             address:% = entry.address, revision = entry.revision;
             "member added"
         );
-        let member = Member::new(entry, pool, now);
+        let shared = self.capacity.clone();
+        let capacity =
+            shared.map(|shared| MemberCapacity::new(shared, self.name.clone(), entry.id.clone()));
+        let member = Member::new(entry, pool, capacity, now);
         member.update(entry, now);
         members.push(Rc::new(member));
     }
@@ -143,7 +160,7 @@
             return true;
         }
         log::info!(group = &*self.name, member = &*member.id; "member removed");
-        member.pool.close();
+        member.close();
         false
     }
 
@@ -194,6 +211,19 @@
         self.members.borrow().clone()
     }
 
+    /// Returns the sum of the learned limits, and the number of members that are set aside.
+    pub fn learned_capacity(&self, now: MonotonicTime) -> (f64, usize) {
+        let members = self.members.borrow();
+        let learned = members.iter().filter_map(|member| member.capacity.as_ref());
+        learned.fold((0.0, 0), |(limit, set_aside), capacity| {
+            let is_set_aside = capacity.is_set_aside(now);
+            (
+                limit + capacity.limit(),
+                set_aside + usize::from(is_set_aside),
+            )
+        })
+    }
+
     /// Sets the only member that may act as primary; `None`: any member that reports the role.
     pub fn set_designated_primary(&self, member: Option<Arc<str>>) {
         *self.designated_primary.borrow_mut() = member;
@@ -299,6 +329,13 @@
         };
         let mut candidates: SmallVec<[&Rc<Member>; 4]> = candidates.collect();
         candidates.sort_by_cached_key(cost);
+        if let Some(capacity) = &self.capacity {
+            let is_primary = |member: &Member| {
+                let primary = primary.as_ref();
+                primary.is_some_and(|primary| primary.id == member.id)
+            };
+            candidates = order_by_capacity(capacity, &candidates, is_primary, members.len(), now);
+        }
         let admitted = |member: &&&Rc<Member>| member.admit_statement(now);
         candidates
             .iter()
@@ -346,6 +383,26 @@
     }
 }
 
+/// Orders read targets, given in the order of preference, by learned capacity.
+fn order_by_capacity<'a>(
+    capacity: &SharedCapacity,
+    preferred: &[&'a Rc<Member>],
+    is_primary: impl Fn(&Member) -> bool,
+    group_size: usize,
+    now: MonotonicTime,
+) -> SmallVec<[&'a Rc<Member>; 4]> {
+    let candidates: SmallVec<[ReadCandidate<'_>; 4]> = preferred
+        .iter()
+        .map(|member| ReadCandidate {
+            member: &member.id,
+            in_flight: member.in_flight.get(),
+            is_primary: is_primary(member),
+        })
+        .collect();
+    let order = capacity.order(&candidates, group_size, now);
+    order.into_iter().map(|index| preferred[index]).collect()
+}
+
 /// Returns the rank of a member for an account. It differs by account, so that accounts are spread
 /// over members and each account needs few connections.
 fn account_affinity(account: &str, member: &str) -> u64 {
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -33,11 +33,14 @@
     /// Acquires a connection for a plan.
     pub async fn acquire(member: &Rc<Member>, plan: &ExchangePlan) -> Result<Self, PoolError> {
         let request_guard = member.begin_request();
+        let capacity = member.capacity.as_ref();
+        let waiting = capacity.map(|capacity| capacity.begin(BootClock.now()));
         let deadline = BootClock.now() + plan.acquire_timeout;
         let result = member
             .pool
             .acquire(&plan.account, &plan.values, plan.priority, deadline)
             .await;
+        drop(waiting);
         match result {
             Ok(connection) => Ok(Self {
                 member: member.clone(),
@@ -56,9 +59,23 @@
         }
     }
 
-    /// Executes a plan.
+    /// Executes a plan and records what it shows about the member.
     pub async fn exchange(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
-        let deadline = BootClock.now() + plan.time_limit;
+        let member = self.member.clone();
+        let Some(capacity) = &member.capacity else {
+            return self.execute(plan, plan.time_limit).await;
+        };
+        let started = BootClock.now();
+        let running = capacity.begin(started);
+        let mut outcome = self.execute(plan, capacity.time_limit(plan)).await;
+        drop(running);
+        let now = BootClock.now();
+        capacity.record_local(plan, &mut outcome, now.since(started), now);
+        outcome
+    }
+
+    async fn execute(&mut self, plan: &ExchangePlan, time_limit: Duration) -> ExchangeOutcome {
+        let deadline = BootClock.now() + time_limit;
         let mut primary_position = None;
         if let Some(begin) = plan.begin {
             match self.begin(begin, deadline).await {
@@ -78,6 +95,7 @@
         ExchangeOutcome {
             result,
             primary_position,
+            capacity: None,
         }
     }
 
--- a/crates/coriander_service/src/members/member.rs
+++ b/crates/coriander_service/src/members/member.rs
@@ -9,6 +9,7 @@
 use coriander_service_api::{MemberEntry, MemberRole};
 
 use crate::fleet::fleet_view::MemberLocation;
+use crate::members::member_capacity::MemberCapacity;
 use crate::members::member_health::MemberHealth;
 use crate::members::member_pool::MemberPool;
 use crate::members::warm_up_gate::WarmUpGate;
@@ -37,6 +38,8 @@
     pub id: Arc<str>,
     /// Its connection pool.
     pub pool: Rc<MemberPool>,
+    /// Learned capacity, where the settings ask for it.
+    pub capacity: Option<MemberCapacity>,
     pub(crate) entry: RefCell<MemberEntry>,
     pub(crate) health: RefCell<MemberHealth>,
     pub(crate) in_flight: Cell<u32>,
@@ -65,10 +68,16 @@
 
 impl Member {
     /// Creates a member from its first entry.
-    pub fn new(entry: &MemberEntry, pool: Rc<MemberPool>, now: MonotonicTime) -> Self {
+    pub fn new(
+        entry: &MemberEntry,
+        pool: Rc<MemberPool>,
+        capacity: Option<MemberCapacity>,
+        now: MonotonicTime,
+    ) -> Self {
         Self {
             id: entry.id.clone(),
             pool,
+            capacity,
             entry: RefCell::new(entry.clone()),
             health: RefCell::default(),
             in_flight: Cell::new(0),
@@ -87,6 +96,14 @@
         }
     }
 
+    /// Closes its connections and forgets its learned capacity, as the member has left or restarted.
+    pub fn close(&self) {
+        self.pool.close();
+        if let Some(capacity) = &self.capacity {
+            capacity.remove();
+        }
+    }
+
     /// Returns the member's entry.
     pub fn entry(&self) -> MemberEntry {
         self.entry.borrow().clone()
@@ -225,9 +242,11 @@
 
     pub(crate) fn describe(&self, now: MonotonicTime) -> String {
         let entry = self.entry.borrow();
+        let capacity = self.capacity.as_ref();
+        let capacity = capacity.map(|capacity| format!(" {}", capacity.describe(now)));
         format!(
             "member id={} address={} zone={} role={:?} leaving={} missing={} usable={} \
-             failing_for={:?} in_flight={} connections={} waiting={} opened={}",
+             failing_for={:?} in_flight={} connections={} waiting={} opened={}{}",
             self.id,
             entry.address,
             entry.zone,
@@ -239,7 +258,8 @@
             self.in_flight.get(),
             self.pool.open_count(),
             self.pool.waiting_count(),
-            self.pool.opened_count()
+            self.pool.opened_count(),
+            capacity.unwrap_or_default()
         )
     }
 
--- /dev/null
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -0,0 +1,242 @@
+//! Learned capacity of one member, and what instances tell each other about it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coriander_capacity::{
+    CapacityBoard, CapacityEvent, CapacityNotice, ExchangeSample, OutlierChange, ReadCandidate,
+    SampleOutcome, StatementClass,
+};
+use coriander_core::MonotonicTime;
+use coriander_service_api::{FailureCode, LinkError};
+use smallvec::SmallVec;
+
+use crate::members::member_pool::PoolError;
+use crate::service_metrics::CapacityChanges;
+use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
+
+/// What this instance has learned about all members. Clones share it.
+#[derive(Clone)]
+pub struct SharedCapacity {
+    board: Rc<RefCell<CapacityBoard>>,
+    changes: CapacityChanges,
+    /// Availability zone of this instance.
+    zone: Arc<str>,
+}
+
+impl SharedCapacity {
+    /// Creates an empty state for an instance in a zone.
+    pub fn new(zone: Arc<str>, changes: CapacityChanges) -> Self {
+        Self {
+            board: Rc::default(),
+            changes,
+            zone,
+        }
+    }
+
+    /// Returns whether a zone is that of this instance.
+    pub fn is_own_zone(&self, zone: &str) -> bool {
+        *self.zone == *zone
+    }
+
+    /// Orders members that may serve a read, given in the order of preference.
+    pub fn order(
+        &self,
+        candidates: &[ReadCandidate<'_>],
+        group_size: usize,
+        now: MonotonicTime,
+    ) -> SmallVec<[usize; 4]> {
+        let mut board = self.board.borrow_mut();
+        board.order(candidates, group_size, now)
+    }
+}
+
+/// Learned capacity of one member.
+pub struct MemberCapacity {
+    shared: SharedCapacity,
+    group: Arc<str>,
+    member: Arc<str>,
+    /// Other members of the group.
+    peers: RefCell<SmallVec<[Arc<str>; 4]>>,
+}
+
+impl MemberCapacity {
+    /// Creates the state of a member.
+    pub fn new(shared: SharedCapacity, group: Arc<str>, member: Arc<str>) -> Self {
+        Self {
+            shared,
+            group,
+            member,
+            peers: RefCell::default(),
+        }
+    }
+
+    /// Sets the other members of the group.
+    pub fn set_peers(&self, peers: SmallVec<[Arc<str>; 4]>) {
+        *self.peers.borrow_mut() = peers;
+    }
+
+    /// Counts a statement that this instance runs or queues until the guard is dropped.
+    pub fn begin(&self, now: MonotonicTime) -> CapacityGuard {
+        self.shared.board.borrow_mut().begin(&self.member, now);
+        CapacityGuard {
+            board: self.shared.board.clone(),
+            member: self.member.clone(),
+        }
+    }
+
+    /// Returns the time after which a plan is given up at the member, so that its caller can repeat
+    /// it on another one. Only reads that any member may run are given up early.
+    pub fn time_limit(&self, plan: &ExchangePlan) -> Duration {
+        let is_repeatable = !plan.needs_primary() && plan.begin.is_none() && !plan.keep_reserved;
+        if !is_repeatable {
+            return plan.time_limit;
+        }
+        let board = self.shared.board.borrow();
+        board.attempt_time(class_of(plan), plan.time_limit)
+    }
+
+    /// Records an exchange that this instance ran itself, and adds what the instance that asked for
+    /// it should know.
+    pub fn record_local(
+        &self,
+        plan: &ExchangePlan,
+        outcome: &mut ExchangeOutcome,
+        latency: Duration,
+        now: MonotonicTime,
+    ) {
+        if let Some(notice) = &plan.capacity {
+            self.shared
+                .board
+                .borrow_mut()
+                .apply_notice(notice, None, now);
+        }
+        if let Some(result) = sample_outcome(outcome) {
+            let sample = ExchangeSample {
+                class: class_of(plan),
+                outcome: result,
+                latency,
+            };
+            let event = self.shared.board.borrow_mut().record_local_with_peers(
+                &self.member,
+                &sample,
+                &self.peers.borrow(),
+                now,
+            );
+            self.report(event, now);
+        }
+        let notice = self.shared.board.borrow().reply_notice(&self.member, now);
+        outcome.capacity = Some(Box::new(notice));
+    }
+
+    /// Records an exchange that a home instance ran. Without a notice the home instance did not
+    /// reply, which says nothing about the member.
+    pub fn record_relayed(&self, outcome: &ExchangeOutcome, now: MonotonicTime) {
+        let Some(notice) = &outcome.capacity else {
+            return;
+        };
+        let event = sample_outcome(outcome).and_then(|result| {
+            let mut board = self.shared.board.borrow_mut();
+            board.record_relayed(&self.member, result, now)
+        });
+        self.report(event, now);
+        let mut board = self.shared.board.borrow_mut();
+        board.apply_notice(notice, Some(&self.member), now);
+    }
+
+    /// Returns what a request to another instance carries; `None` if there is nothing to tell.
+    pub fn notice(&self, now: MonotonicTime) -> Option<Box<CapacityNotice>> {
+        let notice = self.shared.board.borrow().notice(now);
+        (!notice.reports.is_empty()).then(|| Box::new(notice))
+    }
+
+    /// Forgets the member.
+    pub fn remove(&self) {
+        self.shared.board.borrow_mut().remove(&self.member);
+    }
+
+    /// Returns the learned concurrency limit.
+    pub fn limit(&self) -> f64 {
+        self.shared.board.borrow().limit(&self.member)
+    }
+
+    /// Returns whether the member is set aside.
+    pub fn is_set_aside(&self, now: MonotonicTime) -> bool {
+        self.shared.board.borrow().is_set_aside(&self.member, now)
+    }
+
+    /// Describes limit, load and state.
+    pub fn describe(&self, now: MonotonicTime) -> String {
+        self.shared.board.borrow().describe(&self.member, now)
+    }
+
+    fn report(&self, event: Option<CapacityEvent>, now: MonotonicTime) {
+        let Some(event) = event else {
+            return;
+        };
+        let state = self.describe(now);
+        let group = &*self.group;
+        let member = &*self.member;
+        match event.change {
+            OutlierChange::SetAside(cause) => {
+                log::info!(
+                    group = group, member = member, cause = cause.label(), state = state;
+                    "member set aside"
+                );
+                self.shared.changes.count(group, cause.label());
+            }
+            OutlierChange::TakenBack => {
+                log::info!(group = group, member = member, state = state; "member taken back");
+                self.shared.changes.count(group, "taken_back");
+            }
+        }
+    }
+}
+
+/// Counts a statement at a member until it is dropped.
+pub struct CapacityGuard {
+    board: Rc<RefCell<CapacityBoard>>,
+    member: Arc<str>,
+}
+
+impl Drop for CapacityGuard {
+    fn drop(&mut self) {
+        self.board.borrow_mut().end(&self.member);
+    }
+}
+
+const fn class_of(plan: &ExchangePlan) -> StatementClass {
+    let writes = plan.statement.writes || plan.statement.commits;
+    StatementClass::new(plan.priority, writes, plan.begin.is_some())
+}
+
+/// Returns what an exchange shows about its member; `None` if nothing.
+fn sample_outcome(outcome: &ExchangeOutcome) -> Option<SampleOutcome> {
+    match &outcome.result {
+        Ok(reply) => match &reply.result {
+            Ok(_) => Some(SampleOutcome::Served),
+            Err(refusal) => refusal_outcome(refusal.code),
+        },
+        Err(ExchangeError::Declined(code, _)) => refusal_outcome(*code),
+        Err(
+            ExchangeError::NoReply(LinkError::ReplyTimeout(_))
+            | ExchangeError::NotSent(PoolError::Connect(LinkError::ReplyTimeout(_))),
+        ) => Some(SampleOutcome::Unanswered),
+        Err(ExchangeError::NoReply(_)) => Some(SampleOutcome::Failed),
+        Err(ExchangeError::NotSent(PoolError::Connect(link))) => match link {
+            LinkError::Declined(refusal) => refusal_outcome(refusal.code),
+            _ => Some(SampleOutcome::Failed),
+        },
+        Err(ExchangeError::NotSent(_)) => None,
+    }
+}
+
+const fn refusal_outcome(code: FailureCode) -> Option<SampleOutcome> {
+    match code {
+        FailureCode::Busy | FailureCode::TooManyConnections => Some(SampleOutcome::Rejected),
+        FailureCode::Failed | FailureCode::Timeout => Some(SampleOutcome::Failed),
+        _ => None,
+    }
+}
--- a/crates/coriander_service/src/members/mod.rs
+++ b/crates/coriander_service/src/members/mod.rs
@@ -4,6 +4,7 @@
 pub mod database_group;
 pub mod held_connection;
 pub mod member;
+pub mod member_capacity;
 pub mod member_health;
 pub mod member_pool;
 pub mod pooled_connection;
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -27,6 +27,7 @@
 use crate::fleet::relay::RelayClient;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
+use crate::members::member_capacity::SharedCapacity;
 use crate::members::warm_up_gate::WarmUpGate;
 use crate::promotion::duty_lease::SAFE_LEASE_LIFETIME;
 use crate::promotion::promotion_duty::PromotionDuty;
@@ -71,6 +72,8 @@
     /// Signals a change of phase.
     pub phase_changed: Notify,
     connector: Rc<dyn MemberConnector>,
+    /// Learned capacity of members, where the settings ask for it.
+    capacity: Option<SharedCapacity>,
     groups: RefCell<HashMap<Arc<str>, Rc<DatabaseGroup>>>,
     /// Datagram socket to the other instances.
     pub peers: Rc<PeerSocket>,
@@ -108,6 +111,10 @@
         peers: Rc<PeerSocket>,
     ) -> Rc<Self> {
         let name = settings.name.clone();
+        let metrics = ServiceMetrics::default();
+        let learned = settings.features.learned_capacity;
+        let capacity =
+            learned.then(|| SharedCapacity::new(settings.zone.clone(), metrics.capacity_changes()));
         Rc::new_cyclic(|weak_self| Self {
             settings: RefCell::new(Rc::new(settings)),
             clock: BootClock,
@@ -116,11 +123,12 @@
             snapshot_applied: Notify::new(),
             phase_changed: Notify::new(),
             connector,
+            capacity,
             groups: RefCell::default(),
             rate_limiter: RateLimiter::new(name, peers.clone()),
             peers,
             request_log: RequestLog::default(),
-            metrics: ServiceMetrics::default(),
+            metrics,
             relay: RelayClient::default(),
             fleet_key: watch::Sender::new(None),
             fleet: RefCell::default(),
@@ -257,7 +265,14 @@
     /// Returns the group with a name, creating it if necessary.
     pub fn group(&self, name: &Arc<str>) -> Rc<DatabaseGroup> {
         let mut groups = self.groups.borrow_mut();
-        let create = || Rc::new(DatabaseGroup::new(name.clone(), self.connector.clone()));
+        let create = || {
+            let capacity = self.capacity.clone();
+            Rc::new(DatabaseGroup::new(
+                name.clone(),
+                self.connector.clone(),
+                capacity,
+            ))
+        };
         groups.entry(name.clone()).or_insert_with(create).clone()
     }
 
@@ -372,6 +387,10 @@
                 .map(|member| member.pool.waiting_count())
                 .sum();
             self.metrics.set_connections(&group.name, open, waiting);
+            if self.capacity.is_some() {
+                let (limit, set_aside) = group.learned_capacity(self.clock.now());
+                self.metrics.set_capacity(&group.name, limit, set_aside);
+            }
         }
         self.metrics.encode()
     }
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -59,6 +59,17 @@
     group: String,
 }
 
+/// Counter of members set aside and taken back, shared with what decides it.
+#[derive(Clone, Default)]
+pub struct CapacityChanges(Family<GroupLabels, Counter>);
+
+impl CapacityChanges {
+    /// Counts a change of a member of a group: a cause, or `taken_back`.
+    pub fn count(&self, group: &str, result: &'static str) {
+        self.0.get_or_create(&group_labels(group, result)).inc();
+    }
+}
+
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_SECS, 2.0, BUCKET_COUNT))
 }
@@ -81,6 +92,9 @@
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     connections: Family<GroupLabels, Gauge>,
+    capacity_changes: CapacityChanges,
+    learned_limit: Family<MemberGroupLabel, Gauge<f64, AtomicU64>>,
+    set_aside: Family<MemberGroupLabel, Gauge>,
 }
 
 impl Default for ServiceMetrics {
@@ -101,6 +115,9 @@
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             connections: Family::default(),
+            capacity_changes: CapacityChanges::default(),
+            learned_limit: Family::default(),
+            set_aside: Family::default(),
         };
         metrics.register();
         metrics
@@ -176,6 +193,35 @@
             "Connections to members by group, open and waited for",
             self.connections.clone(),
         );
+        registry.register(
+            "member_capacity_changes",
+            "Members set aside, by cause, and taken back",
+            self.capacity_changes.0.clone(),
+        );
+        registry.register(
+            "member_learned_limit",
+            "Sum of the learned concurrency limits of the members of a group",
+            self.learned_limit.clone(),
+        );
+        registry.register(
+            "members_set_aside",
+            "Members of a group that are set aside",
+            self.set_aside.clone(),
+        );
+    }
+
+    /// Returns the counter of members set aside and taken back.
+    pub fn capacity_changes(&self) -> CapacityChanges {
+        self.capacity_changes.clone()
+    }
+
+    /// Sets what this instance has learned about the members of a group.
+    pub fn set_capacity(&self, group: &str, limit: f64, set_aside: usize) {
+        let label = MemberGroupLabel {
+            group: group.to_owned(),
+        };
+        self.learned_limit.get_or_create(&label).set(limit);
+        self.set_aside.get_or_create(&label).set(set_aside as i64);
     }
 
     /// Counts a statement that has ended.
--- a/crates/coriander_service/src/sessions/exchange.rs
+++ b/crates/coriander_service/src/sessions/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coriander_capacity::CapacityNotice;
 use coriander_core::LogPosition;
 use coriander_service_api::{
     FailureCode, LinkError, MemberReply, PreparedShape, SessionValues, TransactionStatus,
@@ -60,6 +61,8 @@
     pub time_limit: Duration,
     /// Whether the connection stays reserved for further statements of the transaction.
     pub keep_reserved: bool,
+    /// On a request to a home instance: members that the sender has set aside.
+    pub capacity: Option<Box<CapacityNotice>>,
 }
 
 impl ExchangePlan {
@@ -96,6 +99,8 @@
     pub result: Result<MemberReply, ExchangeError>,
     /// Log position of the member after it confirmed during the exchange that it is the primary.
     pub primary_position: Option<LogPosition>,
+    /// From a home instance that learns capacity: load of the member, and members set aside.
+    pub capacity: Option<Box<CapacityNotice>>,
 }
 
 impl ExchangeOutcome {
@@ -134,6 +139,7 @@
         Self {
             result: Err(error),
             primary_position: None,
+            capacity: None,
         }
     }
 }
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -129,6 +129,7 @@
             acquire_timeout: acquire_timeout.min(time_limit.saturating_sub(MIN_ATTEMPT_TIME)),
             time_limit,
             keep_reserved: false,
+            capacity: None,
         }
     }
 
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -130,9 +130,20 @@
             armed: plan.keep_reserved,
         };
         let outstanding = OutstandingStatement::new(&self.member, BootClock.now());
-        let outcome = relay.exchange(address, stream, must_exist, plan).await;
+        let notice = self.member.capacity.as_ref();
+        let notice = notice.and_then(|capacity| capacity.notice(BootClock.now()));
+        let outcome = if notice.is_some() {
+            let mut plan = plan.clone();
+            plan.capacity = notice;
+            relay.exchange(address, stream, must_exist, &plan).await
+        } else {
+            relay.exchange(address, stream, must_exist, plan).await
+        };
         drop(outstanding);
         let now = BootClock.now();
+        if let Some(capacity) = &self.member.capacity {
+            capacity.record_relayed(&outcome, now);
+        }
         match &outcome.result {
             Ok(_) | Err(ExchangeError::Declined(..)) => self.member.record_success(now),
             Err(ExchangeError::NotSent(PoolError::Connect(link))) if link.is_unreachable() => {
