Share confirmed positions and reports of members on replies

Replies of home instances now carry the newest confirmed position with its age. A read that finds no room at one member tries another. A refusal for load no longer counts as a successful probe.

--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -19,7 +19,7 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
 /// Maximum number of reports on one message.
-const MAX_REPORTS: usize = 4;
+const MAX_REPORTS: usize = 2;
 
 /// Age from which a reported load says nothing.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(500);
@@ -39,7 +39,7 @@
 const ATTEMPT_FACTOR: f64 = 4.0;
 
 /// Minimum attempt time. Shorter ones would break off statements that wait in a short queue.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(150);
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(100);
 
 /// Relative latency below which an unanswered statement says nothing: its caller's time was over.
 const CUT_RATIO: f64 = 3.0;
@@ -75,16 +75,10 @@
     in_flight: u32,
     /// Load reported by home instances, and its time.
     reported_load: Option<(f64, MonotonicTime)>,
-    /// Time until which a report of another instance sets the member aside.
-    reported_until: MonotonicTime,
     used_at: MonotonicTime,
 }
 
 impl MemberState {
-    fn is_set_aside(&self, now: MonotonicTime) -> bool {
-        self.detector.is_set_aside() || now < self.reported_until
-    }
-
     /// Returns the load relative to the limit: of the home instances if known, else as seen here.
     fn load(&self, in_flight: u32, now: MonotonicTime) -> f64 {
         let own = f64::from(self.in_flight.max(in_flight)) / self.limit.limit();
@@ -100,6 +94,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CapacityBoard {
     members: HashMap<Arc<str>, MemberState>,
+    /// Members that other instances report as set aside, by hash, until the time.
+    reported: HashMap<u32, MonotonicTime>,
     /// Latency of statements at members, by class, over all groups. One instance sees too few
     /// statements of one group to tell what is usual there.
     profiles: HashMap<StatementClass, LatencyProfile>,
@@ -160,7 +156,7 @@
             .detector
             .record(sample.outcome, ratio, peer_ratio, now);
         if change == Some(OutlierChange::TakenBack) {
-            state.reported_until = MonotonicTime::ZERO;
+            self.reported.remove(&MemberReport::hash(member));
         }
         // An unanswered statement counts with the time that it had: without it, a limit below the
         // latency of a loaded group would never grow.
@@ -188,7 +184,7 @@
         let state = self.state(member, now);
         let change = state.detector.record(outcome, None, None, now)?;
         if change == OutlierChange::TakenBack {
-            state.reported_until = MonotonicTime::ZERO;
+            self.reported.remove(&MemberReport::hash(member));
         }
         Some(CapacityEvent {
             member: member.into(),
@@ -209,8 +205,21 @@
 
     /// Returns whether a member is set aside, by this instance or by a report.
     pub fn is_set_aside(&self, member: &str, now: MonotonicTime) -> bool {
+        self.is_set_aside_here(member) || self.is_reported(member, now)
+    }
+
+    fn is_set_aside_here(&self, member: &str) -> bool {
         let state = self.members.get(member);
-        state.is_some_and(|state| state.is_set_aside(now))
+        state.is_some_and(|state| state.detector.is_set_aside())
+    }
+
+    fn is_reported(&self, member: &str, now: MonotonicTime) -> bool {
+        // Usually there is no report, and no hash is computed.
+        !self.reported.is_empty()
+            && self
+                .reported
+                .get(&MemberReport::hash(member))
+                .is_some_and(|until| now < *until)
     }
 
     /// Returns the limit of a member and whether it is set aside, for descriptions.
@@ -219,7 +228,7 @@
             return "limit=- set_aside=-".to_owned();
         };
         let cause = state.detector.cause().map_or("-", |cause| cause.label());
-        let cause = if cause == "-" && now < state.reported_until {
+        let cause = if cause == "-" && self.is_reported(member, now) {
             "reported"
         } else {
             cause
@@ -296,10 +305,7 @@
         let is_aside = |index: &usize| self.is_set_aside(candidates[*index].member, now);
         let mut aside: SmallVec<[usize; 4]> = (0..candidates.len()).filter(is_aside).collect();
         // Members that this instance has seen fail count before reported ones.
-        aside.sort_by_key(|index| {
-            let state = self.members.get(candidates[*index].member);
-            !state.is_some_and(|state| state.detector.is_set_aside())
-        });
+        aside.sort_by_key(|index| !self.is_set_aside_here(candidates[*index].member));
         aside.truncate(bound);
         aside
     }
@@ -315,25 +321,28 @@
     /// first.
     pub fn notice(&self, now: MonotonicTime) -> CapacityNotice {
         let own_ms = REPORT_LIFETIME.as_millis() as u16;
-        let mut reports: SmallVec<[MemberReport; 1]> = SmallVec::new();
-        for (member, state) in &self.members {
-            let valid_ms = if state.detector.is_set_aside() {
-                own_ms
-            } else {
-                state.reported_until.since(now).as_millis() as u16
-            };
-            if valid_ms > 0 {
+        let own = self.members.iter();
+        let own = own.filter(|(_, state)| state.detector.is_set_aside());
+        let mut reports: SmallVec<[MemberReport; 1]> = own
+            .map(|(member, _)| MemberReport {
+                member: MemberReport::hash(member),
+                valid_ms: own_ms,
+            })
+            .collect();
+        for (member, until) in &self.reported {
+            let valid_ms = until.since(now).as_millis() as u16;
+            if valid_ms > 0 && !reports.iter().any(|own| own.member == *member) {
                 reports.push(MemberReport {
-                    member: member.clone(),
+                    member: *member,
                     valid_ms,
                 });
             }
         }
-        reports.sort_by(|a, b| (b.valid_ms, &a.member).cmp(&(a.valid_ms, &b.member)));
+        reports.sort_by_key(|report| (u16::MAX - report.valid_ms, report.member));
         reports.truncate(MAX_REPORTS);
         CapacityNotice {
             reports,
-            load: None,
+            ..CapacityNotice::default()
         }
     }
 
@@ -355,10 +364,13 @@
         replied: Option<&str>,
         now: MonotonicTime,
     ) {
+        if !notice.reports.is_empty() {
+            self.reported.retain(|_, until| now < *until);
+        }
         for report in &notice.reports {
             let valid = Duration::from_millis(u64::from(report.valid_ms)).min(REPORT_LIFETIME);
-            let state = self.state(&report.member, now);
-            state.reported_until = state.reported_until.max(now + valid);
+            let until = self.reported.entry(report.member).or_default();
+            *until = (*until).max(now + valid);
         }
         if let (Some(load), Some(member)) = (notice.load, replied) {
             let load = f64::from(load) / 16.0;
--- a/crates/coriander_capacity/src/lib.rs
+++ b/crates/coriander_capacity/src/lib.rs
@@ -33,5 +33,5 @@
 pub use concurrency_limit::ConcurrencyLimit;
 pub use exchange_sample::{ExchangeSample, SampleOutcome, StatementClass};
 pub use latency_profile::LatencyProfile;
-pub use member_report::{CapacityNotice, MemberReport};
+pub use member_report::{CapacityNotice, ConfirmedPosition, MemberReport};
 pub use outlier_detector::{OutlierCause, OutlierChange, OutlierDetector};
--- a/crates/coriander_capacity/src/outlier_detector.rs
+++ b/crates/coriander_capacity/src/outlier_detector.rs
@@ -21,6 +21,10 @@
 /// the whole group is slow, nobody is set aside.
 const SLOW_PEER_RATIO: f64 = 2.0;
 
+/// Latency, relative to the usual one, from which a probe counts as slow. It is lower than that of
+/// setting aside, so that a member near the bound does not change its state all the time.
+const RETURN_RATIO: f64 = 2.0;
+
 /// Weight of the newest sample in the relative latency.
 const RATIO_WEIGHT: f64 = 0.2;
 
@@ -204,7 +208,14 @@
     ) -> Option<OutlierChange> {
         let delay = self.probe_delay();
         let ejection = self.ejection.as_mut()?;
-        let is_slow = ratio.is_some_and(|ratio| ratio >= SLOW_RATIO);
+        if outcome == crate::SampleOutcome::Rejected {
+            return None;
+        }
+        let is_slow = match ratio {
+            Some(ratio) => ratio >= RETURN_RATIO,
+            // Where the usual latency is not known, a reply does not show that it is fast again.
+            None => ejection.cause == OutlierCause::Slow,
+        };
         if outcome.is_failure() || is_slow {
             ejection.good_probes = 0;
             ejection.probe_at = now + delay.min(MIN_PROBE_DELAY * 2);
--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -27,6 +27,9 @@
 /// Minimum time for which such a replica is not read from.
 const MIN_LAG_DELAY: Duration = Duration::from_millis(30);
 
+/// Cost of a read target in another availability zone, in waiting requests: 0 gives no preference.
+const OTHER_ZONE_COST: u32 = 0;
+
 /// A database group.
 pub struct DatabaseGroup {
     /// Name of the group.
@@ -36,7 +39,7 @@
     connector: Rc<dyn MemberConnector>,
     capacity: Option<SharedCapacity>,
     members: RefCell<Vec<Rc<Member>>>,
-    position_timeline: RefCell<PositionTimeline>,
+    position_timeline: Rc<RefCell<PositionTimeline>>,
     /// Primary reported by a promotion, until the entry of the member agrees.
     promoted_primary: RefCell<Option<Arc<str>>>,
     /// The only member that may act as primary, if the store designates one.
@@ -58,7 +61,7 @@
             connector,
             capacity,
             members: RefCell::default(),
-            position_timeline: RefCell::default(),
+            position_timeline: Rc::default(),
             promoted_primary: RefCell::default(),
             designated_primary: RefCell::default(),
             promotion_token: Cell::new(0),
@@ -138,8 +141,10 @@
             "member added"
         );
         let shared = self.capacity.clone();
-        let capacity =
-            shared.map(|shared| MemberCapacity::new(shared, self.name.clone(), entry.id.clone()));
+        let capacity = shared.map(|shared| {
+            let positions = self.position_timeline.clone();
+            MemberCapacity::new(shared, self.name.clone(), entry.id.clone(), positions)
+        });
         let member = Member::new(entry, pool, capacity, now);
         member.update(entry, now);
         members.push(Rc::new(member));
@@ -325,7 +330,9 @@
                 .as_ref()
                 .is_some_and(|primary| primary.id == member.id);
             let affinity = account_affinity(account, &member.id);
-            (member.read_cost(account, is_primary), affinity)
+            let is_remote = self.is_in_other_zone(member);
+            let zone_cost = if is_remote { OTHER_ZONE_COST } else { 0 };
+            (member.read_cost(account, is_primary) + zone_cost, affinity)
         };
         let mut candidates: SmallVec<[&Rc<Member>; 4]> = candidates.collect();
         candidates.sort_by_cached_key(cost);
@@ -343,6 +350,13 @@
             .map(|member| (*member).clone())
     }
 
+    /// Returns whether a member is in another zone than this instance; false where capacity is not
+    /// learned, as a preferred member could then be overloaded.
+    fn is_in_other_zone(&self, member: &Member) -> bool {
+        let capacity = self.capacity.as_ref();
+        capacity.is_some_and(|capacity| !capacity.is_own_zone(&member.entry.borrow().zone))
+    }
+
     /// Records that the log of a member did not contain the position that a read required. The log
     /// ends at `position`, and the read accepts data up to `max_age` old. No read is sent to the
     /// member for about the time that it needs to catch up.
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -70,7 +70,7 @@
         let mut outcome = self.execute(plan, capacity.time_limit(plan)).await;
         drop(running);
         let now = BootClock.now();
-        capacity.record_local(plan, &mut outcome, now.since(started), now);
+        capacity.record_local(plan, &mut outcome, started, now);
         outcome
     }
 
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use coriander_capacity::{
-    CapacityBoard, CapacityEvent, CapacityNotice, ExchangeSample, OutlierChange, ReadCandidate,
-    SampleOutcome, StatementClass,
+    CapacityBoard, CapacityEvent, CapacityNotice, ConfirmedPosition, ExchangeSample, OutlierChange,
+    ReadCandidate, SampleOutcome, StatementClass,
 };
 use coriander_core::MonotonicTime;
-use coriander_service_api::{FailureCode, LinkError};
+use coriander_service_api::{FailureCode, LinkError, PositionTimeline};
 use smallvec::SmallVec;
 
 use crate::members::member_pool::PoolError;
@@ -60,16 +60,24 @@
     member: Arc<str>,
     /// Other members of the group.
     peers: RefCell<SmallVec<[Arc<str>; 4]>>,
+    /// Confirmed positions of the group's primary, shared with the group.
+    positions: Rc<RefCell<PositionTimeline>>,
 }
 
 impl MemberCapacity {
     /// Creates the state of a member.
-    pub fn new(shared: SharedCapacity, group: Arc<str>, member: Arc<str>) -> Self {
+    pub fn new(
+        shared: SharedCapacity,
+        group: Arc<str>,
+        member: Arc<str>,
+        positions: Rc<RefCell<PositionTimeline>>,
+    ) -> Self {
         Self {
             shared,
             group,
             member,
             peers: RefCell::default(),
+            positions,
         }
     }
 
@@ -104,9 +112,12 @@
         &self,
         plan: &ExchangePlan,
         outcome: &mut ExchangeOutcome,
-        latency: Duration,
+        started: MonotonicTime,
         now: MonotonicTime,
     ) {
+        if let Some(position) = outcome.primary_position {
+            self.positions.borrow_mut().record(started, position);
+        }
         if let Some(notice) = &plan.capacity {
             self.shared
                 .board
@@ -117,7 +128,7 @@
             let sample = ExchangeSample {
                 class: class_of(plan),
                 outcome: result,
-                latency,
+                latency: now.since(started),
             };
             let event = self.shared.board.borrow_mut().record_local_with_peers(
                 &self.member,
@@ -127,16 +138,36 @@
             );
             self.report(event, now);
         }
-        let notice = self.shared.board.borrow().reply_notice(&self.member, now);
+        let mut notice = self.shared.board.borrow().reply_notice(&self.member, now);
+        notice.position = self.newest_position(now);
         outcome.capacity = Some(Box::new(notice));
     }
 
-    /// Records an exchange that a home instance ran. Without a notice the home instance did not
-    /// reply, which says nothing about the member.
-    pub fn record_relayed(&self, outcome: &ExchangeOutcome, now: MonotonicTime) {
+    fn newest_position(&self, now: MonotonicTime) -> Option<ConfirmedPosition> {
+        let (sent_at, position) = self.positions.borrow().newest_observation()?;
+        let age_ms = u16::try_from(now.since(sent_at).as_millis() + 1).ok()?;
+        Some(ConfirmedPosition { position, age_ms })
+    }
+
+    /// Records an exchange that a home instance ran after a request sent at `sent_at`. Without a
+    /// notice the home instance did not reply, which says nothing about the member.
+    pub fn record_relayed(
+        &self,
+        outcome: &ExchangeOutcome,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
         let Some(notice) = &outcome.capacity else {
             return;
         };
+        if let Some(confirmed) = notice.position {
+            // The reply was made after the request was sent, so that the confirmation is at most
+            // this much older, whatever the time that the reply took.
+            let age = Duration::from_millis(u64::from(confirmed.age_ms));
+            let confirmed_at = sent_at.saturating_sub(age);
+            let mut positions = self.positions.borrow_mut();
+            positions.record(confirmed_at, confirmed.position);
+        }
         let event = sample_outcome(outcome).and_then(|result| {
             let mut board = self.shared.board.borrow_mut();
             board.record_relayed(&self.member, result, now)
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -343,5 +343,18 @@
     }
     let mut link = OperationLink::new(context.service, &context.group, &member);
     let outcome = context.exchange(&mut link, &plan).await;
-    evaluate_reply(context, &member, outcome.result, false)
+    let is_full = matches!(
+        outcome.result,
+        Err(ExchangeError::NotSent(PoolError::Exhausted { .. }))
+    );
+    let attempt = evaluate_reply(context, &member, outcome.result, false);
+    match attempt {
+        // Another member may have room.
+        Attempt::Failed(failure)
+            if is_full && member.capacity.is_some() && context.has_untried_replica(tried) =>
+        {
+            Attempt::Retry(failure)
+        }
+        attempt => attempt,
+    }
 }
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -129,7 +129,8 @@
             stream,
             armed: plan.keep_reserved,
         };
-        let outstanding = OutstandingStatement::new(&self.member, BootClock.now());
+        let sent_at = BootClock.now();
+        let outstanding = OutstandingStatement::new(&self.member, sent_at);
         let notice = self.member.capacity.as_ref();
         let notice = notice.and_then(|capacity| capacity.notice(BootClock.now()));
         let outcome = if notice.is_some() {
@@ -142,7 +143,7 @@
         drop(outstanding);
         let now = BootClock.now();
         if let Some(capacity) = &self.member.capacity {
-            capacity.record_relayed(&outcome, now);
+            capacity.record_relayed(&outcome, sent_at, now);
         }
         match &outcome.result {
             Ok(_) | Err(ExchangeError::Declined(..)) => self.member.record_success(now),
--- a/crates/coriander_service_api/src/position_timeline.rs
+++ b/crates/coriander_service_api/src/position_timeline.rs
@@ -99,6 +99,12 @@
         Some(now.since(last.sent_at))
     }
 
+    /// Returns the newest observed position and the time before which it was confirmed.
+    pub fn newest_observation(&self) -> Option<(MonotonicTime, LogPosition)> {
+        let newest = self.observations.back();
+        newest.map(|observation| (observation.sent_at, observation.position))
+    }
+
     /// Returns the newest observed position.
     pub fn newest(&self) -> Option<LogPosition> {
         self.observations
