Prefer read targets in the own zone, and give up silent reads at the primary

Bytes between zones are priced, and reads were placed by account only. Where capacity is learned, a replica in the caller's zone comes first. A read that only the primary can run is repeated there after a learned time; it held one of few connections for 45 % of its statement timeout.

--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -41,6 +41,12 @@
 /// Minimum attempt time. Shorter ones would break off statements that wait in a short queue.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(100);
 
+/// Time of an attempt that is repeated at the same member, as a multiple of the high quantile.
+const REPEAT_FACTOR: f64 = 6.0;
+
+/// Minimum time of such an attempt.
+const MIN_REPEAT_TIME: Duration = Duration::from_millis(200);
+
 /// Relative latency below which an unanswered statement says nothing: its caller's time was over.
 const CUT_RATIO: f64 = 3.0;
 
@@ -203,6 +209,26 @@
             .min(longest)
     }
 
+    /// Returns the time after which a read that only this member can run is repeated there, at most
+    /// `longest`. A member that is slow as a whole gets more time, as the repetition would add to
+    /// its load.
+    pub fn repeat_time(
+        &self,
+        member: &str,
+        class: StatementClass,
+        longest: Duration,
+        now: MonotonicTime,
+    ) -> Duration {
+        let profile = self.profiles.get(&class);
+        let Some(high) = profile.and_then(LatencyProfile::high_quantile) else {
+            return longest;
+        };
+        let state = self.members.get(member);
+        let ratio = state.and_then(|state| state.detector.ratio(now));
+        let time = high.mul_f64(REPEAT_FACTOR * ratio.unwrap_or(1.0).max(1.0));
+        time.max(MIN_REPEAT_TIME).min(longest)
+    }
+
     /// Returns whether a member is set aside, by this instance or by a report.
     pub fn is_set_aside(&self, member: &str, now: MonotonicTime) -> bool {
         self.is_set_aside_here(member) || self.is_reported(member, now)
--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -27,8 +27,9 @@
 /// Minimum time for which such a replica is not read from.
 const MIN_LAG_DELAY: Duration = Duration::from_millis(30);
 
-/// Cost of a read target in another availability zone, in waiting requests: 0 gives no preference.
-const OTHER_ZONE_COST: u32 = 0;
+/// Cost of a read target in another availability zone, in waiting requests. A replica there is
+/// as good as the primary here, so that bytes between zones are saved where room allows.
+const OTHER_ZONE_COST: u32 = 1;
 
 /// A database group.
 pub struct DatabaseGroup {
@@ -330,8 +331,7 @@
                 .as_ref()
                 .is_some_and(|primary| primary.id == member.id);
             let affinity = account_affinity(account, &member.id);
-            let is_remote = self.is_in_other_zone(member);
-            let zone_cost = if is_remote { OTHER_ZONE_COST } else { 0 };
+            let zone_cost = self.zone_cost(member);
             (member.read_cost(account, is_primary) + zone_cost, affinity)
         };
         let mut candidates: SmallVec<[&Rc<Member>; 4]> = candidates.collect();
@@ -350,11 +350,14 @@
             .map(|member| (*member).clone())
     }
 
-    /// Returns whether a member is in another zone than this instance; false where capacity is not
-    /// learned, as a preferred member could then be overloaded.
-    fn is_in_other_zone(&self, member: &Member) -> bool {
+    /// Returns the cost of the way to a member's zone; 0 where capacity is not learned, as a member
+    /// that a zone prefers could then be overloaded unnoticed.
+    fn zone_cost(&self, member: &Member) -> u32 {
         let capacity = self.capacity.as_ref();
-        capacity.is_some_and(|capacity| !capacity.is_own_zone(&member.entry.borrow().zone))
+        match capacity {
+            Some(capacity) if !capacity.is_own_zone(&member.entry.borrow().zone) => OTHER_ZONE_COST,
+            _ => 0,
+        }
     }
 
     /// Records that the log of a member did not contain the position that a read required. The log
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -67,7 +67,7 @@
         };
         let started = BootClock.now();
         let running = capacity.begin(started);
-        let mut outcome = self.execute(plan, capacity.time_limit(plan)).await;
+        let mut outcome = self.execute(plan, capacity.time_limit(plan, started)).await;
         drop(running);
         let now = BootClock.now();
         capacity.record_local(plan, &mut outcome, started, now);
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -96,14 +96,18 @@
     }
 
     /// Returns the time after which a plan is given up at the member, so that its caller can repeat
-    /// it on another one. Only reads that any member may run are given up early.
-    pub fn time_limit(&self, plan: &ExchangePlan) -> Duration {
-        let is_repeatable = !plan.needs_primary() && plan.begin.is_none() && !plan.keep_reserved;
-        if !is_repeatable {
+    /// it. Only single reads are given up early, those that need the primary later than others.
+    pub fn time_limit(&self, plan: &ExchangePlan, now: MonotonicTime) -> Duration {
+        let statement = &plan.statement;
+        if plan.keep_reserved || statement.writes || statement.commits {
             return plan.time_limit;
         }
         let board = self.shared.board.borrow();
-        board.attempt_time(class_of(plan), plan.time_limit)
+        if plan.needs_primary() {
+            board.repeat_time(&self.member, class_of(plan), plan.time_limit, now)
+        } else {
+            board.attempt_time(class_of(plan), plan.time_limit)
+        }
     }
 
     /// Records an exchange that this instance ran itself, and adds what the instance that asked for
