--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -34,8 +34,12 @@
     /// Acquires a connection for a plan.
     pub async fn acquire(member: &Rc<Member>, plan: &ExchangePlan) -> Result<Self, PoolError> {
         let request_guard = member.begin_request();
+        let capacity = member.capacity.as_ref();
+        let waiting = capacity.map(|capacity| capacity.begin(BootClock.now()));
         let request = ConnectionRequest::new(plan, BootClock.now());
-        match member.pool.acquire(&request).await {
+        let result = member.pool.acquire(&request).await;
+        drop(waiting);
+        match result {
             Ok(connection) => Ok(Self {
                 member: member.clone(),
                 connection: Some(connection),
@@ -53,9 +57,23 @@
         }
     }
 
-    /// Executes a plan.
+    /// Executes a plan and records what it shows about the member.
     pub async fn exchange(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
-        let deadline = BootClock.now() + plan.time_limit;
+        let member = self.member.clone();
+        let Some(capacity) = &member.capacity else {
+            return self.execute(plan, plan.time_limit).await;
+        };
+        let started = BootClock.now();
+        let running = capacity.begin(started);
+        let mut outcome = self.execute(plan, capacity.time_limit(plan, started)).await;
+        drop(running);
+        let now = BootClock.now();
+        capacity.record_local(plan, &mut outcome, started, now);
+        outcome
+    }
+
+    async fn execute(&mut self, plan: &ExchangePlan, time_limit: Duration) -> ExchangeOutcome {
+        let deadline = BootClock.now() + time_limit;
         let mut primary_position = None;
         if let Some(begin) = plan.begin {
             match self.begin(begin, deadline).await {
@@ -75,6 +93,7 @@
         ExchangeOutcome {
             result,
             primary_position,
+            capacity: None,
         }
     }
 
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -28,6 +28,7 @@
 use crate::fleet::relay::RelayClient;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
+use crate::members::member_capacity::SharedCapacity;
 use crate::members::warm_up_gate::WarmUpGate;
 use crate::promotion::outage_reports::OutageReports;
 use crate::service_metrics::ServiceMetrics;
@@ -68,6 +69,8 @@
     /// Signals a change of phase.
     pub phase_changed: Notify,
     connector: Rc<dyn MemberConnector>,
+    /// Learned capacity of members, where the settings ask for it.
+    pub(crate) capacity: Option<SharedCapacity>,
     groups: RefCell<HashMap<Arc<str>, Rc<DatabaseGroup>>>,
     /// Datagram socket to the other instances.
     pub peers: Rc<PeerSocket>,
@@ -114,6 +117,10 @@
         let name = settings.name.clone();
         let features = settings.features;
         let usage = features.usage_reports.then(|| UsageMeter::new(&settings));
+        let metrics = ServiceMetrics::with_traffic(&peers.traffic);
+        let capacity = features
+            .learned_capacity
+            .then(|| SharedCapacity::new(settings.zone.clone(), metrics.capacity_changes()));
         Rc::new_cyclic(|weak_self| Self {
             settings: RefCell::new(Rc::new(settings)),
             clock: BootClock,
@@ -122,12 +129,13 @@
             snapshot_applied: Notify::new(),
             phase_changed: Notify::new(),
             connector,
+            capacity,
             groups: RefCell::default(),
             rate_limiter: RateLimiter::new(name, peers.clone())
                 .with_ordered_returns(features.ordered_waiting),
-            metrics: ServiceMetrics::with_traffic(&peers.traffic),
             peers,
             request_log: RequestLog::default(),
+            metrics,
             relay: RelayClient::default(),
             fleet_key: watch::Sender::new(None),
             fleet: RefCell::default(),
@@ -262,7 +270,8 @@
         let mut groups = self.groups.borrow_mut();
         let ordered_waiting = self.settings().features.ordered_waiting;
         let create = || {
-            let group = DatabaseGroup::new(name.clone(), self.connector.clone());
+            let capacity = self.capacity.clone();
+            let group = DatabaseGroup::new(name.clone(), self.connector.clone(), capacity);
             Rc::new(group.with_ordered_waiting(ordered_waiting))
         };
         groups.entry(name.clone()).or_insert_with(create).clone()
--- a/crates/coriander_service/src/service_description.rs
+++ b/crates/coriander_service/src/service_description.rs
@@ -11,6 +11,10 @@
         self.metrics.set_gauges(self.session_count(), version, age);
         for group in self.groups() {
             self.metrics.record_pools(&group);
+            if self.capacity.is_some() {
+                let (limit, set_aside) = group.learned_capacity(self.clock.now());
+                self.metrics.set_capacity(&group.name, limit, set_aside);
+            }
         }
         self.metrics.encode()
     }
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -133,6 +133,7 @@
             acquire_timeout: acquire_timeout.min(time_limit.saturating_sub(MIN_ATTEMPT_TIME)),
             time_limit,
             keep_reserved: false,
+            capacity: None,
         }
     }
 
@@ -348,5 +349,18 @@
     }
     let mut link = OperationLink::new(context.service, &context.group, &member);
     let outcome = context.exchange(&mut link, &plan).await;
-    evaluate_reply(context, &member, outcome.result, false)
+    let is_full = matches!(
+        outcome.result,
+        Err(ExchangeError::NotSent(PoolError::Exhausted { .. }))
+    );
+    let attempt = evaluate_reply(context, &member, outcome.result, false);
+    match attempt {
+        // Another member may have room.
+        Attempt::Failed(failure)
+            if is_full && member.capacity.is_some() && context.has_untried_replica(tried) =>
+        {
+            Attempt::Retry(failure)
+        }
+        attempt => attempt,
+    }
 }
