--- a/crates/coriander_usage/src/usage_policy.rs
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -6,9 +6,10 @@
 /// all instances have arrived, and one lost datagram has been repeated.
 const EARLIEST_FRACTION: f64 = 0.3;
 
-/// Fraction of the report delay after which an incomplete window is reported. The rest is left for
-/// the record, the call and one repetition of each.
-const LATEST_FRACTION: f64 = 0.6;
+/// Fraction of the report delay after which an incomplete window is reported. The rest is left for a
+/// change of the holder, the record and the call. With 0.6 all windows since the removal of an
+/// instance were lost when the whole fleet was killed before they were reported.
+const LATEST_FRACTION: f64 = 0.4;
 
 /// Length of the windows and times of the reports.
 ///
