--- /dev/null
+++ b/crates/corianderstile/tests/usage_settings.rs
@@ -0,0 +1,42 @@
+//! Settings of usage reports.
+
+use std::path::Path;
+use std::time::Duration;
+
+use corianderstile::SessionSettings;
+
+const SETTINGS: &str = "[instance]\nname = instance-1\nzone = berrechid\n\
+    [listen]\nsessions = 10.1.0.26:8465\nreadiness = 10.1.0.26:8460\n\
+    metrics = 10.1.0.26:7575\npeers = 10.1.0.26:7560\n\
+    [store]\naddress = 10.200.1.7:8466\n[promotion]\naddress = 10.200.0.2:8466\n";
+
+fn parse(text: &str) -> SessionSettings {
+    let settings = SessionSettings::parse(Path::new("settings.ini"), text);
+    settings.unwrap_or_else(|error| panic!("settings refused: {error}"))
+}
+
+#[test]
+fn usage_is_not_reported_without_the_duty() {
+    // Guards deployments whose platform expects no reports, also with an empty section.
+    let text = format!("{SETTINGS}[features]\nduties = promote\n\n[usage]\n");
+    assert!(!parse(&text).service.features.usage_reports);
+}
+
+#[test]
+fn usage_address_is_that_of_promotions_unless_set() {
+    // A platform usually takes both calls at one address, and the deploy template names one.
+    let settings = parse(&format!("{SETTINGS}[features]\nduties = usage,promote\n"));
+    assert!(settings.service.features.usage_reports);
+    assert_eq!(settings.usage_address, settings.promotion_address);
+    let settings = parse(&format!("{SETTINGS}[usage]\naddress = 10.200.0.9:80\n"));
+    assert_eq!(settings.usage_address.port(), 80);
+}
+
+#[test]
+fn usage_windows_follow_the_settings() {
+    // Windows of another length than the platform's are all reported wrong.
+    let text = format!("{SETTINGS}[usage]\nwindow_ms = 2000\nreport_delay_ms = 6000\n");
+    let policy = parse(&text).service.usage;
+    assert_eq!(policy.end_of(4), Duration::from_secs(10));
+    assert_eq!(policy.due_at(4), Duration::from_secs(16));
+}
