Test that a stopping instance hands its usage over

Cause: the counts since the last round of a stopping instance reach the holder only by the shutdown task, which no test covered.

Change: a test with two instances over sockets.

--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -47,4 +47,5 @@
 pub use service_settings::ServiceSettings;
 pub use sessions::busy_backoff::BusyBackoff;
 pub use sessions::shutdown_task::ShutdownTask;
+pub use usage::usage_meter::UsageMeter;
 pub use usage::usage_task::UsageTask;
--- a/crates/coriander_service/tests/usage.rs
+++ b/crates/coriander_service/tests/usage.rs
@@ -7,12 +7,16 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use coriander_service::{BootClock, ServiceSettings, SessionService, UsageTask};
+use coriander_service::{
+    BootClock, PeerSocket, RelayServer, ServiceSettings, SessionService, ShutdownTask, UsageMeter,
+    UsageTask,
+};
 use coriander_service_api::{
     DutyLease, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures, UsageApi,
     UsageReportError,
 };
-use coriander_usage::{UsagePolicy, WindowUsage};
+use coriander_usage::{LedgerStep, UsagePolicy, UsageRecord, WindowUsage};
+use tokio::net::UdpSocket;
 
 use support::fake_store::FakeStore;
 use support::{FakeGroup, Fault, apply, config, open, run, snapshot, start, start_with};
@@ -36,8 +40,12 @@
     service
 }
 
+fn counting(service: &SessionService) -> &UsageMeter {
+    service.usage.as_ref().expect("reports are expected")
+}
+
 fn counted(service: &SessionService) -> u64 {
-    service.usage.as_ref().expect("counts").counted()
+    counting(service).counted()
 }
 
 #[ntex::test]
@@ -161,3 +169,71 @@
         *windows.last().expect("reports")
     );
 }
+
+/// Starts an instance of a zone with two; it receives datagrams.
+async fn start_in_fleet(name: &str, group: &Rc<FakeGroup>) -> (Rc<SessionService>, InstanceEntry) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("free port");
+    let address = socket.local_addr().expect("bound");
+    let id = format!("{name}-a").parse().expect("valid name");
+    let peers = Rc::new(PeerSocket::new(socket, name.into(), id, 1));
+    let settings = ServiceSettings {
+        name: name.into(),
+        process_id: name.into(),
+        peer_address: address,
+        ..settings()
+    }
+    .with_shutdown_timeout(Duration::from_millis(800));
+    let service = SessionService::new(settings, group.clone(), peers.clone());
+    let handler = service.clone();
+    ntex::rt::spawn(peers.receive(move |sender, message| {
+        handler.handle_message(sender, &message);
+    }));
+    let entry = InstanceEntry {
+        id: name.into(),
+        address,
+        zone: "berrechid".into(),
+        created: 1,
+    };
+    (service, entry)
+}
+
+#[ntex::test]
+async fn stopping_instance_hands_its_counts_over() {
+    // The operations since the last round would be missing from the report.
+    let group = FakeGroup::new(&["a"]);
+    let (stopping, stopping_entry) = start_in_fleet("stopping", &group).await;
+    let (holder, holder_entry) = start_in_fleet("holder", &group).await;
+    let mut held = snapshot(config(1, ReadFreshness::Newest), group.entries());
+    held.instances = vec![stopping_entry, holder_entry.clone()];
+    held.fleet_secret = Some([7; 32].as_slice().into());
+    held.usage_lease = Some(DutyLease {
+        holder: "holder".into(),
+        address: Some(holder_entry.address),
+        token: 41,
+    });
+    for service in [&stopping, &holder] {
+        service.apply_snapshot(&held, BootClock.now());
+    }
+    let window = counting(&stopping).current_window();
+    for account in ["north", "south"] {
+        counting(&stopping).count(&account.into(), window);
+    }
+    let relay = RelayServer::new(&stopping);
+    ShutdownTask::new(stopping.clone(), relay, FakeStore::new(41))
+        .run()
+        .await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    counting(&holder).send_all(&holder);
+    let mut ledger = counting(&holder).ledger.borrow_mut();
+    ledger.set_record(UsageRecord {
+        last_window: window - 1,
+        ..UsageRecord::default()
+    });
+    let later = holder.settings().usage.latest_report(window);
+    let step = ledger.next_step(later, 1);
+    let LedgerStep::WriteRecord(record) = step else {
+        panic!("{step:?}");
+    };
+    let counts = record.reports[0].counts.values().sum::<u64>();
+    assert_eq!(counts, 2, "{record:?}");
+}
