--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -51,4 +51,5 @@
 pub use sessions::busy_backoff::BusyBackoff;
 pub use sessions::shutdown_task::ShutdownTask;
 pub use spread::update_tree::{FAN_OUT, READERS_PER_ZONE, UpdateTree};
+pub use usage::usage_meter::UsageMeter;
 pub use usage::usage_task::UsageTask;
