--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -24,7 +24,7 @@
     BoundedConnector, KvStore, MemoryGate, PromotionClient, READINESS_PATH, serve_clients,
 };
 use rand::Rng;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 
 pub use settings::SessionSettings;
 use settings_watch::watch_settings;
@@ -58,8 +58,8 @@
     path: PathBuf,
     settings: SessionSettings,
 ) -> Result<(), StartError> {
-    let readiness = bind(settings.readiness_address)?;
-    let metrics = bind(settings.metrics_address)?;
+    let readiness = bind_http(settings.readiness_address)?;
+    let metrics = bind_http(settings.metrics_address)?;
     let (events, mut event_receiver) = tokio::sync::mpsc::unbounded_channel();
     let (stop_sender, _) = tokio::sync::broadcast::channel::<()>(1);
     let worker_stop = stop_sender.clone();
@@ -160,6 +160,22 @@
     std::net::TcpListener::bind(address).map_err(listen_error(address))
 }
 
+/// Binds an address for HTTP. With a short queue, the limit of connections takes effect before the
+/// server has accepted many more.
+fn bind_http(address: SocketAddr) -> Result<std::net::TcpListener, StartError> {
+    let listen = || {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(MAX_HTTP_CONNECTIONS as u32)?.into_std()
+    };
+    listen().map_err(listen_error(address))
+}
+
 async fn start_service(
     path: PathBuf,
     mut settings: SessionSettings,
