Do not reuse member connections with large state

Connections with more than 64 KiB of such state are now closed when they are released.

The limit of connections that have not said who they are counts those that have not sent their first line, so that callers whose key is being checked are not replaced when many connect at the same time.

--- a/crates/coriander_memory/src/connection_table.rs
+++ b/crates/coriander_memory/src/connection_table.rs
@@ -59,13 +59,13 @@
         self.connections.is_empty()
     }
 
-    /// Returns the number of connections without a session.
+    /// Returns the number of connections that have not sent their first line.
     pub fn unidentified_count(&self) -> usize {
         self.unidentified.len()
     }
 
-    /// Admits a connection. Over the limits it replaces the oldest connection without a session or
-    /// the longest idle session of the account with the most sessions.
+    /// Admits a connection. Over the limits it replaces the oldest connection that has not sent
+    /// its first line, or the longest idle session of the account with the most sessions.
     ///
     /// ```
     /// use coriander_memory::{Admission, ConnectionTable, MachineLimits, MemoryLimits};
@@ -118,6 +118,12 @@
         idle.min().map(|(_, number)| Admission::Replaces(number))
     }
 
+    /// Records that a connection has sent its first line. The check of its key may take a moment, for
+    /// which it is not replaced.
+    pub fn set_named(&mut self, number: ConnectionNumber) {
+        self.unidentified.remove(&number);
+    }
+
     /// Records the session of a connection. Over the limit of its account it replaces the longest
     /// idle session of the account.
     pub fn identify(&mut self, number: ConnectionNumber, account: &Arc<str>) -> Admission {
--- a/crates/coriander_memory/src/memory_limits.rs
+++ b/crates/coriander_memory/src/memory_limits.rs
@@ -64,7 +64,7 @@
     pub share_bytes: [usize; 4],
     /// Maximum number of client connections.
     pub max_connections: usize,
-    /// Maximum number of client connections that have not opened a session.
+    /// Maximum number of client connections that have not sent their first line.
     pub max_unidentified: usize,
     /// Maximum number of sessions of a client account.
     pub max_per_account: usize,
--- a/crates/coriander_memory/tests/connection_table.rs
+++ b/crates/coriander_memory/tests/connection_table.rs
@@ -68,3 +68,15 @@
     table.set_idle(1, true);
     assert_eq!(table.identify(connection, &account), Admission::Replaces(1));
 }
+
+#[test]
+fn accept_spares_connections_that_have_sent_their_first_line() {
+    // Guards against callers that are closed while many of them connect at the same time.
+    let (mut table, limits) = small_table();
+    for _ in 0..limits.max_connections {
+        let (connection, admission) = table.accept();
+        assert_eq!(admission, Admission::Admitted);
+        table.set_named(connection);
+    }
+    assert_eq!(table.accept().1, Admission::Refused);
+}
--- a/crates/coriander_service/src/members/pooled_connection.rs
+++ b/crates/coriander_service/src/members/pooled_connection.rs
@@ -12,6 +12,10 @@
 /// Number of prepared statements of a connection above which all are dropped.
 const MAX_PREPARED: usize = 256;
 
+/// Length of the values and prepared statements above which a connection is not used again. A
+/// connection lives longer than the sessions that set them, so clients could fill its state.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
+
 /// An open connection with its session state.
 pub struct PooledConnection {
     pub(crate) link: Box<dyn MemberLink>,
@@ -20,6 +24,8 @@
     /// Session values set on the connection.
     pub(crate) values: SessionValues,
     prepared: HashMap<PreparedShape, Arc<str>>,
+    /// Length of the prepared statements.
+    prepared_bytes: usize,
     last_name_number: u32,
     /// Whether an exchange was started and its replies were not all read; they would be taken for
     /// those of the next one.
@@ -38,6 +44,7 @@
             account,
             values: SessionValues::default(),
             prepared: HashMap::new(),
+            prepared_bytes: 0,
             last_name_number: 0,
             has_unread_replies: false,
             is_state_known: true,
@@ -59,7 +66,8 @@
 
     /// Returns whether another operation may use the connection.
     pub fn is_reusable(&self) -> bool {
-        !self.has_unread_replies && self.is_state_known
+        let kept_bytes = self.values.kept_bytes() + self.prepared_bytes;
+        !self.has_unread_replies && self.is_state_known && kept_bytes <= MAX_KEPT_BYTES
     }
 
     /// Sends statements that change values or drop prepared statements; fails with the first
@@ -89,6 +97,7 @@
         }
         if statements.contains(&MemberStatement::Reset) {
             self.prepared.clear();
+            self.prepared_bytes = 0;
         }
         self.change_state(&statements, timeout).await?;
         self.values = values.clone();
@@ -108,6 +117,7 @@
             self.change_state(&[MemberStatement::Reset], timeout)
                 .await?;
             self.prepared.clear();
+            self.prepared_bytes = 0;
             let values = std::mem::take(&mut self.values);
             self.apply_values(&values, timeout).await?;
         }
@@ -121,12 +131,15 @@
         for reply in self.run(&[statement], timeout).await? {
             reply.result?;
         }
+        self.prepared_bytes += shape.shape.len();
         self.prepared.insert(shape.clone(), name.clone());
         Ok(name)
     }
 
     /// Removes a prepared statement that the member no longer has.
     pub fn remove_prepared(&mut self, shape: &PreparedShape) {
-        self.prepared.remove(shape);
+        if self.prepared.remove(shape).is_some() {
+            self.prepared_bytes -= shape.shape.len();
+        }
     }
 }
