Wait for the queue to fill in the tests of home instances

Cause: under load of the machine, the tests looked for waiting requests before any waited. Change: they wait for up to a second; the checks are the same.

--- a/crates/coriander_service/tests/home_queue.rs
+++ b/crates/coriander_service/tests/home_queue.rs
@@ -150,6 +150,17 @@
     (response, started.elapsed())
 }
 
+/// Waits until a condition holds; fails after a second.
+async fn wait_until(condition: &str, holds: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    panic!("not within a second: {condition}");
+}
+
 /// Lets requests wait at the home instance, causes a fault, and checks that each caller gets its
 /// rows or a refusal in time, and that later callers are served without the home instance.
 async fn play_fault(fault: impl FnOnce(&TestFleet)) {
@@ -158,9 +169,11 @@
     let waiting: Vec<_> = (0..WAITING)
         .map(|_| ntex::rt::spawn(read_timed(fleet.remote.service.clone())))
         .collect();
-    tokio::time::sleep(Duration::from_millis(40)).await;
     let members = fleet.home.service.groups()[0].members();
-    assert!(members[0].pool.waiting_count() > 0, "requests wait at home");
+    wait_until("requests wait at home", || {
+        members[0].pool.waiting_count() > 0
+    })
+    .await;
     fault(&fleet);
     for task in waiting {
         let (response, took) = task.await.expect("not cancelled");
