Test what instances tell each other about members

Three tests over sockets: a position that a home instance confirmed is used by another instance, is not taken for newer than it is, and a member that is set aside by its home instance is avoided by others.

--- /dev/null
+++ b/crates/coriander_service/tests/capacity_relay.rs
@@ -0,0 +1,151 @@
+//! What instances tell each other about members on relayed exchanges, over real sockets.
+
+mod support;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coriander_service::{
+    BootClock, PeerSocket, RelayClient, RelayServer, ServiceSettings, SessionService,
+};
+use coriander_service_api::{
+    FailureCode, InstanceEntry, MemberEntry, ReadFreshness, ServiceFeatures,
+};
+use tokio::net::{TcpListener, UdpSocket};
+
+use support::{FakeGroup, Fault, config, open, run, snapshot};
+
+const OWN_WRITES: ReadFreshness = ReadFreshness::OwnWrites { max_age: None };
+
+async fn start_instance(
+    name: &str,
+    zone: &str,
+    group: &Rc<FakeGroup>,
+) -> (Rc<SessionService>, InstanceEntry) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("bound");
+    let socket = UdpSocket::bind(address).await.expect("same port is free");
+    let id = format!("{name}-a").parse().expect("valid name");
+    let peers = Rc::new(PeerSocket::new(socket, name.into(), id, 1));
+    let features = ServiceFeatures {
+        learned_capacity: true,
+        ..ServiceFeatures::default()
+    };
+    let settings = ServiceSettings::new(name, zone, address).with_features(features);
+    let service = SessionService::new(settings, group.clone(), peers);
+    ntex::rt::spawn(RelayServer::new(&service).run(listener, service.clone()));
+    ntex::rt::spawn(RelayClient::monitor(service.clone()));
+    let entry = InstanceEntry {
+        id: name.into(),
+        address,
+        zone: zone.into(),
+        created: 1,
+    };
+    (service, entry)
+}
+
+/// Two instances; the members are in the zone of the second one only.
+struct Fleet {
+    remote: Rc<SessionService>,
+    home: Rc<SessionService>,
+    entries: Vec<InstanceEntry>,
+    members: Vec<MemberEntry>,
+}
+
+impl Fleet {
+    async fn start(group: &Rc<FakeGroup>) -> Self {
+        let (remote, remote_entry) = start_instance("far", "ain-sebaa", group).await;
+        let (home, home_entry) = start_instance("home", "berrechid", group).await;
+        let fleet = Self {
+            remote,
+            home,
+            entries: vec![remote_entry, home_entry],
+            members: group.entries(),
+        };
+        fleet.apply(1, OWN_WRITES);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        fleet
+    }
+
+    fn apply(&self, version: u64, freshness: ReadFreshness) {
+        let mut snapshot = snapshot(config(version, freshness), self.members.clone());
+        snapshot.instances = self.entries.clone();
+        let secret: Arc<[u8]> = Arc::from([7; 32].as_slice());
+        snapshot.fleet_secret = Some(secret);
+        for service in [&self.remote, &self.home] {
+            service.apply_snapshot(&snapshot, BootClock.now());
+        }
+    }
+
+    /// Confirms a position at the home instance; after `pause` the other instance reads from a
+    /// replica, and then with a bound on the age. Returns the member that ran the second read.
+    async fn read_after(&self, group: &FakeGroup, pause: Duration, max_age: Duration) -> String {
+        let mut session = open(&self.home).await;
+        run(&mut session, "w", "WRITE 1 x").await;
+        for replica in ["b", "c"] {
+            group.member(replica).applied_index.set(11);
+        }
+        tokio::time::sleep(pause).await;
+        let mut session = open(&self.remote).await;
+        run(&mut session, "q1", "READ 1").await;
+        assert_ne!(last_member(group), "a");
+        self.apply(2, ReadFreshness::Bounded { max_age });
+        let response = run(&mut session, "q2", "READ 1").await;
+        assert!(response.result.is_ok());
+        last_member(group)
+    }
+}
+
+fn last_member(group: &FakeGroup) -> String {
+    let ran = group.ran_statements.borrow();
+    ran.last().expect("a statement ran").member.clone()
+}
+
+#[ntex::test]
+async fn read_of_bounded_age_uses_a_position_that_the_home_instance_confirmed() {
+    // Guards against reads that go to the primary because their instance has confirmed no position.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let fleet = Fleet::start(&group).await;
+    let max_age = Duration::from_millis(1_500);
+    let member = fleet.read_after(&group, Duration::ZERO, max_age).await;
+    assert_ne!(member, "a");
+}
+
+#[ntex::test]
+async fn position_is_not_taken_for_newer_than_its_confirmation() {
+    // Guards against outdated reads: the position is older than the bound when it is heard of.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let fleet = Fleet::start(&group).await;
+    let max_age = Duration::from_millis(400);
+    let pause = Duration::from_millis(500);
+    let member = fleet.read_after(&group, pause, max_age).await;
+    assert_eq!(member, "a");
+}
+
+#[ntex::test]
+async fn member_set_aside_by_its_home_instance_is_avoided_by_others() {
+    // Guards against each of many instances learning by failures of its own callers.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let fleet = Fleet::start(&group).await;
+    let mut session = open(&fleet.home).await;
+    run(&mut session, "q", "READ 1").await;
+    let failing = last_member(&group);
+    for _ in 0..200 {
+        group.add_fault(&failing, "READ", Fault::Refuse(FailureCode::Failed));
+    }
+    for index in 0..6 {
+        run(&mut session, &format!("h{index}"), "READ 1").await;
+    }
+    assert!(fleet.home.describe().contains("set_aside=failing"));
+    let faults = || group.member(&failing).faults.borrow()["READ"].len();
+    let before = faults();
+    let mut session = open(&fleet.remote).await;
+    for index in 0..12 {
+        let response = run(&mut session, &format!("r{index}"), "READ 1").await;
+        assert!(response.result.is_ok());
+    }
+    assert!(fleet.remote.describe().contains("set_aside=reported"));
+    // The first read brings the report.
+    assert!(before - faults() <= 1, "{} reads failed", before - faults());
+}
