--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -31,8 +31,8 @@
 /// writes.
 const PRIMARY_FULL_LOAD: f64 = 0.6;
 
-/// Difference in load above which a full member loses a read to a less loaded one. Smaller ones are
-/// noise, and following them makes the load swing.
+/// Step in which loads above the bound are compared. Smaller differences are noise, and following
+/// them makes the load swing.
 const SPILL_MARGIN: f64 = 0.35;
 
 /// Attempt time as a multiple of the high quantile of the latency.
