--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -101,6 +101,8 @@
     retry_at: MonotonicTime,
     /// Number of rounds of update requests, from a random start.
     turn: usize,
+    /// Place of this instance among those that read the store late, from 0 to 1.
+    spread: f64,
 }
 
 impl Default for StoreReads {
@@ -109,6 +111,7 @@
             failure_delay: None,
             retry_at: MonotonicTime::ZERO,
             turn: rand::random_range(0..1 << 16),
+            spread: rand::random(),
         }
     }
 }
@@ -121,8 +124,7 @@
     /// Returns whether this instance reads the store, after it received no recent update.
     fn may_read(&self, service: &SessionService, result: UpdateResult, now: MonotonicTime) -> bool {
         let has_reply = result != UpdateResult::NoReply;
-        let spread = f64::from(self.turn as u8) / f64::from(u8::MAX);
-        let read_age = service.update_tree().read_age(has_reply, spread);
+        let read_age = service.update_tree().read_age(has_reply, self.spread);
         let age = service.config_view.age(now);
         age.is_none_or(|age| age >= read_age) && now >= self.retry_at
     }
@@ -171,30 +173,42 @@
 ) -> UpdateResult {
     let sent_at = service.clock.now();
     let digest = service.store_view.digest();
+    let known = service.store_view.snapshot().unwrap_or_default();
     let Some(reply) = service.relay.request_update(source, digest, hold).await else {
         return UpdateResult::NoReply;
     };
-    let mut update = reply.update;
-    let Some(age) = update.age else {
+    let now = service.clock.now();
+    let Some(read_at) = reply.read_time(sent_at, now) else {
         return UpdateResult::Old;
     };
-    // The source replied this long after the request was sent, so its read is at most as old as
-    // that reply said.
-    let read_at = (sent_at + reply.held).saturating_sub(age);
-    let now = service.clock.now();
+    let mut update = reply.update;
+    // After a suspension the reply may have waited for long.
+    let age = now.since(read_at);
+    let result = if age < MAX_UPDATE_AGE {
+        UpdateResult::Recent
+    } else {
+        UpdateResult::Old
+    };
     let own_age = service.config_view.age(now);
-    if own_age.is_some_and(|own_age| own_age <= now.since(read_at)) && age >= MAX_UPDATE_AGE {
+    if own_age.is_some_and(|own_age| own_age <= age) && result == UpdateResult::Old {
         return UpdateResult::Old;
     }
-    let known = service.store_view.snapshot().unwrap_or_default();
+    // Differences apply to the snapshot of the request only, and an older configuration would be
+    // transferred for nothing.
+    let has_changed = service.store_view.digest() != digest;
+    if has_changed || update.revision < known.revision {
+        return result;
+    }
     if update.lacks_config(digest.config_version) {
         update.config = receive_config(service, source, &known, update.config_version).await;
     }
     if update.lacks_config(digest.config_version) {
         match store.read_config().await {
-            Ok(Some(config)) => update.config = Some(config),
+            Ok(Some(config)) if config.version >= update.config_version => {
+                update.config = Some(config);
+            }
             // It has been deleted since, or it is invalid, which has been logged.
-            Ok(None) => return UpdateResult::Old,
+            Ok(_) => return UpdateResult::Old,
             Err(error) => {
                 log::warn!(
                     version = update.config_version, error:% = error;
@@ -219,11 +233,7 @@
         let snapshot = update.apply_to(&known);
         service.apply_snapshot(&snapshot, read_at);
     }
-    if age < MAX_UPDATE_AGE {
-        UpdateResult::Recent
-    } else {
-        UpdateResult::Old
-    }
+    result
 }
 
 /// Requests the changes of a configuration that is too large for an update, and applies them to the
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -381,9 +381,7 @@
         if !hold.is_zero() && current == *known {
             let _ = timeout(hold, service.snapshot_applied.notified()).await;
         }
-        let update = service.store_update(known);
-        let held = BootClock.now().since(arrived_at);
-        Some(HeldUpdate { held, update })
+        Some(service.held_update(known, arrived_at, BootClock.now()))
     }
 
     async fn acquire(&self, plan: &ExchangePlan) -> Result<HeldConnection, PoolError> {
--- a/crates/coriander_service/src/fleet/relay_messages.rs
+++ b/crates/coriander_service/src/fleet/relay_messages.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use coriander_core::MonotonicTime;
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::config_delta::ConfigDelta;
@@ -87,3 +88,18 @@
     /// The update.
     pub update: StoreUpdate,
 }
+
+impl HeldUpdate {
+    /// Returns a time at which the update was still current, for a request sent at `sent_at` whose
+    /// reply was received at `received_at`; `None` if the source has read nothing. The request
+    /// arrived after it was sent, so the returned time is never later than the source's read.
+    pub fn read_time(
+        &self,
+        sent_at: MonotonicTime,
+        received_at: MonotonicTime,
+    ) -> Option<MonotonicTime> {
+        let age = self.update.age?;
+        let held = self.held.min(received_at.since(sent_at));
+        Some((sent_at + held).saturating_sub(age))
+    }
+}
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -18,7 +18,7 @@
 
 use crate::admission::rate_limiter::RateLimiter;
 use crate::configuration::config_view::ConfigView;
-use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
+use crate::configuration::store_update::SnapshotDigest;
 use crate::configuration::store_view::StoreView;
 use crate::duties::duty_lease::SAFE_LEASE_LIFETIME;
 use crate::duties::duty_state::DutyState;
@@ -26,6 +26,7 @@
 use crate::fleet::peer_messages::PeerMessage;
 use crate::fleet::peer_socket::PeerSocket;
 use crate::fleet::relay::RelayClient;
+use crate::fleet::relay_messages::HeldUpdate;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
 use crate::members::member_capacity::SharedCapacity;
@@ -185,11 +186,7 @@
             self.relay.set_codec(FrameCodec::new(&key));
             self.fleet_key.send_replace(Some(key));
         }
-        let process_id = self.settings().process_id.clone();
-        self.promotion_duty
-            .apply(snapshot.duty_lease.as_ref(), &process_id);
-        self.usage_duty
-            .apply(snapshot.usage_lease.as_ref(), &process_id);
+        self.apply_duties(snapshot);
         // The announcement of a shutdown changes the assignment of connections before the store
         // changes.
         let same_assignment = digest.same_instances(&previous)
@@ -211,15 +208,34 @@
         if let Some(config) = &snapshot.config {
             self.config_view.apply(config, sent_at);
         }
-        self.promotion_duty
-            .apply(snapshot.duty_lease.as_ref(), &self.settings().process_id);
+        self.apply_duties(&snapshot);
         self.apply_members(&snapshot, self.leaving_changed.take());
         self.snapshot_applied.notify_waiters();
     }
 
-    /// Returns the parts of the newest snapshot that an instance with the digest `known` lacks.
-    pub fn store_update(&self, known: &SnapshotDigest) -> StoreUpdate {
-        self.store_view.update_since(known, self.clock.now())
+    /// Applies the leases of a snapshot, also of one that was only confirmed: a lease that ended
+    /// before any snapshot contained it changes no content.
+    fn apply_duties(&self, snapshot: &ControlSnapshot) {
+        let process_id = self.settings().process_id.clone();
+        self.promotion_duty
+            .apply(snapshot.duty_lease.as_ref(), &process_id);
+        self.usage_duty
+            .apply(snapshot.usage_lease.as_ref(), &process_id);
+    }
+
+    /// Returns the parts of the newest snapshot that an instance with the digest `known` lacks, for
+    /// a request that arrived at `arrived_at`. The age of the read and the time for which the
+    /// request was held refer to the same moment `now`.
+    pub fn held_update(
+        &self,
+        known: &SnapshotDigest,
+        arrived_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> HeldUpdate {
+        HeldUpdate {
+            held: now.since(arrived_at),
+            update: self.store_view.update_since(known, now),
+        }
     }
 
     /// Applies the members of a snapshot. `assignment_changed` says whether the division of
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -241,11 +241,17 @@
     let group = FakeGroup::new(&["a"]);
     let (remote, _home) = start_two(&group).await;
     let known = remote.service.store_view.digest();
-    let update = remote.service.store_update(&known);
+    let update = remote
+        .service
+        .store_view
+        .update_since(&known, BootClock.now());
     assert!(update.age.is_some());
     assert!(update.config.is_none() && update.members.is_none());
     assert!(update.instances.is_none() && update.other.is_none());
-    let update = remote.service.store_update(&SnapshotDigest::default());
+    let update = remote
+        .service
+        .store_view
+        .update_since(&SnapshotDigest::default(), BootClock.now());
     assert!(update.config.is_some() && update.members.is_some());
 }
 
@@ -295,6 +301,51 @@
     );
 }
 
+#[ntex::test]
+async fn held_update_counts_age_and_hold_at_one_moment() {
+    // A source that is paused between two reads of its clock made its read look younger, at each
+    // level of the tree, so that withdrawn keys were accepted for longer.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, _home) = start_two(&group).await;
+    let known = remote.service.store_view.digest();
+    let arrived_at = BootClock.now();
+    let made_at = arrived_at + Duration::from_millis(400);
+    let update = remote.service.held_update(&known, arrived_at, made_at);
+    let true_read = made_at.saturating_sub(update.update.age.expect("has read the store"));
+    for delay in [0, 5, 250].map(Duration::from_millis) {
+        // The request takes `delay`, the reply arrives at once.
+        let sent_at = arrived_at.saturating_sub(delay);
+        let read_at = update.read_time(sent_at, made_at).expect("has an age");
+        assert!(
+            read_at <= true_read,
+            "{read_at:?} is later than {true_read:?}"
+        );
+    }
+    // A hold longer than the whole exchange is limited by it.
+    let received_at = arrived_at + Duration::from_millis(100);
+    let limited = update
+        .read_time(arrived_at, received_at)
+        .expect("has an age");
+    assert!(limited < true_read);
+}
+
+#[ntex::test]
+async fn confirmed_snapshot_without_leases_frees_both_duties() {
+    // A lease that ended before any snapshot contained it changes no content, so the duty counted as
+    // held until something else changed.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, _home) = start_two(&group).await;
+    let service = &remote.service;
+    service.promotion_duty.record_acquired(5);
+    service.promotion_duty.release();
+    service.usage_duty.record_acquired(6);
+    service.usage_duty.release();
+    assert!(!service.promotion_duty.is_free() && !service.usage_duty.is_free());
+    let snapshot = service.store_view.snapshot().expect("has read the store");
+    service.confirm_snapshot(snapshot.revision + 1, BootClock.now());
+    assert!(service.promotion_duty.is_free() && service.usage_duty.is_free());
+}
+
 #[ntex::test]
 async fn stopping_home_instance_lets_open_transactions_commit_only() {
     // Guards against statements that a home instance accepts shortly before it ends.
