Use plain terms in comments, and say what tests guard against

Some comments of the new crates used figurative words (condemn, calm, crowd, honest, obey), some were unclear to a reader who does not know their history, and twelve tests did not say which failure they guard against.

Such comments now use the terms of the field. Private names follow them: FORGIVE_TIME is BACKOFF_DECAY_TIME and `judge` is `outlier_cause` in coriander_capacity; `ProductOrder` of the example queue_orders is `WaitingQueueOrder`. The tests have a sentence each; no check has changed.

No change of behaviour, except the row label that the example prints.

--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -248,7 +248,7 @@
                 .is_some_and(|until| now < *until)
     }
 
-    /// Returns the limit of a member and whether it is set aside, for descriptions.
+    /// Describes limit, load and state of a member as text.
     pub fn describe(&self, member: &str, now: MonotonicTime) -> String {
         let Some(state) = self.members.get(member) else {
             return "limit=- set_aside=-".to_owned();
@@ -382,8 +382,8 @@
         }
     }
 
-    /// Applies what another instance reports. `replied` is the member of the exchange, if the
-    /// notice came on its reply.
+    /// Applies what another instance reports. `replied` is the member of the exchange if the
+    /// notice came with a reply, and `None` if it came with a request.
     pub fn apply_notice(
         &mut self,
         notice: &CapacityNotice,
--- a/crates/coriander_capacity/src/latency_profile.rs
+++ b/crates/coriander_capacity/src/latency_profile.rs
@@ -5,13 +5,13 @@
 /// Samples after which the profile is used.
 const MIN_SAMPLES: u32 = 20;
 
-/// Relative step of the estimate of the median. About 15 samples move it by a half.
+/// Relative step of the estimate of the median. About 14 samples on one side halve or double it.
 const MEDIAN_STEP: f64 = 0.05;
 
 /// Relative step of the estimate of the high quantile.
 const HIGH_STEP: f64 = 0.1;
 
-/// The high quantile. Higher ones would follow a single member that hangs among 20.
+/// The high quantile. A higher one would follow the latency of a single hanging member among 20.
 const HIGH_QUANTILE: f64 = 0.95;
 
 /// Number of first samples that are averaged to start the estimates.
--- a/crates/coriander_capacity/src/outlier_detector.rs
+++ b/crates/coriander_capacity/src/outlier_detector.rs
@@ -8,10 +8,11 @@
 /// came before.
 const COUNT_HALF_LIFE: Duration = Duration::from_millis(700);
 
-/// Weighted failures from which a member is set aside. A single lost reply must not condemn it.
+/// Weighted failures from which a member is set aside. A single lost reply must not suffice.
 const MIN_FAILURES: f64 = 1.6;
 
-/// Share of failures from which a member is set aside. Lost replies of 5 % stay far below.
+/// Share of failures among the outcomes from which a member is set aside. A network that loses 5 %
+/// of the replies stays far below.
 const MAX_FAILURE_SHARE: f64 = 0.25;
 
 /// Latency, relative to the usual one, from which a member is slow.
@@ -28,7 +29,8 @@
 /// Weight of the newest sample in the relative latency.
 const RATIO_WEIGHT: f64 = 0.2;
 
-/// Maximum relative latency of one sample, so that one statement alone does not condemn a member.
+/// Maximum relative latency of one sample, so that one statement alone does not make a
+/// member slow.
 const MAX_SAMPLE_RATIO: f64 = 8.0;
 
 /// Weighted samples needed to call a member slow.
@@ -50,7 +52,7 @@
 const PROBES_TO_RETURN: u32 = 3;
 
 /// Time without being set aside after which the delay of the first probe is halved.
-const FORGIVE_TIME: Duration = Duration::from_secs(5);
+const BACKOFF_DECAY_TIME: Duration = Duration::from_secs(5);
 
 /// Why a member is set aside.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -90,7 +92,7 @@
     good_probes: u32,
 }
 
-/// Judges one member by its outcomes and its relative latency.
+/// Decides by outcomes and relative latency whether one member is set aside.
 ///
 /// ```
 /// use coriander_capacity::{OutlierCause, OutlierDetector, SampleOutcome};
@@ -141,7 +143,7 @@
         if self.ejection.is_some() {
             return self.record_probe(outcome, ratio, now);
         }
-        let cause = self.judge(peer_ratio)?;
+        let cause = self.outlier_cause(peer_ratio)?;
         Some(self.set_aside(cause, now))
     }
 
@@ -164,7 +166,7 @@
         self.ratio += RATIO_WEIGHT * (ratio.min(MAX_SAMPLE_RATIO) - self.ratio);
     }
 
-    fn judge(&self, peer_ratio: Option<f64>) -> Option<OutlierCause> {
+    fn outlier_cause(&self, peer_ratio: Option<f64>) -> Option<OutlierCause> {
         let is_failing =
             self.failures >= MIN_FAILURES && self.failures >= MAX_FAILURE_SHARE * self.samples;
         if is_failing {
@@ -181,8 +183,9 @@
     }
 
     fn set_aside(&mut self, cause: OutlierCause, now: MonotonicTime) -> OutlierChange {
-        let calm = now.since(self.returned_at).as_secs_f64() / FORGIVE_TIME.as_secs_f64();
-        self.ejections = self.ejections.saturating_sub(calm as u32);
+        let in_use = now.since(self.returned_at).as_secs_f64();
+        let decayed = in_use / BACKOFF_DECAY_TIME.as_secs_f64();
+        self.ejections = self.ejections.saturating_sub(decayed as u32);
         let delay = self.probe_delay();
         self.ejections = (self.ejections + 1).min(8);
         self.ejection = Some(Ejection {
@@ -198,7 +201,7 @@
         delay.min(MAX_PROBE_DELAY)
     }
 
-    /// Judges an exchange with a member that is set aside. Any exchange counts, also a write that
+    /// Records an exchange with a member that is set aside. Any exchange counts, also a write that
     /// only the primary can run.
     fn record_probe(
         &mut self,
@@ -246,7 +249,7 @@
     }
 
     /// Returns whether a probe of a member that is set aside is due; if so, none is due for some
-    /// time, so that one statement at a time runs at risk.
+    /// time, so that only one statement at a time is sent to a member that may still fail.
     pub fn take_probe(&mut self, now: MonotonicTime) -> bool {
         match &mut self.ejection {
             Some(ejection) if now >= ejection.probe_at => {
--- a/crates/coriander_config_check/tests/check_config.rs
+++ b/crates/coriander_config_check/tests/check_config.rs
@@ -73,6 +73,7 @@
     assert_eq!(problems(&valid()), []);
 }
 
+/// Guards against a misspelt group, whose database refuses every request.
 #[test]
 fn check_config_finds_a_route_without_group() {
     let route = DatabaseRoute {
@@ -84,6 +85,7 @@
     assert_eq!(problems(&config), [missing, ConfigProblem::UnusedGroup]);
 }
 
+/// Guards against a limit of 0 connections, with which no statement reaches a member.
 #[test]
 fn check_config_finds_members_without_connections() {
     let group = GroupLimits {
@@ -94,6 +96,7 @@
     assert_eq!(problems(&config), [ConfigProblem::NoConnections]);
 }
 
+/// Guards against an account that was added without the key to use it.
 #[test]
 fn check_config_finds_an_account_without_key() {
     let mut config = valid();
@@ -105,6 +108,7 @@
     assert_eq!(problems(&config), [ConfigProblem::NoKey]);
 }
 
+/// Guards against the removal of the last key, after which a database refuses all callers.
 #[test]
 fn check_config_finds_a_route_that_nobody_can_use() {
     let config = config(route(), group(), account(50.0, 60.0), &[]);
@@ -112,6 +116,7 @@
     assert_eq!(problems(&config), expected);
 }
 
+/// Guards against a latency target that no request can miss before it has timed out.
 #[test]
 fn check_config_finds_a_target_above_the_timeout() {
     let target = Duration::from_millis(900);
@@ -125,6 +130,7 @@
     assert_eq!(problems(&config), [expected]);
 }
 
+/// Guards against limits that refuse callers who stay within their rate.
 #[test]
 fn check_config_finds_limits_that_refuse_steady_callers() {
     let config_with = |rate, burst| config(route(), group(), account(rate, burst), &["j8pjbvk9"]);
@@ -136,6 +142,7 @@
     assert_eq!(problems(&config_with(0.0, 5.0)), [ConfigProblem::NoRate]);
 }
 
+/// Guards against a maximum age that sends all reads to the primary unnoticed.
 #[test]
 fn check_config_finds_an_age_that_no_replica_meets() {
     let max_age = Duration::from_millis(1);
@@ -176,6 +183,7 @@
     "#);
 }
 
+/// Guards against a change of a route that the comparison leaves out or reports more than once.
 #[test]
 fn compare_configs_tells_what_changes_on_a_route() {
     let in_force = valid();
--- a/crates/coriander_memory/src/byte_budget.rs
+++ b/crates/coriander_memory/src/byte_budget.rs
@@ -56,7 +56,7 @@
     }
 
     /// Grants bytes of a share, or returns `None` if its caller has to wait. An unused share grants
-    /// more than it has, so that a single large answer is served in calm.
+    /// more than it has, so that an answer larger than the share can be served alone.
     ///
     /// ```
     /// use coriander_core::MonotonicTime;
@@ -130,8 +130,8 @@
         }
     }
 
-    /// Sets whether a holder's bytes are in use by the process itself. Its time starts anew
-    /// afterwards.
+    /// Sets whether a holder's bytes are in use by the process itself. Afterwards the holder counts
+    /// as up to date.
     pub fn set_busy(&mut self, id: HolderId, is_busy: bool, now: MonotonicTime) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.is_busy = is_busy;
--- a/crates/coriander_memory/src/lib.rs
+++ b/crates/coriander_memory/src/lib.rs
@@ -1,4 +1,4 @@
-//! Limits of a process that clients can press on: memory and connections.
+//! Memory and connections that clients may hold, without I/O.
 //!
 //! ```
 //! use coriander_core::MonotonicTime;
--- a/crates/coriander_memory/src/memory_limits.rs
+++ b/crates/coriander_memory/src/memory_limits.rs
@@ -6,8 +6,8 @@
 /// Minimum number of descriptors kept for members, store, other instances and HTTP.
 const MIN_OWN_DESCRIPTORS: usize = 128;
 
-/// Use of a part of the memory budget. Each has a share of its own, so that a crowd that exhausts
-/// one leaves the others to ordinary callers.
+/// Use of a part of the memory budget. Each has a share of its own, so that clients that exhaust
+/// one leave the others to the other callers.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum MemoryShare {
     /// Messages of up to 64 KiB.
--- a/crates/coriander_memory/tests/byte_budget.rs
+++ b/crates/coriander_memory/tests/byte_budget.rs
@@ -44,7 +44,7 @@
 
 #[test]
 fn choose_victim_spares_holders_with_progress() {
-    // Guards against an honest answer on a slow link that is broken off beside idle ones.
+    // Guards against closing an answer that is read over a slow link instead of one that is not read.
     let mut budget = small_budget();
     let share = MemoryShare::Answers;
     let mut reserve = |bytes| budget.reserve(share, bytes, MonotonicTime::ZERO);
--- a/crates/coriander_memory/tests/connection_table.rs
+++ b/crates/coriander_memory/tests/connection_table.rs
@@ -28,7 +28,7 @@
 
 #[test]
 fn accept_replaces_longest_idle_session_of_largest_account() {
-    // Guards against a crowd of one account that leaves no connection to another.
+    // Guards against one account whose sessions leave no connection to another.
     let (mut table, limits) = small_table();
     let (crowd, other): (Arc<str>, Arc<str>) = ("crowd".into(), "other".into());
     for number in 0..limits.max_connections {
--- a/crates/coriander_queue/examples/queue_orders.rs
+++ b/crates/coriander_queue/examples/queue_orders.rs
@@ -126,14 +126,14 @@
     }
 }
 
-/// The queue of the product.
+/// The order of [`WaitingQueue`].
 #[derive(Default)]
-struct ProductOrder {
+struct WaitingQueueOrder {
     queue: WaitingQueue,
     indices: HashMap<RequestTicket, usize>,
 }
 
-impl QueueOrder for ProductOrder {
+impl QueueOrder for WaitingQueueOrder {
     fn arrive(&mut self, index: usize, arrival: Arrival) {
         let class = &CLASSES[arrival.class];
         let ms = MonotonicTime::from_millis;
@@ -260,7 +260,7 @@
             ("strict priority", Box::new(KeyOrder::new(priority))),
             ("weighted fair queueing", Box::new(KeyOrder::new(fair))),
             ("deadline first", Box::new(KeyOrder::new(due))),
-            ("product", Box::new(ProductOrder::default())),
+            ("WaitingQueue", Box::new(WaitingQueueOrder::default())),
         ];
         for (name, mut order) in orders {
             let (by_class, by_account) = play(&mut *order, &arrivals);
--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -9,6 +9,7 @@
 use coriander_service_api::{ControlSnapshot, ControlStore, FleetConfig};
 use tokio::time::{sleep, timeout};
 
+use crate::configuration::store_update::StoreUpdate;
 use crate::duties::duty_lease::rank_delay;
 use crate::service::SessionService;
 
@@ -178,8 +179,8 @@
     let Some(age) = update.age else {
         return UpdateResult::Old;
     };
-    // The source replied this long after the request was sent, so its read is at most as old as
-    // that reply said.
+    // The reply was written at least `held` after the request was sent, so the read was not made
+    // earlier than this.
     let read_at = (sent_at + reply.held).saturating_sub(age);
     let now = service.clock.now();
     let own_age = service.config_view.age(now);
@@ -208,16 +209,7 @@
     if update.is_unchanged(digest.config_version) {
         service.confirm_snapshot(update.revision, read_at);
     } else {
-        if let Some(config) = &update.config {
-            if config.version == update.config_version {
-                store.adopt_config(update.config_revision, config);
-            } else {
-                // It is newer than the update, which has the revision of an older one.
-                update.config_revision = 0;
-            }
-        }
-        let snapshot = update.apply_to(&known);
-        service.apply_snapshot(&snapshot, read_at);
+        apply_update(service, store, update, &known, read_at);
     }
     if age < MAX_UPDATE_AGE {
         UpdateResult::Recent
@@ -226,6 +218,26 @@
     }
 }
 
+/// Applies an update to the known snapshot.
+fn apply_update(
+    service: &SessionService,
+    store: &dyn ControlStore,
+    mut update: StoreUpdate,
+    known: &ControlSnapshot,
+    read_at: MonotonicTime,
+) {
+    if let Some(config) = &update.config {
+        if config.version == update.config_version {
+            store.adopt_config(update.config_revision, config);
+        } else {
+            // It is newer than the update, which has the revision of an older one.
+            update.config_revision = 0;
+        }
+    }
+    let snapshot = update.apply_to(known);
+    service.apply_snapshot(&snapshot, read_at);
+}
+
 /// Requests the changes of a configuration that is too large for an update, and applies them to the
 /// known one. Without them the configuration is read from the store.
 async fn receive_config(
--- a/crates/coriander_service/src/members/ordered_waiting.rs
+++ b/crates/coriander_service/src/members/ordered_waiting.rs
@@ -24,7 +24,7 @@
 /// further ones of its account gather and share the new connection.
 const MAX_REPLACING: usize = 1;
 
-/// Minimum time between two decisions that nothing but the time has caused.
+/// Minimum time between two decisions that are caused by the passage of time alone.
 const MIN_DISPATCH_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Number of waits kept until the next read of the metrics.
--- a/crates/coriander_service/src/spread/update_tree.rs
+++ b/crates/coriander_service/src/spread/update_tree.rs
@@ -7,9 +7,10 @@
 /// Number of instances per zone that read the store when no lower rank has a recent read.
 pub const READERS_PER_ZONE: usize = 4;
 
-/// Number of instances that ask the same one. A change of all members is about 10 kB; for twelve
-/// instances it takes a tenth of a second on a link of 10 Mbit/s. With all 100 instances of a zone,
-/// the link of the reader was saturated and its replies came after the timeout.
+/// Maximum number of instances that ask the same one. A change of all members is about 10 kB; for twelve
+/// instances it takes a tenth of a second on a link of 10 Mbit/s. When all 100
+/// instances of a zone asked its reader, its link was saturated and its replies came after the
+/// timeout.
 pub const FAN_OUT: usize = 12;
 
 /// Age of its own snapshot from which an instance whose sources do not reply reads the store. While
@@ -20,8 +21,8 @@
 /// the instances above it read the store first.
 const ANCESTOR_DELAY: Duration = Duration::from_millis(700);
 
-/// Period over which the reads of such instances are spread. All 300 instances of a fleet that read
-/// the store at the same time overloaded it, so that no read ended before its timeout.
+/// Period over which the reads of such instances are spread. 300 instances that read the store at the
+/// same time overload it, so that no read ends before its timeout.
 const READ_SPREAD: Duration = Duration::from_millis(1_000);
 
 /// Position of an instance among those of its zone that are usable, ranked by a hash.
@@ -52,8 +53,8 @@
         }
     }
 
-    /// Returns whether the instance is a store reader of its zone. Without enough known instances
-    /// it is.
+    /// Returns whether the instance is a store reader of its zone. In a zone with fewer
+    /// known instances than readers, every instance is.
     pub const fn is_reader(&self) -> bool {
         self.zone_size < READERS_PER_ZONE || (self.is_listed && self.rank < READERS_PER_ZONE)
     }
--- a/crates/coriander_service/tests/store_update.rs
+++ b/crates/coriander_service/tests/store_update.rs
@@ -139,6 +139,7 @@
 
 #[test]
 fn is_unchanged_only_without_any_part() {
+    // Guards against a request that is held although the requesting instance lacks a change.
     let (_, update) = update_after(|_| {});
     assert!(update.is_unchanged(7) && !update.is_unchanged(6));
     let (_, update) = update_after(|snapshot| snapshot.members[3].draining = true);
--- a/crates/coriander_service/tests/update_tree.rs
+++ b/crates/coriander_service/tests/update_tree.rs
@@ -51,6 +51,8 @@
 
 #[test]
 fn sources_of_a_small_zone_are_its_readers() {
+    // Guards against readers that ask higher ranks while they can read the store, and against an
+    // instance of a small zone without a second source.
     for rank in READERS_PER_ZONE..10 {
         let sources = UpdateTree::new(rank, true, 10).sources(false, 5);
         assert_eq!(sources.as_slice(), [0, 1, 2, 3]);
@@ -69,13 +71,14 @@
 
 #[test]
 fn depth_grows_with_the_logarithm_of_the_zone() {
+    // Guards against a tree whose levels add up to an outdated configuration in a large zone.
     let depths = ZONE_SIZES.map(|size| UpdateTree::new(size - 1, true, size).depth());
     assert_eq!(depths, [1, 2, 3]);
 }
 
 /// Time at which each instance of a zone knows a change that the reader finds at time 0, if all
 /// others start to ask at times spread by their ranks. An instance listens again `PAUSE_MS` after
-/// each reply; its source answers at once when it has news.
+/// each reply; its source answers at once when it has a newer snapshot.
 fn times_of_change(zone: &[UpdateTree]) -> Vec<u64> {
     let mut times = vec![0; zone.len()];
     for (rank, position) in zone.iter().enumerate().skip(1) {
@@ -89,6 +92,7 @@
 
 #[test]
 fn change_reaches_all_within_one_read_of_the_store() {
+    // Guards against a level of the tree that falls behind the reads of the store.
     for size in ZONE_SIZES {
         let last = times_of_change(&zone(size)).into_iter().max();
         let bound = READ_MS;
--- a/crates/coriander_usage/src/clock_estimate.rs
+++ b/crates/coriander_usage/src/clock_estimate.rs
@@ -25,7 +25,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct ClockEstimate {
-    /// Microseconds from the steady clock to the true time.
+    /// Microseconds from the monotonic clock to the true time.
     offset: i64,
     peers: HashMap<u64, (i64, MonotonicTime)>,
 }
--- a/crates/coriander_usage/src/usage_policy.rs
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -7,8 +7,8 @@
 const EARLIEST_FRACTION: f64 = 0.3;
 
 /// Fraction of the report delay after which an incomplete window is reported. The rest is left for a
-/// change of the holder, the record and the call. With 0.6 all windows since the removal of an
-/// instance were lost when the whole fleet was killed before they were reported.
+/// change of the holder, the record and the call. With 0.6, windows that waited for a removed
+/// instance were lost when the whole fleet was then killed.
 const LATEST_FRACTION: f64 = 0.4;
 
 /// Length of the windows and times of the reports.
