Send usage sums again to a holder that restarted at its address

Cause: collectors sent all sums again only when the address of the holder changed, and kept the address while there was no holder. A holder that was killed and restarted at the same address got no sums and reported its windows near zero, finally. The same held for restarted collectors.

Change: the receiver of sums is identified by address, process and fencing token, and is cleared while there is none. Collectors are identified by address and the revision at which their entry was created.

Result: tests restart a holder and a collector at the same address, and take the duty away and give it back; all sums and counts are sent again.

--- a/crates/coriander_service/src/duties/duty_state.rs
+++ b/crates/coriander_service/src/duties/duty_state.rs
@@ -1,6 +1,6 @@
 //! State of a duty in this process: its fencing token and its holder.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,8 +15,8 @@
     token: Cell<Option<u64>>,
     /// Fencing token in the newest lease, of any holder.
     current_token: Cell<Option<u64>>,
-    /// Address of the holder, if another instance holds the duty.
-    holder_address: Cell<Option<SocketAddr>>,
+    /// The newest lease, if another process holds the duty.
+    other_lease: RefCell<Option<DutyLease>>,
     /// Whether the process is about to stop and must not hold the duty again.
     is_retired: Cell<bool>,
     /// Whether the token must be replaced before the next call.
@@ -34,7 +34,7 @@
             duty,
             token: Cell::default(),
             current_token: Cell::default(),
-            holder_address: Cell::default(),
+            other_lease: RefCell::default(),
             is_retired: Cell::default(),
             is_token_spent: Cell::default(),
             tenure: Cell::default(),
@@ -53,8 +53,7 @@
         self.current_token.set(lease.map(|lease| lease.token));
         let own_lease = lease.filter(|lease| &*lease.holder == own_process);
         let other_lease = lease.filter(|_| own_lease.is_none());
-        self.holder_address
-            .set(other_lease.and_then(|lease| lease.address));
+        self.other_lease.replace(other_lease.cloned());
         if let Some(lease) = lease {
             // An older read may still contain the token that a renewal has replaced.
             let known_token = self.token.get().unwrap_or(0);
@@ -143,7 +142,20 @@
 
     /// Returns the address of the instance that holds the duty, if it is another one.
     pub fn other_holder(&self) -> Option<SocketAddr> {
-        self.holder_address.get()
+        self.other_lease
+            .borrow()
+            .as_ref()
+            .and_then(|lease| lease.address)
+    }
+
+    /// Returns the newest lease, if another process holds the duty.
+    pub fn other_lease(&self) -> Option<DutyLease> {
+        self.other_lease.borrow().clone()
+    }
+
+    /// Returns the fencing token of this process, even if it must be replaced.
+    pub fn held_token(&self) -> Option<u64> {
+        self.token.get()
     }
 
     /// Returns whether this process holds the duty, even if its token must be replaced.
--- a/crates/coriander_service/src/usage/usage_meter.rs
+++ b/crates/coriander_service/src/usage/usage_meter.rs
@@ -1,6 +1,6 @@
 //! Counts of this instance, sums of its zone as a collector, and their way to the holder.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -22,6 +22,15 @@
 /// have arrived and a sum is sent once.
 const SETTLE_TIME: Duration = Duration::from_millis(1_400);
 
+/// The holder of the duty to which sums are sent. A holder that restarts at the same address has
+/// lost what it received, so the address alone does not identify it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct SumReceiver {
+    address: SocketAddr,
+    process_id: Arc<str>,
+    token: u64,
+}
+
 /// Usage of client accounts at this instance.
 pub struct UsageMeter {
     policy: UsagePolicy,
@@ -33,10 +42,11 @@
     collector: RefCell<ZoneCollector>,
     /// The windows of the fleet, while this process holds the duty.
     pub ledger: RefCell<UsageLedger>,
-    /// Collectors to which the last counts were sent.
-    collectors: RefCell<Vec<SocketAddr>>,
-    /// Holder to which the last sums were sent.
-    holder: Cell<Option<SocketAddr>>,
+    /// Collectors to which the last counts were sent: address and revision of the entry, which
+    /// changes when an instance restarts at the same address.
+    collectors: RefCell<Vec<(SocketAddr, u64)>>,
+    /// Holder to which the last sums were sent; `None` while there is none.
+    receiver: RefCell<Option<SumReceiver>>,
 }
 
 impl UsageMeter {
@@ -52,7 +62,7 @@
             collector: RefCell::default(),
             ledger: RefCell::new(UsageLedger::new(settings.usage)),
             collectors: RefCell::default(),
-            holder: Cell::default(),
+            receiver: RefCell::default(),
         };
         meter.update_clock();
         meter
@@ -105,7 +115,8 @@
 
     fn send_counts(&self, service: &SessionService, open_window: u64) {
         let entries = service.usage_collectors(COLLECTORS);
-        let collectors: Vec<_> = entries.iter().map(|entry| entry.address).collect();
+        let collectors = entries.iter().map(|entry| (entry.address, entry.created));
+        let collectors: Vec<_> = collectors.collect();
         if collectors.is_empty() {
             // Before the instances are known, or while none replies, the counts stay due.
             return;
@@ -120,7 +131,7 @@
                 let zone = self.zone.clone();
                 let counts = InstanceCounts::new(self.process, zone, window, is_closed, part);
                 let message = PeerMessage::Usage(UsageMessage::Counts(counts, machine_time()));
-                for address in &collectors {
+                for (address, _) in &collectors {
                     self.deliver(service, *address, &message);
                 }
             }
@@ -128,13 +139,14 @@
     }
 
     fn send_sums(&self, service: &SessionService, settled_window: u64) {
-        let duty = &service.usage_duty;
-        let own_address = duty.is_held().then_some(self.peer_address);
-        let Some(holder) = own_address.or_else(|| duty.other_holder()) else {
+        let receiver = self.sum_receiver(service);
+        let is_new = *self.receiver.borrow() != receiver;
+        self.receiver.replace(receiver.clone());
+        let Some(receiver) = receiver else {
             return;
         };
         let mut collector = self.collector.borrow_mut();
-        if self.holder.replace(Some(holder)) != Some(holder) {
+        if is_new {
             collector.resend_all();
         }
         let due = collector.take_due(self.process, settled_window);
@@ -146,11 +158,29 @@
                     ..sums.clone()
                 };
                 let message = PeerMessage::Usage(UsageMessage::Zone(counts));
-                self.deliver(service, holder, &message);
+                self.deliver(service, receiver.address, &message);
             }
         }
     }
 
+    /// Returns the holder of the duty; `None` if there is none or its address is unknown.
+    fn sum_receiver(&self, service: &SessionService) -> Option<SumReceiver> {
+        let duty = &service.usage_duty;
+        if let Some(token) = duty.held_token() {
+            return Some(SumReceiver {
+                address: self.peer_address,
+                process_id: service.settings().process_id.clone(),
+                token,
+            });
+        }
+        let lease = duty.other_lease()?;
+        Some(SumReceiver {
+            address: lease.address?,
+            process_id: lease.holder,
+            token: lease.token,
+        })
+    }
+
     fn deliver(&self, service: &SessionService, address: SocketAddr, message: &PeerMessage) {
         if address != self.peer_address {
             service.peers.send(address, message);
--- a/crates/coriander_service/tests/usage.rs
+++ b/crates/coriander_service/tests/usage.rs
@@ -15,7 +15,7 @@
     DutyLease, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures, UsageApi,
     UsageReportError,
 };
-use coriander_usage::{LedgerStep, UsagePolicy, UsageRecord, WindowUsage};
+use coriander_usage::{LedgerStep, UsageLedger, UsagePolicy, UsageRecord, WindowUsage};
 use tokio::net::UdpSocket;
 
 use support::fake_store::FakeStore;
@@ -237,3 +237,77 @@
     let counts = record.reports[0].counts.values().sum::<u64>();
     assert_eq!(counts, 2, "{record:?}");
 }
+
+#[ntex::test]
+async fn holder_restarted_at_its_address_gets_all_sums_again() {
+    // Its memory is empty, and it would report the windows with almost no operations, finally.
+    let group = FakeGroup::new(&["a"]);
+    let (collector, collector_entry) = start_in_fleet("collector", &group).await;
+    let (holder, holder_entry) = start_in_fleet("holder", &group).await;
+    let mut held = snapshot(config(1, ReadFreshness::Newest), group.entries());
+    held.instances = vec![collector_entry, holder_entry.clone()];
+    held.fleet_secret = Some([7; 32].as_slice().into());
+    let lease = DutyLease {
+        holder: "holder-1".into(),
+        address: Some(holder_entry.address),
+        token: 41,
+    };
+    let restarted = DutyLease {
+        holder: "holder-2".into(),
+        token: 42,
+        ..lease.clone()
+    };
+    // Old enough that its sum is sent, and young enough that it is kept.
+    let window = counting(&collector).current_window() - 5;
+    counting(&collector).count(&"north".into(), window);
+    for lease in [Some(lease.clone()), Some(restarted), None, Some(lease)] {
+        let is_held = lease.is_some();
+        held.usage_lease = lease;
+        for service in [&collector, &holder] {
+            service.apply_snapshot(&held, BootClock.now());
+        }
+        let empty = UsageLedger::new(holder.settings().usage);
+        counting(&holder).ledger.replace(empty);
+        for _ in 0..3 {
+            counting(&collector).send_due(&collector);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let ledger = counting(&holder).ledger.borrow();
+        assert_eq!(ledger.closed_processes(window), u32::from(is_held));
+    }
+}
+
+#[ntex::test]
+async fn collector_restarted_at_its_address_gets_all_counts_again() {
+    // The totals of its zone would lack this instance if the other collector is lost as well.
+    let group = FakeGroup::new(&["a"]);
+    let (service, entry) = start_in_fleet("instance-1", &group).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("free port");
+    let mut held = snapshot(config(1, ReadFreshness::Newest), group.entries());
+    held.fleet_secret = Some([7; 32].as_slice().into());
+    let window = counting(&service).current_window();
+    for age in 1..=8 {
+        counting(&service).count(&"north".into(), window - age);
+    }
+    for created in [1, 2] {
+        let collector = InstanceEntry {
+            id: "collector".into(),
+            address: socket.local_addr().expect("bound"),
+            created,
+            ..entry.clone()
+        };
+        held.instances = vec![entry.clone(), collector];
+        service.apply_snapshot(&held, BootClock.now());
+        let mut buffer = [0; 2_048];
+        while socket.try_recv_from(&mut buffer).is_ok() {}
+        for _ in 0..3 {
+            counting(&service).send_due(&service);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let mut received = 0;
+        while socket.try_recv_from(&mut buffer).is_ok() {
+            received += 1;
+        }
+        assert!(received >= 8, "created={created} received={received}");
+    }
+}
