Decide usage windows only after the settle time and for the whole fleet

Cause: a window that as many processes had closed as instances were known skipped the settle time of a new tenure, also with zero or one known instance. After an outage of the store the first instance back saw only itself and made up to 12 windows final with its own counts.

Change: a new tenure decides nothing before its settle time. A window is complete only when as many processes have closed it as the highest number of instances seen since it began, which must be above zero.

Result: three new tests with none, one, and fewer instances than before. The test of the holder killed before the record expected a decision 2.1 s after the change of the holder; it now requires that none is made before 2.5 s and that one is made then, as the settle time asks.

--- a/crates/coriander_service/src/usage/usage_task.rs
+++ b/crates/coriander_service/src/usage/usage_task.rs
@@ -68,6 +68,10 @@
     pub async fn run_round(&self) {
         self.usage.update_clock();
         self.usage.send_due(&self.service);
+        let now = self.usage.wall_time();
+        let instances = self.instance_count();
+        let ledger = &self.usage.ledger;
+        ledger.borrow_mut().record_instances(now, instances);
         for _ in 0..MAX_STEPS {
             let Some(token) = self.token() else {
                 return;
@@ -159,9 +163,10 @@
     }
 
     fn log_incomplete(&self, record: &UsageRecord) {
-        let instances = self.instance_count();
+        let ledger = self.usage.ledger.borrow();
         for usage in &record.reports {
-            let closed = self.usage.ledger.borrow().closed_processes(usage.window);
+            let closed = ledger.closed_processes(usage.window);
+            let instances = ledger.expected_processes(usage.window);
             if (closed as usize) < instances {
                 log::warn!(
                     window = usage.window, heard = closed, instances = instances;
--- a/crates/coriander_usage/src/usage_ledger.rs
+++ b/crates/coriander_usage/src/usage_ledger.rs
@@ -8,8 +8,8 @@
 use crate::usage_messages::{UsageRecord, WindowUsage, ZoneCounts};
 use crate::usage_policy::UsagePolicy;
 
-/// How long a new holder waits for the sums of the collectors before it reports an incomplete
-/// window. They learn of the holder with their next update of the store and send within a second.
+/// How long a new holder waits for the sums of the collectors before its first decision. They learn
+/// of the holder with their next update of the store and send within a second.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
 /// What the holder of the duty does next.
@@ -54,6 +54,8 @@
     accepted: BTreeSet<u64>,
     /// Operations in the reports that this process has recorded.
     reported: BTreeMap<u64, u64>,
+    /// Highest number of instances that was seen in each window.
+    instances: BTreeMap<u64, usize>,
     /// Since when this process has held the duty.
     held_since: Duration,
 }
@@ -107,8 +109,25 @@
         wall_time > self.policy.due_at(window)
     }
 
+    /// Records the present number of instances in the fleet.
+    pub fn record_instances(&mut self, wall_time: Duration, instances: usize) {
+        let open_window = self.policy.window_at(wall_time);
+        let known = self.instances.entry(open_window).or_default();
+        *known = (*known).max(instances);
+        let first = open_window.saturating_sub(KEPT_WINDOWS);
+        self.instances = self.instances.split_off(&first);
+    }
+
+    /// Returns the highest number of instances seen since a window began. After an outage of the
+    /// store the first instances to register see only few others.
+    pub fn expected_processes(&self, window: u64) -> usize {
+        let seen = self.instances.range(window..);
+        seen.map(|(_, instances)| *instances).max().unwrap_or(0)
+    }
+
     /// Returns what to do next, for a fleet with a number of instances.
-    pub fn next_step(&self, wall_time: Duration, instances: usize) -> LedgerStep {
+    pub fn next_step(&mut self, wall_time: Duration, instances: usize) -> LedgerStep {
+        self.record_instances(wall_time, instances);
         let Some(record) = &self.record else {
             return LedgerStep::ReadRecord;
         };
@@ -118,7 +137,7 @@
         }
         let mut reports = Vec::new();
         let mut window = self.first_unrecorded(record, wall_time);
-        while self.is_due(window, wall_time, instances) {
+        while self.is_due(window, wall_time) {
             reports.push(self.usage(window));
             window += 1;
         }
@@ -187,13 +206,15 @@
         first.max(open_window.saturating_sub(KEPT_WINDOWS))
     }
 
-    fn is_due(&self, window: u64, wall_time: Duration, instances: usize) -> bool {
-        if wall_time < self.policy.earliest_report(window) {
+    fn is_due(&self, window: u64, wall_time: Duration) -> bool {
+        let is_settled = wall_time >= self.held_since + SETTLE_TIME;
+        if !is_settled || wall_time < self.policy.earliest_report(window) {
             return false;
         }
         let closed = usize::try_from(self.closed_processes(window)).unwrap_or(usize::MAX);
-        let is_settled = wall_time >= self.held_since + SETTLE_TIME;
-        closed >= instances || is_settled && wall_time >= self.policy.latest_report(window)
+        let expected = self.expected_processes(window);
+        let is_complete = expected > 0 && closed >= expected;
+        is_complete || wall_time >= self.policy.latest_report(window)
     }
 
     fn usage(&self, window: u64) -> WindowUsage {
--- a/crates/coriander_usage/tests/usage_failures.rs
+++ b/crates/coriander_usage/tests/usage_failures.rs
@@ -49,7 +49,9 @@
     assert!(platform.reports.is_empty());
     next.ledger.receive(&sums(1, "north", WINDOW, 2, 5));
     next.ledger.receive(&sums(3, "south", WINDOW, 2, 5));
-    next.run(&mut store, &mut platform, at(7_100), INSTANCES);
+    next.run(&mut store, &mut platform, at(7_400), INSTANCES);
+    assert!(platform.reports.is_empty());
+    next.run(&mut store, &mut platform, at(7_500), INSTANCES);
     assert_eq!(platform.reports[&WINDOW]["harbour"], 10);
 }
 
@@ -178,3 +180,44 @@
     assert_eq!(differences.len(), 1);
     assert_eq!((differences[0].reported, differences[0].missing), (10, 3));
 }
+
+#[test]
+fn holder_that_sees_only_itself_waits_for_the_settle_time() {
+    // After an outage of the store the first instance back would report the windows of the outage
+    // with its own counts, finally.
+    for instances in [0, 1] {
+        let (mut store, mut platform) = (Store::default(), Platform::default());
+        store.record.last_window = WINDOW - 1;
+        let mut holder = Holder::acquire(&mut store, at(20_000));
+        holder.ledger.receive(&sums(1, "north", WINDOW, 1, 5));
+        holder.run(&mut store, &mut platform, at(22_400), instances);
+        assert!(platform.reports.is_empty(), "instances={instances}");
+        holder.ledger.receive(&sums(3, "south", WINDOW, 2, 5));
+        holder.run(&mut store, &mut platform, at(22_500), instances);
+        assert_eq!(platform.reports[&WINDOW]["harbour"], 10);
+    }
+}
+
+#[test]
+fn window_without_known_instances_is_not_complete() {
+    // Nothing is known of the fleet, so that nothing may be concluded from missing counts.
+    let (mut store, mut platform) = (Store::default(), Platform::default());
+    let mut holder = Holder::acquire(&mut store, policy().end_of(WINDOW - 1));
+    holder.run(&mut store, &mut platform, at(3_900), 0);
+    assert!(platform.reports.is_empty());
+}
+
+#[test]
+fn instances_lost_from_the_store_are_waited_for() {
+    // Registrations expire in an outage of the store, though the instances still count.
+    let (mut store, mut platform) = (Store::default(), Platform::default());
+    let mut holder = Holder::acquire(&mut store, policy().end_of(WINDOW - 1));
+    holder.ledger.receive(&sums(1, "north", WINDOW, 1, 5));
+    let began = policy().end_of(WINDOW - 1) + Duration::from_millis(100);
+    holder.run(&mut store, &mut platform, began, INSTANCES);
+    holder.run(&mut store, &mut platform, at(3_100), 1);
+    assert!(platform.reports.is_empty());
+    holder.ledger.receive(&sums(1, "north", WINDOW, 4, 9));
+    holder.run(&mut store, &mut platform, at(3_200), 1);
+    assert_eq!(platform.reports[&WINDOW]["harbour"], 9);
+}
