Bound the usage windows that every instance keeps

Cause: old windows were removed only on the way to a send or a decision. Without a collector, a holder or a token, counts, sums and ledger grew without bound, as did the set of accepted windows of a long tenure. Windows far ahead were kept, and their number overflowed.

Change: each round removes old windows from counter, collector and ledger before anything else. A new record drops accepted windows that it does not contain. Windows more than KEPT_WINDOWS ahead are rejected.

Result: tests run 1,000 windows without collector, holder or token, and in one tenure; at most KEPT_WINDOWS and the open one are kept.

--- a/crates/coriander_service/src/usage/usage_meter.rs
+++ b/crates/coriander_service/src/usage/usage_meter.rs
@@ -94,11 +94,18 @@
         clock.record_own(machine_time(), BootClock.now());
     }
 
+    /// Removes windows that are too old from the counts and sums of this instance.
+    fn remove_old(&self, open_window: u64) {
+        self.counter.borrow_mut().remove_old(open_window);
+        self.collector.borrow_mut().remove_old(open_window);
+    }
+
     /// Sends the counts and sums that are due.
     pub fn send_due(&self, service: &SessionService) {
         let now = self.wall_time();
         let open_window = self.policy.window_at(now);
         let settled_window = self.policy.window_at(now.saturating_sub(SETTLE_TIME));
+        self.remove_old(open_window);
         self.send_counts(service, open_window);
         self.send_sums(service, settled_window);
     }
--- a/crates/coriander_service/src/usage/usage_task.rs
+++ b/crates/coriander_service/src/usage/usage_task.rs
@@ -70,8 +70,11 @@
         self.usage.send_due(&self.service);
         let now = self.usage.wall_time();
         let instances = self.instance_count();
-        let ledger = &self.usage.ledger;
-        ledger.borrow_mut().record_instances(now, instances);
+        self.usage
+            .ledger
+            .borrow_mut()
+            .record_instances(now, instances);
+        self.remove_old(now);
         for _ in 0..MAX_STEPS {
             let Some(token) = self.token() else {
                 return;
@@ -106,7 +109,14 @@
         if self.tenure.replace(tenure) != tenure {
             ledger.start_tenure(now);
         }
-        for difference in ledger.remove_old(now) {
+        ledger.next_step(now, self.instance_count())
+    }
+
+    /// Removes old windows from the ledger, which receives sums also before it learns that another
+    /// process holds the duty.
+    fn remove_old(&self, now: Duration) {
+        let differences = self.usage.ledger.borrow_mut().remove_old(now);
+        for difference in differences {
             log::warn!(
                 window = difference.window, reported = difference.reported,
                 missing = difference.missing;
@@ -114,7 +124,6 @@
             );
             self.service.metrics.count_late_usage(difference.missing);
         }
-        ledger.next_step(now, self.instance_count())
     }
 
     fn instance_count(&self) -> usize {
--- a/crates/coriander_usage/src/account_counter.rs
+++ b/crates/coriander_usage/src/account_counter.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::KEPT_WINDOWS;
+use crate::is_kept;
 use crate::usage_messages::AccountCounts;
 
 /// How often the counts of a window that has ended are sent, because datagrams may be lost.
@@ -41,8 +41,7 @@
     pub fn take_due(&mut self, open_window: u64) -> Vec<(u64, bool, AccountCounts)> {
         // A window without operations is closed as well.
         self.windows.entry(open_window).or_default();
-        self.windows
-            .retain(|window, _| window + KEPT_WINDOWS > open_window);
+        self.remove_old(open_window);
         let mut due = Vec::new();
         for (window, counter) in &mut self.windows {
             let is_closed = *window < open_window;
@@ -61,6 +60,17 @@
         due
     }
 
+    /// Removes the windows that are not kept, also while there is no collector.
+    pub fn remove_old(&mut self, open_window: u64) {
+        self.windows
+            .retain(|window, _| is_kept(*window, open_window));
+    }
+
+    /// Returns the number of windows that are kept.
+    pub fn window_count(&self) -> usize {
+        self.windows.len()
+    }
+
     /// Returns the operations in the windows that are kept.
     pub fn total(&self) -> u64 {
         let windows = self.windows.values();
--- a/crates/coriander_usage/src/lib.rs
+++ b/crates/coriander_usage/src/lib.rs
@@ -43,3 +43,10 @@
 /// Number of windows that counters, collectors and the ledger keep. A minute of windows of 5 s
 /// covers an outage of the store or of the platform with a change of the holder.
 pub const KEPT_WINDOWS: u64 = 12;
+
+/// Returns whether counters and collectors keep a window. One that is further ahead than windows
+/// are kept comes from a wrong clock and is rejected.
+const fn is_kept(window: u64, open_window: u64) -> bool {
+    let is_recent = window.saturating_add(KEPT_WINDOWS) > open_window;
+    is_recent && window <= open_window.saturating_add(KEPT_WINDOWS)
+}
--- a/crates/coriander_usage/src/usage_ledger.rs
+++ b/crates/coriander_usage/src/usage_ledger.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::KEPT_WINDOWS;
 use crate::usage_messages::{UsageRecord, WindowUsage, ZoneCounts};
 use crate::usage_policy::UsagePolicy;
+use crate::{KEPT_WINDOWS, is_kept};
 
 /// How long a new holder waits for the sums of the collectors before its first decision. They learn
 /// of the holder with their next update of the store and send within a second.
@@ -54,6 +54,8 @@
     accepted: BTreeSet<u64>,
     /// Operations in the reports that this process has recorded.
     reported: BTreeMap<u64, u64>,
+    /// The open window at the last removal of old ones.
+    open_window: Option<u64>,
     /// Highest number of instances that was seen in each window.
     instances: BTreeMap<u64, usize>,
     /// Since when this process has held the duty.
@@ -72,6 +74,10 @@
     /// Records the sums of a collector. The sums of the collectors of a zone are lower bounds, so
     /// the highest one counts for each account.
     pub fn receive(&mut self, message: &ZoneCounts) {
+        let open_window = self.open_window.unwrap_or(message.window);
+        if !is_kept(message.window, open_window) {
+            return;
+        }
         let zones = self.windows.entry(message.window).or_default();
         let zone = zones.entry(message.zone.clone()).or_default();
         zone.closed_processes = zone.closed_processes.max(message.closed_processes);
@@ -95,6 +101,8 @@
             self.reported
                 .insert(usage.window, usage.counts.values().sum());
         }
+        let is_recorded = |window: &u64| record.reports.iter().any(|usage| usage.window == *window);
+        self.accepted.retain(is_recorded);
         self.record = Some(record);
     }
 
@@ -155,9 +163,9 @@
     pub fn skipped_windows(&self, record: &UsageRecord) -> u64 {
         let last_window = self.record.as_ref().map_or(0, |known| known.last_window);
         let first = record.reports.first().map(|usage| usage.window);
-        first
-            .filter(|_| last_window > 0)
-            .map_or(0, |first| first.saturating_sub(last_window + 1))
+        first.filter(|_| last_window > 0).map_or(0, |first| {
+            first.saturating_sub(last_window.saturating_add(1))
+        })
     }
 
     /// Returns the number of processes that have closed a window.
@@ -168,13 +176,20 @@
         })
     }
 
-    /// Removes windows that are too old, and returns the reported ones of which operations became
+    /// Returns the number of windows of which anything is kept: sums, reports or accepted reports.
+    pub fn window_count(&self) -> usize {
+        let windows = self.windows.keys().chain(self.reported.keys());
+        let windows: BTreeSet<_> = windows.chain(&self.accepted).collect();
+        windows.len()
+    }
+
+    /// Removes windows that are too old, also while this process does not hold the duty, and returns the reported ones of which operations became
     /// known too late.
     pub fn remove_old(&mut self, wall_time: Duration) -> Vec<WindowDifference> {
         let open_window = self.policy.window_at(wall_time);
-        let kept = self
-            .windows
-            .split_off(&open_window.saturating_sub(KEPT_WINDOWS));
+        self.open_window = Some(open_window);
+        let first_kept = open_window.saturating_sub(KEPT_WINDOWS);
+        let kept = self.windows.split_off(&first_kept);
         let old = std::mem::replace(&mut self.windows, kept);
         let mut differences = Vec::new();
         for (window, zones) in old {
@@ -191,6 +206,7 @@
                 });
             }
         }
+        self.reported = self.reported.split_off(&first_kept);
         differences
     }
 
@@ -200,7 +216,7 @@
         let first = if record.last_window == 0 {
             self.policy.window_at(self.held_since)
         } else {
-            record.last_window + 1
+            record.last_window.saturating_add(1)
         };
         let open_window = self.policy.window_at(wall_time);
         first.max(open_window.saturating_sub(KEPT_WINDOWS))
--- a/crates/coriander_usage/src/usage_policy.rs
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -59,7 +59,7 @@
 
     /// Returns the end of a window, since the Unix epoch.
     pub fn end_of(&self, window: u64) -> Duration {
-        let millis = u128::from(window + 1) * self.window.as_millis();
+        let millis = (u128::from(window) + 1) * self.window.as_millis();
         Duration::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
     }
 
--- a/crates/coriander_usage/src/zone_collector.rs
+++ b/crates/coriander_usage/src/zone_collector.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use crate::KEPT_WINDOWS;
+use crate::is_kept;
 use crate::usage_messages::{AccountCounts, InstanceCounts, ZoneCounts};
 
 /// How often an unchanged sum is sent, because datagrams may be lost.
@@ -27,11 +27,30 @@
 #[derive(Debug, Default)]
 pub struct ZoneCollector {
     windows: BTreeMap<(u64, Arc<str>), ZoneWindow>,
+    /// The open window at the last removal of old ones.
+    open_window: Option<u64>,
 }
 
 impl ZoneCollector {
+    /// Removes the windows that are not kept, also while there is no holder. Messages for windows
+    /// that are not kept are ignored from then on.
+    pub fn remove_old(&mut self, open_window: u64) {
+        self.open_window = Some(open_window);
+        self.windows
+            .retain(|(window, _), _| is_kept(*window, open_window));
+    }
+
+    /// Returns the number of windows that are kept, of all zones.
+    pub fn window_count(&self) -> usize {
+        self.windows.len()
+    }
+
     /// Records the counts of a process.
     pub fn record(&mut self, message: &InstanceCounts) {
+        let open_window = self.open_window.unwrap_or(message.window);
+        if !is_kept(message.window, open_window) {
+            return;
+        }
         let key = (message.window, message.zone.clone());
         let window = self.windows.entry(key).or_default();
         let process = window.processes.entry(message.process).or_default();
@@ -50,8 +69,6 @@
     /// Returns the sums to be sent now to the holder of the duty: those of windows before
     /// `settled_window` that are new, have changed or were sent once.
     pub fn take_due(&mut self, collector: u64, settled_window: u64) -> Vec<ZoneCounts> {
-        self.windows
-            .retain(|(window, _), _| window + KEPT_WINDOWS > settled_window);
         let due = self.windows.iter_mut().filter(|((window, _), state)| {
             *window < settled_window && state.sends < SUM_SENDS && !state.processes.is_empty()
         });
--- a/crates/coriander_usage/tests/counting.rs
+++ b/crates/coriander_usage/tests/counting.rs
@@ -109,6 +109,41 @@
     assert_eq!(split_counts(Vec::new()).len(), 1);
 }
 
+#[test]
+fn counter_and_collector_without_receivers_keep_few_windows() {
+    // An instance without a collector or a holder for hours would run out of memory.
+    let mut counter = AccountCounter::default();
+    let mut collector = ZoneCollector::default();
+    for window in 1..=1_000 {
+        counter.count(&"harbour".into(), window);
+        collector.record(&counts(1, window, 5));
+        counter.remove_old(window);
+        collector.remove_old(window);
+    }
+    let kept = usize::try_from(KEPT_WINDOWS).expect("small");
+    assert_eq!(
+        (counter.window_count(), collector.window_count()),
+        (kept, kept)
+    );
+    assert_eq!(collector.take_due(9, 1_001).len(), kept);
+}
+
+#[test]
+fn windows_of_wrong_clocks_are_rejected() {
+    // Windows far ahead would be kept for ever, and the highest number would overflow.
+    let mut collector = ZoneCollector::default();
+    collector.remove_old(1_000);
+    for window in [7, 1_000 + KEPT_WINDOWS + 1, u64::MAX] {
+        collector.record(&counts(1, window, 5));
+    }
+    assert_eq!(collector.window_count(), 0);
+    collector.record(&counts(1, 1_001, 5));
+    assert_eq!(collector.window_count(), 1);
+    let mut counter = AccountCounter::default();
+    counter.count(&"harbour".into(), u64::MAX);
+    assert_eq!(counter.take_due(1_000), []);
+}
+
 proptest! {
     #[test]
     fn sums_do_not_depend_on_order_or_repetition(
--- a/crates/coriander_usage/tests/usage_failures.rs
+++ b/crates/coriander_usage/tests/usage_failures.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use coriander_usage::{KEPT_WINDOWS, UsageRecord, WindowUsage};
 use support::{Holder, Platform, Store, policy, sums};
 
 const WINDOW: u64 = 1_000;
@@ -221,3 +222,47 @@
     holder.run(&mut store, &mut platform, at(3_200), 1);
     assert_eq!(platform.reports[&WINDOW]["harbour"], 9);
 }
+
+#[test]
+fn ledger_without_token_keeps_few_windows() {
+    // A former holder still gets sums, and its memory would grow for as long as it runs.
+    let (mut store, mut platform) = (Store::default(), Platform::default());
+    let mut former = holder(&mut store, 5);
+    former.run(&mut store, &mut platform, at(3_100), INSTANCES);
+    for window in WINDOW..WINDOW + 1_000 {
+        former.ledger.receive(&sums(1, "north", window, 2, 5));
+        former.ledger.remove_old(policy().end_of(window));
+    }
+    assert!(former.ledger.window_count() as u64 <= KEPT_WINDOWS + 1);
+}
+
+#[test]
+fn holder_forgets_accepted_windows() {
+    // A holder in office for months would keep every window that it has reported.
+    let mut ledger = holder(&mut Store::default(), 5).ledger;
+    for window in WINDOW..WINDOW + 1_000 {
+        let usage = WindowUsage {
+            window,
+            counts: [("harbour".into(), 5)].into(),
+        };
+        ledger.set_record(UsageRecord {
+            last_window: window,
+            revision: window,
+            reports: vec![usage],
+        });
+        ledger.accept(window, policy().due_at(window));
+        ledger.remove_old(policy().end_of(window));
+    }
+    assert!(ledger.window_count() as u64 <= KEPT_WINDOWS + 1);
+}
+
+#[test]
+fn sums_of_wrong_clocks_are_rejected() {
+    // Windows far ahead would be kept until their time comes.
+    let mut ledger = holder(&mut Store::default(), 5).ledger;
+    ledger.remove_old(at(0));
+    for window in [7, WINDOW + 1_000, u64::MAX] {
+        ledger.receive(&sums(1, "north", window, 2, 5));
+        assert_eq!(ledger.closed_processes(window), 0);
+    }
+}
