Refuse report delays that are shorter than the way of the counts

Cause: sums leave 1.4 s after the end of a window whatever the settings, while report_delay_ms could be 100. With a short delay every report left before the first sums arrived and was a final zero. The test of the whole way used such a delay and hid it by running operations in 0.8 s only.

Change: report_delay_ms is at least 6,000: sums arrive up to 2.4 s after the end of a window, which is 0.4 of that delay. The test of the whole way uses it, runs operations through all rounds, and compares each window.

Result: settings with 100, 3,500 and 5,999 ms are refused by a test.

--- a/crates/coriander_service/tests/usage.rs
+++ b/crates/coriander_service/tests/usage.rs
@@ -28,7 +28,7 @@
     };
     let policy = UsagePolicy::default()
         .with_window(Duration::from_millis(500))
-        .with_report_delay(Duration::from_millis(1_000));
+        .with_report_delay(Duration::from_millis(6_000));
     ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 9).into())
         .with_features(features)
         .with_usage(policy)
@@ -149,17 +149,28 @@
     let task = UsageTask::new(service.clone(), store.clone(), api.clone());
     let task = task.expect("reports are expected");
     let mut session = open(&service).await;
-    for round in 0..32 {
+    // Windows in which each operation may have begun: that before and that after it.
+    let mut operations = Vec::new();
+    for round in 0..60 {
         service.usage_duty.record_renewal(BootClock.now());
-        if round < 8 {
-            run(&mut session, &format!("w{round}"), "WRITE 1 x").await;
-        }
+        let before = counting(&service).current_window();
+        run(&mut session, &format!("w{round}"), "WRITE 1 x").await;
+        operations.push((before, counting(&service).current_window()));
         task.run_round().await;
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
     let reports = api.reports.borrow();
-    let operations: u64 = reports.iter().flat_map(|usage| usage.counts.values()).sum();
-    assert_eq!(operations, 8, "{reports:?}");
+    assert!(reports.len() >= 5, "{reports:?}");
+    for usage in reports.iter() {
+        let window = usage.window;
+        let certain = operations.iter().filter(|w| **w == (window, window));
+        let possible = operations
+            .iter()
+            .filter(|(before, after)| (*before..=*after).contains(&window));
+        let count: u64 = usage.counts.values().sum();
+        let bounds = certain.count() as u64..=possible.count() as u64;
+        assert!(bounds.contains(&count), "{bounds:?} {usage:?}");
+    }
     let windows: Vec<_> = reports.iter().map(|usage| usage.window).collect();
     let following = windows.windows(2).all(|pair| pair[1] == pair[0] + 1);
     assert!(following, "{windows:?}");
--- a/crates/corianderstile/tests/usage_settings.rs
+++ b/crates/corianderstile/tests/usage_settings.rs
@@ -40,3 +40,16 @@
     assert_eq!(policy.end_of(4), Duration::from_secs(10));
     assert_eq!(policy.due_at(4), Duration::from_secs(16));
 }
+
+#[test]
+fn report_delay_shorter_than_the_way_of_the_counts_is_refused() {
+    // Every report would leave before the first counts arrive: zero, and final.
+    let text = |delay: u32| format!("{SETTINGS}[usage]\nreport_delay_ms = {delay}\n");
+    for delay in [100, 3_500, 5_999] {
+        let settings = SessionSettings::parse(Path::new("settings.ini"), &text(delay));
+        let error = settings.err().expect("refused").to_string();
+        assert!(error.contains("report_delay_ms"), "{error}");
+    }
+    let policy = parse(&text(6_000)).service.usage;
+    assert_eq!(policy.due_at(0), Duration::from_secs(11));
+}
