Give up usage reports that the platform refuses for good

Cause: a report that was refused for its content (400, or 409 with a valid token) was sent again for ever, blocked all later windows, and with 409 replaced the fencing token every second.

Change: a report that was refused three times and is past its due time is given up with an error, counts as missed, and the next window follows. Overload (408, 425, 429, 5xx) and lost calls are no refusals.

Result: a test refuses one window throughout and requires the report of the next; another one requires that single refusals are repeated.

--- a/crates/coriander_service/src/usage/usage_task.rs
+++ b/crates/coriander_service/src/usage/usage_task.rs
@@ -201,6 +201,17 @@
             return true;
         };
         metrics.count_usage("call_failed", 1);
+        if is_refusal(&error) {
+            let now = self.usage.wall_time();
+            if self.usage.ledger.borrow_mut().refuse(usage.window, now) {
+                log::error!(
+                    window = usage.window, token = token, error:% = error;
+                    "usage report was refused repeatedly and is given up"
+                );
+                metrics.count_usage("missed", 1);
+                return true;
+            }
+        }
         log::warn!(
             window = usage.window, token = token, error:% = error;
             "usage report failed and will be repeated"
@@ -212,6 +223,18 @@
     }
 }
 
+/// Returns whether the platform has refused a report and may do so again for its content. Overload and
+/// failures of the platform pass, so the report waits for their end.
+const fn is_refusal(error: &UsageReportError) -> bool {
+    match error {
+        UsageReportError::Rejected => true,
+        UsageReportError::Refused(status) => {
+            matches!(*status, 400..=499) && !matches!(*status, 408 | 425 | 429)
+        }
+        UsageReportError::NotSent(_) | UsageReportError::NoResponse(_) => false,
+    }
+}
+
 /// Returns the time until the next round, `phase` after a full second.
 fn delay_to_round(wall_time: Duration, phase: Duration) -> Duration {
     let into_second = Duration::from_nanos(u64::from(wall_time.subsec_nanos()));
--- a/crates/coriander_usage/src/usage_ledger.rs
+++ b/crates/coriander_usage/src/usage_ledger.rs
@@ -12,6 +12,10 @@
 /// of the holder with their next update of the store and send within a second.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
+/// Number of refusals after which a report that is past its due time is given up. The first one may be
+/// due to an outdated fencing token, which is replaced before the next call.
+const MAX_REFUSALS: u32 = 3;
+
 /// What the holder of the duty does next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LedgerStep {
@@ -22,7 +26,7 @@
     /// Writes the record under the fencing token; see [`UsageLedger::set_record`] and
     /// [`UsageLedger::forget_record`].
     WriteRecord(UsageRecord),
-    /// Sends a recorded report; see [`UsageLedger::accept`].
+    /// Sends a recorded report; see [`UsageLedger::accept`] and [`UsageLedger::refuse`].
     Send(WindowUsage),
 }
 
@@ -50,8 +54,10 @@
     windows: BTreeMap<u64, HashMap<Arc<str>, ZoneSums>>,
     /// The record in the store; `None` until it has been read.
     record: Option<UsageRecord>,
-    /// Recorded windows that the platform has accepted.
+    /// Recorded windows that the platform has accepted, or whose report was given up.
     accepted: BTreeSet<u64>,
+    /// Refusals of recorded reports by window, in this tenure.
+    refusals: BTreeMap<u64, u32>,
     /// Operations in the reports that this process has recorded.
     reported: BTreeMap<u64, u64>,
     /// The open window at the last removal of old ones.
@@ -91,6 +97,7 @@
     pub fn start_tenure(&mut self, wall_time: Duration) {
         self.record = None;
         self.accepted.clear();
+        self.refusals.clear();
         self.reported.clear();
         self.held_since = wall_time;
     }
@@ -103,6 +110,7 @@
         }
         let is_recorded = |window: &u64| record.reports.iter().any(|usage| usage.window == *window);
         self.accepted.retain(is_recorded);
+        self.refusals.retain(|window, _| is_recorded(window));
         self.record = Some(record);
     }
 
@@ -117,6 +125,18 @@
         wall_time > self.policy.due_at(window)
     }
 
+    /// Records that the platform has refused the report of a window. Returns whether the report is
+    /// given up: a report that is refused for its content must not block later windows.
+    pub fn refuse(&mut self, window: u64, wall_time: Duration) -> bool {
+        let refusals = self.refusals.entry(window).or_default();
+        *refusals = refusals.saturating_add(1);
+        let is_given_up = *refusals >= MAX_REFUSALS && wall_time > self.policy.due_at(window);
+        if is_given_up {
+            self.accepted.insert(window);
+        }
+        is_given_up
+    }
+
     /// Records the present number of instances in the fleet.
     pub fn record_instances(&mut self, wall_time: Duration, instances: usize) {
         let open_window = self.policy.window_at(wall_time);
--- a/crates/coriander_usage/tests/support/mod.rs
+++ b/crates/coriander_usage/tests/support/mod.rs
@@ -65,6 +65,8 @@
     pub reports: BTreeMap<u64, BTreeMap<Arc<str>, u64>>,
     pub conflicts: Vec<WindowUsage>,
     pub calls: u64,
+    /// Window whose report is refused for its content.
+    pub refused_window: Option<u64>,
     pub loses_answers: bool,
     pub delays_calls: bool,
     delayed: Vec<(WindowUsage, u64)>,
@@ -134,6 +136,13 @@
                     }
                 },
                 LedgerStep::Send(usage) => {
+                    if platform.refused_window == Some(usage.window) {
+                        platform.calls += 1;
+                        if self.ledger.refuse(usage.window, wall_time) {
+                            continue;
+                        }
+                        return;
+                    }
                     if !platform.report(&usage, self.token) {
                         return;
                     }
--- a/crates/coriander_usage/tests/usage_failures.rs
+++ b/crates/coriander_usage/tests/usage_failures.rs
@@ -266,3 +266,34 @@
         assert_eq!(ledger.closed_processes(window), 0);
     }
 }
+
+#[test]
+fn report_refused_for_its_content_does_not_block_later_windows() {
+    // Every later window would be missed as well, with a call each second for ever.
+    let (mut store, mut platform) = (Store::default(), Platform::default());
+    let mut holder = holder(&mut store, 5);
+    platform.refused_window = Some(WINDOW);
+    for second in 4..=10 {
+        holder.run(&mut store, &mut platform, at(second * 1_000), INSTANCES);
+    }
+    assert!(platform.reports.is_empty(), "not given up before it is due");
+    assert_eq!(platform.calls, 7);
+    holder.ledger.receive(&sums(1, "north", WINDOW + 1, 2, 5));
+    holder.run(&mut store, &mut platform, at(11_000), INSTANCES);
+    holder.run(&mut store, &mut platform, at(12_000), INSTANCES);
+    assert_eq!(platform.reports[&(WINDOW + 1)]["harbour"], 5);
+    assert_eq!(platform.calls, 9);
+}
+
+#[test]
+fn single_refusal_past_the_due_time_is_repeated() {
+    // After an outage the first call may carry an outdated token, which is replaced.
+    let (mut store, mut platform) = (Store::default(), Platform::default());
+    let mut holder = holder(&mut store, 5);
+    platform.refused_window = Some(WINDOW);
+    holder.run(&mut store, &mut platform, at(12_000), INSTANCES);
+    holder.run(&mut store, &mut platform, at(13_000), INSTANCES);
+    platform.refused_window = None;
+    holder.run(&mut store, &mut platform, at(14_000), INSTANCES);
+    assert_eq!(platform.reports[&WINDOW]["harbour"], 10);
+}
