Leave callers without an account out of usage

Cause: operations on routes that are open to all were counted under the name that members get for callers without an account, and reported to the platform as an account of that name.

Change: such operations are not counted.

Result: a test runs one such operation and one of an account; one counts.

--- a/crates/coriander_service/src/usage/begun_operation.rs
+++ b/crates/coriander_service/src/usage/begun_operation.rs
@@ -17,7 +17,10 @@
     held: &mut HeldConnection,
     plan: &ExchangePlan,
 ) -> ExchangeOutcome {
-    let usage = service.usage.as_ref().filter(|_| starts_operation(plan));
+    // Callers without an account are not billed.
+    let has_account = *plan.account != *service.anonymous_account;
+    let is_counted = has_account && starts_operation(plan);
+    let usage = service.usage.as_ref().filter(|_| is_counted);
     let begun = usage.map(|usage| BegunOperation::new(usage, &plan.account));
     let outcome = held.exchange(plan).await;
     if let Some(begun) = begun {
--- a/crates/coriander_service/tests/usage.rs
+++ b/crates/coriander_service/tests/usage.rs
@@ -4,6 +4,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -12,14 +13,14 @@
     UsageTask,
 };
 use coriander_service_api::{
-    DutyLease, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures, UsageApi,
+    DutyLease, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures, SessionHost, UsageApi,
     UsageReportError,
 };
 use coriander_usage::{LedgerStep, UsageLedger, UsagePolicy, UsageRecord, WindowUsage};
 use tokio::net::UdpSocket;
 
 use support::fake_store::FakeStore;
-use support::{FakeGroup, Fault, apply, config, open, run, snapshot, start, start_with};
+use support::{DATABASE, FakeGroup, Fault, apply, config, open, run, snapshot, start, start_with};
 
 fn settings() -> ServiceSettings {
     let features = ServiceFeatures {
@@ -96,6 +97,26 @@
     assert_eq!(counted(&service), 1);
 }
 
+#[ntex::test]
+async fn operation_without_an_account_does_not_count() {
+    // The platform would get a report for an account that does not exist.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_counting(&group).await;
+    let mut open_config = config(2, ReadFreshness::Newest);
+    for route in open_config.routes.values_mut() {
+        Arc::make_mut(route).open_to_all = true;
+    }
+    apply(&service, open_config, group.entries());
+    let session = service.open(DATABASE, "").await;
+    let mut session = session.unwrap_or_else(|failure| panic!("{}", failure.message()));
+    let response = run(&mut session, "w1", "WRITE 1 x").await;
+    assert!(response.result.is_ok());
+    assert_eq!(counted(&service), 0);
+    let mut session = open(&service).await;
+    run(&mut session, "w2", "WRITE 2 x").await;
+    assert_eq!(counted(&service), 1);
+}
+
 /// Notes the reports and loses the first answer.
 #[derive(Default)]
 struct FakeUsageApi {
