--- a/crates/coriander_service/src/usage/usage_task.rs
+++ b/crates/coriander_service/src/usage/usage_task.rs
@@ -68,6 +68,13 @@
     pub async fn run_round(&self) {
         self.usage.update_clock();
         self.usage.send_due(&self.service);
+        let now = self.usage.wall_time();
+        let instances = self.instance_count();
+        self.usage
+            .ledger
+            .borrow_mut()
+            .record_instances(now, instances);
+        self.remove_old(now);
         for _ in 0..MAX_STEPS {
             let Some(token) = self.token() else {
                 return;
@@ -102,7 +109,14 @@
         if self.tenure.replace(tenure) != tenure {
             ledger.start_tenure(now);
         }
-        for difference in ledger.remove_old(now) {
+        ledger.next_step(now, self.instance_count())
+    }
+
+    /// Removes old windows from the ledger, which receives sums also before it learns that another
+    /// process holds the duty.
+    fn remove_old(&self, now: Duration) {
+        let differences = self.usage.ledger.borrow_mut().remove_old(now);
+        for difference in differences {
             log::warn!(
                 window = difference.window, reported = difference.reported,
                 missing = difference.missing;
@@ -110,7 +124,6 @@
             );
             self.service.metrics.count_late_usage(difference.missing);
         }
-        ledger.next_step(now, self.instance_count())
     }
 
     fn instance_count(&self) -> usize {
@@ -159,9 +172,10 @@
     }
 
     fn log_incomplete(&self, record: &UsageRecord) {
-        let instances = self.instance_count();
+        let ledger = self.usage.ledger.borrow();
         for usage in &record.reports {
-            let closed = self.usage.ledger.borrow().closed_processes(usage.window);
+            let closed = ledger.closed_processes(usage.window);
+            let instances = ledger.expected_processes(usage.window);
             if (closed as usize) < instances {
                 log::warn!(
                     window = usage.window, heard = closed, instances = instances;
@@ -187,6 +201,17 @@
             return true;
         };
         metrics.count_usage("call_failed", 1);
+        if is_refusal(&error) {
+            let now = self.usage.wall_time();
+            if self.usage.ledger.borrow_mut().refuse(usage.window, now) {
+                log::error!(
+                    window = usage.window, token = token, error:% = error;
+                    "usage report was refused repeatedly and is given up"
+                );
+                metrics.count_usage("missed", 1);
+                return true;
+            }
+        }
         log::warn!(
             window = usage.window, token = token, error:% = error;
             "usage report failed and will be repeated"
@@ -198,6 +223,18 @@
     }
 }
 
+/// Returns whether the platform has refused a report and may do so again for its content. Overload and
+/// failures of the platform pass, so the report waits for their end.
+const fn is_refusal(error: &UsageReportError) -> bool {
+    match error {
+        UsageReportError::Rejected => true,
+        UsageReportError::Refused(status) => {
+            matches!(*status, 400..=499) && !matches!(*status, 408 | 425 | 429)
+        }
+        UsageReportError::NotSent(_) | UsageReportError::NoResponse(_) => false,
+    }
+}
+
 /// Returns the time until the next round, `phase` after a full second.
 fn delay_to_round(wall_time: Duration, phase: Duration) -> Duration {
     let into_second = Duration::from_nanos(u64::from(wall_time.subsec_nanos()));
