--- a/crates/corianderstile/tests/usage_settings.rs
+++ b/crates/corianderstile/tests/usage_settings.rs
@@ -47,7 +47,7 @@
     let text = |delay: u32| format!("{SETTINGS}[usage]\nreport_delay_ms = {delay}\n");
     for delay in [100, 3_500, 5_999] {
         let settings = SessionSettings::parse(Path::new("settings.ini"), &text(delay));
-        let error = settings.err().expect("refused").to_string();
+        let error = settings.expect_err("refused").to_string();
         assert!(error.contains("report_delay_ms"), "{error}");
     }
     let policy = parse(&text(6_000)).service.usage;
