--- a/crates/coriander_service/src/usage/usage_meter.rs
+++ b/crates/coriander_service/src/usage/usage_meter.rs
@@ -7,8 +7,8 @@
 
 use coriander_core::stable_hash;
 use coriander_usage::{
-    AccountCounter, ClockEstimate, InstanceCounts, UsageLedger, UsagePolicy, ZoneCollector,
-    ZoneCounts, split_counts,
+    AccountCounter, ClockEstimate, InstanceCounts, UsageLedger, UsagePolicy, WindowCounts,
+    ZoneCollector, ZoneCounts, split_counts,
 };
 
 use crate::fleet::peer_messages::{PeerMessage, UsageMessage};
@@ -20,7 +20,7 @@
 
 /// Time after the end of a window from which its sums are sent, so that the counts of most processes
 /// have arrived and a sum is sent once.
-const SETTLE_TIME: Duration = Duration::from_millis(1_400);
+const SUM_DELAY: Duration = Duration::from_millis(1_400);
 
 /// The holder of the duty to which sums are sent. A holder that restarts at the same address has
 /// lost what it received, so the address alone does not identify it.
@@ -104,7 +104,7 @@
     pub fn send_due(&self, service: &SessionService) {
         let now = self.wall_time();
         let open_window = self.policy.window_at(now);
-        let settled_window = self.policy.window_at(now.saturating_sub(SETTLE_TIME));
+        let settled_window = self.policy.window_at(now.saturating_sub(SUM_DELAY));
         self.remove_old(open_window);
         self.send_counts(service, open_window);
         self.send_sums(service, settled_window);
@@ -133,7 +133,12 @@
             (*self.collectors.borrow_mut()).clone_from(&collectors);
         }
         let due = self.counter.borrow_mut().take_due(open_window);
-        for (window, is_closed, counts) in due {
+        for WindowCounts {
+            window,
+            is_closed,
+            counts,
+        } in due
+        {
             for part in split_counts(counts) {
                 let zone = self.zone.clone();
                 let counts = InstanceCounts::new(self.process, zone, window, is_closed, part);
--- a/crates/coriander_service/tests/usage.rs
+++ b/crates/coriander_service/tests/usage.rs
@@ -16,7 +16,7 @@
     DutyLease, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures, SessionHost, UsageApi,
     UsageReportError,
 };
-use coriander_usage::{LedgerStep, UsageLedger, UsagePolicy, UsageRecord, WindowUsage};
+use coriander_usage::{LedgerStep, UsageLedger, UsagePolicy, UsageRecord, WindowUsage, ZoneCounts};
 use tokio::net::UdpSocket;
 
 use support::fake_store::FakeStore;
@@ -173,9 +173,12 @@
     // Windows in which each operation may have begun: that before and that after it.
     let mut operations = Vec::new();
     for round in 0..60 {
+        // Without a recent read of the store the member is not used.
+        service.apply_snapshot(&held, BootClock.now());
         service.usage_duty.record_renewal(BootClock.now());
         let before = counting(&service).current_window();
-        run(&mut session, &format!("w{round}"), "WRITE 1 x").await;
+        let response = run(&mut session, &format!("w{round}"), "WRITE 1 x").await;
+        assert!(response.result.is_ok());
         operations.push((before, counting(&service).current_window()));
         task.run_round().await;
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -202,6 +205,29 @@
     );
 }
 
+#[ntex::test]
+async fn rounds_without_duty_and_collectors_remove_old_windows() {
+    // The memory of an instance that never holds the duty, or is cut off, would grow for ever.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_with(&group, settings()).await;
+    let usage = counting(&service);
+    for window in 1..=1_000 {
+        usage.count(&"north".into(), window);
+        usage.ledger.borrow_mut().receive(&ZoneCounts {
+            collector: 1,
+            zone: "berrechid".into(),
+            window,
+            closed_processes: 1,
+            counts: vec![("north".into(), 1)],
+        });
+    }
+    let api = Rc::new(FakeUsageApi::default());
+    let task = UsageTask::new(service.clone(), FakeStore::new(41), api);
+    task.expect("reports are expected").run_round().await;
+    assert_eq!(usage.counted(), 0);
+    assert_eq!(usage.ledger.borrow().window_count(), 0);
+}
+
 /// Starts an instance of a zone with two; it receives datagrams.
 async fn start_in_fleet(name: &str, group: &Rc<FakeGroup>) -> (Rc<SessionService>, InstanceEntry) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("free port");
@@ -293,11 +319,14 @@
     let window = counting(&collector).current_window() - 5;
     counting(&collector).count(&"north".into(), window);
     for lease in [Some(lease.clone()), Some(restarted), None, Some(lease)] {
+        held.revision += 1;
         let is_held = lease.is_some();
         held.usage_lease = lease;
         for service in [&collector, &holder] {
             service.apply_snapshot(&held, BootClock.now());
         }
+        // A socket sends nothing before the runtime has polled it.
+        tokio::time::sleep(Duration::from_millis(50)).await;
         let empty = UsageLedger::new(holder.settings().usage);
         counting(&holder).ledger.replace(empty);
         for _ in 0..3 {
@@ -305,7 +334,8 @@
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
         let ledger = counting(&holder).ledger.borrow();
-        assert_eq!(ledger.closed_processes(window), u32::from(is_held));
+        let closed = ledger.closed_processes(window);
+        assert_eq!(closed, u32::from(is_held), "{:?}", held.usage_lease);
     }
 }
 
@@ -329,7 +359,10 @@
             ..entry.clone()
         };
         held.instances = vec![entry.clone(), collector];
+        held.revision += 1;
         service.apply_snapshot(&held, BootClock.now());
+        // A socket sends nothing before the runtime has polled it.
+        tokio::time::sleep(Duration::from_millis(50)).await;
         let mut buffer = [0; 2_048];
         while socket.try_recv_from(&mut buffer).is_ok() {}
         for _ in 0..3 {
--- a/crates/coriander_usage/examples/usage_load.rs
+++ b/crates/coriander_usage/examples/usage_load.rs
@@ -35,8 +35,14 @@
                 *counted.entry(window).or_default() += 1;
             }
             let zone = index / PROCESSES as usize;
-            for (window, is_closed, counts) in counter.take_due(window) {
-                let message = InstanceCounts::new(process, ZONES[zone], window, is_closed, counts);
+            for due in counter.take_due(window) {
+                let message = InstanceCounts::new(
+                    process,
+                    ZONES[zone],
+                    due.window,
+                    due.is_closed,
+                    due.counts,
+                );
                 for collector in &mut collectors[zone * 2..zone * 2 + 2] {
                     messages += 1;
                     // Every ninth message is lost, every seventh arrives twice.
--- a/crates/coriander_usage/src/account_counter.rs
+++ b/crates/coriander_usage/src/account_counter.rs
@@ -18,6 +18,17 @@
     closed_sends: u8,
 }
 
+/// Counts of a window that are to be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WindowCounts {
+    /// Number of the window.
+    pub window: u64,
+    /// Whether the window has ended.
+    pub is_closed: bool,
+    /// Operations since the beginning of the window.
+    pub counts: AccountCounts,
+}
+
 /// Counts the operations of this process by window and client account. Counts only grow.
 #[derive(Debug, Default)]
 pub struct AccountCounter {
@@ -36,9 +47,9 @@
         }
     }
 
-    /// Returns the windows to be sent now, each with whether it has ended, and its counts:
-    /// windows with changed counts, and those that have ended, twice.
-    pub fn take_due(&mut self, open_window: u64) -> Vec<(u64, bool, AccountCounts)> {
+    /// Returns the counts to be sent now: those of windows with changed counts, and those of windows
+    /// that have ended, twice.
+    pub fn take_due(&mut self, open_window: u64) -> Vec<WindowCounts> {
         // A window without operations is closed as well.
         self.windows.entry(open_window).or_default();
         self.remove_old(open_window);
@@ -55,7 +66,11 @@
             }
             let counts = counter.counts.iter();
             let counts = counts.map(|(account, count)| (account.clone(), *count));
-            due.push((*window, is_closed, counts.collect()));
+            due.push(WindowCounts {
+                window: *window,
+                is_closed,
+                counts: counts.collect(),
+            });
         }
         due
     }
--- a/crates/coriander_usage/src/lib.rs
+++ b/crates/coriander_usage/src/lib.rs
@@ -14,8 +14,8 @@
 //! let mut counter = AccountCounter::default();
 //! counter.count(&"harbour".into(), 7);
 //! let mut collector = ZoneCollector::default();
-//! for (window, is_closed, counts) in counter.take_due(8) {
-//!     let message = InstanceCounts::new(1, "north", window, is_closed, counts);
+//! for due in counter.take_due(8) {
+//!     let message = InstanceCounts::new(1, "north", due.window, due.is_closed, due.counts);
 //!     collector.record(&message);
 //!     // A repeated message does not count twice.
 //!     collector.record(&message);
@@ -31,7 +31,7 @@
 mod usage_policy;
 mod zone_collector;
 
-pub use account_counter::AccountCounter;
+pub use account_counter::{AccountCounter, WindowCounts};
 pub use clock_estimate::ClockEstimate;
 pub use usage_ledger::{LedgerStep, UsageLedger, WindowDifference};
 pub use usage_messages::{
--- a/crates/coriander_usage/src/usage_policy.rs
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -6,9 +6,8 @@
 /// all instances have arrived, and one lost datagram has been repeated.
 const EARLIEST_FRACTION: f64 = 0.3;
 
-/// Fraction of the report delay after which an incomplete window is reported. The rest is left for a
-/// change of the holder, the record and the call. With 0.6, windows that waited for a removed
-/// instance were lost when the whole fleet was then killed.
+/// Fraction of the report delay after which an incomplete window is reported, because windows that
+/// are not yet recorded are lost when all instances are killed at once.
 const LATEST_FRACTION: f64 = 0.4;
 
 /// Length of the windows and times of the reports.
--- a/crates/coriander_usage/tests/counting.rs
+++ b/crates/coriander_usage/tests/counting.rs
@@ -6,7 +6,8 @@
 
 use coriander_core::MonotonicTime;
 use coriander_usage::{
-    AccountCounter, ClockEstimate, InstanceCounts, KEPT_WINDOWS, ZoneCollector, split_counts,
+    AccountCounter, AccountCounts, ClockEstimate, InstanceCounts, KEPT_WINDOWS, WindowCounts,
+    ZoneCollector, split_counts,
 };
 use proptest::prelude::*;
 
@@ -20,6 +21,15 @@
     )
 }
 
+/// Returns the counts of window 7 after its end.
+fn closed(counts: AccountCounts) -> WindowCounts {
+    WindowCounts {
+        window: 7,
+        is_closed: true,
+        counts,
+    }
+}
+
 #[test]
 fn closed_window_is_sent_twice_and_after_changes() {
     // A single datagram may be lost; endless repetition would cost every instance each second.
@@ -31,10 +41,7 @@
     assert_eq!(counter.take_due(8).len(), 1);
     assert_eq!(counter.take_due(8).len(), 0);
     counter.count(&"harbour".into(), 7);
-    assert_eq!(
-        counter.take_due(8),
-        [(7, true, vec![("harbour".into(), 2)])]
-    );
+    assert_eq!(counter.take_due(8), [closed(vec![("harbour".into(), 2)])]);
 }
 
 #[test]
@@ -42,7 +49,7 @@
     // The holder would wait for an idle instance with every report.
     let mut counter = AccountCounter::default();
     counter.take_due(7);
-    assert_eq!(counter.take_due(8), [(7, true, Vec::new())]);
+    assert_eq!(counter.take_due(8), [closed(Vec::new())]);
 }
 
 #[test]
