Report usage late instead of refusing to start with a short report delay

Cause: an instance with a report delay under 6 s did not start, so a platform that asks for faster reports would have had no proxy at all.

Change: any delay is accepted; a window is never reported before the sums of all zones can have arrived (2.5 s after its end).

--- a/crates/coriander_usage/src/usage_policy.rs
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -10,6 +10,11 @@
 /// are not yet recorded are lost when all instances are killed at once.
 const LATEST_FRACTION: f64 = 0.4;
 
+/// Time after the end of a window within which the sums of all zones arrive, if no message is lost.
+/// No window is reported earlier, however short the report delay is: a late report is better than a
+/// final one without counts.
+const COLLECT_TIME: Duration = Duration::from_millis(2_500);
+
 /// Length of the windows and times of the reports.
 ///
 /// ```
@@ -64,12 +69,16 @@
 
     /// Returns the earliest time at which a window is reported.
     pub fn earliest_report(&self, window: u64) -> Duration {
-        self.end_of(window) + self.report_delay.mul_f64(EARLIEST_FRACTION)
+        self.end_of(window) + self.collect_time(EARLIEST_FRACTION)
     }
 
     /// Returns the time at which a window is reported although counts may be missing.
     pub fn latest_report(&self, window: u64) -> Duration {
-        self.end_of(window) + self.report_delay.mul_f64(LATEST_FRACTION)
+        self.end_of(window) + self.collect_time(LATEST_FRACTION)
+    }
+
+    fn collect_time(&self, fraction: f64) -> Duration {
+        self.report_delay.mul_f64(fraction).max(COLLECT_TIME)
     }
 
     /// Returns the time by which the report of a window is due at the platform.
--- a/crates/corianderstile/src/session_server/settings.rs
+++ b/crates/corianderstile/src/session_server/settings.rs
@@ -14,11 +14,6 @@
 use crate::settings::SettingsError;
 use crate::settings_reader::SettingsReader;
 
-/// Minimum report delay. The sums of a window arrive up to 2.4 s after its end (1.4 s and a round of
-/// 1 s), and a window is reported with what is known after 0.4 of the delay: a shorter delay
-/// reports zero.
-const MIN_REPORT_DELAY_MS: u64 = 6_000;
-
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
     ("instance", &["name", "zone"]),
     ("listen", &["sessions", "readiness", "metrics", "peers"]),
@@ -87,12 +82,7 @@
             None => promotion_address,
         };
         let window = reader.number("usage", "window_ms", 5_000, 100..=3_600_000);
-        let report_delay = reader.number(
-            "usage",
-            "report_delay_ms",
-            10_000,
-            MIN_REPORT_DELAY_MS..=3_600_000,
-        );
+        let report_delay = reader.number("usage", "report_delay_ms", 10_000, 100..=3_600_000);
         let usage = UsagePolicy::default()
             .with_window(Duration::from_millis(window))
             .with_report_delay(Duration::from_millis(report_delay));
