Pass on only an instance's own reports of members set aside

Notices carried what the sender had heard, with the time left. Waits and transit did not shorten it, so that instances whose exchanges overlap restored a report among themselves, and a recovered member stayed reported although nobody renewed it. An instance now reports only the members that its own exchanges set aside. Reports of a request hold from its receipt, those of a reply from the sending of its request. The board keeps its ejected members, so that a notice does not walk all members.

--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -1,6 +1,6 @@
 //! What one instance has learned about all members.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,8 +14,8 @@
 use crate::outlier_detector::{OutlierChange, OutlierDetector};
 
 /// Time for which a report of another instance holds. The instance that has seen the exchanges
-/// renews it while the member is set aside, so that the others use a recovered member within this
-/// time.
+/// renews it while the member is set aside, and nobody else passes it on, so that the others use a
+/// recovered member within this time.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
 /// Maximum number of reports on one message.
@@ -100,6 +100,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct CapacityBoard {
     members: HashMap<Arc<str>, MemberState>,
+    /// Members that this instance's own exchanges set aside, with their hashes. Each message
+    /// carries some of them, so that they are not searched for among all members.
+    ejected: BTreeMap<Arc<str>, u32>,
     /// Members that other instances report as set aside, by hash, until the time.
     reported: HashMap<u32, MonotonicTime>,
     /// Latency of statements at members, by class, over all groups. One instance sees too few
@@ -161,9 +164,7 @@
         let change = state
             .detector
             .record(sample.outcome, ratio, peer_ratio, now);
-        if change == Some(OutlierChange::TakenBack) {
-            self.reported.remove(&MemberReport::hash(member));
-        }
+        let event = change.map(|change| self.apply_change(member, change));
         // An unanswered statement counts with the time that it had: without it, a limit below the
         // latency of a loaded group would never grow.
         let is_timed = is_served || sample.outcome == SampleOutcome::Unanswered;
@@ -173,10 +174,7 @@
         {
             profile.record(sample.latency);
         }
-        change.map(|change| CapacityEvent {
-            member: member.into(),
-            change,
-        })
+        event
     }
 
     /// Records an exchange that a home instance ran for this one. Its latency includes the way and
@@ -189,13 +187,22 @@
     ) -> Option<CapacityEvent> {
         let state = self.state(member, now);
         let change = state.detector.record(outcome, None, None, now)?;
-        if change == OutlierChange::TakenBack {
-            self.reported.remove(&MemberReport::hash(member));
+        Some(self.apply_change(member, change))
+    }
+
+    fn apply_change(&mut self, member: &str, change: OutlierChange) -> CapacityEvent {
+        let hash = MemberReport::hash(member);
+        let member: Arc<str> = member.into();
+        match change {
+            OutlierChange::SetAside(_) => {
+                self.ejected.insert(member.clone(), hash);
+            }
+            OutlierChange::TakenBack => {
+                self.ejected.remove(&member);
+                self.reported.remove(&hash);
+            }
         }
-        Some(CapacityEvent {
-            member: member.into(),
-            change,
-        })
+        CapacityEvent { member, change }
     }
 
     /// Returns the time after which a read of a class is repeated elsewhere, at most `longest`.
@@ -343,28 +350,19 @@
         ratios.min_by(f64::total_cmp)
     }
 
-    /// Returns what a message to another instance carries: members that are set aside, own ones
-    /// first.
-    pub fn notice(&self, now: MonotonicTime) -> CapacityNotice {
-        let own_ms = REPORT_LIFETIME.as_millis() as u16;
-        let own = self.members.iter();
-        let own = own.filter(|(_, state)| state.detector.is_set_aside());
-        let mut reports: SmallVec<[MemberReport; 1]> = own
-            .map(|(member, _)| MemberReport {
-                member: MemberReport::hash(member),
-                valid_ms: own_ms,
+    /// Returns what a message to another instance carries: members that this instance's own
+    /// exchanges set aside. Reports of others are not passed on: instances that exchange messages
+    /// all the time would keep them alive after the member is well.
+    pub fn notice(&self) -> CapacityNotice {
+        let mut reports: SmallVec<[MemberReport; 1]> = self
+            .ejected
+            .values()
+            .map(|member| MemberReport {
+                member: *member,
+                valid_ms: REPORT_LIFETIME.as_millis() as u16,
             })
             .collect();
-        for (member, until) in &self.reported {
-            let valid_ms = until.since(now).as_millis() as u16;
-            if valid_ms > 0 && !reports.iter().any(|own| own.member == *member) {
-                reports.push(MemberReport {
-                    member: *member,
-                    valid_ms,
-                });
-            }
-        }
-        reports.sort_by_key(|report| (u16::MAX - report.valid_ms, report.member));
+        reports.sort_by_key(|report| report.member);
         reports.truncate(MAX_REPORTS);
         CapacityNotice {
             reports,
@@ -373,21 +371,21 @@
     }
 
     /// Returns what a reply about a member carries.
-    pub fn reply_notice(&self, member: &str, now: MonotonicTime) -> CapacityNotice {
+    pub fn reply_notice(&self, member: &str) -> CapacityNotice {
         let state = self.members.get(member);
         let load = state.map(|state| f64::from(state.in_flight) / state.limit.limit());
         CapacityNotice {
             load: load.map(|load| (load * 16.0).clamp(0.0, 255.0) as u8),
-            ..self.notice(now)
+            ..self.notice()
         }
     }
 
-    /// Applies what another instance reports. `replied` is the member of the exchange if the
-    /// notice came with a reply, and `None` if it came with a request.
-    pub fn apply_notice(
+    /// Applies the reports of another instance, which hold from `since` on: for a request the time
+    /// of its receipt, for a reply the time when its request was sent.
+    pub fn apply_reports(
         &mut self,
         notice: &CapacityNotice,
-        replied: Option<&str>,
+        since: MonotonicTime,
         now: MonotonicTime,
     ) {
         if !notice.reports.is_empty() {
@@ -396,9 +394,20 @@
         for report in &notice.reports {
             let valid = Duration::from_millis(u64::from(report.valid_ms)).min(REPORT_LIFETIME);
             let until = self.reported.entry(report.member).or_default();
-            *until = (*until).max(now + valid);
+            *until = (*until).max(since + valid);
         }
-        if let (Some(load), Some(member)) = (notice.load, replied) {
+    }
+
+    /// Applies the notice of a reply about a member to a request sent at `sent_at`.
+    pub fn apply_reply(
+        &mut self,
+        notice: &CapacityNotice,
+        member: &str,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        self.apply_reports(notice, sent_at, now);
+        if let Some(load) = notice.load {
             let load = f64::from(load) / 16.0;
             self.state(member, now).reported_load = Some((load, now));
         }
@@ -407,13 +416,14 @@
     /// Removes a member that has left.
     pub fn remove(&mut self, member: &str) {
         self.members.remove(member);
+        self.ejected.remove(member);
     }
 
     fn state(&mut self, member: &str, now: MonotonicTime) -> &mut MemberState {
         if !self.members.contains_key(member) && self.members.len() >= MAX_MEMBERS {
             let oldest = self.members.iter().min_by_key(|(_, state)| state.used_at);
             if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
-                self.members.remove(&oldest);
+                self.remove(&oldest);
             }
         }
         let state = self.members.entry(member.into()).or_default();
--- a/crates/coriander_capacity/src/member_report.rs
+++ b/crates/coriander_capacity/src/member_report.rs
@@ -10,8 +10,8 @@
     /// Hash of the member's identifier, which is several times as long. Two members with the same
     /// hash are set aside together for the time of the report.
     pub member: u32,
-    /// Time in milliseconds for which the report holds. It shrinks as the report is passed on, so
-    /// that a report ends unless the instance that has seen the exchanges renews it.
+    /// Time in milliseconds for which the report holds. Only the instance that has seen the
+    /// exchanges sends it, so that it ends unless that instance renews it.
     pub valid_ms: u16,
 }
 
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -384,6 +384,18 @@
         Some(service.held_update(known, arrived_at, BootClock.now()))
     }
 
+    /// Applies what the sender of a plan has set aside. It counts from the receipt, whatever the
+    /// plan waits for then.
+    fn receive_reports(&self, plan: &ExchangePlan) {
+        if plan.capacity.is_some()
+            && let Some(service) = self.service.upgrade()
+            && let Some(member) = service.find_member(&plan.group, &plan.member)
+            && let Some(capacity) = &member.capacity
+        {
+            capacity.receive(plan, BootClock.now());
+        }
+    }
+
     async fn acquire(&self, plan: &ExchangePlan) -> Result<HeldConnection, PoolError> {
         let service = self.service.upgrade().ok_or(PoolError::HomeUnavailable)?;
         let member = service.find_member(&plan.group, &plan.member);
@@ -410,6 +422,7 @@
                 mut plan,
             } => {
                 plan.limit_time(remaining);
+                self.receive_reports(&plan);
                 let outcome = self.exchange((connection, stream), must_exist, &plan).await;
                 RelayReply::Outcome(Box::new(outcome))
             }
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Applies what the instance that asks for a plan has set aside, when its request is received.
+    pub fn receive(&self, plan: &ExchangePlan, now: MonotonicTime) {
+        if let Some(notice) = &plan.capacity {
+            let mut board = self.shared.board.borrow_mut();
+            board.apply_reports(notice, now, now);
+        }
+    }
+
     /// Records an exchange that this instance ran itself, and adds what the instance that asked for
     /// it should know.
     pub fn record_local(
@@ -122,12 +130,6 @@
         if let Some(position) = outcome.primary_position {
             self.positions.borrow_mut().record(started, position);
         }
-        if let Some(notice) = &plan.capacity {
-            self.shared
-                .board
-                .borrow_mut()
-                .apply_notice(notice, None, now);
-        }
         if let Some(result) = sample_outcome(outcome) {
             let sample = ExchangeSample {
                 class: class_of(plan),
@@ -142,7 +144,7 @@
             );
             self.report(event, now);
         }
-        let mut notice = self.shared.board.borrow().reply_notice(&self.member, now);
+        let mut notice = self.shared.board.borrow().reply_notice(&self.member);
         notice.position = self.newest_position(now);
         outcome.capacity = Some(Box::new(notice));
     }
@@ -178,12 +180,12 @@
         });
         self.report(event, now);
         let mut board = self.shared.board.borrow_mut();
-        board.apply_notice(notice, Some(&self.member), now);
+        board.apply_reply(notice, &self.member, sent_at, now);
     }
 
     /// Returns what a request to another instance carries; `None` if there is nothing to tell.
-    pub fn notice(&self, now: MonotonicTime) -> Option<Box<CapacityNotice>> {
-        let notice = self.shared.board.borrow().notice(now);
+    pub fn notice(&self) -> Option<Box<CapacityNotice>> {
+        let notice = self.shared.board.borrow().notice();
         (!notice.reports.is_empty()).then(|| Box::new(notice))
     }
 
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -8,6 +8,7 @@
 use crate::members::database_group::DatabaseGroup;
 use crate::members::held_connection::{HeldConnection, OutstandingStatement};
 use crate::members::member::{Member, RequestGuard};
+use crate::members::member_capacity::MemberCapacity;
 use crate::members::member_pool::PoolError;
 use crate::service::SessionService;
 use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
@@ -139,8 +140,8 @@
         };
         let sent_at = BootClock.now();
         let outstanding = OutstandingStatement::new(&self.member, sent_at);
-        let notice = self.member.capacity.as_ref();
-        let notice = notice.and_then(|capacity| capacity.notice(BootClock.now()));
+        let capacity = self.member.capacity.as_ref();
+        let notice = capacity.and_then(MemberCapacity::notice);
         let outcome = if notice.is_some() {
             let mut plan = plan.clone();
             plan.capacity = notice;
