Give members of a slow group the time that they take

The usual latency of a class is learned over all groups. Where a whole group slowed beyond the attempt time, two cuts set each member aside, cuts were no longer recorded, and each read was broken off and repeated until its deadline although the members answered. A cut is now a lower bound of the member's relative latency, also while it is set aside, and the attempt time grows with that latency. A second attempt at a member, and one while no untried member is left, keeps the whole time limit of the plan.

`attempt_time` takes the member and the time, so that its calls in two test files change; their checks and bounds do not.

--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -151,7 +151,10 @@
         if is_cut_short {
             return None;
         }
-        let ratio = ratio.filter(|_| is_served);
+        // An unanswered statement counts with the time that it had, also while the member is set
+        // aside: without it, a limit below the latency of a loaded group would never grow.
+        let is_timed = is_served || sample.outcome == SampleOutcome::Unanswered;
+        let ratio = ratio.filter(|_| is_timed);
         let peer_ratio = self.best_ratio(peers, now);
         let state = self.state(member, now);
         let was_set_aside = state.detector.is_set_aside();
@@ -165,9 +168,6 @@
             .detector
             .record(sample.outcome, ratio, peer_ratio, now);
         let event = change.map(|change| self.apply_change(member, change));
-        // An unanswered statement counts with the time that it had: without it, a limit below the
-        // latency of a loaded group would never grow.
-        let is_timed = is_served || sample.outcome == SampleOutcome::Unanswered;
         if is_timed
             && !was_set_aside
             && let Some(profile) = self.profiles.get_mut(&sample.class)
@@ -206,14 +206,17 @@
     }
 
     /// Returns the time after which a read of a class is repeated elsewhere, at most `longest`.
-    pub fn attempt_time(&self, class: StatementClass, longest: Duration) -> Duration {
-        let profile = self.profiles.get(&class);
-        let Some(high) = profile.and_then(LatencyProfile::high_quantile) else {
-            return longest;
-        };
-        high.mul_f64(ATTEMPT_FACTOR)
-            .max(MIN_ATTEMPT_TIME)
-            .min(longest)
+    /// A member that is slow as a whole gets more
+    /// time: the class is learned over all groups, and the rest of its group may be as slow.
+    pub fn attempt_time(
+        &self,
+        member: &str,
+        class: StatementClass,
+        longest: Duration,
+        now: MonotonicTime,
+    ) -> Duration {
+        let factor = ATTEMPT_FACTOR * self.slowness(member, now);
+        self.limited_time(class, factor, MIN_ATTEMPT_TIME, longest)
     }
 
     /// Returns the time after which a read that only this member can run is repeated there, at most
@@ -225,15 +228,30 @@
         class: StatementClass,
         longest: Duration,
         now: MonotonicTime,
+    ) -> Duration {
+        let factor = REPEAT_FACTOR * self.slowness(member, now);
+        self.limited_time(class, factor, MIN_REPEAT_TIME, longest)
+    }
+
+    /// Returns the latency of a member relative to the usual one; 1 if it is lower or not known.
+    fn slowness(&self, member: &str, now: MonotonicTime) -> f64 {
+        let state = self.members.get(member);
+        let ratio = state.and_then(|state| state.detector.ratio(now));
+        ratio.unwrap_or(1.0).max(1.0)
+    }
+
+    fn limited_time(
+        &self,
+        class: StatementClass,
+        factor: f64,
+        shortest: Duration,
+        longest: Duration,
     ) -> Duration {
         let profile = self.profiles.get(&class);
         let Some(high) = profile.and_then(LatencyProfile::high_quantile) else {
             return longest;
         };
-        let state = self.members.get(member);
-        let ratio = state.and_then(|state| state.detector.ratio(now));
-        let time = high.mul_f64(REPEAT_FACTOR * ratio.unwrap_or(1.0).max(1.0));
-        time.max(MIN_REPEAT_TIME).min(longest)
+        high.mul_f64(factor).max(shortest).min(longest)
     }
 
     /// Returns whether a member is set aside, by this instance or by a report.
--- a/crates/coriander_capacity/src/outlier_detector.rs
+++ b/crates/coriander_capacity/src/outlier_detector.rs
@@ -120,8 +120,8 @@
 }
 
 impl OutlierDetector {
-    /// Records an exchange. `ratio` is its latency relative to the usual one of its class, and
-    /// `peer_ratio` the lowest relative latency of the other members of the group, if known.
+    /// Records an exchange. `ratio` is its latency relative to the usual one of its class, a lower
+    /// bound if the exchange was left unanswered, and `peer_ratio` the lowest relative latency of the other members of the group, if known.
     pub fn record(
         &mut self,
         outcome: crate::SampleOutcome,
@@ -138,7 +138,8 @@
             self.unanswered += 1.0;
         }
         if let Some(ratio) = ratio {
-            self.record_ratio(ratio, now);
+            let is_lower_bound = outcome == crate::SampleOutcome::Unanswered;
+            self.record_ratio(ratio, is_lower_bound, now);
         }
         if self.ejection.is_some() {
             return self.record_probe(outcome, ratio, now);
@@ -156,13 +157,18 @@
         }
     }
 
-    fn record_ratio(&mut self, ratio: f64, now: MonotonicTime) {
+    fn record_ratio(&mut self, ratio: f64, is_lower_bound: bool, now: MonotonicTime) {
         if now.since(self.ratio_at) > MAX_RATIO_AGE {
             self.ratio_samples = 0.0;
             self.ratio = 1.0;
         }
         self.ratio_at = now;
         self.ratio_samples = (self.ratio_samples + 1.0).min(100.0);
+        let ratio = if is_lower_bound {
+            ratio.max(self.ratio)
+        } else {
+            ratio
+        };
         self.ratio += RATIO_WEIGHT * (ratio.min(MAX_SAMPLE_RATIO) - self.ratio);
     }
 
--- a/crates/coriander_capacity/tests/member_load.rs
+++ b/crates/coriander_capacity/tests/member_load.rs
@@ -136,7 +136,8 @@
             tried.push(member);
             *self.sent.entry(member).or_default() += 1;
             let limit = Duration::from_millis(DEADLINE_MS * 45 / 100);
-            let attempt_ms = self.board.attempt_time(CLASS, limit).as_millis() as u64;
+            let attempt = self.board.attempt_time(member, CLASS, limit, self.now());
+            let attempt_ms = attempt.as_millis() as u64;
             let (outcome, latency) = self.run(member, behavior[member], attempt_ms);
             spent += latency;
             if outcome == SampleOutcome::Served {
--- a/crates/coriander_capacity/tests/reports.rs
+++ b/crates/coriander_capacity/tests/reports.rs
@@ -177,7 +177,7 @@
     let mut board = CapacityBoard::default();
     let class = StatementClass::new(0, false, false);
     let longest = Duration::from_millis(900);
-    assert_eq!(board.attempt_time(class, longest), longest);
+    assert_eq!(board.attempt_time("a", class, longest, at(1_000)), longest);
     let sample = ExchangeSample {
         class,
         outcome: SampleOutcome::Served,
@@ -186,6 +186,6 @@
     for _ in 0..200 {
         board.record_local("a", &sample, at(1_000));
     }
-    let learned = board.attempt_time(class, longest);
+    let learned = board.attempt_time("a", class, longest, at(1_000));
     assert!(learned >= Duration::from_millis(100) && learned <= Duration::from_millis(400));
 }
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -96,17 +96,18 @@
     }
 
     /// Returns the time after which a plan is given up at the member, so that its caller can repeat
-    /// it. Only single reads are given up early, those that need the primary later than others.
+    /// it. Only single reads that can be repeated elsewhere are given up early, and first attempts
+    /// that need the primary, which get more time.
     pub fn time_limit(&self, plan: &ExchangePlan, now: MonotonicTime) -> Duration {
         let statement = &plan.statement;
-        if plan.keep_reserved || statement.writes || statement.commits {
+        if plan.runs_whole_time || plan.keep_reserved || statement.writes || statement.commits {
             return plan.time_limit;
         }
         let board = self.shared.board.borrow();
         if plan.needs_primary() {
             board.repeat_time(&self.member, class_of(plan), plan.time_limit, now)
         } else {
-            board.attempt_time(class_of(plan), plan.time_limit)
+            board.attempt_time(&self.member, class_of(plan), plan.time_limit, now)
         }
     }
 
--- a/crates/coriander_service/src/sessions/exchange.rs
+++ b/crates/coriander_service/src/sessions/exchange.rs
@@ -65,6 +65,9 @@
     pub time_limit: Duration,
     /// Whether the connection stays reserved for further statements of the transaction.
     pub keep_reserved: bool,
+    /// Whether a read keeps its whole time limit, because its member was tried before or no other
+    /// is left.
+    pub runs_whole_time: bool,
     /// On a request to a home instance: members that the sender has set aside.
     pub capacity: Option<Box<CapacityNotice>>,
 }
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -133,6 +133,7 @@
             acquire_timeout: acquire_timeout.min(time_limit.saturating_sub(MIN_ATTEMPT_TIME)),
             time_limit,
             keep_reserved: false,
+            runs_whole_time: false,
             capacity: None,
         }
     }
@@ -278,13 +279,14 @@
     statement: &PlannedStatement,
 ) -> Result<CompletedStatement, SessionFailure> {
     let mut tried = TriedMembers::new();
+    let mut attempted = TriedMembers::new();
     let mut backoff = BusyBackoff::default();
     let mut failure = None;
     while context.time_remaining() > MIN_ATTEMPT_TIME {
         let attempt = if statement.writes {
             attempt_write(context, statement).await
         } else {
-            attempt_read(context, statement, &mut tried).await
+            attempt_read(context, statement, &mut tried, &mut attempted).await
         };
         match attempt {
             Attempt::Completed(completed) => return Ok(completed),
@@ -322,6 +324,7 @@
     context: &OperationContext<'_>,
     statement: &PlannedStatement,
     tried: &mut TriedMembers,
+    attempted: &mut TriedMembers,
 ) -> Attempt {
     let requirement = context.read_requirement();
     let member = match context.choose_member(requirement, tried).await {
@@ -338,8 +341,14 @@
         statement,
         context.time_remaining().min(attempt_limit),
     );
+    // Cut off again, a member that answers slowly would serve no read at all.
+    plan.runs_whole_time = attempted.contains(&member.id);
+    attempted.push(member.id.clone());
     match requirement {
-        ReadRequirement::MinPosition(min_position) => plan.min_position = min_position,
+        ReadRequirement::MinPosition(min_position) => {
+            plan.min_position = min_position;
+            plan.runs_whole_time |= !context.has_untried_replica(tried);
+        }
         ReadRequirement::Primary => {
             plan.begin = Some(PlannedBegin {
                 read_only: false,
