Describe unused members with all fields

The line of a member in /state had no load before its first use, and did not show that another instance reports the member. A test of the service covers a group that slows down as a whole.

--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -275,14 +275,14 @@
 
     /// Describes limit, load and state of a member as text.
     pub fn describe(&self, member: &str, now: MonotonicTime) -> String {
-        let Some(state) = self.members.get(member) else {
-            return "limit=- set_aside=-".to_owned();
+        let state = self.members.get(member);
+        let cause = match state.and_then(|state| state.detector.cause()) {
+            Some(cause) => cause.label(),
+            None if self.is_reported(member, now) => "reported",
+            None => "-",
         };
-        let cause = state.detector.cause().map_or("-", |cause| cause.label());
-        let cause = if cause == "-" && self.is_reported(member, now) {
-            "reported"
-        } else {
-            cause
+        let Some(state) = state else {
+            return format!("limit=- load=- set_aside={cause}");
         };
         format!(
             "limit={:.1} load={:.2} set_aside={cause}",
--- a/crates/coriander_capacity/tests/reports.rs
+++ b/crates/coriander_capacity/tests/reports.rs
@@ -189,3 +189,15 @@
     let learned = board.attempt_time("a", class, longest, at(1_000));
     assert!(learned >= Duration::from_millis(100) && learned <= Duration::from_millis(400));
 }
+
+#[test]
+fn description_of_an_unused_member_has_all_fields() {
+    // Guards against a line that scripts can't split, and against a report that it does not show.
+    let (mut home, mut board) = <(CapacityBoard, CapacityBoard)>::default();
+    let unused = board.describe("a", at(1_000));
+    assert_eq!(unused, "limit=- load=- set_aside=-");
+    fail(&mut home, "a", at(1_000));
+    board.apply_reports(&home.notice(), at(1_000), at(1_000));
+    let reported = board.describe("a", at(1_100));
+    assert_eq!(reported, "limit=- load=- set_aside=reported");
+}
--- a/crates/coriander_service/tests/member_capacity.rs
+++ b/crates/coriander_service/tests/member_capacity.rs
@@ -62,6 +62,21 @@
     assert!(started.elapsed() < Duration::from_millis(250));
 }
 
+#[ntex::test]
+async fn reads_of_a_group_that_slows_down_are_served() {
+    // Guards against reads that are cut off and repeated until their deadline of 800 ms though each
+    // member answers in a quarter of it.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let service = start_learning(&group).await;
+    let mut session = open(&service).await;
+    read(&mut session, LEARNING_READS).await;
+    for member in ["a", "b", "c"] {
+        let member = group.member(member);
+        member.statement_time.set(Duration::from_millis(200));
+    }
+    read(&mut session, 8).await;
+}
+
 #[ntex::test]
 async fn member_that_fails_reads_is_set_aside_and_taken_back() {
     // Guards against a member that is chosen like the others though it fails its reads, and against
