--- a/crates/coriander_service/tests/support/fake_group.rs
+++ b/crates/coriander_service/tests/support/fake_group.rs
@@ -246,7 +246,11 @@
                 replies.push(self.reply(Err(refusal(code))));
                 continue;
             }
-            tokio::time::sleep(self.member.statement_time.get()).await;
+            let time = self.member.statement_time.get();
+            tokio::time::sleep(time.min(limit)).await;
+            if time > limit {
+                return Err(LinkError::ReplyTimeout(limit));
+            }
             let result = self.apply(statement);
             replies.push(result);
             if fault == Some(Fault::LoseReply) {
