--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -96,17 +96,26 @@
     }
 
     /// Returns the time after which a plan is given up at the member, so that its caller can repeat
-    /// it. Only single reads are given up early, those that need the primary later than others.
+    /// it. Only single reads that can be repeated elsewhere are given up early, and first attempts
+    /// that need the primary, which get more time.
     pub fn time_limit(&self, plan: &ExchangePlan, now: MonotonicTime) -> Duration {
         let statement = &plan.statement;
-        if plan.keep_reserved || statement.writes || statement.commits {
+        if plan.runs_whole_time || plan.keep_reserved || statement.writes || statement.commits {
             return plan.time_limit;
         }
         let board = self.shared.board.borrow();
         if plan.needs_primary() {
             board.repeat_time(&self.member, class_of(plan), plan.time_limit, now)
         } else {
-            board.attempt_time(class_of(plan), plan.time_limit)
+            board.attempt_time(&self.member, class_of(plan), plan.time_limit, now)
+        }
+    }
+
+    /// Applies what the instance that asks for a plan has set aside, when its request is received.
+    pub fn receive(&self, plan: &ExchangePlan, now: MonotonicTime) {
+        if let Some(notice) = &plan.capacity {
+            let mut board = self.shared.board.borrow_mut();
+            board.apply_reports(notice, now, now);
         }
     }
 
@@ -122,12 +131,6 @@
         if let Some(position) = outcome.primary_position {
             self.positions.borrow_mut().record(started, position);
         }
-        if let Some(notice) = &plan.capacity {
-            self.shared
-                .board
-                .borrow_mut()
-                .apply_notice(notice, None, now);
-        }
         if let Some(result) = sample_outcome(outcome) {
             let sample = ExchangeSample {
                 class: class_of(plan),
@@ -142,7 +145,7 @@
             );
             self.report(event, now);
         }
-        let mut notice = self.shared.board.borrow().reply_notice(&self.member, now);
+        let mut notice = self.shared.board.borrow().reply_notice(&self.member);
         notice.position = self.newest_position(now);
         outcome.capacity = Some(Box::new(notice));
     }
@@ -178,12 +181,12 @@
         });
         self.report(event, now);
         let mut board = self.shared.board.borrow_mut();
-        board.apply_notice(notice, Some(&self.member), now);
+        board.apply_reply(notice, &self.member, sent_at, now);
     }
 
     /// Returns what a request to another instance carries; `None` if there is nothing to tell.
-    pub fn notice(&self, now: MonotonicTime) -> Option<Box<CapacityNotice>> {
-        let notice = self.shared.board.borrow().notice(now);
+    pub fn notice(&self) -> Option<Box<CapacityNotice>> {
+        let notice = self.shared.board.borrow().notice();
         (!notice.reports.is_empty()).then(|| Box::new(notice))
     }
 
