Serve requests while a connection is available

After one long transaction, the mean hold time of a connection exceeded the time limits of reads. The queue then refused every request, also with free connections, and no release lowered the mean again.

The queue now gets the number of connections that are free or may be opened, and refuses a request for which one is available only after its deadline. The time that a statement needs is the mean of exchanges, without the pauses of transactions. Closed connections are samples of the hold time as well, and connections that were handed over and not used are not.

A request that waited in the queue could run for its whole time limit again; the old check hid this. The wait now counts towards the limit. The links of the test group end an exchange at its limit, as real links do: without this, a test of the home queue could not see the limit.

request_that_cannot_end_in_time_is_refused asserted the fault: a refusal of one request with four free connections. Its replacement asserts the same refusal with all connections in use, and another test that available connections are given.

--- a/crates/coriander_queue/examples/queue_orders.rs
+++ b/crates/coriander_queue/examples/queue_orders.rs
@@ -17,7 +17,9 @@
 
 const RATE: ServiceRate = ServiceRate {
     connections: 4,
+    available: 0,
     mean_hold: Duration::from_millis(20),
+    mean_exchange: Duration::from_millis(20),
 };
 
 /// Time between two connections that become free, in milliseconds.
--- a/crates/coriander_queue/src/waiting_queue.rs
+++ b/crates/coriander_queue/src/waiting_queue.rs
@@ -25,8 +25,13 @@
 pub struct ServiceRate {
     /// Number of connections that serve the queue.
     pub connections: usize,
-    /// Mean time for which a request holds its connection.
+    /// Number of connections that are free, are being opened or may be opened.
+    pub available: usize,
+    /// Mean time for which a request holds its connection. A transaction holds it during the pauses
+    /// between its statements as well.
     pub mean_hold: Duration,
+    /// Mean time of the exchange of one statement.
+    pub mean_exchange: Duration,
 }
 
 impl ServiceRate {
@@ -36,12 +41,22 @@
     /// use std::time::Duration;
     /// use coriander_queue::ServiceRate;
     ///
-    /// let rate = ServiceRate { connections: 4, mean_hold: Duration::from_millis(20) };
+    /// let rate = ServiceRate {
+    ///     connections: 4,
+    ///     available: 0,
+    ///     mean_hold: Duration::from_millis(20),
+    ///     mean_exchange: Duration::from_millis(20),
+    /// };
     /// assert_eq!(rate.interval(), Duration::from_millis(5));
     /// ```
     pub fn interval(&self) -> Duration {
         self.mean_hold.div_f64(self.connections.max(1) as f64)
     }
+
+    /// Returns how many of the requests before one have to end before it gets a connection.
+    fn waits_for(&self, ahead: usize) -> u32 {
+        u32::try_from(ahead.saturating_sub(self.available)).unwrap_or(u32::MAX)
+    }
 }
 
 /// Place of a request in the order of service; the lowest is served first.
@@ -211,7 +226,9 @@
     }
 
     /// Removes and returns the requests that cannot be served by their deadline, given the order of
-    /// service, and those above the limit of the queue.
+    /// service, and those above the limit of the queue. A request for which a connection is available
+    /// is refused only after its deadline: the means may be out of date, and only requests that are
+    /// served correct them.
     pub fn refuse_unservable(
         &mut self,
         rate: ServiceRate,
@@ -219,17 +236,19 @@
     ) -> Vec<RequestTicket> {
         let mut ranks: Vec<_> = self.ranks(now, |_| true).collect();
         ranks.sort_unstable_by(RequestRank::compare);
-        let mut ahead = 0_u32;
+        let mut ahead = 0;
         let mut refused = Vec::new();
         for rank in ranks {
             let interval = rate
                 .interval()
                 .div_f64(self.remaining_fraction(&rank, rate, now));
-            let starts_at = now + interval.saturating_mul(ahead);
+            let starts_at = now + interval.saturating_mul(rate.waits_for(ahead));
             let request = &self.requests[&rank.ticket];
-            let cannot_start = now >= request.deadline || starts_at > request.deadline;
-            let cannot_finish = starts_at + rate.mean_hold > request.finish_by;
-            if cannot_start || cannot_finish || ahead as usize >= MAX_WAITING {
+            let is_over = now >= request.deadline;
+            let cannot_end =
+                starts_at > request.deadline || starts_at + rate.mean_exchange > request.finish_by;
+            let has_no_room = ahead >= rate.available && cannot_end;
+            if is_over || has_no_room || ahead >= MAX_WAITING {
                 refused.push(rank.ticket);
             } else {
                 ahead += 1;
@@ -255,7 +274,7 @@
 
     /// Returns the expected wait of a request behind all waiting ones.
     pub fn expected_wait(&self, rate: ServiceRate) -> Duration {
-        let ahead = u32::try_from(self.requests.len()).unwrap_or(u32::MAX);
-        rate.interval().saturating_mul(ahead)
+        rate.interval()
+            .saturating_mul(rate.waits_for(self.requests.len()))
     }
 }
--- a/crates/coriander_queue/tests/waiting_queue.rs
+++ b/crates/coriander_queue/tests/waiting_queue.rs
@@ -12,7 +12,9 @@
 /// Connections and the time for which each request holds one.
 const RATE: ServiceRate = ServiceRate {
     connections: 4,
+    available: 0,
     mean_hold: Duration::from_millis(20),
+    mean_exchange: Duration::from_millis(20),
 };
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -245,14 +247,56 @@
     assert!(refused.contains(&last));
 }
 
+/// Returns a request that must have ended before the mean time of an exchange has passed.
+fn short_request(account: &str) -> QueuedRequest {
+    QueuedRequest {
+        finish_by: ms(15),
+        ..request(account, 0, 0)
+    }
+}
+
 #[test]
-fn request_that_cannot_end_in_time_is_refused() {
-    // Guards against a statement that is sent although its reply will come after its timeout.
+fn waiting_request_that_cannot_end_in_time_is_refused() {
+    // Guards against a statement that is sent although its reply will come after its timeout. All
+    // connections are in use, so that the request waits.
     let mut queue = WaitingQueue::default();
-    let short = QueuedRequest {
-        finish_by: ms(15),
+    let ticket = queue.enqueue(short_request("a"), ms(0));
+    assert_eq!(RATE.available, 0);
+    assert_eq!(queue.refuse_unservable(RATE, ms(0)), [ticket]);
+}
+
+#[test]
+fn request_with_an_available_connection_is_not_refused() {
+    // Guards against a mean above the time limits, which nothing lowers if it refuses every request.
+    let mut queue = WaitingQueue::default();
+    let first = queue.enqueue(short_request("a"), ms(0));
+    let second = queue.enqueue(short_request("b"), ms(0));
+    let behind = queue.enqueue(short_request("c"), ms(0));
+    let rate = ServiceRate {
+        available: 2,
+        mean_hold: Duration::from_secs(10),
+        ..RATE
+    };
+    assert_eq!(queue.refuse_unservable(rate, ms(0)), [behind]);
+    assert_eq!(queue.in_order(ms(0)), [first, second]);
+    let mut over = queue.refuse_unservable(rate, ms(800));
+    over.sort_unstable();
+    assert_eq!(over, [first, second], "their deadline has passed");
+}
+
+#[test]
+fn pauses_of_transactions_do_not_count_as_time_of_a_statement() {
+    // Guards against refusing a short statement because transactions hold their connections longer
+    // than its time limit.
+    let mut queue = WaitingQueue::default();
+    let statement = QueuedRequest {
+        finish_by: ms(360),
         ..request("a", 0, 0)
     };
-    let ticket = queue.enqueue(short, ms(0));
-    assert_eq!(queue.refuse_unservable(RATE, ms(0)), [ticket]);
+    queue.enqueue(statement, ms(0));
+    let rate = ServiceRate {
+        mean_hold: Duration::from_millis(600),
+        ..RATE
+    };
+    assert!(queue.refuse_unservable(rate, ms(0)).is_empty());
 }
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -27,6 +27,9 @@
     connection: Option<PooledConnection>,
     /// Whether a transaction is open on it.
     in_transaction: bool,
+    /// Time for which the first exchange waited in an ordered queue. The time limit of its plan
+    /// includes it.
+    waited: Duration,
     _request_guard: RequestGuard,
 }
 
@@ -36,7 +39,8 @@
         let request_guard = member.begin_request();
         let capacity = member.capacity.as_ref();
         let waiting = capacity.map(|capacity| capacity.begin(BootClock.now()));
-        let request = ConnectionRequest::new(plan, BootClock.now());
+        let started = BootClock.now();
+        let request = ConnectionRequest::new(plan, started);
         let result = member.pool.acquire(&request).await;
         drop(waiting);
         match result {
@@ -44,6 +48,11 @@
                 member: member.clone(),
                 connection: Some(connection),
                 in_transaction: false,
+                waited: if member.pool.is_ordered() {
+                    BootClock.now().since(started)
+                } else {
+                    Duration::ZERO
+                },
                 _request_guard: request_guard,
             }),
             Err(error) => {
@@ -73,7 +82,19 @@
     }
 
     async fn execute(&mut self, plan: &ExchangePlan, time_limit: Duration) -> ExchangeOutcome {
-        let deadline = BootClock.now() + time_limit;
+        let started = BootClock.now();
+        let time_limit = time_limit.saturating_sub(std::mem::take(&mut self.waited));
+        let outcome = self.execute_until(plan, started + time_limit).await;
+        let took = BootClock.now().since(started);
+        self.member.pool.record_exchange(took);
+        outcome
+    }
+
+    async fn execute_until(
+        &mut self,
+        plan: &ExchangePlan,
+        deadline: MonotonicTime,
+    ) -> ExchangeOutcome {
         let mut primary_position = None;
         if let Some(begin) = plan.begin {
             match self.begin(begin, deadline).await {
--- a/crates/coriander_service/src/members/member_pool.rs
+++ b/crates/coriander_service/src/members/member_pool.rs
@@ -45,8 +45,8 @@
 /// Idle time after which connections above `max_idle` are closed.
 const SURPLUS_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Weight of the newest sample in the mean hold time of a connection.
-const HOLD_TIME_WEIGHT: f64 = 0.1;
+/// Weight of the newest sample in the mean hold time of a connection and the mean exchange time.
+const NEW_SAMPLE_WEIGHT: f64 = 0.1;
 
 /// Fraction of the remaining time that the expected wait of a request may take.
 const MAX_WAIT_FRACTION: f64 = 0.8;
@@ -68,9 +68,22 @@
     pub(crate) last_failure: Option<(MonotonicTime, LinkError)>,
     /// Mean time for which an operation holds a connection, in seconds.
     pub(crate) mean_hold_secs: f64,
+    /// Mean time of the exchange of one statement, in seconds.
+    pub(crate) mean_exchange_secs: f64,
     pub(crate) is_closed: bool,
 }
 
+impl PoolState {
+    fn record_hold(&mut self, held: Duration) {
+        let held = held.as_secs_f64();
+        if self.ordered.is_some() && self.mean_hold_secs == 0.0 {
+            // A mean that starts at zero would admit requests that cannot end in time.
+            self.mean_hold_secs = held;
+        }
+        self.mean_hold_secs += NEW_SAMPLE_WEIGHT * (held - self.mean_hold_secs);
+    }
+}
+
 /// Connections to one member.
 pub struct MemberPool {
     connector: Rc<dyn MemberConnector>,
@@ -109,6 +122,11 @@
         self.state.borrow_mut().ordered = is_ordered.then(OrderedWaiting::default);
     }
 
+    /// Returns whether the queue decides the order of waiting requests.
+    pub(crate) fn is_ordered(&self) -> bool {
+        self.state.borrow().ordered.is_some()
+    }
+
     /// Returns the waits for connections since the last call, if the queue decides their order.
     pub fn take_waits(&self) -> Vec<ConnectionWait> {
         let mut state = self.state.borrow_mut();
@@ -377,15 +395,32 @@
 
     /// Returns a connection to the pool after its transaction has ended. One that cannot be reused
     /// is closed.
-    pub fn release(&self, mut connection: PooledConnection) {
+    pub fn release(&self, connection: PooledConnection) {
         let now = self.clock.now();
+        self.state
+            .borrow_mut()
+            .record_hold(now.since(connection.last_used));
+        self.return_connection(connection, now);
+    }
+
+    /// Returns a connection that was handed over to a request and not used. It gives no sample of the
+    /// hold time, as that would let the queue expect connections earlier than they become free.
+    pub(crate) fn return_unused(&self, connection: PooledConnection) {
+        self.return_connection(connection, self.clock.now());
+    }
+
+    /// Records the time that the exchange of one statement took.
+    pub(crate) fn record_exchange(&self, took: Duration) {
         let mut state = self.state.borrow_mut();
-        let held = now.since(connection.last_used).as_secs_f64();
-        if state.ordered.is_some() && state.mean_hold_secs == 0.0 {
-            // A mean that starts at zero would admit requests that cannot end in time.
-            state.mean_hold_secs = held;
+        let took = took.as_secs_f64();
+        if state.mean_exchange_secs == 0.0 {
+            state.mean_exchange_secs = took;
         }
-        state.mean_hold_secs += HOLD_TIME_WEIGHT * (held - state.mean_hold_secs);
+        state.mean_exchange_secs += NEW_SAMPLE_WEIGHT * (took - state.mean_exchange_secs);
+    }
+
+    fn return_connection(&self, mut connection: PooledConnection, now: MonotonicTime) {
+        let mut state = self.state.borrow_mut();
         connection.last_used = now;
         if let Some(ordered) = &mut state.ordered {
             ordered.end_use(&connection.account);
@@ -410,15 +445,20 @@
     /// Closes a connection.
     pub fn discard(&self, connection: PooledConnection) {
         let account = connection.account.clone();
+        let now = self.clock.now();
+        let held = now.since(connection.last_used);
         drop(connection);
         let mut state = self.state.borrow_mut();
         state.open_count -= 1;
+        if state.ordered.is_some() {
+            state.record_hold(held);
+        }
         if let Some(ordered) = &mut state.ordered {
             ordered.end_use(&account);
         }
         state.waiters.wake_all();
         drop(state);
-        self.dispatch(self.clock.now());
+        self.dispatch(now);
     }
 
     /// Closes all idle connections, and every other one when it is released.
--- a/crates/coriander_service/src/members/ordered_waiting.rs
+++ b/crates/coriander_service/src/members/ordered_waiting.rs
@@ -240,15 +240,18 @@
     }
 
     fn service_rate(&self, state: &PoolState, now: MonotonicTime) -> ServiceRate {
-        let connections = if now < state.connect_after {
+        let max_open = self.max_open.get();
+        let (connections, may_open) = if now < state.connect_after {
             // The member takes no more connections at the moment.
-            state.open_count - state.opening_count
+            (state.open_count - state.opening_count, 0)
         } else {
-            self.max_open.get()
+            (max_open, max_open.saturating_sub(state.open_count))
         };
         ServiceRate {
             connections: connections.max(1),
+            available: state.idle.len() + state.opening_count + may_open,
             mean_hold: Duration::from_secs_f64(state.mean_hold_secs),
+            mean_exchange: Duration::from_secs_f64(state.mean_exchange_secs),
         }
     }
 
@@ -418,7 +421,7 @@
             ordered.callers.remove(&self.ticket);
         });
         if let Ok(Ok(connection)) = handed_over {
-            self.pool.release(connection);
+            self.pool.return_unused(connection);
         }
     }
 }
--- a/crates/coriander_service/tests/ordered_waiting.rs
+++ b/crates/coriander_service/tests/ordered_waiting.rs
@@ -217,3 +217,24 @@
     assert_eq!(member_pool_counts(&service), (0, 0));
     assert!(started.elapsed() < Duration::from_millis(800));
 }
+
+#[ntex::test]
+async fn long_transaction_leaves_room_for_reads_of_other_accounts() {
+    // Guards against an instance that refuses every request after a transaction that held its
+    // connection for longer than the time limit of a read.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_ordered(&group, 4, 8).await;
+    let mut session = open_as(&service, DATABASE, 0).await;
+    run(&mut session, "b", "BEGIN").await;
+    for index in 0..4 {
+        let response = run(&mut session, &format!("r{index}"), "READ 1").await;
+        assert!(response.result.is_ok(), "{:?}", response.result);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    let response = run(&mut session, "c", "COMMIT").await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    for index in 0..12 {
+        let (response, _) = read_as(&service, DATABASE, 1 + index % 3).await;
+        assert!(response.result.is_ok(), "{index}: {:?}", response.result);
+    }
+}
--- a/crates/coriander_service/tests/support/fake_group.rs
+++ b/crates/coriander_service/tests/support/fake_group.rs
@@ -231,6 +231,8 @@
         statements: &[MemberStatement],
         limit: Duration,
     ) -> Result<ReplyBatch, LinkError> {
+        // A link ends an exchange at its limit, also when the member would reply later.
+        let mut remaining = limit;
         let mut replies = ReplyBatch::new();
         for statement in statements {
             let word = first_word(statement);
@@ -246,7 +248,13 @@
                 replies.push(self.reply(Err(refusal(code))));
                 continue;
             }
-            tokio::time::sleep(self.member.statement_time.get()).await;
+            let statement_time = self.member.statement_time.get();
+            if statement_time > remaining {
+                tokio::time::sleep(remaining).await;
+                return Err(LinkError::ReplyTimeout(limit));
+            }
+            remaining -= statement_time;
+            tokio::time::sleep(statement_time).await;
             let result = self.apply(statement);
             replies.push(result);
             if fault == Some(Fault::LoseReply) {
