Retry a read at once only if another member can be chosen

A read that a full member refused was retried without a pause while another member was usable, also if the warm-up gate of that member was shut. It was then never chosen, and the read returned to the full member in a loop without a pause until its timeout (740 ms in the new test, without this change).

has_read_target now checks the gate without counting a statement.

--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -316,12 +316,13 @@
             && !member.is_lagging(now)
     }
 
-    /// Returns whether a read may be sent to a member that is not one of `tried`.
+    /// Returns whether [`choose_read_target`](Self::choose_read_target) would choose a member. Callers
+    /// retry without a delay if it would: a member that is never chosen must not count.
     pub fn has_read_target(&self, tried: &[Arc<str>], now: MonotonicTime) -> bool {
         let members = self.members.borrow();
-        members
-            .iter()
-            .any(|member| Self::is_read_target(member, tried, now))
+        members.iter().any(|member| {
+            Self::is_read_target(member, tried, now) && member.would_admit_statement(now)
+        })
     }
 
     /// Chooses the read target with the lowest cost for an account, leaving out `tried` members.
--- a/crates/coriander_service/src/members/member.rs
+++ b/crates/coriander_service/src/members/member.rs
@@ -180,6 +180,17 @@
         }
     }
 
+    /// Returns whether [`admit_statement`](Self::admit_statement) would admit a statement, without
+    /// counting one.
+    pub(crate) fn would_admit_statement(&self, now: MonotonicTime) -> bool {
+        match self.cold_share.get() {
+            Some(share) if now < self.cold_until.get() => {
+                self.warm_up_gate.borrow().is_open(share, now)
+            }
+            _ => true,
+        }
+    }
+
     pub(crate) fn is_lagging(&self, now: MonotonicTime) -> bool {
         now < self.lagging_until.get()
     }
--- a/crates/coriander_service/src/members/warm_up_gate.rs
+++ b/crates/coriander_service/src/members/warm_up_gate.rs
@@ -35,11 +35,28 @@
         {
             self.sent_at.pop_front();
         }
-        if self.sent_at.len() >= share {
-            return false;
+        let is_open = self.is_open(share, now);
+        if is_open {
+            self.sent_at.push_back(now);
         }
-        self.sent_at.push_back(now);
-        true
+        is_open
+    }
+
+    /// Returns whether [`admit`](Self::admit) would admit a statement, without counting one.
+    ///
+    /// ```
+    /// use coriander_core::MonotonicTime;
+    /// use coriander_service::WarmUpGate;
+    ///
+    /// let mut gate = WarmUpGate::default();
+    /// let now = MonotonicTime::from_millis(5_000);
+    /// assert!(gate.is_open(1, now));
+    /// assert!(gate.admit(1, now));
+    /// assert!(!gate.is_open(1, now));
+    /// ```
+    pub fn is_open(&self, share: usize, now: MonotonicTime) -> bool {
+        let is_recent = |sent_at: &&MonotonicTime| now.since(**sent_at) < WINDOW;
+        self.sent_at.iter().filter(is_recent).count() < share
     }
 
     /// Returns how many statements per second the instance with a rank may send, so that all
--- a/crates/coriander_service/tests/ordered_waiting.rs
+++ b/crates/coriander_service/tests/ordered_waiting.rs
@@ -13,7 +13,7 @@
     ServiceFeatures, SessionHost, SessionResponse,
 };
 
-use support::{DATABASE, FakeGroup, GROUP, apply, config, run, start_with};
+use support::{DATABASE, FakeGroup, GROUP, apply, config, open, run, start_with};
 
 /// Latency target of the urgent database; [`config`] has the same for the usual one.
 const TARGET: Duration = Duration::from_millis(150);
@@ -21,6 +21,16 @@
 /// Database whose requests are served before those of [`DATABASE`].
 const URGENT_DATABASE: &str = "urgent";
 
+fn ordered_settings() -> ServiceSettings {
+    let features = ServiceFeatures {
+        ordered_waiting: true,
+        ..ServiceFeatures::default()
+    };
+    ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 0).into())
+        .with_platform_fences(true)
+        .with_features(features)
+}
+
 /// Starts an instance with ordered waiting and `count` accounts, each with a key `key-N`. The
 /// home instance of a member may open `connections` of them.
 async fn start_ordered(
@@ -28,14 +38,7 @@
     count: usize,
     connections: usize,
 ) -> Rc<SessionService> {
-    let features = ServiceFeatures {
-        ordered_waiting: true,
-        ..ServiceFeatures::default()
-    };
-    let settings = ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 0).into())
-        .with_platform_fences(true)
-        .with_features(features);
-    let service = start_with(group, settings).await;
+    let service = start_with(group, ordered_settings()).await;
     let mut config = config(1, ReadFreshness::Newest);
     let urgent = DatabaseRoute {
         database: URGENT_DATABASE.into(),
@@ -238,3 +241,50 @@
         assert!(response.result.is_ok(), "{index}: {:?}", response.result);
     }
 }
+
+#[ntex::test]
+async fn read_refused_by_a_full_member_does_not_retry_for_a_cold_one() {
+    // Guards against attempts in a loop without a pause: the full member refuses at once, and the
+    // other one is cold and takes no statement, so that no member is left to try.
+    let freshness = ReadFreshness::OwnWrites { max_age: None };
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start_with(&group, ordered_settings()).await;
+    let mut config = config(2, freshness);
+    let limits = config.groups.get_mut(GROUP).expect("group is configured");
+    limits.connections_per_member = 1;
+    limits.warm_up_rate = Some(0.0);
+    let mut entries = group.entries();
+    for entry in entries.iter_mut().filter(|entry| &*entry.id == "b") {
+        entry.warm_up_remaining = Duration::from_secs(5);
+    }
+    apply(&service, config, entries);
+    // An exchange takes longer than an attempt of a read may, so that the queue refuses reads while
+    // the only connection is in use.
+    group
+        .member("a")
+        .statement_time
+        .set(Duration::from_millis(200));
+    let mut transaction = open(&service).await;
+    run(&mut transaction, "b", "BEGIN").await;
+    let response = run(&mut transaction, "t", "READ 1").await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let mut session = open(&service).await;
+    let started = Instant::now();
+    let response = run(&mut session, "q", "READ 1").await;
+    let failure = response.result.expect_err("no member has room");
+    assert_eq!(failure.reason, FailureReason::NoConnection);
+    assert!(
+        started.elapsed() < Duration::from_millis(100),
+        "refused after {:?}",
+        started.elapsed()
+    );
+    let metrics = service.encode_metrics();
+    let refused = metrics
+        .lines()
+        .filter(|line| line.contains("attempts") && line.contains("no_room"));
+    let refused: Vec<_> = refused.collect();
+    assert!(
+        refused.len() == 1 && refused[0].ends_with(" 1"),
+        "one attempt is refused: {metrics}"
+    );
+}
