--- a/crates/coriander_memory/src/byte_budget.rs
+++ b/crates/coriander_memory/src/byte_budget.rs
@@ -17,6 +17,10 @@
 /// messages, because a message that is refused can be repeated.
 const ANSWER_GRACE: Duration = Duration::from_secs(3);
 
+/// Time for which nobody else is chosen after a holder. A session whose statement runs or whose
+/// transaction is open gives its bytes back later than that.
+const REVOKE_WAIT: Duration = Duration::from_millis(500);
+
 /// Identifier of a grant.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct HolderId(u64);
@@ -28,7 +32,8 @@
     covered_until: MonotonicTime,
     /// Whether its bytes are in use by the process itself, so that it cannot give them back.
     is_busy: bool,
-    is_revoked: bool,
+    /// Time at which it was chosen to give its bytes back.
+    revoked_at: Option<MonotonicTime>,
 }
 
 /// The bytes of each share and their holders.
@@ -93,7 +98,7 @@
             bytes,
             covered_until: now,
             is_busy: false,
-            is_revoked: false,
+            revoked_at: None,
         };
         self.holders.insert(id, holder);
         id
@@ -131,17 +136,18 @@
     }
 
     /// Sets whether a holder's bytes are in use by the process itself. Afterwards the holder counts
-    /// as up to date.
+    /// as up to date, and can be chosen again.
     pub fn set_busy(&mut self, id: HolderId, is_busy: bool, now: MonotonicTime) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.is_busy = is_busy;
             holder.covered_until = now;
+            holder.revoked_at = None;
         }
     }
 
     /// Chooses the holder that has to give its bytes back: the largest, and of these the one that
-    /// is most behind. It is not chosen again. Returns `None` if nobody is behind, or if an earlier
-    /// choice has not given its bytes back yet.
+    /// is most behind. It is not chosen again. Returns `None` if nobody is behind, or if the last
+    /// choice still has time to give its bytes back.
     pub fn choose_victim(&mut self, share: MemoryShare, now: MonotonicTime) -> Option<HolderId> {
         let grace = match share {
             MemoryShare::Answers => ANSWER_GRACE,
@@ -152,17 +158,24 @@
                 .iter()
                 .filter(|(_, found)| found.share == share)
         };
-        if in_share().any(|(_, holder)| holder.is_revoked) {
+        let is_releasing = |holder: &Holder| {
+            let chosen = holder.revoked_at;
+            chosen.is_some_and(|chosen| now.since(chosen) < REVOKE_WAIT)
+        };
+        if in_share().any(|(_, holder)| is_releasing(holder)) {
             return None;
         }
-        let is_behind =
-            |holder: &Holder| !holder.is_busy && now.since(holder.covered_until) >= grace;
+        let is_behind = |holder: &Holder| {
+            !holder.is_busy
+                && holder.revoked_at.is_none()
+                && now.since(holder.covered_until) >= grace
+        };
         let (id, _) = in_share()
             .filter(|(_, holder)| is_behind(holder))
             .max_by_key(|(_, holder)| (holder.bytes, now.since(holder.covered_until)))?;
         let id = *id;
         if let Some(holder) = self.holders.get_mut(&id) {
-            holder.is_revoked = true;
+            holder.revoked_at = Some(now);
         }
         Some(id)
     }
--- a/crates/coriander_memory/tests/byte_budget.rs
+++ b/crates/coriander_memory/tests/byte_budget.rs
@@ -76,3 +76,19 @@
     let now = MonotonicTime::from_millis(60_000);
     assert_eq!(budget.choose_victim(share, now), None);
 }
+
+#[test]
+fn choose_victim_goes_on_after_a_holder_that_keeps_its_bytes() {
+    // Guards against a session inside a transaction that blocks its share after it was chosen.
+    let mut budget = small_budget();
+    let share = MemoryShare::Sessions;
+    let mut reserve = |bytes| budget.reserve(share, bytes, MonotonicTime::ZERO);
+    let stuck = reserve(1 << 20).expect("free");
+    let other = reserve(1 << 19).expect("free");
+    let chosen = MonotonicTime::from_millis(2_000);
+    assert_eq!(budget.choose_victim(share, chosen), Some(stuck));
+    let soon = MonotonicTime::from_millis(2_400);
+    assert_eq!(budget.choose_victim(share, soon), None);
+    let later = MonotonicTime::from_millis(2_500);
+    assert_eq!(budget.choose_victim(share, later), Some(other));
+}
