Keep a shortage of memory apart from faults of members

Rows without memory ended as a lost connection or a missing reply, which counted against the member. The new error is ignored by the health and the learned capacity of members; a read is repeated, a write that was sent is in doubt.

--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -218,7 +218,7 @@
     /// connection attempt or health probe decides whether the member is down.
     fn discard_connection(&mut self, error: &LinkError) {
         log::info!(member = &*self.member.id, error:% = error; "connection to a member closed");
-        if !matches!(error, LinkError::ReplyTimeout(_)) {
+        if !matches!(error, LinkError::ReplyTimeout(_) | LinkError::NoMemory) {
             self.member.suspect_restart(BootClock.now());
         }
         self.in_transaction = false;
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -259,6 +259,11 @@
             ExchangeError::NoReply(LinkError::ReplyTimeout(_))
             | ExchangeError::NotSent(PoolError::Connect(LinkError::ReplyTimeout(_))),
         ) => Some(SampleOutcome::Unanswered),
+        // The member has replied; the memory of an instance was short.
+        Err(
+            ExchangeError::NoReply(LinkError::NoMemory)
+            | ExchangeError::NotSent(PoolError::Connect(LinkError::NoMemory)),
+        ) => None,
         Err(ExchangeError::NoReply(_)) => Some(SampleOutcome::Failed),
         Err(ExchangeError::NotSent(PoolError::Connect(link))) => match link {
             LinkError::Declined(refusal) => refusal_outcome(refusal.code),
--- a/crates/coriander_service/src/sessions/attempt.rs
+++ b/crates/coriander_service/src/sessions/attempt.rs
@@ -180,6 +180,7 @@
 pub const fn link_reason(link: &LinkError) -> FailureReason {
     match link {
         LinkError::ReplyTimeout(_) => FailureReason::MemberSilent,
+        LinkError::NoMemory => FailureReason::NoMemory,
         _ => FailureReason::ConnectionLost,
     }
 }
--- a/crates/coriander_service/tests/member_capacity.rs
+++ b/crates/coriander_service/tests/member_capacity.rs
@@ -91,6 +91,23 @@
     assert!(reads_at(&group, &member) > before);
 }
 
+#[ntex::test]
+async fn member_is_not_set_aside_for_the_memory_of_the_instance() {
+    // Guards against clients that exhaust memory for rows and so take healthy members out of use.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let service = start_learning(&group).await;
+    let mut session = open(&service).await;
+    read(&mut session, LEARNING_READS).await;
+    let member = last_member(&group);
+    for _ in 0..40 {
+        group.add_fault(&member, "READ", Fault::NoMemory);
+    }
+    read(&mut session, 40).await;
+    let left = group.member(&member).faults.borrow()["READ"].len();
+    assert!(left < 40, "the member was read without memory");
+    assert!(!service.describe().contains("set_aside=failing"));
+}
+
 #[ntex::test]
 async fn writes_go_to_a_primary_that_is_set_aside_for_reads() {
     // Guards against refusing writes that only the primary can run.
--- a/crates/coriander_service/tests/statements.rs
+++ b/crates/coriander_service/tests/statements.rs
@@ -112,6 +112,18 @@
     assert_eq!(group.ran_texts(), ["a WRITE 1 x"]);
 }
 
+#[ntex::test]
+async fn write_without_memory_for_its_reply_is_in_doubt() {
+    // Guards against a write that is refused or repeated although the member has run it.
+    let group = FakeGroup::new(&["a", "b"]);
+    let service = start(&group, ReadFreshness::Newest).await;
+    group.add_fault("a", "WRITE", Fault::NoMemory);
+    let mut session = open(&service).await;
+    let response = run(&mut session, "w1", "WRITE 1 x").await;
+    assert_eq!(code(&response), Some(FailureCode::InDoubt));
+    assert_eq!(group.ran_texts(), ["a WRITE 1 x"]);
+}
+
 #[ntex::test]
 async fn write_is_retried_when_the_member_did_not_run_it() {
     let group = FakeGroup::new(&["a", "b"]);
--- a/crates/coriander_service/tests/support/fake_group.rs
+++ b/crates/coriander_service/tests/support/fake_group.rs
@@ -21,6 +21,8 @@
 pub enum Fault {
     /// Runs the statement and sends no reply.
     LoseReply,
+    /// Runs the statement, and the instance has no memory for the reply.
+    NoMemory,
     /// Refuses the statement.
     Refuse(FailureCode),
 }
@@ -249,6 +251,9 @@
             tokio::time::sleep(self.member.statement_time.get()).await;
             let result = self.apply(statement);
             replies.push(result);
+            if fault == Some(Fault::NoMemory) {
+                return Err(LinkError::NoMemory);
+            }
             if fault == Some(Fault::LoseReply) {
                 tokio::time::sleep(limit).await;
                 return Err(LinkError::ReplyTimeout(limit));
--- a/crates/coriander_service_api/src/member_link.rs
+++ b/crates/coriander_service_api/src/member_link.rs
@@ -130,6 +130,10 @@
     /// The reply could not be parsed.
     #[error("member sent an invalid reply: {0}")]
     Invalid(String),
+    /// This process has no memory for the reply; the statements may have run. It shows nothing
+    /// about the member.
+    #[error("no memory for the reply of the member")]
+    NoMemory,
 }
 
 impl LinkError {
