Serve readiness apart from metrics

Some 60 silent connections used up the limit and the short queue that readiness shared with metrics, and the platform's check took a healthy instance out.

--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -21,8 +21,8 @@
 use ntex::web::types::State;
 use ntex::web::{self, App, HttpResponse};
 use platform_adapter::{
-    BoundedConnector, KvStore, MemoryGate, PromotionClient, READINESS_PATH, UsageClient,
-    serve_clients,
+    BoundedConnector, KvStore, MemoryGate, PromotionClient, UsageClient, serve_clients,
+    serve_readiness,
 };
 use rand::Rng;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
@@ -41,7 +41,7 @@
 
 /// Maximum duration of one usage report; a report is repeated each second.
 const USAGE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Maximum number of connections for readiness and metrics; further ones wait to be accepted.
+/// Maximum number of connections for metrics; further ones wait to be accepted.
 const MAX_HTTP_CONNECTIONS: usize = 32;
 
 thread_local! {
@@ -61,12 +61,11 @@
     path: PathBuf,
     settings: SessionSettings,
 ) -> Result<(), StartError> {
-    let readiness = bind_http(settings.readiness_address)?;
     let metrics = bind_http(settings.metrics_address)?;
     let (events, mut event_receiver) = tokio::sync::mpsc::unbounded_channel();
     let (stop_sender, _) = tokio::sync::broadcast::channel::<()>(1);
     let worker_stop = stop_sender.clone();
-    let address = settings.readiness_address;
+    let address = settings.metrics_address;
     let server = ntex::server::build()
         .workers(1)
         .disable_signals()
@@ -95,23 +94,14 @@
                 }
             }
         })
-        .listen("readiness", readiness, async |_| {
+        .listen("metrics", metrics, async |_| {
             HttpService::new(
                 App::new()
                     .state(current_service())
-                    .route(READINESS_PATH, web::get().to(ready)),
+                    .route("/metrics", web::get().to(show_metrics))
+                    .route("/state", web::get().to(show_state)),
             )
         })
-        .and_then(|builder| {
-            builder.listen("metrics", metrics, async |_| {
-                HttpService::new(
-                    App::new()
-                        .state(current_service())
-                        .route("/metrics", web::get().to(show_metrics))
-                        .route("/state", web::get().to(show_state)),
-                )
-            })
-        })
         .map_err(|source| StartError::Listen { address, source })?
         .run();
     if let Some(WorkerEvent::Failed(error)) = event_receiver.recv().await {
@@ -128,14 +118,6 @@
     Ok(())
 }
 
-async fn ready(service: State<Rc<SessionService>>) -> HttpResponse {
-    if service.is_ready() {
-        HttpResponse::Ok().finish()
-    } else {
-        HttpResponse::ServiceUnavailable().finish()
-    }
-}
-
 async fn show_metrics(service: State<Rc<SessionService>>) -> HttpResponse {
     HttpResponse::Ok()
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
@@ -159,8 +141,13 @@
         .expect("the worker has started the service")
 }
 
-fn bind(address: SocketAddr) -> Result<std::net::TcpListener, StartError> {
-    std::net::TcpListener::bind(address).map_err(listen_error(address))
+fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listen = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    };
+    listen().map_err(listen_error(address))
 }
 
 /// Binds an address for HTTP. With a short queue, the limit of connections takes effect before the
@@ -188,10 +175,7 @@
     let process: InstanceId = format!("{name}-{:08x}", epoch as u32).parse()?;
     settings.service = settings.service.with_process_id(process.as_str());
     let listener = bind(settings.session_address)?;
-    let listener = listener
-        .set_nonblocking(true)
-        .and_then(|()| TcpListener::from_std(listener))
-        .map_err(listen_error(settings.session_address))?;
+    let readiness = bind(settings.readiness_address)?;
     let socket = UdpSocket::bind(settings.service.peer_address)
         .await
         .map_err(listen_error(settings.service.peer_address))?;
@@ -232,6 +216,8 @@
     }
     ntex::rt::spawn(promotions.run());
     ntex::rt::spawn(serve_clients(listener, service.clone(), gate));
+    let state = service.clone();
+    ntex::rt::spawn(serve_readiness(readiness, move || state.is_ready()));
     ntex::rt::spawn(watch_settings(path, service.clone()));
     let settings = service.settings();
     log::info!(
