Close answers that are read too slowly as a whole

One byte each 9 s kept a session, its connection to a member and its open transaction without bound. An answer is closed when its reader is 10 s behind 16 KiB/s, and the idle limit of a transaction applies meanwhile.

--- a/crates/coriander_memory/src/byte_budget.rs
+++ b/crates/coriander_memory/src/byte_budget.rs
@@ -8,7 +8,7 @@
 use crate::{MemoryLimits, MemoryShare};
 
 /// Rate below which a holder falls behind: an eighth of a slow link of 1 Mbit/s.
-const MIN_BYTES_PER_SEC: f64 = 16_384.0;
+pub(crate) const MIN_BYTES_PER_SEC: f64 = 16_384.0;
 
 /// Time by which the sender of a message may be behind before it can be refused.
 const INPUT_GRACE: Duration = Duration::from_secs(1);
--- a/crates/coriander_memory/src/lib.rs
+++ b/crates/coriander_memory/src/lib.rs
@@ -13,7 +13,9 @@
 mod byte_budget;
 mod connection_table;
 mod memory_limits;
+mod write_pace;
 
 pub use byte_budget::{ByteBudget, HolderId};
 pub use connection_table::{Admission, ConnectionNumber, ConnectionTable};
 pub use memory_limits::{MachineLimits, MemoryLimits, MemoryShare};
+pub use write_pace::WritePace;
