Replace sessions whose transaction the idle limit has ended

Their state stayed open in the front, so they were never replaced. A newcomer also takes the longest idle session of a smaller account when the largest has none.

--- a/crates/coriander_memory/src/connection_table.rs
+++ b/crates/coriander_memory/src/connection_table.rs
@@ -1,5 +1,6 @@
 //! Admits client connections, and chooses which to close when there are too many.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -65,7 +66,7 @@
     }
 
     /// Admits a connection. Over the limits it replaces the oldest connection that has not sent
-    /// its first line, or the longest idle session of the account with the most sessions.
+    /// its first line, or the longest idle session of the largest account that has one.
     ///
     /// ```
     /// use coriander_memory::{Admission, ConnectionTable, MachineLimits, MemoryLimits};
@@ -78,13 +79,8 @@
         let admission = if self.unidentified.len() >= self.limits.max_unidentified {
             self.oldest_unidentified()
         } else if self.connections.len() >= self.limits.max_connections {
-            let largest = self
-                .account_sessions
-                .iter()
-                .max_by_key(|(_, count)| **count);
-            let largest = largest.map(|(account, _)| account.clone());
-            let idle = largest.and_then(|account| self.longest_idle(&account));
-            idle.or_else(|| self.oldest_unidentified())
+            self.idle_of_largest()
+                .or_else(|| self.oldest_unidentified())
                 .or(Some(Admission::Refused))
         } else {
             Some(Admission::Admitted)
@@ -109,6 +105,14 @@
         self.unidentified.first().copied().map(Admission::Replaces)
     }
 
+    fn idle_of_largest(&self) -> Option<Admission> {
+        let idle = self.connections.iter().filter_map(|(number, connection)| {
+            let count = self.account_sessions.get(connection.account.as_ref()?)?;
+            Some((Reverse(*count), connection.last_use?, *number))
+        });
+        idle.min().map(|(_, _, number)| Admission::Replaces(number))
+    }
+
     fn longest_idle(&self, account: &str) -> Option<Admission> {
         let sessions = self.connections.iter();
         let idle = sessions.filter_map(|(number, connection)| {
--- a/crates/coriander_memory/tests/connection_table.rs
+++ b/crates/coriander_memory/tests/connection_table.rs
@@ -42,6 +42,21 @@
     assert_eq!(table.len(), limits.max_connections);
 }
 
+#[test]
+fn accept_replaces_session_of_smaller_account_when_the_largest_has_none_idle() {
+    // Guards against an account whose sessions are all in use and so refuse newcomers, although
+    // other accounts have idle ones.
+    let (mut table, limits) = small_table();
+    let (crowd, other): (Arc<str>, Arc<str>) = ("crowd".into(), "other".into());
+    for number in 0..limits.max_connections {
+        let (connection, _) = table.accept();
+        let account = if number < 4 { &other } else { &crowd };
+        table.identify(connection, account);
+        table.set_idle(connection, number < 4);
+    }
+    assert_eq!(table.accept().1, Admission::Replaces(1));
+}
+
 #[test]
 fn accept_refuses_when_every_session_is_in_use() {
     // Guards against a statement whose connection is closed for a newcomer.
--- a/crates/coriander_service/src/sessions/session.rs
+++ b/crates/coriander_service/src/sessions/session.rs
@@ -467,6 +467,10 @@
         response
     }
 
+    fn transaction(&self) -> TransactionStatus {
+        self.status()
+    }
+
     async fn wait_for_close(&mut self) {
         loop {
             let changed = self.service.phase_changed.notified();
--- a/crates/coriander_service_api/src/session_host.rs
+++ b/crates/coriander_service_api/src/session_host.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 
-use crate::{ClientStatement, SessionFailure, SessionResponse};
+use crate::{ClientStatement, SessionFailure, SessionResponse, TransactionStatus};
 
 /// Opens sessions for a protocol front.
 #[async_trait(?Send)]
@@ -30,6 +30,10 @@
     /// open transaction is kept.
     fn refuse(&mut self) -> SessionResponse;
 
+    /// Returns the state of the transaction. An idle limit may have ended it since the last
+    /// response.
+    fn transaction(&self) -> TransactionStatus;
+
     /// Executes one statement.
     async fn execute(&mut self, statement: ClientStatement) -> SessionResponse;
 
