--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -1,6 +1,7 @@
 //! Server for the connections of other instances.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -8,10 +9,20 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 use crate::boot_clock::BootClock;
 use crate::peer_connection::{FrameReader, PeerFrame, ReadError, start_writer};
 
+/// Maximum number of connections that have not sent a valid frame. An instance sends one as soon as
+/// it is connected.
+const MAX_UNKNOWN_CONNECTIONS: usize = 32;
+
+/// Time limit for the first frame of a connection. Longer than any round trip between instances,
+/// and short enough that silent connections do not keep instances away.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Identifier of an accepted connection, unique within the process.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct ConnectionId(u64);
@@ -23,6 +34,12 @@
     /// than `remaining`.
     async fn handle(&self, connection: ConnectionId, request: Q, remaining: Duration) -> R;
 
+    /// Counts a request and its size on the connection.
+    fn record_request(&self, _request: &Q, _bytes: usize) {}
+
+    /// Counts a reply and its size on the connection.
+    fn record_reply(&self, _reply: &R, _bytes: usize) {}
+
     /// Called after a connection has ended.
     fn connection_ended(&self, _connection: ConnectionId) {}
 
@@ -40,14 +57,19 @@
     R: DeserializeOwned + Serialize + 'static,
 {
     let mut accepted = 0;
+    let unknown = Arc::new(Semaphore::new(MAX_UNKNOWN_CONNECTIONS));
     loop {
+        // Further connections wait to be accepted. The timeout of the first frame ends the wait.
+        let Ok(permit) = unknown.clone().acquire_owned().await else {
+            return;
+        };
         match listener.accept().await {
             Ok((stream, _)) => {
                 accepted += 1;
                 let id = ConnectionId(accepted);
                 let (codec, service) = (codec.clone(), service.clone());
                 ntex::rt::spawn(async move {
-                    serve_connection(id, stream, codec, service.clone()).await;
+                    serve_connection(id, stream, codec, service.clone(), permit).await;
                     service.connection_ended(id);
                 });
             }
@@ -65,10 +87,12 @@
     stream: TcpStream,
     codec: FrameCodec,
     service: Rc<dyn PeerService<Q, R>>,
+    unknown_permit: OwnedSemaphorePermit,
 ) where
     Q: DeserializeOwned + Serialize + 'static,
     R: DeserializeOwned + Serialize + 'static,
 {
+    let mut unknown_permit = Some(unknown_permit);
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.into_split();
     let write_queue = start_writer(write, None);
@@ -82,12 +106,25 @@
     drop(write_queue.send(hello).await);
     let mut reader = FrameReader::new(read, codec.clone());
     loop {
-        match reader.next::<Q, R>().await {
+        let received = if unknown_permit.is_some() {
+            let first = timeout(FIRST_FRAME_TIMEOUT, reader.next::<Q, R>()).await;
+            let Ok(first) = first else {
+                return;
+            };
+            if matches!(first, Ok(Some(_))) {
+                unknown_permit = None;
+            }
+            first
+        } else {
+            reader.next::<Q, R>().await
+        };
+        match received {
             Ok(Some(PeerFrame::Request {
                 number,
                 deadline,
                 body,
             })) => {
+                service.record_request(&body, reader.frame_bytes());
                 let arrived_at = BootClock.now();
                 let remaining = deadline.saturating_sub(arrived_at.since_start());
                 if remaining.is_zero() {
@@ -105,8 +142,13 @@
                         sent_at: BootClock.now().since_start(),
                     };
                     match codec.encode(&reply) {
-                        // Sending fails only if the connection is closed, so no caller waits.
-                        Ok(frame) => drop(write_queue.send(frame).await),
+                        Ok(frame) => {
+                            if let PeerFrame::Reply { body, .. } = &reply {
+                                service.record_reply(body, frame.len());
+                            }
+                            // Sending fails only if the connection is closed, so no caller waits.
+                            drop(write_queue.send(frame).await);
+                        }
                         Err(error) => log::warn!(error:% = error; "reply dropped: encoding failed"),
                     }
                 });
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::BootClock;
+use crate::members::connection_request::ConnectionRequest;
 use crate::members::member::{Member, RequestGuard};
 use crate::members::member_pool::PoolError;
 use crate::members::pooled_connection::PooledConnection;
@@ -26,6 +27,9 @@
     connection: Option<PooledConnection>,
     /// Whether a transaction is open on it.
     in_transaction: bool,
+    /// Time for which the first exchange waited in an ordered queue. The time limit of its plan
+    /// includes it.
+    waited: Duration,
     _request_guard: RequestGuard,
 }
 
@@ -33,16 +37,22 @@
     /// Acquires a connection for a plan.
     pub async fn acquire(member: &Rc<Member>, plan: &ExchangePlan) -> Result<Self, PoolError> {
         let request_guard = member.begin_request();
-        let deadline = BootClock.now() + plan.acquire_timeout;
-        let result = member
-            .pool
-            .acquire(&plan.account, &plan.values, plan.priority, deadline)
-            .await;
+        let capacity = member.capacity.as_ref();
+        let waiting = capacity.map(|capacity| capacity.begin(BootClock.now()));
+        let started = BootClock.now();
+        let request = ConnectionRequest::new(plan, started);
+        let result = member.pool.acquire(&request).await;
+        drop(waiting);
         match result {
             Ok(connection) => Ok(Self {
                 member: member.clone(),
                 connection: Some(connection),
                 in_transaction: false,
+                waited: if member.pool.is_ordered() {
+                    BootClock.now().since(started)
+                } else {
+                    Duration::ZERO
+                },
                 _request_guard: request_guard,
             }),
             Err(error) => {
@@ -56,9 +66,35 @@
         }
     }
 
-    /// Executes a plan.
+    /// Executes a plan and records what it shows about the member.
     pub async fn exchange(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
-        let deadline = BootClock.now() + plan.time_limit;
+        let member = self.member.clone();
+        let Some(capacity) = &member.capacity else {
+            return self.execute(plan, plan.time_limit).await;
+        };
+        let started = BootClock.now();
+        let running = capacity.begin(started);
+        let mut outcome = self.execute(plan, capacity.time_limit(plan, started)).await;
+        drop(running);
+        let now = BootClock.now();
+        capacity.record_local(plan, &mut outcome, started, now);
+        outcome
+    }
+
+    async fn execute(&mut self, plan: &ExchangePlan, time_limit: Duration) -> ExchangeOutcome {
+        let started = BootClock.now();
+        let time_limit = time_limit.saturating_sub(std::mem::take(&mut self.waited));
+        let outcome = self.execute_until(plan, started + time_limit).await;
+        let took = BootClock.now().since(started);
+        self.member.pool.record_exchange(took);
+        outcome
+    }
+
+    async fn execute_until(
+        &mut self,
+        plan: &ExchangePlan,
+        deadline: MonotonicTime,
+    ) -> ExchangeOutcome {
         let mut primary_position = None;
         if let Some(begin) = plan.begin {
             match self.begin(begin, deadline).await {
@@ -78,6 +114,7 @@
         ExchangeOutcome {
             result,
             primary_position,
+            capacity: None,
         }
     }
 
@@ -202,7 +239,7 @@
     /// connection attempt or health probe decides whether the member is down.
     fn discard_connection(&mut self, error: &LinkError) {
         log::info!(member = &*self.member.id, error:% = error; "connection to a member closed");
-        if !matches!(error, LinkError::ReplyTimeout(_)) {
+        if !matches!(error, LinkError::ReplyTimeout(_) | LinkError::NoMemory) {
             self.member.suspect_restart(BootClock.now());
         }
         self.in_transaction = false;
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -10,35 +10,34 @@
 use async_trait::async_trait;
 use coriander_core::MonotonicTime;
 use coriander_service_api::{
-    ClientSession, ControlSnapshot, FailureCode, FailureReason, FleetConfig, InstanceEntry,
+    ClientSession, ControlSnapshot, Duty, FailureCode, FailureReason, FleetConfig, InstanceEntry,
     LeaseId, MemberConnector, MemberEntry, SessionFailure, SessionHost,
 };
 use coriander_wire::FrameCodec;
-use smallvec::SmallVec;
 use tokio::sync::{Notify, watch};
 
 use crate::admission::rate_limiter::RateLimiter;
 use crate::configuration::config_view::ConfigView;
-use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
+use crate::configuration::store_update::SnapshotDigest;
 use crate::configuration::store_view::StoreView;
+use crate::duties::duty_lease::SAFE_LEASE_LIFETIME;
+use crate::duties::duty_state::DutyState;
 use crate::fleet::fleet_view::FleetView;
 use crate::fleet::peer_messages::PeerMessage;
 use crate::fleet::peer_socket::PeerSocket;
 use crate::fleet::relay::RelayClient;
+use crate::fleet::relay_messages::HeldUpdate;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
+use crate::members::member_capacity::SharedCapacity;
 use crate::members::warm_up_gate::WarmUpGate;
-use crate::promotion::duty_lease::SAFE_LEASE_LIFETIME;
-use crate::promotion::promotion_duty::PromotionDuty;
+use crate::promotion::outage_reports::OutageReports;
 use crate::service_metrics::ServiceMetrics;
 use crate::sessions::request_log::{RefusedSession, RequestLog};
 use crate::sessions::session::ServedSession;
+use crate::usage::usage_meter::UsageMeter;
 use crate::{BootClock, ServiceSettings};
 
-/// Number of store readers per zone from which an instance requests updates, in order. If the first
-/// has no recent read, the second reads the store, so that not every instance does.
-const MAX_STORE_READERS: usize = 4;
-
 /// Account name sent to members for callers of routes that need no key.
 const ANONYMOUS_ACCOUNT: &str = "-";
 
@@ -71,11 +70,19 @@
     /// Signals a change of phase.
     pub phase_changed: Notify,
     connector: Rc<dyn MemberConnector>,
+    /// Learned capacity of members, where the settings ask for it.
+    pub(crate) capacity: Option<SharedCapacity>,
     groups: RefCell<HashMap<Arc<str>, Rc<DatabaseGroup>>>,
     /// Datagram socket to the other instances.
     pub peers: Rc<PeerSocket>,
     /// The promotion duty: the right to promote members.
-    pub promotion_duty: PromotionDuty,
+    pub promotion_duty: DutyState,
+    /// Reports of other instances about primaries.
+    pub outage_reports: OutageReports,
+    /// The duty to report the usage of client accounts.
+    pub usage_duty: DutyState,
+    /// Usage of client accounts; `None` where the platform expects no reports.
+    pub usage: Option<Rc<UsageMeter>>,
     /// Log of statements and refused sessions.
     pub request_log: RequestLog,
     /// Counters and histograms.
@@ -85,7 +92,8 @@
     /// Key that authenticates messages between instances; `None` until the fleet secret has been
     /// read.
     pub fleet_key: watch::Sender<Option<[u8; 32]>>,
-    fleet: RefCell<FleetView>,
+    /// Instances of the fleet.
+    pub(crate) fleet: RefCell<FleetView>,
     /// Whether an instance has announced its shutdown since the last applied snapshot.
     leaving_changed: Cell<bool>,
     /// Newest snapshot of the store.
@@ -108,6 +116,12 @@
         peers: Rc<PeerSocket>,
     ) -> Rc<Self> {
         let name = settings.name.clone();
+        let features = settings.features;
+        let usage = features.usage_reports.then(|| UsageMeter::new(&settings));
+        let metrics = ServiceMetrics::with_traffic(&peers.traffic);
+        let capacity = features
+            .learned_capacity
+            .then(|| SharedCapacity::new(settings.zone.clone(), metrics.capacity_changes()));
         Rc::new_cyclic(|weak_self| Self {
             settings: RefCell::new(Rc::new(settings)),
             clock: BootClock,
@@ -116,17 +130,22 @@
             snapshot_applied: Notify::new(),
             phase_changed: Notify::new(),
             connector,
+            capacity,
             groups: RefCell::default(),
-            rate_limiter: RateLimiter::new(name, peers.clone()),
+            rate_limiter: RateLimiter::new(name, peers.clone())
+                .with_ordered_returns(features.ordered_waiting),
             peers,
             request_log: RequestLog::default(),
-            metrics: ServiceMetrics::default(),
+            metrics,
             relay: RelayClient::default(),
             fleet_key: watch::Sender::new(None),
             fleet: RefCell::default(),
             leaving_changed: Cell::new(false),
             store_view: StoreView::default(),
-            promotion_duty: PromotionDuty::default(),
+            promotion_duty: DutyState::new(Duty::Promotion),
+            outage_reports: OutageReports::default(),
+            usage_duty: DutyState::new(Duty::UsageReport),
+            usage: usage.map(Rc::new),
             phase: Cell::new(ServicePhase::Serving),
             session_count: Cell::new(0),
             registration_lease: Cell::new(None),
@@ -167,8 +186,7 @@
             self.relay.set_codec(FrameCodec::new(&key));
             self.fleet_key.send_replace(Some(key));
         }
-        self.promotion_duty
-            .apply(snapshot.duty_lease.as_ref(), &self.settings().process_id);
+        self.apply_duties(snapshot);
         // The announcement of a shutdown changes the assignment of connections before the store
         // changes.
         let same_assignment = digest.same_instances(&previous)
@@ -179,38 +197,45 @@
         self.snapshot_applied.notify_waiters();
     }
 
-    /// Returns the parts of the newest snapshot that an instance with the digest `known` lacks.
-    pub fn store_update(&self, known: &SnapshotDigest) -> StoreUpdate {
-        self.store_view.update_since(known, self.clock.now())
+    /// Applies that the newest snapshot was still current at a later revision, by a read sent at
+    /// `sent_at`. Most updates say just this, so nothing that follows from the contents is computed
+    /// again.
+    pub fn confirm_snapshot(&self, revision: u64, sent_at: MonotonicTime) {
+        let Some(snapshot) = self.store_view.confirm(revision, sent_at) else {
+            return;
+        };
+        self.rate_limiter.set_fleet(&snapshot.instances);
+        if let Some(config) = &snapshot.config {
+            self.config_view.apply(config, sent_at);
+        }
+        self.apply_duties(&snapshot);
+        self.apply_members(&snapshot, self.leaving_changed.take());
+        self.snapshot_applied.notify_waiters();
     }
 
-    /// Returns the store readers to request updates from, in order. If this instance is one of
-    /// them, the list ends before it, because it then reads the store itself; while its reads fail,
-    /// the others follow.
-    pub fn store_readers(&self, own_reads_fail: bool) -> SmallVec<[SocketAddr; MAX_STORE_READERS]> {
-        let settings = self.settings();
-        let fleet = self.fleet.borrow();
-        let is_usable = |entry: &InstanceEntry| {
-            entry.id == settings.name || self.relay.is_usable(entry.address)
-        };
-        let readers = fleet.store_readers(&settings.zone, MAX_STORE_READERS, is_usable);
-        let own_rank = readers.iter().position(|entry| entry.id == settings.name);
-        let count = own_rank.filter(|_| !own_reads_fail);
-        let asked = readers.iter().take(count.unwrap_or(readers.len()));
-        let others = asked.filter(|entry| entry.id != settings.name);
-        others.map(|entry| entry.address).collect()
+    /// Applies the leases of a snapshot, also of one that was only confirmed: a lease that ended
+    /// before any snapshot contained it changes no content.
+    fn apply_duties(&self, snapshot: &ControlSnapshot) {
+        let process_id = self.settings().process_id.clone();
+        self.promotion_duty
+            .apply(snapshot.duty_lease.as_ref(), &process_id);
+        self.usage_duty
+            .apply(snapshot.usage_lease.as_ref(), &process_id);
     }
 
-    /// Returns whether this instance is one of the store readers of its zone. Without known
-    /// instances it is.
-    pub fn is_store_reader(&self) -> bool {
-        let name = self.settings().name.clone();
-        let fleet = self.fleet.borrow();
-        let is_usable =
-            |entry: &InstanceEntry| entry.id == name || self.relay.is_usable(entry.address);
-        let zone = self.settings().zone.clone();
-        let readers = fleet.store_readers(&zone, MAX_STORE_READERS, is_usable);
-        readers.len() < MAX_STORE_READERS || readers.iter().any(|entry| entry.id == name)
+    /// Returns the parts of the newest snapshot that an instance with the digest `known` lacks, for
+    /// a request that arrived at `arrived_at`. The age of the read and the time for which the
+    /// request was held refer to the same moment `now`.
+    pub fn held_update(
+        &self,
+        known: &SnapshotDigest,
+        arrived_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> HeldUpdate {
+        HeldUpdate {
+            held: now.since(arrived_at),
+            update: self.store_view.update_since(known, now),
+        }
     }
 
     /// Applies the members of a snapshot. `assignment_changed` says whether the division of
@@ -238,9 +263,11 @@
                 fleet.connection_caps(member, &own_name)
             });
             for member in group.members() {
-                let (rank, instances) = fleet.member_rank(&member.id, &own_name);
-                let share = |rate| WarmUpGate::share(rate, rank, instances);
-                member.set_cold_share(limits.warm_up_rate.map(share));
+                let share = limits.warm_up_rate.map(|rate| {
+                    let (rank, instances) = fleet.member_rank(&member.id, &own_name);
+                    WarmUpGate::share(rate, rank, instances)
+                });
+                member.set_cold_share(share);
             }
         }
         let mut groups = self.groups.borrow_mut();
@@ -257,7 +284,12 @@
     /// Returns the group with a name, creating it if necessary.
     pub fn group(&self, name: &Arc<str>) -> Rc<DatabaseGroup> {
         let mut groups = self.groups.borrow_mut();
-        let create = || Rc::new(DatabaseGroup::new(name.clone(), self.connector.clone()));
+        let ordered_waiting = self.settings().features.ordered_waiting;
+        let create = || {
+            let capacity = self.capacity.clone();
+            let group = DatabaseGroup::new(name.clone(), self.connector.clone(), capacity);
+            Rc::new(group.with_ordered_waiting(ordered_waiting))
+        };
         groups.entry(name.clone()).or_insert_with(create).clone()
     }
 
@@ -283,6 +315,24 @@
         (home_instance.id != own_name).then_some(home_instance.address)
     }
 
+    /// Returns the state of a duty.
+    pub const fn duty(&self, duty: Duty) -> &DutyState {
+        match duty {
+            Duty::Promotion => &self.promotion_duty,
+            Duty::UsageReport => &self.usage_duty,
+        }
+    }
+
+    /// Returns up to `limit` instances of the own zone that collect its usage, in order.
+    pub fn usage_collectors(&self, limit: usize) -> Vec<InstanceEntry> {
+        let settings = self.settings();
+        let is_usable = |entry: &InstanceEntry| {
+            entry.id == settings.name || self.relay.is_usable(entry.address)
+        };
+        let fleet = self.fleet.borrow();
+        fleet.usage_collectors(&settings.zone, limit, is_usable)
+    }
+
     /// Announces to the other instances that this one is about to stop.
     pub fn announce_shutdown(&self) {
         let name = self.settings().name.to_string();
@@ -358,51 +408,6 @@
         self.registration_lease.get()
     }
 
-    /// Returns all metrics in the text format of OpenMetrics.
-    pub fn encode_metrics(&self) -> String {
-        let config = self.config_view.config();
-        let version = config.map_or(0, |config| config.version);
-        let age = self.config_view.age(self.clock.now());
-        self.metrics.set_gauges(self.session_count(), version, age);
-        for group in self.groups() {
-            let members = group.members();
-            let open = members.iter().map(|member| member.pool.open_count()).sum();
-            let waiting = members
-                .iter()
-                .map(|member| member.pool.waiting_count())
-                .sum();
-            self.metrics.set_connections(&group.name, open, waiting);
-        }
-        self.metrics.encode()
-    }
-
-    /// Returns a description of the state of the process, one line for each part.
-    pub fn describe(&self) -> String {
-        let now = self.clock.now();
-        let settings = self.settings();
-        let version = self.config_view.config().map_or(0, |config| config.version);
-        let mut lines = vec![
-            format!(
-                "process name={} id={} zone={} phase={:?} sessions={}",
-                settings.name,
-                settings.process_id,
-                settings.zone,
-                self.phase(),
-                self.session_count()
-            ),
-            format!(
-                "config version={version} age={:?}",
-                self.config_view.age(now)
-            ),
-            format!("duty token={:?}", self.promotion_duty.token()),
-            self.fleet.borrow().describe(),
-        ];
-        for group in self.groups() {
-            lines.extend(group.describe(now));
-        }
-        lines.join("\n") + "\n"
-    }
-
     /// Returns the number of open sessions.
     pub fn session_count(&self) -> usize {
         self.session_count.get()
@@ -470,8 +475,12 @@
             }
             PeerMessage::Leaving(name) => self.record_leaving_instance(name),
             PeerMessage::Outage(report) => {
-                self.promotion_duty
-                    .record_outage_report(sender, report, self.clock.now());
+                self.outage_reports.record(sender, report, self.clock.now());
+            }
+            PeerMessage::Usage(message) => {
+                if let Some(usage) = &self.usage {
+                    usage.handle(sender, message, self);
+                }
             }
         }
     }
@@ -484,16 +493,24 @@
         database: &str,
         key: &str,
     ) -> Result<Box<dyn ClientSession>, SessionFailure> {
-        if let Err(failure) = self.check_access_with_retry(database, key).await {
-            self.record_refused_session(database, &failure);
-            return Err(failure);
-        }
+        let access = match self.check_access_with_retry(database, key).await {
+            Ok(access) => access,
+            Err(failure) => {
+                self.record_refused_session(database, &failure);
+                return Err(failure);
+            }
+        };
         let shutting_down = SessionFailure::new(FailureCode::Busy, FailureReason::ShuttingDown);
         if self.phase() >= ServicePhase::Closing {
             self.record_refused_session(database, &shutting_down);
             return Err(shutting_down);
         }
         let service = self.weak_self.upgrade().ok_or(shutting_down)?;
-        Ok(Box::new(ServedSession::new(service, database, key)))
+        Ok(Box::new(ServedSession::new(
+            service,
+            database,
+            key,
+            access.account_name,
+        )))
     }
 }
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -11,6 +11,9 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::fleet::peer_traffic::PeerTraffic;
+use crate::members::database_group::DatabaseGroup;
+
 /// Upper bound of the first bucket of latency histograms, in seconds.
 const FIRST_BUCKET_SECS: f64 = 0.001;
 
@@ -59,6 +62,23 @@
     group: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WaitLabels {
+    priority: u32,
+    result: &'static str,
+}
+
+/// Counter of members set aside and taken back, shared with what decides it.
+#[derive(Clone, Default)]
+pub struct CapacityChanges(Family<GroupLabels, Counter>);
+
+impl CapacityChanges {
+    /// Counts a change of a member of a group: a cause, or `taken_back`.
+    pub fn count(&self, group: &str, result: &'static str) {
+        self.0.get_or_create(&group_labels(group, result)).inc();
+    }
+}
+
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_SECS, 2.0, BUCKET_COUNT))
 }
@@ -77,10 +97,16 @@
     entries_left_out: Gauge,
     promotions: Family<GroupLabels, Counter>,
     promotion_time: Histogram,
+    usage_reports: Family<ResultLabel, Counter>,
+    late_usage: Counter,
     sessions: Gauge,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     connections: Family<GroupLabels, Gauge>,
+    connection_wait: Family<WaitLabels, Histogram, fn() -> Histogram>,
+    capacity_changes: CapacityChanges,
+    learned_limit: Family<MemberGroupLabel, Gauge<f64, AtomicU64>>,
+    set_aside: Family<MemberGroupLabel, Gauge>,
 }
 
 impl Default for ServiceMetrics {
@@ -97,10 +123,16 @@
             entries_left_out: Gauge::default(),
             promotions: Family::default(),
             promotion_time: latency_histogram(),
+            usage_reports: Family::default(),
+            late_usage: Counter::default(),
             sessions: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             connections: Family::default(),
+            connection_wait: Family::new_with_constructor(latency_histogram),
+            capacity_changes: CapacityChanges::default(),
+            learned_limit: Family::default(),
+            set_aside: Family::default(),
         };
         metrics.register();
         metrics
@@ -108,6 +140,13 @@
 }
 
 impl ServiceMetrics {
+    /// Creates the metrics of a service with the counters of its messages to other instances.
+    pub fn with_traffic(traffic: &PeerTraffic) -> Self {
+        let mut metrics = Self::default();
+        traffic.register(&mut metrics.registry);
+        metrics
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -160,6 +199,16 @@
             "Time from a promotion call until the member leads",
             self.promotion_time.clone(),
         );
+        registry.register(
+            "usage_windows",
+            "Usage windows by the result of their report",
+            self.usage_reports.clone(),
+        );
+        registry.register(
+            "usage_late_operations",
+            "Operations that became known after their window was reported",
+            self.late_usage.clone(),
+        );
         registry.register("sessions", "Open sessions", self.sessions.clone());
         registry.register(
             "config_version",
@@ -176,6 +225,40 @@
             "Connections to members by group, open and waited for",
             self.connections.clone(),
         );
+        registry.register(
+            "connection_wait_seconds",
+            "Time for which requests waited for connections, by priority, served or refused",
+            self.connection_wait.clone(),
+        );
+        registry.register(
+            "member_capacity_changes",
+            "Members set aside, by cause, and taken back",
+            self.capacity_changes.0.clone(),
+        );
+        registry.register(
+            "member_learned_limit",
+            "Sum of the learned concurrency limits of the members of a group",
+            self.learned_limit.clone(),
+        );
+        registry.register(
+            "members_set_aside",
+            "Members of a group that are set aside",
+            self.set_aside.clone(),
+        );
+    }
+
+    /// Returns the counter of members set aside and taken back.
+    pub fn capacity_changes(&self) -> CapacityChanges {
+        self.capacity_changes.clone()
+    }
+
+    /// Sets what this instance has learned about the members of a group.
+    pub fn set_capacity(&self, group: &str, limit: f64, set_aside: usize) {
+        let label = MemberGroupLabel {
+            group: group.to_owned(),
+        };
+        self.learned_limit.get_or_create(&label).set(limit);
+        self.set_aside.get_or_create(&label).set(set_aside as i64);
     }
 
     /// Counts a statement that has ended.
@@ -241,6 +324,17 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts windows of usage by the result of their report.
+    pub fn count_usage(&self, result: &'static str, windows: u64) {
+        let label = ResultLabel { result };
+        self.usage_reports.get_or_create(&label).inc_by(windows);
+    }
+
+    /// Counts operations that became known after their window was reported.
+    pub fn count_late_usage(&self, operations: u64) {
+        self.late_usage.inc_by(operations);
+    }
+
     /// Counts a step of a promotion.
     pub fn count_promotion(&self, group: &str, result: &'static str) {
         self.promotions
@@ -261,8 +355,19 @@
         self.config_age.set(age);
     }
 
-    /// Sets the number of connections to the members of a group.
-    pub fn set_connections(&self, group: &str, open: usize, waiting: usize) {
+    /// Records the connections to the members of a group, and the waits for them since the last
+    /// call.
+    pub fn record_pools(&self, group: &DatabaseGroup) {
+        let members = group.members();
+        let open = members.iter().map(|member| member.pool.open_count()).sum();
+        let waiting = members.iter().map(|member| member.pool.waiting_count());
+        self.set_connections(&group.name, open, waiting.sum());
+        for wait in members.iter().flat_map(|member| member.pool.take_waits()) {
+            self.record_connection_wait(wait.priority, wait.served, wait.duration);
+        }
+    }
+
+    fn set_connections(&self, group: &str, open: usize, waiting: usize) {
         let gauge = |result, value: usize| {
             let labels = group_labels(group, result);
             self.connections.get_or_create(&labels).set(value as i64);
@@ -271,6 +376,13 @@
         gauge("waited_for", waiting);
     }
 
+    fn record_connection_wait(&self, priority: u32, served: bool, duration: Duration) {
+        let result = if served { "served" } else { "refused" };
+        let labels = WaitLabels { priority, result };
+        let histogram = self.connection_wait.get_or_create(&labels);
+        histogram.observe(duration.as_secs_f64());
+    }
+
     /// Returns all values in the text format of OpenMetrics.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/coriander_service/src/sessions/exchange.rs
+++ b/crates/coriander_service/src/sessions/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coriander_capacity::CapacityNotice;
 use coriander_core::LogPosition;
 use coriander_service_api::{
     FailureCode, LinkError, MemberReply, PreparedShape, SessionValues, TransactionStatus,
@@ -54,12 +55,21 @@
     pub min_position: Option<LogPosition>,
     /// Priority of waiting requests; lower values are served first.
     pub priority: u32,
+    /// Share of the account relative to others, from its rate limit.
+    pub account_weight: u32,
+    /// Time within which the latency target can still be met; zero if it is missed.
+    pub target_remaining: Duration,
     /// Maximum wait for a connection.
     pub acquire_timeout: Duration,
     /// Time limit of the whole exchange.
     pub time_limit: Duration,
     /// Whether the connection stays reserved for further statements of the transaction.
     pub keep_reserved: bool,
+    /// Whether a read keeps its whole time limit, because its member was tried before or no other
+    /// is left.
+    pub runs_whole_time: bool,
+    /// On a request to a home instance: members that the sender has set aside.
+    pub capacity: Option<Box<CapacityNotice>>,
 }
 
 impl ExchangePlan {
@@ -96,6 +106,8 @@
     pub result: Result<MemberReply, ExchangeError>,
     /// Log position of the member after it confirmed during the exchange that it is the primary.
     pub primary_position: Option<LogPosition>,
+    /// From a home instance that learns capacity: load of the member, and members set aside.
+    pub capacity: Option<Box<CapacityNotice>>,
 }
 
 impl ExchangeOutcome {
@@ -107,6 +119,7 @@
                 Err(refusal) => refusal.code.label(),
             },
             Err(ExchangeError::NotSent(PoolError::Exhausted { .. })) => "no_connection",
+            Err(ExchangeError::NotSent(PoolError::NoRoom { .. })) => "no_room",
             Err(ExchangeError::NotSent(PoolError::PrimaryUnconfirmed)) => "lead_unproved",
             Err(ExchangeError::NotSent(PoolError::HomeUnavailable)) => "home_not_reached",
             Err(ExchangeError::NotSent(PoolError::MemberLeaving)) => "member_leaving",
@@ -134,6 +147,7 @@
         Self {
             result: Err(error),
             primary_position: None,
+            capacity: None,
         }
     }
 }
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -117,6 +117,8 @@
     ) -> ExchangePlan {
         let timeout = self.access.route.statement_timeout;
         let acquire_timeout = timeout.mul_f64(ACQUIRE_TIMEOUT_FRACTION);
+        let started = self.deadline.saturating_sub(timeout);
+        let target = started + self.access.route.latency_target;
         ExchangePlan {
             group: self.group.name.clone(),
             member: member.id.clone(),
@@ -126,9 +128,13 @@
             statement: statement.clone(),
             min_position: None,
             priority: self.access.route.priority,
+            account_weight: self.access.weight(),
+            target_remaining: target.since(self.now()),
             acquire_timeout: acquire_timeout.min(time_limit.saturating_sub(MIN_ATTEMPT_TIME)),
             time_limit,
             keep_reserved: false,
+            runs_whole_time: false,
+            capacity: None,
         }
     }
 
@@ -273,13 +279,14 @@
     statement: &PlannedStatement,
 ) -> Result<CompletedStatement, SessionFailure> {
     let mut tried = TriedMembers::new();
+    let mut attempted = TriedMembers::new();
     let mut backoff = BusyBackoff::default();
     let mut failure = None;
     while context.time_remaining() > MIN_ATTEMPT_TIME {
         let attempt = if statement.writes {
             attempt_write(context, statement).await
         } else {
-            attempt_read(context, statement, &mut tried).await
+            attempt_read(context, statement, &mut tried, &mut attempted).await
         };
         match attempt {
             Attempt::Completed(completed) => return Ok(completed),
@@ -287,11 +294,13 @@
             Attempt::Retry(retry) => {
                 let is_busy =
                     retry.code == FailureCode::Busy && retry.reason != FailureReason::MemberSilent;
+                let has_no_room = retry.reason == FailureReason::NoConnection;
                 failure = Some(retry);
-                if is_busy
-                    && !context.has_untried_replica(&tried)
-                    && !context.wait_for_busy_members(&mut backoff).await
-                {
+                if !is_busy || context.has_untried_replica(&tried) {
+                    continue;
+                }
+                // A request without room is refused at once: waiting would only repeat it.
+                if has_no_room || !context.wait_for_busy_members(&mut backoff).await {
                     break;
                 }
             }
@@ -315,6 +324,7 @@
     context: &OperationContext<'_>,
     statement: &PlannedStatement,
     tried: &mut TriedMembers,
+    attempted: &mut TriedMembers,
 ) -> Attempt {
     let requirement = context.read_requirement();
     let member = match context.choose_member(requirement, tried).await {
@@ -331,8 +341,14 @@
         statement,
         context.time_remaining().min(attempt_limit),
     );
+    // Cut off again, a member that answers slowly would serve no read at all.
+    plan.runs_whole_time = attempted.contains(&member.id);
+    attempted.push(member.id.clone());
     match requirement {
-        ReadRequirement::MinPosition(min_position) => plan.min_position = min_position,
+        ReadRequirement::MinPosition(min_position) => {
+            plan.min_position = min_position;
+            plan.runs_whole_time |= !context.has_untried_replica(tried);
+        }
         ReadRequirement::Primary => {
             plan.begin = Some(PlannedBegin {
                 read_only: false,
@@ -342,5 +358,18 @@
     }
     let mut link = OperationLink::new(context.service, &context.group, &member);
     let outcome = context.exchange(&mut link, &plan).await;
-    evaluate_reply(context, &member, outcome.result, false)
+    let is_full = matches!(
+        outcome.result,
+        Err(ExchangeError::NotSent(PoolError::Exhausted { .. }))
+    );
+    let attempt = evaluate_reply(context, &member, outcome.result, false);
+    match attempt {
+        // Another member may have room.
+        Attempt::Failed(failure)
+            if is_full && member.capacity.is_some() && context.has_untried_replica(tried) =>
+        {
+            Attempt::Retry(failure)
+        }
+        attempt => attempt,
+    }
 }
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -4,13 +4,15 @@
 use std::rc::Rc;
 
 use crate::BootClock;
-use crate::fleet::relay::StreamNumber;
+use crate::fleet::relay_messages::StreamNumber;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::held_connection::{HeldConnection, OutstandingStatement};
 use crate::members::member::{Member, RequestGuard};
+use crate::members::member_capacity::MemberCapacity;
 use crate::members::member_pool::PoolError;
 use crate::service::SessionService;
 use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
+use crate::usage::begun_operation::exchange_counted;
 
 enum LinkLocation {
     /// No connection has been acquired.
@@ -67,6 +69,7 @@
     }
 
     async fn exchange_at_location(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
+        let started = BootClock.now();
         match std::mem::replace(&mut self.location, LinkLocation::None) {
             LinkLocation::Local(held) => self.exchange_local(held, plan).await,
             LinkLocation::Relayed {
@@ -93,8 +96,14 @@
                     }
                 }
                 self.last_home_instance = None;
-                match HeldConnection::acquire(&self.member, plan).await {
-                    Ok(held) => self.exchange_local(Box::new(held), plan).await,
+                // The home instance may have held the request up before it gave up.
+                let mut plan = plan.clone();
+                plan.limit_time(
+                    plan.time_limit
+                        .saturating_sub(BootClock.now().since(started)),
+                );
+                match HeldConnection::acquire(&self.member, &plan).await {
+                    Ok(held) => self.exchange_local(Box::new(held), &plan).await,
                     Err(error) => ExchangeOutcome::failed(ExchangeError::NotSent(error)),
                 }
             }
@@ -106,7 +115,7 @@
         mut held: Box<HeldConnection>,
         plan: &ExchangePlan,
     ) -> ExchangeOutcome {
-        let outcome = held.exchange(plan).await;
+        let outcome = exchange_counted(&self.service, &mut held, plan).await;
         if outcome.keeps_connection(plan) {
             self.location = LinkLocation::Local(held);
         }
@@ -129,10 +138,22 @@
             stream,
             armed: plan.keep_reserved,
         };
-        let outstanding = OutstandingStatement::new(&self.member, BootClock.now());
-        let outcome = relay.exchange(address, stream, must_exist, plan).await;
+        let sent_at = BootClock.now();
+        let outstanding = OutstandingStatement::new(&self.member, sent_at);
+        let capacity = self.member.capacity.as_ref();
+        let notice = capacity.and_then(MemberCapacity::notice);
+        let outcome = if notice.is_some() {
+            let mut plan = plan.clone();
+            plan.capacity = notice;
+            relay.exchange(address, stream, must_exist, &plan).await
+        } else {
+            relay.exchange(address, stream, must_exist, plan).await
+        };
         drop(outstanding);
         let now = BootClock.now();
+        if let Some(capacity) = &self.member.capacity {
+            capacity.record_relayed(&outcome, sent_at, now);
+        }
         match &outcome.result {
             Ok(_) | Err(ExchangeError::Declined(..)) => self.member.record_success(now),
             Err(ExchangeError::NotSent(PoolError::Connect(link))) if link.is_unreachable() => {
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -13,7 +13,9 @@
     BootClock, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer, ServicePhase,
     ServiceSettings, SessionService, SnapshotDigest,
 };
-use coriander_service_api::{ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness};
+use coriander_service_api::{
+    ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures,
+};
 use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -31,7 +33,11 @@
     let socket = UdpSocket::bind(address).await.expect("same port is free");
     let id = format!("{name}-a").parse().expect("valid name");
     let peers = Rc::new(PeerSocket::new(socket, name.into(), id, 1));
-    let settings = ServiceSettings::new(name, zone, address);
+    let features = ServiceFeatures {
+        usage_reports: true,
+        ..ServiceFeatures::default()
+    };
+    let settings = ServiceSettings::new(name, zone, address).with_features(features);
     let service = SessionService::new(settings, group.clone(), peers);
     let relay = RelayServer::new(&service);
     ntex::rt::spawn(relay.clone().run(listener, service.clone()));
@@ -198,8 +204,8 @@
     }
     tokio::time::sleep(Duration::from_millis(20)).await;
     let readers = [
-        first.service.store_readers(false),
-        second.service.store_readers(false),
+        first.service.update_sources(false, 0),
+        second.service.update_sources(false, 0),
     ];
     let updated = readers.iter().filter(|readers| !readers.is_empty()).count();
     assert_eq!(
@@ -208,7 +214,7 @@
     );
     // The store may turn away the first reader alone, which then needs the others.
     for instance in [&first, &second] {
-        assert_eq!(instance.service.store_readers(true).len(), 1);
+        assert_eq!(instance.service.update_sources(true, 0).len(), 1);
     }
 }
 
@@ -235,14 +241,111 @@
     let group = FakeGroup::new(&["a"]);
     let (remote, _home) = start_two(&group).await;
     let known = remote.service.store_view.digest();
-    let update = remote.service.store_update(&known);
+    let update = remote
+        .service
+        .store_view
+        .update_since(&known, BootClock.now());
     assert!(update.age.is_some());
     assert!(update.config.is_none() && update.members.is_none());
     assert!(update.instances.is_none() && update.other.is_none());
-    let update = remote.service.store_update(&SnapshotDigest::default());
+    let update = remote
+        .service
+        .store_view
+        .update_since(&SnapshotDigest::default(), BootClock.now());
     assert!(update.config.is_some() && update.members.is_some());
 }
 
+#[ntex::test]
+async fn held_update_is_sent_when_a_snapshot_is_applied() {
+    // A request that is answered at once tells a change only with the next request, so that each
+    // level of the tree would add the interval between two of them.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home) = start_two(&group).await;
+    let known = remote.service.store_view.digest();
+    let hold = Duration::from_millis(600);
+    let mut newer = (*remote.service.store_view.snapshot().expect("applied")).clone();
+    newer.revision += 1;
+    newer.evacuated_zones.push("berrechid".into());
+    let service = remote.service.clone();
+    ntex::rt::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        service.apply_snapshot(&newer, BootClock.now());
+    });
+    let relay = &home.service.relay;
+    let request = relay.request_update(remote.entry.address, known, hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.update.other.is_some(), "{reply:?}");
+    assert!(reply.held >= Duration::from_millis(40), "{:?}", reply.held);
+    assert!(reply.held < hold, "{:?}", reply.held);
+    // The sender lacks a part now, so the next request is not held.
+    let request = relay.request_update(remote.entry.address, known, hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.held < Duration::from_millis(40), "{:?}", reply.held);
+}
+
+#[ntex::test]
+async fn held_update_without_news_has_the_age_of_its_reply() {
+    // The sender takes the held time off the age; an age from before the hold would let it believe
+    // that the store was read later than it was.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home) = start_two(&group).await;
+    let known = remote.service.store_view.digest();
+    let hold = Duration::from_millis(120);
+    let relay = &home.service.relay;
+    let request = relay.request_update(remote.entry.address, known, hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.update.is_unchanged(known.config_version));
+    assert!(
+        reply.held >= hold && reply.update.age >= Some(reply.held),
+        "{reply:?}"
+    );
+}
+
+#[ntex::test]
+async fn held_update_counts_age_and_hold_at_one_moment() {
+    // A source that is paused between two reads of its clock made its read look younger, at each
+    // level of the tree, so that withdrawn keys were accepted for longer.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, _home) = start_two(&group).await;
+    let known = remote.service.store_view.digest();
+    let arrived_at = BootClock.now();
+    let made_at = arrived_at + Duration::from_millis(400);
+    let update = remote.service.held_update(&known, arrived_at, made_at);
+    let true_read = made_at.saturating_sub(update.update.age.expect("has read the store"));
+    for delay in [0, 5, 250].map(Duration::from_millis) {
+        // The request takes `delay`, the reply arrives at once.
+        let sent_at = arrived_at.saturating_sub(delay);
+        let read_at = update.read_time(sent_at, made_at).expect("has an age");
+        assert!(
+            read_at <= true_read,
+            "{read_at:?} is later than {true_read:?}"
+        );
+    }
+    // A hold longer than the whole exchange is limited by it.
+    let received_at = arrived_at + Duration::from_millis(100);
+    let limited = update
+        .read_time(arrived_at, received_at)
+        .expect("has an age");
+    assert!(limited < true_read);
+}
+
+#[ntex::test]
+async fn confirmed_snapshot_without_leases_frees_both_duties() {
+    // A lease that ended before any snapshot contained it changes no content, so the duty counted as
+    // held until something else changed.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, _home) = start_two(&group).await;
+    let service = &remote.service;
+    service.promotion_duty.record_acquired(5);
+    service.promotion_duty.release();
+    service.usage_duty.record_acquired(6);
+    service.usage_duty.release();
+    assert!(!service.promotion_duty.is_free() && !service.usage_duty.is_free());
+    let snapshot = service.store_view.snapshot().expect("has read the store");
+    service.confirm_snapshot(snapshot.revision + 1, BootClock.now());
+    assert!(service.promotion_duty.is_free() && service.usage_duty.is_free());
+}
+
 #[ntex::test]
 async fn stopping_home_instance_lets_open_transactions_commit_only() {
     // Guards against statements that a home instance accepts shortly before it ends.
@@ -290,3 +393,21 @@
     assert_eq!(code(&response), Some(FailureCode::Busy));
     assert!(group.ran_texts().is_empty(), "{:?}", group.ran_texts());
 }
+
+#[ntex::test]
+async fn relayed_operations_count_on_their_home_instance_only() {
+    // Counted by both instances, the usage of an account would be twice the truth.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home_instance) = start_two(&group).await;
+    let counted = |instance: &Instance| {
+        let usage = instance.service.usage.as_ref();
+        usage.expect("reports are expected").counted()
+    };
+    let mut session = open(&remote.service).await;
+    run(&mut session, "q1", "WRITE 1 x").await;
+    run(&mut session, "b", "BEGIN").await;
+    run(&mut session, "w1", "WRITE 2 x").await;
+    run(&mut session, "w2", "WRITE 3 x").await;
+    run(&mut session, "c", "COMMIT").await;
+    assert_eq!((counted(&remote), counted(&home_instance)), (0, 2));
+}
--- a/crates/coriander_service/tests/support/fake_group.rs
+++ b/crates/coriander_service/tests/support/fake_group.rs
@@ -21,6 +21,8 @@
 pub enum Fault {
     /// Runs the statement and sends no reply.
     LoseReply,
+    /// Runs the statement, and the instance has no memory for the reply.
+    NoMemory,
     /// Refuses the statement.
     Refuse(FailureCode),
 }
@@ -231,6 +233,8 @@
         statements: &[MemberStatement],
         limit: Duration,
     ) -> Result<ReplyBatch, LinkError> {
+        // A link ends an exchange at its limit, also when the member would reply later.
+        let mut remaining = limit;
         let mut replies = ReplyBatch::new();
         for statement in statements {
             let word = first_word(statement);
@@ -246,9 +250,18 @@
                 replies.push(self.reply(Err(refusal(code))));
                 continue;
             }
-            tokio::time::sleep(self.member.statement_time.get()).await;
+            let statement_time = self.member.statement_time.get();
+            if statement_time > remaining {
+                tokio::time::sleep(remaining).await;
+                return Err(LinkError::ReplyTimeout(limit));
+            }
+            remaining -= statement_time;
+            tokio::time::sleep(statement_time).await;
             let result = self.apply(statement);
             replies.push(result);
+            if fault == Some(Fault::NoMemory) {
+                return Err(LinkError::NoMemory);
+            }
             if fault == Some(Fault::LoseReply) {
                 tokio::time::sleep(limit).await;
                 return Err(LinkError::ReplyTimeout(limit));
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -10,18 +10,22 @@
 use std::time::Duration;
 
 use coriander_core::InstanceId;
+use coriander_memory::MemoryLimits;
 use coriander_service::{
-    PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask,
-    run_promotion_duty, run_registration, run_store_sync,
+    PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask, UsageTask,
+    run_duty, run_registration, run_store_sync,
 };
-use coriander_service_api::ControlStore;
+use coriander_service_api::{ControlStore, Duty};
 use ntex::http::HttpService;
 use ntex::time::Seconds;
 use ntex::web::types::State;
 use ntex::web::{self, App, HttpResponse};
-use platform_adapter::{KvStore, LineConnector, PromotionClient, READINESS_PATH, serve_clients};
+use platform_adapter::{
+    BoundedConnector, KvStore, MemoryGate, PromotionClient, UsageClient, serve_clients,
+    serve_readiness,
+};
 use rand::Rng;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 
 pub use settings::SessionSettings;
 use settings_watch::watch_settings;
@@ -35,9 +39,15 @@
 /// Maximum duration of one promotion call.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Maximum duration of one usage report; a report is repeated each second.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum number of connections for metrics; further ones wait to be accepted.
+const MAX_HTTP_CONNECTIONS: usize = 32;
+
 thread_local! {
     // The worker builds its HTTP service from the same process state.
     static SERVICE: RefCell<Option<Rc<SessionService>>> = const { RefCell::new(None) };
+    static GATE: RefCell<Option<Rc<MemoryGate>>> = const { RefCell::new(None) };
 }
 
 enum WorkerEvent {
@@ -51,15 +61,15 @@
     path: PathBuf,
     settings: SessionSettings,
 ) -> Result<(), StartError> {
-    let readiness = bind(settings.readiness_address)?;
-    let metrics = bind(settings.metrics_address)?;
+    let metrics = bind_http(settings.metrics_address)?;
     let (events, mut event_receiver) = tokio::sync::mpsc::unbounded_channel();
     let (stop_sender, _) = tokio::sync::broadcast::channel::<()>(1);
     let worker_stop = stop_sender.clone();
-    let address = settings.readiness_address;
+    let address = settings.metrics_address;
     let server = ntex::server::build()
         .workers(1)
         .disable_signals()
+        .maxconn(MAX_HTTP_CONNECTIONS)
         .shutdown_timeout(Seconds(1))
         .on_worker_start(move || {
             let (path, settings) = (path.clone(), settings.clone());
@@ -84,23 +94,14 @@
                 }
             }
         })
-        .listen("readiness", readiness, async |_| {
+        .listen("metrics", metrics, async |_| {
             HttpService::new(
                 App::new()
                     .state(current_service())
-                    .route(READINESS_PATH, web::get().to(ready)),
+                    .route("/metrics", web::get().to(show_metrics))
+                    .route("/state", web::get().to(show_state)),
             )
         })
-        .and_then(|builder| {
-            builder.listen("metrics", metrics, async |_| {
-                HttpService::new(
-                    App::new()
-                        .state(current_service())
-                        .route("/metrics", web::get().to(show_metrics))
-                        .route("/state", web::get().to(show_state)),
-                )
-            })
-        })
         .map_err(|source| StartError::Listen { address, source })?
         .run();
     if let Some(WorkerEvent::Failed(error)) = event_receiver.recv().await {
@@ -117,18 +118,17 @@
     Ok(())
 }
 
-async fn ready(service: State<Rc<SessionService>>) -> HttpResponse {
-    if service.is_ready() {
-        HttpResponse::Ok().finish()
-    } else {
-        HttpResponse::ServiceUnavailable().finish()
-    }
-}
-
 async fn show_metrics(service: State<Rc<SessionService>>) -> HttpResponse {
     HttpResponse::Ok()
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-        .body(service.encode_metrics())
+        .body(join_metrics(&service.encode_metrics()))
+}
+
+/// Adds the metrics of the limits before the last line, which ends the text.
+fn join_metrics(text: &str) -> String {
+    let limits = GATE.with_borrow(|gate| gate.as_ref().map(|gate| gate.encode_metrics()));
+    let body = text.strip_suffix("# EOF\n").unwrap_or(text);
+    format!("{body}{}# EOF\n", limits.unwrap_or_default())
 }
 
 async fn show_state(service: State<Rc<SessionService>>) -> HttpResponse {
@@ -141,8 +141,29 @@
         .expect("the worker has started the service")
 }
 
-fn bind(address: SocketAddr) -> Result<std::net::TcpListener, StartError> {
-    std::net::TcpListener::bind(address).map_err(listen_error(address))
+fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listen = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    };
+    listen().map_err(listen_error(address))
+}
+
+/// Binds an address for HTTP. With a short queue, the limit of connections takes effect before the
+/// server has accepted many more.
+fn bind_http(address: SocketAddr) -> Result<std::net::TcpListener, StartError> {
+    let listen = || {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(MAX_HTTP_CONNECTIONS as u32)?.into_std()
+    };
+    listen().map_err(listen_error(address))
 }
 
 async fn start_service(
@@ -154,10 +175,7 @@
     let process: InstanceId = format!("{name}-{:08x}", epoch as u32).parse()?;
     settings.service = settings.service.with_process_id(process.as_str());
     let listener = bind(settings.session_address)?;
-    let listener = listener
-        .set_nonblocking(true)
-        .and_then(|()| TcpListener::from_std(listener))
-        .map_err(listen_error(settings.session_address))?;
+    let readiness = bind(settings.readiness_address)?;
     let socket = UdpSocket::bind(settings.service.peer_address)
         .await
         .map_err(listen_error(settings.service.peer_address))?;
@@ -166,7 +184,10 @@
     let store: Rc<dyn ControlStore> = Rc::new(store);
     let promotion_client =
         PromotionClient::new(settings.promotion_address, PROMOTION_TIMEOUT).await?;
-    let connector = Rc::new(LineConnector);
+    let limits = MemoryLimits::new(&settings.machine);
+    let gate = MemoryGate::new(&limits);
+    GATE.set(Some(gate.clone()));
+    let connector = Rc::new(BoundedConnector::new(gate.clone()));
     let service = SessionService::new(settings.service, connector.clone(), peers.clone());
     let promotions = PromotionTask::new(
         service.clone(),
@@ -186,16 +207,25 @@
     }));
     ntex::rt::spawn(run_store_sync(service.clone(), store.clone()));
     ntex::rt::spawn(run_registration(service.clone(), store.clone()));
-    ntex::rt::spawn(run_promotion_duty(service.clone(), store.clone()));
+    ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::Promotion));
+    let usage_client = UsageClient::new(settings.usage_address, USAGE_TIMEOUT).await?;
+    let usage = UsageTask::new(service.clone(), store.clone(), Rc::new(usage_client));
+    if let Some(usage) = usage {
+        ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::UsageReport));
+        ntex::rt::spawn(usage.run());
+    }
     ntex::rt::spawn(promotions.run());
-    ntex::rt::spawn(serve_clients(listener, service.clone()));
+    ntex::rt::spawn(serve_clients(listener, service.clone(), gate));
+    let state = service.clone();
+    ntex::rt::spawn(serve_readiness(readiness, move || state.is_ready()));
     ntex::rt::spawn(watch_settings(path, service.clone()));
     let settings = service.settings();
     log::info!(
         version = env!("CARGO_PKG_VERSION"), name = &*settings.name, id = &*settings.process_id,
         zone = &*settings.zone, peers:% = settings.peer_address,
         key_lifetime:? = settings.key_lifetime, shutdown:? = settings.shutdown_timeout,
-        platform_fences = settings.platform_fences;
+        platform_fences = settings.platform_fences,
+        max_connections = limits.max_connections, share_bytes:? = limits.share_bytes;
         "process started"
     );
     let shutdown = ShutdownTask::new(service.clone(), relay, store);
--- a/crates/corianderstile/src/session_server/settings.rs
+++ b/crates/corianderstile/src/session_server/settings.rs
@@ -1,11 +1,14 @@
 //! Settings of an instance that serves sessions on the users' platform.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
 use coriander_core::{InstanceId, ZoneName};
+use coriander_memory::MachineLimits;
 use coriander_service::ServiceSettings;
+use coriander_usage::UsagePolicy;
 use platform_adapter::decode_features;
 
 use crate::settings::SettingsError;
@@ -21,13 +24,23 @@
         &["key_lifetime_ms", "shutdown_ms", "platform_fences"],
     ),
     ("features", &["contracts", "duties"]),
+    ("usage", &["address", "window_ms", "report_delay_ms"]),
+    ("machine", &["memory_mb", "descriptors"]),
 ];
 
+/// Memory of the machine in MiB: with less, the program itself has no room.
+const MEMORY_RANGE_MB: RangeInclusive<u64> = 48..=1_048_576;
+
+/// Descriptors of the machine. 200 are for files and 128 for members, store and other instances.
+const DESCRIPTOR_RANGE: RangeInclusive<u64> = 360..=10_000_000;
+
 const ALLOWED_ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
 
 /// Checked settings of an instance that serves sessions.
 #[derive(Clone, Debug)]
 pub struct SessionSettings {
+    /// Memory and descriptors of the machine.
+    pub machine: MachineLimits,
     /// Settings of the session service.
     pub service: ServiceSettings,
     /// Address for callers.
@@ -40,6 +53,8 @@
     pub store_address: SocketAddr,
     /// Address of the platform's promotion call.
     pub promotion_address: SocketAddr,
+    /// Address of the platform's call for usage reports.
+    pub usage_address: SocketAddr,
 }
 
 impl SessionSettings {
@@ -60,11 +75,31 @@
         let peer_address = address("listen", "peers");
         let store_address = address("store", "address");
         let promotion_address = address("promotion", "address");
+        // Usually the platform takes both calls at one address.
+        let usage_text = reader.text("usage", "address");
+        let usage_address = match usage_text {
+            Some(_) => reader.parse("usage", "address", ALLOWED_ADDRESS),
+            None => promotion_address,
+        };
+        let window = reader.number("usage", "window_ms", 5_000, 100..=3_600_000);
+        let report_delay = reader.number("usage", "report_delay_ms", 10_000, 100..=3_600_000);
+        let usage = UsagePolicy::default()
+            .with_window(Duration::from_millis(window))
+            .with_report_delay(Duration::from_millis(report_delay));
         let key_lifetime = reader.number("bounds", "key_lifetime_ms", 5_000, 0..=3_600_000);
         let shutdown_timeout = reader.number("bounds", "shutdown_ms", 6_000, 500..=600_000);
         let fences = reader.number("bounds", "platform_fences", 0, 0..=1);
         let contracts = reader.text("features", "contracts").unwrap_or_default();
         let duties = reader.text("features", "duties").unwrap_or_default();
+        let default = MachineLimits::default();
+        let mut limit = |key, default: usize, range| {
+            let value = reader.number("machine", key, default as u64, range);
+            usize::try_from(value).unwrap_or(default)
+        };
+        let machine = MachineLimits {
+            memory_mb: limit("memory_mb", default.memory_mb, MEMORY_RANGE_MB),
+            descriptors: limit("descriptors", default.descriptors, DESCRIPTOR_RANGE),
+        };
         reader.finish()?;
         // Every value is present because `finish` reports all that are missing.
         let settings = (|| {
@@ -72,14 +107,17 @@
                 .with_key_lifetime((key_lifetime > 0).then(|| Duration::from_millis(key_lifetime)))
                 .with_shutdown_timeout(Duration::from_millis(shutdown_timeout))
                 .with_platform_fences(fences == 1)
-                .with_features(decode_features(&contracts, &duties));
+                .with_features(decode_features(&contracts, &duties))
+                .with_usage(usage);
             Some(Self {
+                machine,
                 service,
                 session_address: session_address?,
                 readiness_address: readiness_address?,
                 metrics_address: metrics_address?,
                 store_address: store_address?,
                 promotion_address: promotion_address?,
+                usage_address: usage_address?,
             })
         })();
         settings.ok_or_else(|| SettingsError::Invalid(Vec::new()))
