--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -399,7 +399,7 @@
     }
 
     /// Applies the reports of another instance, which hold from `since` on: for a request the time
-    /// of its receipt, for a reply the time when its request was sent.
+    /// of its arrival, for a reply the time when its request was sent.
     pub fn apply_reports(
         &mut self,
         notice: &CapacityNotice,
--- a/crates/coriander_capacity/tests/reports.rs
+++ b/crates/coriander_capacity/tests/reports.rs
@@ -103,7 +103,7 @@
 
 #[test]
 fn reply_that_takes_long_does_not_prolong_its_report() {
-    // Guards against a report that counts from the receipt of a reply that was held up.
+    // Guards against a report that counts from the arrival of a reply that was held up.
     let (mut home, mut caller) = <(CapacityBoard, CapacityBoard)>::default();
     fail(&mut home, "a", at(1_000));
     caller.apply_reply(&home.reply_notice("a"), "a", at(1_000), at(1_800));
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -384,7 +384,7 @@
         Some(service.held_update(known, arrived_at, BootClock.now()))
     }
 
-    /// Applies what the sender of a plan has set aside. It counts from the receipt, whatever the
+    /// Applies what the sender of a plan has set aside. It counts from the arrival, whatever the
     /// plan waits for then.
     fn receive_reports(&self, plan: &ExchangePlan) {
         if plan.capacity.is_some()
