Report a usage window only when all parts of its counts have arrived

Cause: counts of more than about 80 accounts are sent in several datagrams, and each said that the window was closed. When one part and its repetition were lost, the window counted as complete and was reported without these accounts. The report is final.

Change: every part carries the total of all. A process has closed a window, and the sums of a collector are complete, when the total has arrived; the ledger keeps the sums by collector. Collectors tell a process what they have received, and it repeats a closed window until both have all of it, four times at most; before, it always sent it twice. closed_window_is_sent_twice_and_after_changes is replaced by two tests: repetition ends with the confirmations, and after four times without any. Messages between instances have changed.

With the comparison of the totals taken out, lost_part_keeps_the_window_of_the_process_open and lost_part_of_the_sums_delays_the_report_until_it_arrives fail.

--- a/crates/coriander_service/src/fleet/peer_messages.rs
+++ b/crates/coriander_service/src/fleet/peer_messages.rs
@@ -67,11 +67,15 @@
     Counts(InstanceCounts, Duration),
     /// Sums of a zone for the holder of the duty.
     Zone(ZoneCounts),
-    /// The time at a collector, for a process that has sent counts.
-    Time {
+    /// What a collector has received of a process that has closed a window.
+    Received {
         /// Process of the collector.
         collector: u64,
-        /// Time since the Unix epoch.
+        /// Number of the window.
+        window: u64,
+        /// Operations of the process in the window that have arrived.
+        operations: u64,
+        /// Time at the collector since the Unix epoch.
         wall_time: Duration,
     },
 }
--- a/crates/coriander_service/src/usage/usage_meter.rs
+++ b/crates/coriander_service/src/usage/usage_meter.rs
@@ -7,8 +7,7 @@
 
 use coriander_core::stable_hash;
 use coriander_usage::{
-    AccountCounter, ClockEstimate, InstanceCounts, UsageLedger, UsagePolicy, WindowCounts,
-    ZoneCollector, ZoneCounts, split_counts,
+    AccountCounter, ClockEstimate, InstanceCounts, UsageLedger, UsagePolicy, ZoneCollector,
 };
 
 use crate::fleet::peer_messages::{PeerMessage, UsageMessage};
@@ -132,21 +131,30 @@
             self.counter.borrow_mut().resend_all();
             (*self.collectors.borrow_mut()).clone_from(&collectors);
         }
-        let due = self.counter.borrow_mut().take_due(open_window);
-        for WindowCounts {
-            window,
-            is_closed,
-            counts,
-        } in due
-        {
-            for part in split_counts(counts) {
-                let zone = self.zone.clone();
-                let counts = InstanceCounts::new(self.process, zone, window, is_closed, part);
-                let message = PeerMessage::Usage(UsageMessage::Counts(counts, machine_time()));
+        let mut counter = self.counter.borrow_mut();
+        let due = counter.take_due(open_window, collectors.len());
+        drop(counter);
+        for counts in due {
+            let (window, is_closed) = (counts.window, counts.is_closed);
+            for part in InstanceCounts::parts(self.process, &self.zone, counts) {
+                let message = PeerMessage::Usage(UsageMessage::Counts(part, machine_time()));
                 for (address, _) in &collectors {
                     self.deliver(service, *address, &message);
                 }
             }
+            if is_closed {
+                self.confirm_own(window);
+            }
+        }
+    }
+
+    /// Confirms the counts of a window that this instance has sent to itself as a collector.
+    fn confirm_own(&self, window: u64) {
+        let collector = self.collector.borrow();
+        let received = collector.received(self.process, &self.zone, window);
+        if let Some(received) = received {
+            let mut counter = self.counter.borrow_mut();
+            counter.confirm(window, self.process, received);
         }
     }
 
@@ -164,12 +172,8 @@
         let due = collector.take_due(self.process, settled_window);
         drop(collector);
         for sums in due {
-            for part in split_counts(sums.counts.clone()) {
-                let counts = ZoneCounts {
-                    counts: part,
-                    ..sums.clone()
-                };
-                let message = PeerMessage::Usage(UsageMessage::Zone(counts));
+            for part in sums.into_parts() {
+                let message = PeerMessage::Usage(UsageMessage::Zone(part));
                 self.deliver(service, receiver.address, &message);
             }
         }
@@ -205,35 +209,43 @@
         match message {
             UsageMessage::Counts(counts, _) => self.collector.borrow_mut().record(counts),
             UsageMessage::Zone(sums) => self.ledger.borrow_mut().receive(sums),
-            UsageMessage::Time { .. } => {}
+            UsageMessage::Received { .. } => {}
         }
     }
 
     /// Handles a message of another instance.
     pub fn handle(&self, sender: SocketAddr, message: &UsageMessage, service: &SessionService) {
         let now = BootClock.now();
+        self.record(message);
         match message {
             UsageMessage::Counts(counts, wall_time) => {
                 let mut clock = self.clock.borrow_mut();
                 clock.record_peer(counts.process, *wall_time, now);
                 if counts.is_closed {
-                    let reply = UsageMessage::Time {
+                    let collector = self.collector.borrow();
+                    let received = collector.received(counts.process, &counts.zone, counts.window);
+                    let reply = UsageMessage::Received {
                         collector: self.process,
+                        window: counts.window,
+                        operations: received.unwrap_or(0),
                         wall_time: clock.wall_time(now),
                     };
                     service.peers.send(sender, &PeerMessage::Usage(reply));
                 }
             }
-            UsageMessage::Time {
+            UsageMessage::Received {
                 collector,
+                window,
+                operations,
                 wall_time,
             } => {
+                let mut counter = self.counter.borrow_mut();
+                counter.confirm(*window, *collector, *operations);
                 let mut clock = self.clock.borrow_mut();
                 clock.record_peer(*collector, *wall_time, now);
             }
             UsageMessage::Zone(_) => {}
         }
-        self.record(message);
     }
 }
 
--- a/crates/coriander_service/tests/usage.rs
+++ b/crates/coriander_service/tests/usage.rs
@@ -218,6 +218,7 @@
             zone: "berrechid".into(),
             window,
             closed_processes: 1,
+            total: 1,
             counts: vec![("north".into(), 1)],
         });
     }
--- a/crates/coriander_usage/examples/usage_load.rs
+++ b/crates/coriander_usage/examples/usage_load.rs
@@ -35,15 +35,12 @@
                 *counted.entry(window).or_default() += 1;
             }
             let zone = index / PROCESSES as usize;
-            for due in counter.take_due(window) {
-                let message = InstanceCounts::new(
-                    process,
-                    ZONES[zone],
-                    due.window,
-                    due.is_closed,
-                    due.counts,
-                );
-                for collector in &mut collectors[zone * 2..zone * 2 + 2] {
+            let due = counter.take_due(window, 2).into_iter();
+            let parts =
+                due.flat_map(|due| InstanceCounts::parts(process, &ZONES[zone].into(), due));
+            for message in parts.collect::<Vec<_>>() {
+                let receivers = collectors[zone * 2..zone * 2 + 2].iter_mut();
+                for (receiver, collector) in (0..).zip(receivers) {
                     messages += 1;
                     // Every ninth message is lost, every seventh arrives twice.
                     if !messages.is_multiple_of(9) {
@@ -52,6 +49,8 @@
                     if messages.is_multiple_of(7) {
                         collector.record(&message);
                     }
+                    let received = collector.received(process, &message.zone, message.window);
+                    counter.confirm(message.window, receiver, received.unwrap_or(0));
                 }
             }
         }
--- a/crates/coriander_usage/src/account_counter.rs
+++ b/crates/coriander_usage/src/account_counter.rs
@@ -3,11 +3,15 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
 use crate::is_kept;
 use crate::usage_messages::AccountCounts;
 
-/// How often the counts of a window that has ended are sent, because datagrams may be lost.
-const CLOSED_SENDS: u8 = 2;
+/// How often the counts of a window that has ended are sent at most, until all collectors have
+/// confirmed them. One round follows another within a second, and the window is reported about 3 s
+/// after its end.
+const MAX_CLOSED_SENDS: u8 = 4;
 
 #[derive(Debug, Default)]
 struct WindowCounter {
@@ -16,6 +20,20 @@
     is_changed: bool,
     /// How often they were sent after the end of the window.
     closed_sends: u8,
+    /// Collectors that have confirmed the present counts.
+    confirmed_by: SmallVec<[u64; 2]>,
+}
+
+impl WindowCounter {
+    fn mark_changed(&mut self) {
+        self.is_changed = true;
+        self.closed_sends = 0;
+        self.confirmed_by.clear();
+    }
+
+    fn total(&self) -> u64 {
+        self.counts.values().sum()
+    }
 }
 
 /// Counts of a window that are to be sent.
@@ -39,7 +57,7 @@
     /// Counts an operation.
     pub fn count(&mut self, account: &Arc<str>, window: u64) {
         let counter = self.windows.entry(window).or_default();
-        counter.is_changed = true;
+        counter.mark_changed();
         if let Some(count) = counter.counts.get_mut(account) {
             *count += 1;
         } else {
@@ -47,16 +65,18 @@
         }
     }
 
-    /// Returns the counts to be sent now: those of windows with changed counts, and those of windows
-    /// that have ended, twice.
-    pub fn take_due(&mut self, open_window: u64) -> Vec<WindowCounts> {
+    /// Returns the counts to be sent now to the collectors: those of windows with changed counts, and
+    /// those of windows that have ended, until every collector has confirmed them.
+    pub fn take_due(&mut self, open_window: u64, collectors: usize) -> Vec<WindowCounts> {
         // A window without operations is closed as well.
         self.windows.entry(open_window).or_default();
         self.remove_old(open_window);
         let mut due = Vec::new();
         for (window, counter) in &mut self.windows {
             let is_closed = *window < open_window;
-            let is_due = counter.is_changed || is_closed && counter.closed_sends < CLOSED_SENDS;
+            let is_unconfirmed = counter.closed_sends < MAX_CLOSED_SENDS
+                && counter.confirmed_by.len() < collectors.max(1);
+            let is_due = counter.is_changed || is_closed && is_unconfirmed;
             if !is_due {
                 continue;
             }
@@ -75,6 +95,18 @@
         due
     }
 
+    /// Records how many operations of this process a collector has received for a window that has
+    /// ended. Only the present total confirms the counts.
+    pub fn confirm(&mut self, window: u64, collector: u64, received: u64) {
+        let Some(counter) = self.windows.get_mut(&window) else {
+            return;
+        };
+        let is_known = counter.confirmed_by.contains(&collector);
+        if received >= counter.total() && !is_known {
+            counter.confirmed_by.push(collector);
+        }
+    }
+
     /// Removes the windows that are not kept, also while there is no collector.
     pub fn remove_old(&mut self, open_window: u64) {
         self.windows
@@ -88,14 +120,13 @@
 
     /// Returns the operations in the windows that are kept.
     pub fn total(&self) -> u64 {
-        let windows = self.windows.values();
-        windows.flat_map(|counter| counter.counts.values()).sum()
+        self.windows.values().map(WindowCounter::total).sum()
     }
 
     /// Makes all windows due again, for a new collector or before the process stops.
     pub fn resend_all(&mut self) {
         for counter in self.windows.values_mut() {
-            counter.is_changed = true;
+            counter.mark_changed();
         }
     }
 }
--- a/crates/coriander_usage/src/lib.rs
+++ b/crates/coriander_usage/src/lib.rs
@@ -14,11 +14,12 @@
 //! let mut counter = AccountCounter::default();
 //! counter.count(&"harbour".into(), 7);
 //! let mut collector = ZoneCollector::default();
-//! for due in counter.take_due(8) {
-//!     let message = InstanceCounts::new(1, "north", due.window, due.is_closed, due.counts);
-//!     collector.record(&message);
-//!     // A repeated message does not count twice.
-//!     collector.record(&message);
+//! for due in counter.take_due(8, 1) {
+//!     for message in InstanceCounts::parts(1, &"north".into(), due) {
+//!         collector.record(&message);
+//!         // A repeated message does not count twice.
+//!         collector.record(&message);
+//!     }
 //! }
 //! let totals = collector.take_due(1, 8);
 //! assert_eq!(totals[0].counts, [("harbour".into(), 1)]);
--- a/crates/coriander_usage/src/usage_ledger.rs
+++ b/crates/coriander_usage/src/usage_ledger.rs
@@ -41,12 +41,50 @@
     pub missing: u64,
 }
 
+/// The sums of a zone as one of its collectors has sent them.
 #[derive(Debug, Default)]
-struct ZoneSums {
+struct CollectorSums {
     closed_processes: u32,
+    total: u64,
     counts: HashMap<Arc<str>, u64>,
 }
 
+impl CollectorSums {
+    /// Returns the number of processes whose counts are in the sums; 0 while a part is missing.
+    fn closed_processes(&self) -> u32 {
+        let received: u64 = self.counts.values().sum();
+        if received < self.total {
+            return 0;
+        }
+        self.closed_processes
+    }
+}
+
+/// The sums of a zone by the process of the collector.
+#[derive(Debug, Default)]
+struct ZoneSums {
+    collectors: HashMap<u64, CollectorSums>,
+}
+
+impl ZoneSums {
+    fn closed_processes(&self) -> u32 {
+        let collectors = self.collectors.values();
+        let closed = collectors.map(CollectorSums::closed_processes);
+        closed.max().unwrap_or(0)
+    }
+
+    /// Returns the highest sum of each account. The sums of the collectors are lower bounds.
+    fn counts(&self) -> HashMap<&Arc<str>, u64> {
+        let mut highest: HashMap<&Arc<str>, u64> = HashMap::new();
+        let collectors = self.collectors.values();
+        for (account, count) in collectors.flat_map(|sums| &sums.counts) {
+            let known = highest.entry(account).or_default();
+            *known = (*known).max(*count);
+        }
+        highest
+    }
+}
+
 /// The windows of the fleet, and the state of their reports while this process holds the duty.
 #[derive(Debug, Default)]
 pub struct UsageLedger {
@@ -77,8 +115,7 @@
         }
     }
 
-    /// Records the sums of a collector. The sums of the collectors of a zone are lower bounds, so
-    /// the highest one counts for each account.
+    /// Records the sums of a collector, or a part of them.
     pub fn receive(&mut self, message: &ZoneCounts) {
         let open_window = self.open_window.unwrap_or(message.window);
         if !is_kept(message.window, open_window) {
@@ -86,9 +123,11 @@
         }
         let zones = self.windows.entry(message.window).or_default();
         let zone = zones.entry(message.zone.clone()).or_default();
-        zone.closed_processes = zone.closed_processes.max(message.closed_processes);
+        let sums = zone.collectors.entry(message.collector).or_default();
+        sums.closed_processes = sums.closed_processes.max(message.closed_processes);
+        sums.total = sums.total.max(message.total);
         for (account, count) in &message.counts {
-            let known = zone.counts.entry(account.clone()).or_default();
+            let known = sums.counts.entry(account.clone()).or_default();
             *known = (*known).max(*count);
         }
     }
@@ -188,11 +227,11 @@
         })
     }
 
-    /// Returns the number of processes that have closed a window.
+    /// Returns the number of processes that have closed a window and whose counts have all arrived.
     pub fn closed_processes(&self, window: u64) -> u32 {
         let zones = self.windows.get(&window);
         zones.map_or(0, |zones| {
-            zones.values().map(|zone| zone.closed_processes).sum()
+            zones.values().map(ZoneSums::closed_processes).sum()
         })
     }
 
@@ -203,8 +242,8 @@
         windows.len()
     }
 
-    /// Removes windows that are too old, also while this process does not hold the duty, and returns the reported ones of which operations became
-    /// known too late.
+    /// Removes windows that are too old, also while this process does not hold the duty, and returns
+    /// the reported ones of which operations became known too late.
     pub fn remove_old(&mut self, wall_time: Duration) -> Vec<WindowDifference> {
         let open_window = self.policy.window_at(wall_time);
         self.open_window = Some(open_window);
@@ -216,7 +255,7 @@
             let Some(reported) = self.reported.remove(&window) else {
                 continue;
             };
-            let counts = zones.values().flat_map(|zone| zone.counts.values());
+            let counts = zones.values().flat_map(|zone| zone.counts().into_values());
             let missing = counts.sum::<u64>().saturating_sub(reported);
             if missing > 0 {
                 differences.push(WindowDifference {
@@ -256,10 +295,8 @@
     fn usage(&self, window: u64) -> WindowUsage {
         let mut counts: BTreeMap<Arc<str>, u64> = BTreeMap::new();
         let zones = self.windows.get(&window).into_iter();
-        for (account, count) in zones
-            .flat_map(HashMap::values)
-            .flat_map(|zone| &zone.counts)
-        {
+        let zones = zones.flat_map(HashMap::values);
+        for (account, count) in zones.flat_map(ZoneSums::counts) {
             *counts.entry(account.clone()).or_default() += count;
         }
         WindowUsage { window, counts }
--- a/crates/coriander_usage/src/usage_messages.rs
+++ b/crates/coriander_usage/src/usage_messages.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::account_counter::WindowCounts;
+
 /// Maximum size of the counts in one message, in bytes, so that it fits into a datagram.
 const MAX_COUNT_BYTES: usize = 1_200;
 
@@ -14,8 +16,8 @@
 /// Number of operations by client account.
 pub type AccountCounts = Vec<(Arc<str>, u64)>;
 
-/// Splits counts into parts that each fit into a datagram; at least one, which may be empty. Every
-/// part stands for itself, because counts are merged by account.
+/// Splits counts into parts that each fit into a datagram; at least one, which may be empty. Counts
+/// are merged by account, and the total in each part tells whether another one is missing.
 pub fn split_counts(counts: AccountCounts) -> Vec<AccountCounts> {
     let mut parts = vec![AccountCounts::new()];
     let mut bytes = 0;
@@ -44,26 +46,36 @@
     pub window: u64,
     /// Whether the window has ended for the process.
     pub is_closed: bool,
-    /// Counts since the beginning of the window.
+    /// Operations of all accounts since the beginning of the window, also of those in other parts.
+    pub total: u64,
+    /// Counts since the beginning of the window, or a part of them.
     pub counts: AccountCounts,
 }
 
 impl InstanceCounts {
-    /// Creates the message.
-    pub fn new(
-        process: u64,
-        zone: impl Into<Arc<str>>,
-        window: u64,
-        is_closed: bool,
-        counts: AccountCounts,
-    ) -> Self {
-        Self {
+    /// Creates the messages with the counts of a window, one for each part that fits into a
+    /// datagram.
+    ///
+    /// ```
+    /// use coriander_usage::{InstanceCounts, WindowCounts};
+    ///
+    /// let counts = vec![("harbour".into(), 2), ("quay".into(), 3)];
+    /// let window = WindowCounts { window: 7, is_closed: true, counts };
+    /// let parts = InstanceCounts::parts(1, &"north".into(), window);
+    /// assert_eq!((parts.len(), parts[0].total), (1, 5));
+    /// ```
+    pub fn parts(process: u64, zone: &Arc<str>, window: WindowCounts) -> Vec<Self> {
+        let total = total_of(&window.counts);
+        let parts = split_counts(window.counts).into_iter();
+        let message = |counts| Self {
             process,
-            zone: zone.into(),
-            window,
-            is_closed,
+            zone: zone.clone(),
+            window: window.window,
+            is_closed: window.is_closed,
+            total,
             counts,
-        }
+        };
+        parts.map(message).collect()
     }
 }
 
@@ -78,10 +90,31 @@
     pub window: u64,
     /// Number of processes that have closed the window.
     pub closed_processes: u32,
-    /// Sums over the processes.
+    /// Operations of all accounts, also of those in other parts.
+    pub total: u64,
+    /// Sums over the processes, or a part of them.
     pub counts: AccountCounts,
 }
 
+impl ZoneCounts {
+    /// Splits the message into parts that each fit into a datagram.
+    pub fn into_parts(mut self) -> Vec<Self> {
+        let counts = std::mem::take(&mut self.counts);
+        let parts = split_counts(counts).into_iter();
+        parts
+            .map(|counts| Self {
+                counts,
+                ..self.clone()
+            })
+            .collect()
+    }
+}
+
+/// Returns the operations of all accounts.
+pub fn total_of(counts: &AccountCounts) -> u64 {
+    counts.iter().map(|(_, count)| count).sum()
+}
+
 /// The report of a window.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WindowUsage {
--- a/crates/coriander_usage/src/zone_collector.rs
+++ b/crates/coriander_usage/src/zone_collector.rs
@@ -4,17 +4,31 @@
 use std::sync::Arc;
 
 use crate::is_kept;
-use crate::usage_messages::{AccountCounts, InstanceCounts, ZoneCounts};
+use crate::usage_messages::{AccountCounts, InstanceCounts, ZoneCounts, total_of};
 
 /// How often an unchanged sum is sent, because datagrams may be lost.
 const SUM_SENDS: u8 = 2;
 
 #[derive(Debug, Default)]
 struct ProcessCounts {
+    /// Whether the process has ended the window.
     is_closed: bool,
+    /// Operations that the process has counted.
+    total: u64,
     counts: HashMap<Arc<str>, u64>,
 }
 
+impl ProcessCounts {
+    fn received(&self) -> u64 {
+        self.counts.values().sum()
+    }
+
+    /// Returns whether all parts of the final counts have arrived.
+    fn is_complete(&self) -> bool {
+        self.is_closed && self.received() >= self.total
+    }
+}
+
 #[derive(Debug, Default)]
 struct ZoneWindow {
     processes: HashMap<u64, ProcessCounts>,
@@ -54,18 +68,27 @@
         let key = (message.window, message.zone.clone());
         let window = self.windows.entry(key).or_default();
         let process = window.processes.entry(message.process).or_default();
-        let mut is_changed = message.is_closed && !process.is_closed;
+        let was_complete = process.is_complete();
         process.is_closed |= message.is_closed;
+        process.total = process.total.max(message.total);
+        let mut is_changed = false;
         for (account, count) in &message.counts {
             let known = process.counts.entry(account.clone()).or_default();
             is_changed |= *known < *count;
             *known = (*known).max(*count);
         }
-        if is_changed {
+        if is_changed || process.is_complete() != was_complete {
             window.sends = 0;
         }
     }
 
+    /// Returns the operations of a process in a window that have been received; `None` if nothing
+    /// has.
+    pub fn received(&self, process: u64, zone: &Arc<str>, window: u64) -> Option<u64> {
+        let window = self.windows.get(&(window, zone.clone()))?;
+        window.processes.get(&process).map(ProcessCounts::received)
+    }
+
     /// Returns the sums to be sent now to the holder of the duty: those of windows before
     /// `settled_window` that are new, have changed or were sent once.
     pub fn take_due(&mut self, collector: u64, settled_window: u64) -> Vec<ZoneCounts> {
@@ -74,13 +97,16 @@
         });
         due.map(|((window, zone), state)| {
             state.sends += 1;
-            let closed = state.processes.values().filter(|process| process.is_closed);
+            let processes = state.processes.values();
+            let closed = processes.filter(|process| process.is_complete());
+            let counts = state.sums();
             ZoneCounts {
                 collector,
                 zone: zone.clone(),
                 window: *window,
                 closed_processes: u32::try_from(closed.count()).unwrap_or(u32::MAX),
-                counts: state.sums(),
+                total: total_of(&counts),
+                counts,
             }
         })
         .collect()
--- a/crates/coriander_usage/tests/counting.rs
+++ b/crates/coriander_usage/tests/counting.rs
@@ -12,13 +12,14 @@
 use proptest::prelude::*;
 
 fn counts(process: u64, window: u64, count: u64) -> InstanceCounts {
-    InstanceCounts::new(
+    InstanceCounts {
         process,
-        "north",
+        zone: "north".into(),
         window,
-        true,
-        vec![("harbour".into(), count)],
-    )
+        is_closed: true,
+        total: count,
+        counts: vec![("harbour".into(), count)],
+    }
 }
 
 /// Returns the counts of window 7 after its end.
@@ -31,25 +32,73 @@
 }
 
 #[test]
-fn closed_window_is_sent_twice_and_after_changes() {
-    // A single datagram may be lost; endless repetition would cost every instance each second.
+fn closed_window_is_sent_until_both_collectors_have_confirmed_it() {
+    // A datagram may be lost; endless repetition would cost every instance each second.
     let mut counter = AccountCounter::default();
     counter.count(&"harbour".into(), 7);
-    assert_eq!(counter.take_due(7).len(), 1);
-    assert_eq!(counter.take_due(7).len(), 0);
-    assert_eq!(counter.take_due(8).len(), 1);
-    assert_eq!(counter.take_due(8).len(), 1);
-    assert_eq!(counter.take_due(8).len(), 0);
+    assert_eq!(counter.take_due(7, 2).len(), 1);
+    assert_eq!(counter.take_due(7, 2).len(), 0);
+    assert_eq!(counter.take_due(8, 2).len(), 1);
+    counter.confirm(7, 1, 1);
+    counter.confirm(7, 1, 1);
+    assert_eq!(counter.take_due(8, 2).len(), 1);
+    counter.confirm(7, 2, 1);
+    assert_eq!(counter.take_due(8, 2).len(), 0);
+    counter.count(&"harbour".into(), 7);
+    let due = counter.take_due(8, 2);
+    assert_eq!(due, [closed(vec![("harbour".into(), 2)])]);
+    // A confirmation of the former counts does not end the repetition of the present ones.
+    counter.confirm(7, 1, 1);
+    counter.confirm(7, 2, 1);
+    assert_eq!(counter.take_due(8, 2).len(), 1);
+}
+
+#[test]
+fn closed_window_without_confirmation_is_sent_four_times() {
+    // Counts for lost collectors would be repeated for as long as the window is kept.
+    let mut counter = AccountCounter::default();
     counter.count(&"harbour".into(), 7);
-    assert_eq!(counter.take_due(8), [closed(vec![("harbour".into(), 2)])]);
+    counter.take_due(7, 2);
+    let sent: usize = (0..20).map(|_| counter.take_due(8, 2).len()).sum();
+    // The window after it is still open.
+    assert_eq!(sent, 4);
+}
+
+#[test]
+fn lost_part_keeps_the_window_of_the_process_open() {
+    // Counts of many accounts need several datagrams. A process whose window counts as closed while
+    // one of them is missing would leave its accounts out of the report.
+    let mut counter = AccountCounter::default();
+    for number in 0..300 {
+        counter.count(&format!("account-{number}").into(), 7);
+    }
+    let mut collector = ZoneCollector::default();
+    let zone: Arc<str> = "north".into();
+    let due = counter.take_due(8, 1).remove(0);
+    let parts = InstanceCounts::parts(1, &zone, due);
+    assert!(parts.len() > 2);
+    for part in &parts[1..] {
+        collector.record(part);
+    }
+    assert_eq!(collector.take_due(9, 8)[0].closed_processes, 0);
+    let received = collector.received(1, &zone, 7).unwrap_or(0);
+    counter.confirm(7, 9, received);
+    let again = counter.take_due(8, 1).remove(0);
+    for part in InstanceCounts::parts(1, &zone, again) {
+        collector.record(&part);
+    }
+    let sums = collector.take_due(9, 8).remove(0);
+    assert_eq!((sums.closed_processes, sums.total), (1, 300));
+    counter.confirm(7, 9, 300);
+    assert!(counter.take_due(8, 1).is_empty());
 }
 
 #[test]
 fn window_without_operations_is_closed() {
     // The holder would wait for an idle instance with every report.
     let mut counter = AccountCounter::default();
-    counter.take_due(7);
-    assert_eq!(counter.take_due(8), [closed(Vec::new())]);
+    counter.take_due(7, 2);
+    assert_eq!(counter.take_due(8, 2), [closed(Vec::new())]);
 }
 
 #[test]
@@ -58,7 +107,7 @@
     let mut counter = AccountCounter::default();
     counter.count(&"harbour".into(), 7);
     counter.resend_all();
-    assert!(counter.take_due(7 + KEPT_WINDOWS).is_empty());
+    assert!(counter.take_due(7 + KEPT_WINDOWS, 2).is_empty());
 }
 
 #[test]
@@ -148,7 +197,7 @@
     assert_eq!(collector.window_count(), 1);
     let mut counter = AccountCounter::default();
     counter.count(&"harbour".into(), u64::MAX);
-    assert_eq!(counter.take_due(1_000), []);
+    assert_eq!(counter.take_due(1_000, 2), []);
 }
 
 proptest! {
--- a/crates/coriander_usage/tests/support/mod.rs
+++ b/crates/coriander_usage/tests/support/mod.rs
@@ -17,6 +17,7 @@
         zone: zone.into(),
         window,
         closed_processes: closed,
+        total: count,
         counts: vec![("harbour".into(), count)],
     }
 }
--- a/crates/coriander_usage/tests/usage_failures.rs
+++ b/crates/coriander_usage/tests/usage_failures.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use coriander_usage::{KEPT_WINDOWS, UsageRecord, WindowUsage};
+use coriander_usage::{KEPT_WINDOWS, UsageRecord, WindowUsage, ZoneCounts};
 use support::{Holder, Platform, Store, policy, sums};
 
 const WINDOW: u64 = 1_000;
@@ -297,3 +297,25 @@
     holder.run(&mut store, &mut platform, at(14_000), INSTANCES);
     assert_eq!(platform.reports[&WINDOW]["harbour"], 10);
 }
+
+#[test]
+fn lost_part_of_the_sums_delays_the_report_until_it_arrives() {
+    // The report is final, so accounts in a datagram that was lost would not be billed.
+    let (mut store, mut platform) = (Store::default(), Platform::default());
+    let mut holder = holder(&mut store, 5);
+    let accounts = (0..300).map(|number| (format!("account-{number}").into(), 1));
+    let all = ZoneCounts {
+        total: 300,
+        counts: accounts.collect(),
+        ..sums(5, "east", WINDOW, 2, 0)
+    };
+    let parts = all.into_parts();
+    for part in &parts[1..] {
+        holder.ledger.receive(part);
+    }
+    holder.run(&mut store, &mut platform, at(3_100), INSTANCES + 2);
+    assert!(platform.reports.is_empty());
+    holder.ledger.receive(&parts[0]);
+    holder.run(&mut store, &mut platform, at(3_200), INSTANCES + 2);
+    assert_eq!(platform.reports[&WINDOW].len(), 301);
+}
