--- a/crates/coriander_service/src/duties/duty_lease.rs
+++ b/crates/coriander_service/src/duties/duty_lease.rs
@@ -11,7 +11,8 @@
 use tokio::time::sleep;
 
 use crate::duties::duty_state::DutyState;
-use crate::service::{ServicePhase, SessionService};
+use crate::process_lifecycle::ServicePhase;
+use crate::service::SessionService;
 
 /// Lifetime of the lease without renewal.
 const LEASE_TTL: Duration = Duration::from_millis(4_000);
--- a/crates/coriander_service/src/fleet/registration.rs
+++ b/crates/coriander_service/src/fleet/registration.rs
@@ -7,7 +7,8 @@
 use coriander_service_api::{ControlStore, InstanceEntry, LeaseId, StoreError};
 use tokio::time::sleep;
 
-use crate::service::{ServicePhase, SessionService};
+use crate::process_lifecycle::ServicePhase;
+use crate::service::SessionService;
 
 /// Lifetime of the registration without renewal. It bounds how long a lost instance is still listed
 /// as home instance and as owner of rates.
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -25,7 +25,8 @@
 use crate::fleet::relay_messages::{HeldUpdate, RelayReply, RelayRequest, StreamNumber};
 use crate::members::held_connection::HeldConnection;
 use crate::members::member_pool::PoolError;
-use crate::service::{ServicePhase, SessionService};
+use crate::process_lifecycle::ServicePhase;
+use crate::service::SessionService;
 use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
 use crate::usage::begun_operation::exchange_counted;
 
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -17,6 +17,7 @@
 mod duties;
 mod fleet;
 mod members;
+mod process_lifecycle;
 mod promotion;
 mod service;
 mod service_description;
@@ -41,12 +42,13 @@
 pub use fleet::relay_messages::{HeldUpdate, RelayReply, RelayRequest};
 pub use members::member_health::MemberHealth;
 pub use members::warm_up_gate::WarmUpGate;
+pub use process_lifecycle::{ProcessLifecycle, ServicePhase};
 pub use promotion::promotion_cause::{
     PrimaryObservation, PromotionCandidate, PromotionCause, SuccessorRule, choose_successor,
 };
 pub use promotion::promotion_task::PromotionTask;
 pub use promotion::term_lineage::TermLineage;
-pub use service::{ServicePhase, SessionService};
+pub use service::SessionService;
 pub use service_settings::ServiceSettings;
 pub use sessions::busy_backoff::BusyBackoff;
 pub use sessions::shutdown_task::ShutdownTask;
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -31,6 +31,7 @@
 use crate::members::member::Member;
 use crate::members::member_capacity::SharedCapacity;
 use crate::members::warm_up_gate::WarmUpGate;
+use crate::process_lifecycle::{ProcessLifecycle, ServicePhase};
 use crate::promotion::outage_reports::OutageReports;
 use crate::service_metrics::ServiceMetrics;
 use crate::sessions::request_log::{RefusedSession, RequestLog};
@@ -41,24 +42,11 @@
 /// Account name sent to members for callers of routes that need no key.
 const ANONYMOUS_ACCOUNT: &str = "-";
 
-/// Phase of the process lifecycle, in order.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum ServicePhase {
-    /// Accepts work.
-    Serving,
-    /// Reports to the platform that it is not ready, but serves callers that still connect.
-    Draining,
-    /// Closes sessions as soon as they are idle and opens no new ones.
-    Closing,
-    /// Refuses statements; an open transaction may only commit or roll back.
-    Finishing,
-    /// Gives a final answer to every statement that still runs.
-    Stopping,
-}
-
 /// State shared by all sessions of the process.
 pub struct SessionService {
     settings: RefCell<Rc<ServiceSettings>>,
+    /// Phase of the process and number of sessions.
+    pub lifecycle: ProcessLifecycle,
     /// Clock of the process.
     pub clock: BootClock,
     /// Configuration in force.
@@ -67,8 +55,6 @@
     pub refresh_requested: Notify,
     /// Signals that a snapshot of the store has been applied.
     pub snapshot_applied: Notify,
-    /// Signals a change of phase.
-    pub phase_changed: Notify,
     connector: Rc<dyn MemberConnector>,
     /// Learned capacity of members, where the settings ask for it.
     pub(crate) capacity: Option<SharedCapacity>,
@@ -100,8 +86,6 @@
     pub store_view: StoreView,
     /// Rate limits of client accounts.
     pub rate_limiter: RateLimiter,
-    phase: Cell<ServicePhase>,
-    session_count: Cell<usize>,
     registration_lease: Cell<Option<LeaseId>>,
     /// Account name for callers of routes that need no key.
     pub anonymous_account: Arc<str>,
@@ -124,11 +108,11 @@
             .then(|| SharedCapacity::new(settings.zone.clone(), metrics.capacity_changes()));
         Rc::new_cyclic(|weak_self| Self {
             settings: RefCell::new(Rc::new(settings)),
+            lifecycle: ProcessLifecycle::default(),
             clock: BootClock,
             config_view: ConfigView::default(),
             refresh_requested: Notify::new(),
             snapshot_applied: Notify::new(),
-            phase_changed: Notify::new(),
             connector,
             capacity,
             groups: RefCell::default(),
@@ -146,8 +130,6 @@
             outage_reports: OutageReports::default(),
             usage_duty: DutyState::new(Duty::UsageReport),
             usage: usage.map(Rc::new),
-            phase: Cell::new(ServicePhase::Serving),
-            session_count: Cell::new(0),
             registration_lease: Cell::new(None),
             anonymous_account: ANONYMOUS_ACCOUNT.into(),
             weak_self: weak_self.clone(),
@@ -377,25 +359,12 @@
 
     /// Returns the phase of the process.
     pub fn phase(&self) -> ServicePhase {
-        self.phase.get()
+        self.lifecycle.phase()
     }
 
     /// Changes the phase of the process.
     pub fn set_phase(&self, phase: ServicePhase) {
-        log::info!(phase:? = phase, sessions = self.session_count(); "process phase changed");
-        self.phase.set(phase);
-        self.phase_changed.notify_waiters();
-    }
-
-    /// Waits until the process is in a phase or in a later one.
-    pub async fn wait_for_phase(&self, phase: ServicePhase) {
-        loop {
-            let changed = self.phase_changed.notified();
-            if self.phase() >= phase {
-                return;
-            }
-            changed.await;
-        }
+        self.lifecycle.set_phase(phase);
     }
 
     /// Records the lease of this instance's entry.
@@ -408,23 +377,12 @@
         self.registration_lease.get()
     }
 
-    /// Returns the number of open sessions.
-    pub fn session_count(&self) -> usize {
-        self.session_count.get()
-    }
-
-    pub(crate) fn count_session(&self, opened: bool) {
-        let count = self.session_count.get();
-        self.session_count
-            .set(if opened { count + 1 } else { count - 1 });
-    }
-
     /// Returns whether the platform should route new callers to this instance.
     pub fn is_ready(&self) -> bool {
         let now = self.clock.now();
         let is_config_recent = self.is_config_recent(now);
         let has_members = self.groups.borrow().values().any(|group| !group.is_empty());
-        self.phase.get() == ServicePhase::Serving && is_config_recent && has_members
+        self.phase() == ServicePhase::Serving && is_config_recent && has_members
     }
 
     /// Requests a read of the store unless the last one is younger than `age`.
--- a/crates/coriander_service/src/service_description.rs
+++ b/crates/coriander_service/src/service_description.rs
@@ -8,7 +8,8 @@
         let config = self.config_view.config();
         let version = config.map_or(0, |config| config.version);
         let age = self.config_view.age(self.clock.now());
-        self.metrics.set_gauges(self.session_count(), version, age);
+        self.metrics
+            .set_gauges(self.lifecycle.session_count(), version, age);
         for group in self.groups() {
             self.metrics.record_pools(&group);
             if self.capacity.is_some() {
@@ -31,7 +32,7 @@
                 settings.process_id,
                 settings.zone,
                 self.phase(),
-                self.session_count()
+                self.lifecycle.session_count()
             ),
             format!(
                 "config version={version} age={:?}",
--- a/crates/coriander_service/src/sessions/mod.rs
+++ b/crates/coriander_service/src/sessions/mod.rs
@@ -9,4 +9,5 @@
 pub mod request_log;
 pub mod session;
 pub mod shutdown_task;
+pub mod stop_rules;
 pub mod transaction;
--- a/crates/coriander_service/src/sessions/session.rs
+++ b/crates/coriander_service/src/sessions/session.rs
@@ -15,12 +15,14 @@
 use tokio::time::{sleep, timeout};
 
 use crate::admission::access::GrantedAccess;
-use crate::service::{ServicePhase, SessionService};
+use crate::process_lifecycle::ServicePhase;
+use crate::service::SessionService;
 use crate::sessions::exchange::PlannedStatement;
 use crate::sessions::operation::{OperationContext, run_single};
 use crate::sessions::operation_link::OperationLink;
 use crate::sessions::operation_trace::OperationTrace;
 use crate::sessions::request_log::{EndedStatement, kind_label};
+use crate::sessions::stop_rules::{abandoned_failure, check_phase};
 use crate::sessions::transaction::{run_commit, run_in_transaction};
 
 /// Interval at which an idle session checks whether it should close.
@@ -64,7 +66,7 @@
 impl ServedSession {
     /// Opens a session.
     pub fn new(service: Rc<SessionService>, database: &str, key: &str, account: Arc<str>) -> Self {
-        service.count_session(true);
+        service.lifecycle.count_session(true);
         Self {
             service,
             database: database.into(),
@@ -88,22 +90,19 @@
 
     /// Handles a statement. If it still runs when the process stops, it gets its final answer then.
     async fn dispatch_until_stop(&mut self, statement: &ClientStatement) -> SessionResponse {
-        let code = self.code_if_abandoned(&statement.kind);
+        let failure = abandoned_failure(self.may_be_kept(&statement.kind));
         let service = self.service.clone();
         let answer = tokio::select! {
             biased;
             response = self.dispatch(statement) => Some(response),
-            () = service.wait_for_phase(ServicePhase::Stopping) => None,
+            () = service.lifecycle.wait_for_phase(ServicePhase::Stopping) => None,
         };
-        answer.unwrap_or_else(|| {
-            let failure = SessionFailure::new(code, FailureReason::ShuttingDown);
-            SessionResponse::failed(failure, self.status())
-        })
+        answer.unwrap_or_else(|| SessionResponse::failed(failure, self.status()))
     }
 
-    /// Returns the code for a statement that is abandoned while it may run at a member.
-    fn code_if_abandoned(&self, kind: &StatementKind) -> FailureCode {
-        let may_be_kept = match (&self.state, kind) {
+    /// Returns whether a statement that runs at a member may take effect although it is abandoned.
+    fn may_be_kept(&self, kind: &StatementKind) -> bool {
+        match (&self.state, kind) {
             (SessionState::Open(transaction), StatementKind::Commit) => transaction.has_written,
             (SessionState::Idle, StatementKind::Write) => true,
             (SessionState::Idle, StatementKind::Execute { name, .. }) => {
@@ -111,45 +110,17 @@
                 shape.is_some_and(|shape| shape.access == AccessMode::Write)
             }
             _ => false,
-        };
-        if may_be_kept {
-            FailureCode::InDoubt
-        } else {
-            FailureCode::Aborted
         }
     }
 
-    /// Returns the failure of a statement that can no longer end before the process does.
-    fn check_phase(&self, kind: &StatementKind) -> Result<(), SessionFailure> {
-        let phase = self.service.phase();
-        let is_open = matches!(self.state, SessionState::Open(_));
-        let is_refused = match kind {
-            StatementKind::Begin { .. }
-            | StatementKind::Read
-            | StatementKind::Write
-            | StatementKind::Execute { .. } => phase >= ServicePhase::Finishing,
-            StatementKind::Commit => phase >= ServicePhase::Stopping,
-            _ => false,
-        };
-        if !is_refused {
-            return Ok(());
-        }
-        let code = if is_open {
-            FailureCode::Aborted
-        } else {
-            FailureCode::Busy
-        };
-        Err(SessionFailure::new(code, FailureReason::ShuttingDown))
-    }
-
     async fn dispatch(&mut self, statement: &ClientStatement) -> SessionResponse {
         if matches!(self.state, SessionState::Failed) {
             return self.respond_in_failed_transaction(&statement.kind);
         }
-        if let Err(failure) = self.check_phase(&statement.kind) {
+        let is_open = matches!(self.state, SessionState::Open(_));
+        if let Err(failure) = check_phase(self.service.phase(), &statement.kind, is_open) {
             return self.fail(failure);
         }
-        let is_open = matches!(self.state, SessionState::Open(_));
         match &statement.kind {
             StatementKind::Set { name, value } => {
                 self.values.set(name.clone(), value.clone());
@@ -473,7 +444,8 @@
 
     async fn wait_for_close(&mut self) {
         loop {
-            let changed = self.service.phase_changed.notified();
+            let service = self.service.clone();
+            let changed = service.lifecycle.changed();
             let is_open = matches!(self.state, SessionState::Open(_));
             let closing = self.service.phase() >= ServicePhase::Closing;
             if !is_open && (closing || self.service.is_isolated()) {
@@ -504,6 +476,6 @@
 
 impl Drop for ServedSession {
     fn drop(&mut self) {
-        self.service.count_session(false);
+        self.service.lifecycle.count_session(false);
     }
 }
--- a/crates/coriander_service/src/sessions/shutdown_task.rs
+++ b/crates/coriander_service/src/sessions/shutdown_task.rs
@@ -8,7 +8,8 @@
 use tokio::time::sleep;
 
 use crate::fleet::relay::RelayServer;
-use crate::service::{ServicePhase, SessionService};
+use crate::process_lifecycle::ServicePhase;
+use crate::service::SessionService;
 
 /// Time from the stop signal until idle sessions are closed; the platform stops sending sessions
 /// after two failed readiness checks, one second apart.
@@ -71,7 +72,7 @@
             usage.send_all(service);
         }
         log::info!(
-            sessions = service.session_count(), relayed = self.relay.active_count(),
+            sessions = service.lifecycle.session_count(), relayed = self.relay.active_count(),
             took:? = service.clock.now().since(started);
             "process stopped"
         );
@@ -95,7 +96,7 @@
     /// Waits until no session and no exchange of another instance is left, at most until `end`.
     async fn wait_for_sessions(&self, end: MonotonicTime) {
         let clock = self.service.clock;
-        let in_use = || self.service.session_count() + self.relay.active_count();
+        let in_use = || self.service.lifecycle.session_count() + self.relay.active_count();
         while in_use() > 0 && clock.now() < end {
             sleep(CLOSE_CHECK_INTERVAL).await;
         }
