Let three tests wait for what they check instead of fractions of real time

Two slept for a fraction of the shutdown time and then expected a phase; one left 80 ms of a statement's time for its third attempt.

Change: the tests of the planned stop read until the first refusal, which may not come in the first half, or wait for the phase itself; a statement refused then must not reach the member, as before. The read that is retried has 6 s, so that two attempts without a reply leave 600 ms.

--- a/crates/coriander_service/tests/shutdown.rs
+++ b/crates/coriander_service/tests/shutdown.rs
@@ -19,6 +19,9 @@
 /// Time from the stop signal until the platform kills the process.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Pause of a client between two statements.
+const STATEMENT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time of a member for a statement that is still running when the process exits.
 const ENDLESS: Duration = Duration::from_secs(20);
 
@@ -88,17 +91,26 @@
     let mut session = open(&stopping.service).await;
     run(&mut session, "b", "BEGIN READ").await;
     run(&mut session, "q1", "READ 1").await;
-    let (_, _exit) = stopping.stop();
-    sleep(SHUTDOWN_TIMEOUT / 4).await;
-    let response = run(&mut session, "q2", "READ 2").await;
-    assert_eq!(code(&response), None, "the first half is for the client");
-    sleep(SHUTDOWN_TIMEOUT * 3 / 10).await;
-    let response = run(&mut session, "q3", "READ 3").await;
+    let (started, _exit) = stopping.stop();
+    let response = loop {
+        let response = run(&mut session, "q2", "READ 2").await;
+        if response.result.is_err() {
+            break response;
+        }
+        sleep(STATEMENT_PAUSE).await;
+    };
+    let refused_after = BootClock.now().since(started);
+    assert!(
+        refused_after >= SHUTDOWN_TIMEOUT / 2,
+        "the first half is for the client"
+    );
+    let ran = stopping.group.ran_texts().len();
     let failure = failure(&response);
     assert_eq!(failure.code, FailureCode::Aborted);
     assert_eq!(failure.reason, FailureReason::ShuttingDown);
     assert_eq!(response.transaction, TransactionStatus::Failed);
-    assert!(!stopping.group.ran_texts().contains(&"a READ 3".to_owned()));
+    run(&mut session, "q3", "READ 3").await;
+    assert_eq!(stopping.group.ran_texts().len(), ran);
 }
 
 #[ntex::test]
@@ -175,7 +187,8 @@
     let stopping = StoppingService::start().await;
     let mut session = open(&stopping.service).await;
     let (_, _exit) = stopping.stop();
-    sleep(SHUTDOWN_TIMEOUT * 11 / 20).await;
+    let lifecycle = &stopping.service.lifecycle;
+    lifecycle.wait_for_phase(ServicePhase::Finishing).await;
     for text in ["READ 1", "WRITE 1 x", "BEGIN"] {
         let response = run(&mut session, "q", text).await;
         assert_eq!(failure(&response).code, FailureCode::Busy, "{text}");
--- a/crates/coriander_service/tests/statements.rs
+++ b/crates/coriander_service/tests/statements.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coriander_core::RequestOutcome;
@@ -10,7 +11,7 @@
     ReadFreshness, StatementKind, TransactionStatus,
 };
 
-use support::{ACCOUNT, FakeGroup, Fault, code, open, run, start};
+use support::{ACCOUNT, DATABASE, FakeGroup, Fault, apply, code, config, open, run, start};
 
 const BOUNDED: ReadFreshness = ReadFreshness::Bounded {
     max_age: Duration::from_millis(1_500),
@@ -92,6 +93,11 @@
 async fn read_is_retried_on_another_member_after_a_lost_reply() {
     let group = FakeGroup::new(&["a", "b", "c"]);
     let service = start(&group, OWN_WRITES).await;
+    // Two attempts without a reply leave a tenth of the timeout.
+    let mut config = config(2, OWN_WRITES);
+    let route = config.routes.get_mut(DATABASE).expect("route exists");
+    Arc::make_mut(route).statement_timeout = Duration::from_secs(6);
+    apply(&service, config, group.entries());
     for member in ["a", "b", "c"] {
         group.add_fault(member, "READ", Fault::LoseReply);
     }
