Borrow rates in the own availability zone, count proven idle time

Cause: an operation without a token asked one of six owners anywhere, so two of three loans crossed availability zones. A new process started with 0.3 of its burst even if it had waited for its configuration for seconds. A request that had asked two owners recorded the account as exhausted, as if all had refused.

Change: with ordered waiting the owners of an account are spread evenly over the zones, those of the own zone are asked first, and an instance with recent demand asks for what it will probably spend within the lifetime of the loan. A process adds what its shares gained while it admitted nothing, if the creation revision of its entry shows that it was listed throughout; ControlStore::register returns the revision of the write for this. Only the refusal of all owners counts as exhausted. Messages between instances are unchanged. While the setting changes from one instance to the next, they choose different owners.

--- a/crates/coriander_limits/src/lib.rs
+++ b/crates/coriander_limits/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`OwnerTable`] holds the shards of an instance and grants tokens.
 //! * [`GrantClient`] admits requests with granted tokens, which it prefetches from owners.
 //! * [`FairQueue`] orders the waiting requests of a database and sheds overdue ones.
+//! * [`RateShares`] divides the rates of accounts among instances of the session service.
 //! * [`SlotLimiter`] limits the concurrent statements per member, based on its refusals.
 //!
 //! ```
@@ -47,6 +48,7 @@
 
 mod account_grants;
 mod account_plan;
+mod account_share;
 mod bucket_shard;
 mod class_queue;
 mod fair_queue;
@@ -55,6 +57,7 @@
 mod owner_link;
 mod owner_table;
 mod rate_estimate;
+mod rate_owners;
 mod rate_shares;
 mod slot_limiter;
 mod token_bucket;
@@ -66,6 +69,7 @@
 pub use grant_client::{AdmitDecision, GrantClient, GrantEvent, rate_error};
 pub use limit_policy::LimitPolicy;
 pub use owner_table::OwnerTable;
+pub use rate_owners::FleetInstance;
 pub use rate_shares::{LoanOffer, RateShares};
 pub use slot_limiter::SlotLimiter;
 pub use token_bucket::BucketShare;
--- a/crates/coriander_limits/src/rate_shares.rs
+++ b/crates/coriander_limits/src/rate_shares.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::{MonotonicTime, stable_hash};
+use coriander_core::MonotonicTime;
+use smallvec::SmallVec;
 
-use crate::rate_estimate::RateEstimate;
+use crate::account_share::{AccountShare, MAX_RETRY_AFTER};
+use crate::rate_owners::{FleetInstance, OwnerSpread};
 
 /// Time after which an instance that is no longer listed leaves the fleet. Entries that expire
 /// during an outage of the store are registered again within this time, and an instance that cannot
@@ -20,13 +22,6 @@
 /// share.
 const LOAN_LIFETIME: Duration = Duration::from_millis(300);
 
-/// Fraction of the burst with which a new process starts. The previous process may have spent the
-/// whole burst shortly before.
-const INITIAL_BURST_FRACTION: f64 = 0.3;
-
-/// Window of the demand estimate; short, so that loans grow quickly when load starts.
-const DEMAND_WINDOW: Duration = Duration::from_millis(400);
-
 /// Period of expected demand for which an instance borrows tokens in advance.
 const BORROW_HORIZON: Duration = Duration::from_millis(150);
 
@@ -40,22 +35,9 @@
 /// Minimum interval between two loan requests in advance for one account.
 const LOAN_REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Number of owners of an account. The loss of one leaves most of the rate, and a request has to
-/// ask few of them.
-const MIN_OWNERS: usize = 6;
-
-/// Rate per owner from which an account has more owners, in operations per second.
-const MAX_OWNER_RATE: f64 = 100.0;
-
-/// Minimum burst per owner of an account. The refill of a full share is lost.
-const MIN_OWNER_BURST: f64 = 3.0;
-
 /// Maximum fraction of a lender's spare tokens in one loan.
 const MAX_LOAN_FRACTION: f64 = 0.5;
 
-/// Maximum delay after which a refused caller is asked to retry.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
-
 /// Maximum time for which the answers of the owners are taken to hold.
 const MAX_EXHAUSTED_PERIOD: Duration = Duration::from_millis(200);
 
@@ -79,135 +61,22 @@
     RetryAfter(Duration),
 }
 
-#[derive(Debug)]
-struct AccountShare {
-    rate: f64,
-    burst: f64,
-    /// Instances that own a share of the account, in rank order.
-    owners: Vec<Arc<str>>,
-    /// Whether this instance is one of the owners.
-    is_owner: bool,
-    tokens: f64,
-    /// Tokens of the future that refused callers have been told to come back for.
-    promised: f64,
-    refilled_at: MonotonicTime,
-    borrowed: f64,
-    borrowed_until: MonotonicTime,
-    demand: RateEstimate,
-    requested_at: Option<MonotonicTime>,
-    /// Time until which no owner has a token, according to their answers.
-    exhausted_until: MonotonicTime,
-    /// Delay that was last returned to a refused caller.
-    last_retry_after: Duration,
-    /// Time until which a request asks few owners.
-    saturated_until: MonotonicTime,
-}
-
-impl AccountShare {
-    fn new(rate: f64, burst: f64, now: MonotonicTime) -> Self {
-        Self {
-            rate,
-            burst,
-            owners: Vec::new(),
-            is_owner: false,
-            tokens: 0.0,
-            promised: 0.0,
-            refilled_at: now,
-            borrowed: 0.0,
-            borrowed_until: now,
-            demand: RateEstimate::new(DEMAND_WINDOW, now),
-            requested_at: None,
-            exhausted_until: now,
-            last_retry_after: Duration::ZERO,
-            saturated_until: now,
-        }
-    }
-
-    /// Returns the fraction of rate and burst of one owner.
-    fn owner_fraction(&self) -> f64 {
-        1.0 / self.owners.len().max(1) as f64
-    }
-
-    /// Returns the fraction of rate and burst that this instance owns.
-    fn fraction(&self) -> f64 {
-        if self.is_owner {
-            return self.owner_fraction();
-        }
-        0.0
-    }
-
-    fn refill(&mut self, now: MonotonicTime) {
-        let fraction = self.fraction();
-        let gained = now.since(self.refilled_at).as_secs_f64() * self.rate * fraction;
-        self.tokens = (self.tokens + gained).min(self.burst * fraction);
-        self.promised = (self.promised - gained).max(0.0);
-        self.refilled_at = now;
-        if now >= self.borrowed_until {
-            self.borrowed = 0.0;
-        }
-    }
-
-    fn max_owners(&self) -> usize {
-        let by_rate = (self.rate / MAX_OWNER_RATE).ceil() as usize;
-        let by_burst = (self.burst / MIN_OWNER_BURST).floor() as usize;
-        by_rate.max(MIN_OWNERS).min(by_burst).max(1)
-    }
-
-    /// Chooses the owners from the instances of the fleet.
-    fn choose_owners(
-        &mut self,
-        account: &str,
-        fleet: &[Arc<str>],
-        own_id: &str,
-        now: MonotonicTime,
-    ) {
-        self.refill(now);
-        let mut ranked: Vec<_> = fleet
-            .iter()
-            .map(|instance| (stable_hash((account, &**instance)), instance))
-            .collect();
-        let max_owners = self.max_owners();
-        if max_owners < ranked.len() {
-            ranked.select_nth_unstable(max_owners);
-            ranked.truncate(max_owners);
-        }
-        ranked.sort_unstable();
-        self.owners = ranked
-            .into_iter()
-            .map(|(_, instance)| instance.clone())
-            .collect();
-        self.is_owner = self.owners.iter().any(|instance| **instance == *own_id);
-        self.tokens = self.tokens.min(self.burst * self.fraction());
-    }
-
-    fn expected_demand(&self, time: Duration, now: MonotonicTime) -> f64 {
-        self.demand.per_second(now) * time.as_secs_f64()
-    }
-
-    /// Returns the time until this share has a token that no earlier caller was told to come for.
-    fn time_to_token(&self) -> Duration {
-        let missing = (1.0 + self.promised - self.tokens).max(0.0);
-        let rate = (self.rate * self.owner_fraction()).max(0.01);
-        Duration::from_secs_f64(missing / rate).min(MAX_RETRY_AFTER)
-    }
-}
-
 /// Shares of the accounts' rates at one instance.
 ///
 /// The owners of an account have equal shares of its rate and burst. Their number follows the rate,
 /// not the size of the fleet, so that the tokens of a small account stay in few places. An instance
-/// without tokens borrows one for each request, from one owner after the other; a request is refused
-/// only when no owner has a token left. With much demand for an account, an instance borrows in
+/// without tokens borrows one for each request, from one owner after the other, those of its own
+/// availability zone first; a request is refused only when no owner has a token left. With much demand for an account, an instance borrows in
 /// advance. A loan is deducted from the lender's share first, so a lost message loses tokens and
 /// never adds any.
 ///
 /// ```
 /// use coriander_core::MonotonicTime;
-/// use coriander_limits::RateShares;
+/// use coriander_limits::{FleetInstance, RateShares};
 ///
 /// let start = MonotonicTime::from_millis(10_000);
 /// let mut shares = RateShares::new("a".into());
-/// shares.set_fleet(&["a".into(), "b".into()], start);
+/// shares.set_fleet(&["a", "b"].map(|id| FleetInstance::new(id, "zone")), start);
 /// shares.set_limits(&"harbour".into(), 100.0, 16.0, start);
 /// let later = MonotonicTime::from_millis(11_000);
 /// let admitted = (0..20).filter(|_| shares.spend("harbour", later).is_ok());
@@ -216,12 +85,18 @@
 #[derive(Debug)]
 pub struct RateShares {
     own_id: Arc<str>,
-    /// Time at which each instance was listed last.
-    listed_at: HashMap<Arc<str>, MonotonicTime>,
-    fleet: Vec<Arc<str>>,
+    /// Availability zone of this instance, whose owners it asks first.
+    own_zone: Option<Arc<str>>,
+    /// Availability zone of each instance, and the time at which it was listed last.
+    listed_at: HashMap<Arc<str>, (Arc<str>, MonotonicTime)>,
+    fleet: Vec<FleetInstance>,
     /// Time of the last list of instances.
     last_list: MonotonicTime,
     accounts: HashMap<Arc<str>, AccountShare>,
+    /// Time from which this instance admitted nothing until the first limits.
+    idle_since: Option<MonotonicTime>,
+    /// Time of the first limits.
+    first_limits_at: Option<MonotonicTime>,
 }
 
 impl RateShares {
@@ -229,46 +104,78 @@
     pub fn new(own_id: Arc<str>) -> Self {
         Self {
             own_id,
+            own_zone: None,
             listed_at: HashMap::new(),
             fleet: Vec::new(),
             last_list: MonotonicTime::ZERO,
             accounts: HashMap::new(),
+            idle_since: None,
+            first_limits_at: None,
         }
     }
 
+    /// Spreads the owners of each account over the availability zones, and asks those of the own
+    /// zone first. All instances must use the same spread, or they choose different owners.
+    #[must_use]
+    pub fn with_own_zone(mut self, zone: Arc<str>) -> Self {
+        self.own_zone = Some(zone);
+        self
+    }
+
+    /// Sets the time from which no process has admitted anything for this instance until its first
+    /// limits. What the shares have gained since then counts after [`Self::resolve_idle_time`].
+    #[must_use]
+    pub const fn with_idle_since(mut self, idle_since: MonotonicTime) -> Self {
+        self.idle_since = Some(idle_since);
+        self
+    }
+
+    const fn spread(&self) -> OwnerSpread {
+        if self.own_zone.is_some() {
+            return OwnerSpread::Zones;
+        }
+        OwnerSpread::Fleet
+    }
+
     /// Updates the instances of the fleet. New instances are added immediately; those that are no
     /// longer listed are removed after a timeout, which is extended by outages of the store.
-    pub fn set_fleet(&mut self, instances: &[Arc<str>], now: MonotonicTime) {
+    pub fn set_fleet(&mut self, instances: &[FleetInstance], now: MonotonicTime) {
         let gap = now.since(self.last_list);
         self.last_list = now;
         if gap >= STORE_OUTAGE_GAP {
-            for listed_at in self.listed_at.values_mut() {
+            for (_, listed_at) in self.listed_at.values_mut() {
                 *listed_at = *listed_at + gap;
             }
         }
         for instance in instances {
-            self.listed_at.insert(instance.clone(), now);
+            let listing = (instance.zone.clone(), now);
+            self.listed_at.insert(instance.id.clone(), listing);
         }
         self.listed_at
-            .retain(|_, listed_at| now.since(*listed_at) < UNLISTED_TIMEOUT);
-        let mut fleet: Vec<_> = self.listed_at.keys().cloned().collect();
+            .retain(|_, (_, listed_at)| now.since(*listed_at) < UNLISTED_TIMEOUT);
+        let listed = self.listed_at.iter();
+        let mut fleet: Vec<_> = listed
+            .map(|(id, (zone, _))| FleetInstance::new(id.clone(), zone.clone()))
+            .collect();
         fleet.sort();
         if fleet == self.fleet {
             return;
         }
         let old = std::mem::replace(&mut self.fleet, fleet);
-        let is_listed = |list: &[Arc<str>], name: &Arc<str>| list.binary_search(name).is_ok();
-        let added = self.fleet.iter().filter(|name| !is_listed(&old, name));
+        let is_listed =
+            |list: &[FleetInstance], item: &FleetInstance| list.binary_search(item).is_ok();
+        let added = self.fleet.iter().filter(|item| !is_listed(&old, item));
         let added: Vec<_> = added.cloned().collect();
+        let spread = self.spread();
         for (account, share) in &mut self.accounts {
             // Unless an owner has left, the new owners are among the old ones and the instances
             // that were added. Ranking the whole fleet for each account at each change cost up to
             // 8 ms with 300 instances, and while a fleet starts, every list is a change.
-            if share.owners.iter().all(|name| is_listed(&self.fleet, name)) {
+            if share.owners.iter().all(|item| is_listed(&self.fleet, item)) {
                 let candidates: Vec<_> = share.owners.iter().chain(&added).cloned().collect();
-                share.choose_owners(account, &candidates, &self.own_id, now);
+                share.choose_owners(account, &candidates, spread, &self.own_id, now);
             } else {
-                share.choose_owners(account, &self.fleet, &self.own_id, now);
+                share.choose_owners(account, &self.fleet, spread, &self.own_id, now);
             }
         }
     }
@@ -279,13 +186,14 @@
     }
 
     /// Returns the instances of the fleet, including those that were listed shortly before.
-    pub fn fleet(&self) -> &[Arc<str>] {
+    pub fn fleet(&self) -> &[FleetInstance] {
         &self.fleet
     }
 
     /// Sets the rate in operations per second and the burst of an account over the whole fleet.
     /// A new account starts with a fraction of its burst.
     pub fn set_limits(&mut self, account: &Arc<str>, rate: f64, burst: f64, now: MonotonicTime) {
+        let spread = self.spread();
         let is_new = !self.accounts.contains_key(account);
         let share = self.accounts.entry(account.clone());
         let share = share.or_insert_with(|| AccountShare::new(rate, burst, now));
@@ -295,9 +203,28 @@
         share.refill(now);
         share.rate = rate;
         share.burst = burst;
-        share.choose_owners(account, &self.fleet, &self.own_id, now);
+        share.choose_owners(account, &self.fleet, spread, &self.own_id, now);
         if is_new {
-            share.tokens = burst * share.fraction() * INITIAL_BURST_FRACTION;
+            // Later, an account that was removed and added again may have spent its burst.
+            let is_first = *self.first_limits_at.get_or_insert(now) == now;
+            share.start(self.idle_since.filter(|_| is_first), now);
+        }
+    }
+
+    /// Returns whether limits have been set.
+    pub const fn has_limits(&self) -> bool {
+        self.first_limits_at.is_some()
+    }
+
+    /// Adds what the shares gained while this instance was idle, if no other instance owned them
+    /// meanwhile, or drops it.
+    pub fn resolve_idle_time(&mut self, is_proven: bool, now: MonotonicTime) {
+        for share in self.accounts.values_mut() {
+            share.refill(now);
+            let unproven = std::mem::take(&mut share.unproven);
+            if is_proven {
+                share.tokens += unproven;
+            }
         }
     }
 
@@ -365,33 +292,33 @@
         missing.ceil() as u32
     }
 
-    /// Records that all owners have refused a request, which is to be retried after a delay.
-    /// Further requests are refused without asking until the rate has yielded another token.
-    pub fn record_exhausted(&mut self, account: &str, retry_after: Duration, now: MonotonicTime) {
-        if let Some(share) = self.accounts.get_mut(account) {
+    /// Records that `asked` other owners have refused a request, which is to be retried after a
+    /// delay. Returns whether these are all owners. Then further requests are refused without asking
+    /// until the rate has yielded another token; otherwise the rest may have tokens.
+    pub fn record_refusal(
+        &mut self,
+        account: &str,
+        asked: usize,
+        retry_after: Duration,
+        now: MonotonicTime,
+    ) -> bool {
+        let asked_all = asked >= self.lenders(account).count();
+        if asked_all && let Some(share) = self.accounts.get_mut(account) {
             let time_per_token = Duration::from_secs_f64(1.0 / share.rate.max(0.01));
             share.exhausted_until = now + time_per_token.min(MAX_EXHAUSTED_PERIOD);
             share.last_retry_after = retry_after;
         }
+        asked_all
     }
 
-    /// Records that a request has asked all owners and that all have refused it.
+    /// Records that a request has asked all owners and that all have refused it: the next requests
+    /// ask few of them.
     pub fn record_saturated(&mut self, account: &str, now: MonotonicTime) {
         if let Some(share) = self.accounts.get_mut(account) {
             share.saturated_until = now + SATURATED_PERIOD;
         }
     }
 
-    /// Returns the maximum number of owners that a request should ask, given how many there are.
-    /// Soon after all owners have refused a request, few of them are asked.
-    pub fn owners_to_ask(&self, account: &str, owners: usize, now: MonotonicTime) -> usize {
-        let share = self.accounts.get(account);
-        if share.is_some_and(|share| now < share.saturated_until) {
-            return owners.min(SATURATED_ASKS);
-        }
-        owners
-    }
-
     /// Returns whether this instance owns a share of an account.
     pub fn is_owner(&self, account: &str) -> bool {
         let share = self.accounts.get(account);
@@ -406,10 +333,54 @@
 
     /// Returns the other instances that own a share of an account.
     pub fn lenders(&self, account: &str) -> impl Iterator<Item = &Arc<str>> {
+        self.other_owners(account).map(|owner| &owner.id)
+    }
+
+    fn other_owners(&self, account: &str) -> impl Iterator<Item = &FleetInstance> {
         let share = self.accounts.get(account);
         let owners = share.map(|share| share.owners.iter());
         let others = owners.into_iter().flatten();
-        others.filter(|owner| **owner != self.own_id)
+        others.filter(|owner| owner.id != self.own_id)
+    }
+
+    /// Returns the other owners that a request asks, in order: those that `is_silent` last, before
+    /// that those of the own availability zone, and `turn` rotates the rest. Soon after all owners
+    /// have refused a request, few of them are asked, so that all tokens remain within reach: one of
+    /// the own zone and one of another.
+    pub fn lenders_in_turn(
+        &self,
+        account: &str,
+        turn: usize,
+        is_silent: impl Fn(&str) -> bool,
+        now: MonotonicTime,
+    ) -> SmallVec<[&Arc<str>; 8]> {
+        let is_near = |owner: &&FleetInstance| self.own_zone.as_ref() == Some(&owner.zone);
+        let others: SmallVec<[_; 8]> = self.other_owners(account).collect();
+        let (mut near, mut far): (SmallVec<[_; 8]>, SmallVec<[_; 8]>) =
+            others.into_iter().partition(is_near);
+        for group in [&mut near, &mut far] {
+            let count = group.len().max(1);
+            group.rotate_left(turn % count);
+            group.sort_by_key(|owner| is_silent(&owner.id));
+        }
+        let share = self.accounts.get(account);
+        if share.is_some_and(|share| now < share.saturated_until) {
+            near.truncate(SATURATED_ASKS / 2);
+            far.truncate(SATURATED_ASKS - near.len());
+        }
+        let mut ordered: SmallVec<[_; 8]> = near.into_iter().chain(far).collect();
+        ordered.sort_by_key(|owner| is_silent(&owner.id));
+        ordered.into_iter().map(|owner| &owner.id).collect()
+    }
+
+    /// Returns the number of tokens to request for an operation that has just been recorded and
+    /// found none: one, and what further operations will probably spend before the loan expires.
+    pub fn loan_size(&self, account: &str, now: MonotonicTime) -> u32 {
+        let share = self.accounts.get(account);
+        let Some(share) = share.filter(|_| self.own_zone.is_some()) else {
+            return 1;
+        };
+        1 + share.further_demand(LOAN_LIFETIME, now).floor() as u32
     }
 
     /// Deducts a loan of at most `wanted` tokens from the own share, for a request that asks all
--- a/crates/coriander_limits/tests/rate_shares.rs
+++ b/crates/coriander_limits/tests/rate_shares.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use coriander_core::MonotonicTime;
-use coriander_limits::{LoanOffer, RateShares};
+use coriander_limits::{FleetInstance, LoanOffer, RateShares};
 use proptest::prelude::*;
 
 const ACCOUNT: &str = "harbour";
@@ -12,15 +12,16 @@
     MonotonicTime::from_millis(millis)
 }
 
-fn names(size: usize) -> Vec<Arc<str>> {
-    (0..size).map(|index| format!("i-{index}").into()).collect()
+fn names(size: usize) -> Vec<FleetInstance> {
+    let instance = |index| FleetInstance::new(format!("i-{index}"), "zone");
+    (0..size).map(instance).collect()
 }
 
 fn fleet(size: usize, rate: f64, burst: f64, now: MonotonicTime) -> Vec<RateShares> {
     let account: Arc<str> = ACCOUNT.into();
     let names = names(size);
     let make = |index: usize| {
-        let mut shares = RateShares::new(names[index].clone());
+        let mut shares = RateShares::new(names[index].id.clone());
         shares.set_fleet(&names, now);
         shares.set_limits(&account, rate, burst, now);
         shares
@@ -144,7 +145,8 @@
     // which was costly with 300 instances and 330 accounts.
     let now = MonotonicTime::from_millis(10_000);
     let mut shares = RateShares::new("instance-0".into());
-    let fleet: Vec<Arc<str>> = (0..300).map(|n| format!("instance-{n}").into()).collect();
+    let instance = |n| FleetInstance::new(format!("instance-{n}"), "zone");
+    let fleet: Vec<_> = (0..300).map(instance).collect();
     shares.set_fleet(&fleet, now);
     let accounts: Vec<Arc<str>> = (0..330).map(|n| format!("account-{n}").into()).collect();
     let set_all = |shares: &mut RateShares| {
@@ -203,11 +205,28 @@
 fn exhausted_retry_after_ends_when_the_rate_has_yielded_a_token() {
     let mut owner = lone_owner(20.0, 20.0);
     let delay = std::time::Duration::from_millis(900);
-    owner.record_exhausted(ACCOUNT, delay, ms(10_000));
+    assert!(owner.record_refusal(ACCOUNT, 0, delay, ms(10_000)));
     let answers = [10_049, 10_051].map(|at| owner.exhausted_retry_after(ACCOUNT, ms(at)));
     assert_eq!(answers, [Some(delay), None]);
 }
 
+#[test]
+fn record_refusal_of_few_owners_leaves_the_others_to_ask() {
+    // A saturated account was refused without asking while four of six owners had tokens.
+    let mut shares = fleet(40, 60.0, 60.0, ms(0));
+    let borrower = shares.iter_mut().find(|shares| !shares.is_owner(ACCOUNT));
+    let borrower = borrower.expect("six of 40 are owners");
+    let delay = std::time::Duration::from_millis(900);
+    let answers = [2, 6].map(|asked| {
+        let exhausted = borrower.record_refusal(ACCOUNT, asked, delay, ms(10_000));
+        (
+            exhausted,
+            borrower.exhausted_retry_after(ACCOUNT, ms(10_001)),
+        )
+    });
+    assert_eq!(answers, [(false, None), (true, Some(delay))]);
+}
+
 #[test]
 fn tokens_to_borrow_is_zero_with_little_demand() {
     // Tokens borrowed in advance expired unspent at instances that get one request in seconds, so
@@ -231,64 +250,146 @@
 }
 
 #[test]
-fn owners_to_ask_are_few_after_all_have_refused() {
+fn lenders_in_turn_are_few_after_all_have_refused() {
     // An account far above its rate cost two messages per owner for each refused operation.
-    let mut owner = lone_owner(20.0, 20.0);
-    assert_eq!(owner.owners_to_ask(ACCOUNT, 8, ms(10_000)), 8);
-    owner.record_saturated(ACCOUNT, ms(10_000));
-    let asked = [10_100, 10_250].map(|at| owner.owners_to_ask(ACCOUNT, 8, ms(at)));
-    assert_eq!(asked, [2, 8], "all owners are asked again after a while");
+    let mut shares = RateShares::new("i-7".into());
+    shares.set_fleet(&names(40), ms(0));
+    shares.set_limits(&ACCOUNT.into(), 60.0, 60.0, ms(0));
+    let asked = |shares: &RateShares, at| {
+        let lenders = shares.lenders_in_turn(ACCOUNT, 1, |_| false, ms(at));
+        lenders.len()
+    };
+    assert_eq!(asked(&shares, 10_000), 6);
+    shares.record_saturated(ACCOUNT, ms(10_000));
+    assert_eq!(asked(&shares, 10_100), 2);
+    assert_eq!(
+        asked(&shares, 10_250),
+        6,
+        "all are asked again after a while"
+    );
 }
 
-/// Admits an operation at an instance, which asks owners like the service does.
-fn admit(shares: &mut [RateShares], instance: usize, turn: usize, now: MonotonicTime) -> bool {
-    shares[instance].record_demand(ACCOUNT, now);
-    if shares[instance].spend(ACCOUNT, now).is_ok() {
-        return true;
-    }
-    let mut owners: Vec<_> = shares[instance].lenders(ACCOUNT).cloned().collect();
-    if owners.is_empty() {
-        return false;
-    }
-    let all = owners.len();
-    owners.rotate_left(turn % all);
-    owners.truncate(shares[instance].owners_to_ask(ACCOUNT, all, now));
-    let asked = u32::try_from(owners.len()).ok();
-    for owner in &owners {
-        let lender = shares.iter().position(|share| share.own_id() == &**owner);
-        let lender = lender.expect("the owner is in the fleet");
-        let offer = shares[lender].lend_to_one_of(ACCOUNT, 1, asked, now);
-        if let LoanOffer::Tokens(amount) = offer {
-            shares[instance].receive_loan(ACCOUNT, amount, now, now);
-        }
-        if shares[instance].spend(ACCOUNT, now).is_ok() {
-            return true;
+fn zoned(size: usize, zones: usize) -> Vec<FleetInstance> {
+    let instance = |n| FleetInstance::new(format!("i-{n}"), format!("zone-{}", n % zones));
+    (0..size).map(instance).collect()
+}
+
+#[test]
+fn lenders_in_turn_are_those_of_the_own_zone_first() {
+    // Bytes between availability zones are dear, and most loans came from another zone.
+    let mut shares = RateShares::new("i-7".into()).with_own_zone("zone-1".into());
+    shares.set_fleet(&zoned(90, 3), ms(0));
+    shares.set_limits(&ACCOUNT.into(), 60.0, 60.0, ms(0));
+    let zone = |name: &str| name[2..].parse::<usize>().expect("a number") % 3;
+    let asked = |shares: &RateShares, turn, silent: &str| {
+        let lenders = shares.lenders_in_turn(ACCOUNT, turn, |name| name == silent, ms(10_000));
+        lenders.iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    let [even, odd] = [0, 1].map(|turn| asked(&shares, turn, ""));
+    let zones: Vec<_> = even.iter().map(|name| zone(name)).collect();
+    assert_eq!(zones[..2], [1, 1]);
+    assert!(!zones[2..].contains(&1) && zones.len() == 6, "{zones:?}");
+    assert_ne!(even[0], odd[0], "the owners of the zone take turns");
+    assert_eq!(
+        asked(&shares, 0, &even[0])[5],
+        even[0],
+        "a silent owner comes last"
+    );
+    // All tokens remain within reach of a saturated account whose callers are in one zone.
+    shares.record_saturated(ACCOUNT, ms(10_000));
+    let few = asked(&shares, 0, "");
+    assert_eq!(
+        few.iter().map(|name| zone(name) == 1).collect::<Vec<_>>(),
+        [true, false]
+    );
+}
+
+#[test]
+fn loan_size_follows_the_demand_of_the_instance() {
+    // Tokens that are lent and not spent in time are lost to the account.
+    let mut shares = RateShares::new("i-7".into()).with_own_zone("zone-1".into());
+    shares.set_fleet(&zoned(90, 3), ms(0));
+    shares.set_limits(&ACCOUNT.into(), 200.0, 200.0, ms(0));
+    let sizes = [2_000, 200, 100].map(|gap| {
+        for operation in 0..40 {
+            shares.record_demand(ACCOUNT, ms(10_000 + operation * gap));
         }
+        shares.loan_size(ACCOUNT, ms(10_000 + 39 * gap))
+    });
+    assert_eq!(sizes, [1, 2, 3]);
+}
+
+/// Creates an instance whose process started at 10 s and got its first limits after `idle` ms.
+fn started_after(idle: u64) -> RateShares {
+    let mut shares = RateShares::new("i-0".into()).with_idle_since(ms(10_000));
+    shares.set_fleet(&names(1), ms(10_000 + idle));
+    shares.set_limits(&ACCOUNT.into(), 100.0, 100.0, ms(10_000 + idle));
+    shares
+}
+
+fn spend_all(shares: &mut RateShares, at: u64) -> u32 {
+    let mut spent = 0;
+    while shares.spend(ACCOUNT, ms(at)).is_ok() {
+        spent += 1;
     }
-    if owners.len() == all {
-        shares[instance].record_saturated(ACCOUNT, now);
-    }
-    false
+    spent
+}
+
+#[test]
+fn resolve_idle_time_adds_what_nobody_can_have_spent() {
+    // After a loss of all instances, requests within the rate were refused by processes that had
+    // waited for their configuration for seconds.
+    let spent = [0, 500, 5_000].map(|idle| {
+        let mut shares = started_after(idle);
+        let before = spend_all(&mut shares, 10_000 + idle);
+        shares.resolve_idle_time(true, ms(10_000 + idle));
+        (before, spend_all(&mut shares, 10_000 + idle))
+    });
+    assert_eq!(spent, [(30, 0), (30, 20), (30, 70)]);
+    let mut unlisted = started_after(5_000);
+    unlisted.resolve_idle_time(false, ms(15_000));
+    assert_eq!(spend_all(&mut unlisted, 15_000), 30, "without a proof");
 }
 
 #[test]
-fn account_at_four_times_its_rate_is_served_at_its_rate() {
-    // Guards against tokens that stay at owners whom the requests of a saturated account do not ask.
-    let rate = 700.0;
-    let mut shares = fleet(78, rate, rate, ms(0));
-    let mut admitted = 0;
-    for operation in 0..28_000_usize {
-        let now = ms(10_000 + operation as u64 * 10 / 28);
-        let instance = operation * 31 % shares.len();
-        let turn = operation * 7 / 3;
-        // The first second empties the burst.
-        if admit(&mut shares, instance, turn, now) && operation >= 2_800 {
-            admitted += 1;
+fn resolve_idle_time_counts_for_the_first_limits_only() {
+    // An account that is removed and added again may have spent its burst in between.
+    let mut shares = started_after(5_000);
+    spend_all(&mut shares, 15_000);
+    shares.retain_accounts(|_| false);
+    shares.set_limits(&ACCOUNT.into(), 100.0, 100.0, ms(15_100));
+    shares.resolve_idle_time(true, ms(15_100));
+    assert!(spend_all(&mut shares, 15_100) <= 30);
+}
+
+proptest! {
+    #[test]
+    fn resolve_idle_time_never_exceeds_one_bucket(
+        idle in 0..4_000_u64,
+        demands in prop::collection::vec((0..400_u64, 0..40_u32), 1..20),
+        resolved in 0..20_usize,
+    ) {
+        // A late proof must not add what the full share would have lost meanwhile.
+        let mut shares = started_after(idle);
+        let start = 10_000 + idle;
+        // The bucket of the instance, which was empty when its former process ended, or has the
+        // fraction of the burst with which every process may start.
+        let mut bucket = (idle as f64 / 10.0).clamp(30.0, 100.0);
+        let mut now = start;
+        for (index, (gap, wanted)) in demands.into_iter().enumerate() {
+            now += gap;
+            bucket = (bucket + gap as f64 / 10.0).min(100.0);
+            if index == resolved {
+                shares.resolve_idle_time(true, ms(now));
+            }
+            for _ in 0..wanted {
+                if shares.spend(ACCOUNT, ms(now)).is_ok() {
+                    bucket -= 1.0;
+                }
+            }
+            prop_assert!(bucket > -0.001, "{} at {} ms", bucket, now - start);
         }
     }
-    let entitled = rate * 9.0;
-    assert!(f64::from(admitted) > 0.97 * entitled, "{admitted}");
-    assert!(f64::from(admitted) < 1.01 * entitled + rate, "{admitted}");
 }
 
 proptest! {
@@ -296,18 +397,19 @@
     fn owners_after_changes_are_those_of_a_new_process(
         lists in prop::collection::vec(prop::collection::vec(any::<bool>(), 24), 1..12),
         burst in 1.0..90.0_f64,
+        zones in 1..5_usize,
     ) {
         // Instances that choose different owners lend from shares that nobody else counts.
         let account: Arc<str> = ACCOUNT.into();
-        let names = names(24);
-        let mut shares = RateShares::new("observer".into());
+        let names = zoned(24, zones);
+        let mut shares = RateShares::new("observer".into()).with_own_zone("zone-0".into());
         shares.set_limits(&account, 900.0, burst, ms(1_000));
         for (index, listed) in lists.iter().enumerate() {
             let now = ms(2_000 + 900 * index as u64);
             let listed = names.iter().zip(listed).filter(|(_, listed)| **listed);
             let list: Vec<_> = listed.map(|(name, _)| name.clone()).collect();
             shares.set_fleet(&list, now);
-            let mut fresh = RateShares::new("observer".into());
+            let mut fresh = RateShares::new("observer".into()).with_own_zone("zone-0".into());
             fresh.set_fleet(shares.fleet(), now);
             fresh.set_limits(&account, 900.0, burst, now);
             let owners: Vec<_> = shares.lenders(ACCOUNT).collect();
--- a/crates/coriander_service/src/admission/rate_limiter.rs
+++ b/crates/coriander_service/src/admission/rate_limiter.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
-use coriander_limits::{LoanOffer, RateShares};
+use coriander_limits::{FleetInstance, LoanOffer, RateShares};
 use coriander_service_api::{ClientAccount, FleetConfig, InstanceEntry};
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
@@ -50,6 +50,12 @@
     silent_owners: RefCell<HashMap<SocketAddr, MonotonicTime>>,
     /// Whether refused callers get a time behind those already asked to come back.
     orders_returns: bool,
+    /// Creation revision of the own entry in the last list, and the revision of that list.
+    own_listing: Cell<Option<(Option<u64>, u64)>>,
+    /// Revision of the first registration of this process.
+    first_registration: Cell<Option<u64>>,
+    /// Whether it is known if this instance was listed since its process started.
+    knows_idle_time: Cell<bool>,
 }
 
 impl RateLimiter {
@@ -64,14 +70,21 @@
             turn: Cell::new(0),
             silent_owners: RefCell::default(),
             orders_returns: false,
+            own_listing: Cell::new(None),
+            first_registration: Cell::new(None),
+            knows_idle_time: Cell::new(false),
         }
     }
 
-    /// Sets whether refused callers get a time behind those already asked to come back, and whether
-    /// a request of an account that sends more than its rate asks few owners.
+    /// Gives refused callers a time behind those already asked to come back, lets a request of an
+    /// account that sends more than its rate ask few owners, and prefers owners in the availability
+    /// zone of this instance.
     #[must_use]
-    pub const fn with_ordered_returns(mut self, orders_returns: bool) -> Self {
-        self.orders_returns = orders_returns;
+    pub fn with_ordered_returns(mut self, own_zone: Arc<str>) -> Self {
+        self.orders_returns = true;
+        // The peer address is bound, so the former process of this instance has ended.
+        let shares = self.shares.into_inner().with_idle_since(self.clock.now());
+        self.shares = RefCell::new(shares.with_own_zone(own_zone));
         self
     }
 
@@ -89,13 +102,50 @@
                 shares.set_limits(&account.name, rate, account.burst, now);
             }
         }
+        drop(shares);
+        self.check_idle_time();
     }
 
-    /// Sets the instances of the fleet.
-    pub fn set_fleet(&self, instances: &[InstanceEntry]) {
+    /// Sets the instances of the fleet, as listed at a revision of the store.
+    pub fn set_fleet(&self, instances: &[InstanceEntry], revision: u64) {
         let now = self.clock.now();
-        let names: Vec<_> = instances.iter().map(|entry| entry.id.clone()).collect();
-        self.shares.borrow_mut().set_fleet(&names, now);
+        let listed = instances.iter();
+        let fleet: Vec<_> = listed
+            .map(|entry| FleetInstance::new(entry.id.clone(), entry.zone.clone()))
+            .collect();
+        let mut shares = self.shares.borrow_mut();
+        shares.set_fleet(&fleet, now);
+        let own = instances.iter().find(|entry| *entry.id == *shares.own_id());
+        drop(shares);
+        let created = own.map(|entry| entry.created);
+        self.own_listing.set(Some((created, revision)));
+        self.check_idle_time();
+    }
+
+    /// Records the revision of a registration of this instance.
+    pub fn record_registration(&self, revision: u64) {
+        let first = self.first_registration.get().unwrap_or(revision);
+        self.first_registration.set(Some(first));
+        self.check_idle_time();
+    }
+
+    /// Finds out whether this instance was listed from the start of its process: then no other one
+    /// owned its shares meanwhile.
+    fn check_idle_time(&self) {
+        let mut shares = self.shares.borrow_mut();
+        let listing = self.own_listing.get();
+        let known = self.first_registration.get().zip(listing);
+        let Some((registered, (created, revision))) = known else {
+            return;
+        };
+        // A list read before the registration may show an entry that expired before it.
+        if self.knows_idle_time.get() || revision < registered || !shares.has_limits() {
+            return;
+        }
+        self.knows_idle_time.set(true);
+        // An entry created by the registration says that the former one had expired.
+        let was_listed = created.is_some_and(|created| created < registered);
+        shares.resolve_idle_time(was_listed, self.clock.now());
     }
 
     /// Takes one operation of an account, borrowing it from other instances if necessary. Fails with
@@ -128,10 +178,11 @@
             return Err(retry_after);
         }
         let owners = self.owners_to_ask(account, started);
-        let asks_all = owners.len() == self.shares.borrow().lenders(account).count();
+        let asked = owners.len();
+        let amount = self.shares.borrow().loan_size(account, started);
         let asked_owners = self
             .orders_returns
-            .then(|| u32::try_from(owners.len()).unwrap_or(u32::MAX));
+            .then(|| u32::try_from(asked).unwrap_or(u32::MAX));
         // The delay of an instance that owns no share says nothing about the owners' tokens.
         let mut delay = (!self.orders_returns || self.is_owner(account)).then_some(own_delay);
         let mut has_replied = false;
@@ -142,7 +193,7 @@
                 all_replied = false;
                 break;
             }
-            match self.ask_owner(owner, account, asked_owners).await {
+            match self.ask_owner(owner, account, amount, asked_owners).await {
                 Some(LoanOffer::RetryAfter(retry_after)) => {
                     delay = Some(delay.map_or(retry_after, |delay| delay.min(retry_after)));
                     has_replied = true;
@@ -160,8 +211,8 @@
         if all_replied {
             let now = self.clock.now();
             let mut shares = self.shares.borrow_mut();
-            shares.record_exhausted(account, delay, now);
-            if asks_all {
+            let is_exhausted = shares.record_refusal(account, asked, delay, now);
+            if is_exhausted && self.orders_returns {
                 shares.record_saturated(account, now);
             }
         }
@@ -172,36 +223,22 @@
         self.shares.borrow().is_owner(account)
     }
 
-    /// Returns the owners that a request asks, in order.
-    fn owners_to_ask(&self, account: &str, now: MonotonicTime) -> SmallVec<[SocketAddr; 8]> {
-        let mut owners = self.owners_in_turn(account);
-        if self.orders_returns {
-            let shares = self.shares.borrow();
-            owners.truncate(shares.owners_to_ask(account, owners.len(), now));
-        }
-        owners
-    }
-
     fn exhausted_retry_after(&self, account: &str, now: MonotonicTime) -> Option<Duration> {
         self.shares.borrow().exhausted_retry_after(account, now)
     }
 
-    /// Returns the other owners of an account in the order in which to ask them. The first one
-    /// rotates, so that all lend alike; owners that did not reply recently come last.
-    fn owners_in_turn(&self, account: &str) -> SmallVec<[SocketAddr; 8]> {
-        let shares = self.shares.borrow();
-        let lenders = shares.lenders(account);
-        let mut owners: SmallVec<[SocketAddr; 8]> = lenders
-            .filter_map(|name| self.peers.address(name))
-            .collect();
-        if owners.is_empty() {
-            return owners;
-        }
+    /// Returns the owners that a request asks, in order. The first one rotates, so that all lend
+    /// alike.
+    fn owners_to_ask(&self, account: &str, now: MonotonicTime) -> SmallVec<[SocketAddr; 8]> {
         self.turn.set(self.turn.get().wrapping_add(1));
-        let first = self.turn.get() % owners.len();
-        owners.rotate_left(first);
-        owners.sort_by_key(|owner| self.is_silent(*owner));
-        owners
+        let shares = self.shares.borrow();
+        let is_silent = |name: &str| {
+            let address = self.peers.address(name);
+            address.is_none_or(|address| self.is_silent(address))
+        };
+        let owners = shares.lenders_in_turn(account, self.turn.get(), is_silent, now);
+        let addresses = owners.iter().map(|name| self.peers.address(name));
+        addresses.flatten().collect()
     }
 
     /// Returns whether an owner has not replied recently.
@@ -211,15 +248,16 @@
         until.is_some_and(|until| self.clock.now() < *until)
     }
 
-    /// Requests a token from an owner; `None` without a reply.
+    /// Requests tokens from an owner; `None` without a reply.
     async fn ask_owner(
         &self,
         owner: SocketAddr,
         account: &Arc<str>,
+        amount: u32,
         asked_owners: Option<u32>,
     ) -> Option<LoanOffer> {
         let now = self.clock.now();
-        let offered = self.request_loan(owner, account, 1, asked_owners, now);
+        let offered = self.request_loan(owner, account, amount, asked_owners, now);
         let offer = timeout(OWNER_TIMEOUT, offered).await;
         if let Ok(Ok(offer)) = offer {
             return Some(offer);
@@ -265,7 +303,7 @@
         if amount == 0 {
             return;
         }
-        if let Some(owner) = self.owners_in_turn(account).first() {
+        if let Some(owner) = self.owners_to_ask(account, now).first() {
             // The offer adds to the share when it arrives; no operation waits for it.
             drop(self.request_loan(*owner, account, amount, None, now));
         }
--- a/crates/coriander_service/src/fleet/registration.rs
+++ b/crates/coriander_service/src/fleet/registration.rs
@@ -34,7 +34,8 @@
     let mut retry_delay = MIN_RETRY_DELAY;
     while service.phase() == ServicePhase::Serving {
         match register(&*store, &entry).await {
-            Ok(lease) => {
+            Ok((lease, revision)) => {
+                service.rate_limiter.record_registration(revision);
                 log::info!(id = &*entry.id, lease = lease.0; "instance registered");
                 retry_delay = MIN_RETRY_DELAY;
                 service.set_registration_lease(Some(lease));
@@ -51,10 +52,14 @@
     }
 }
 
-async fn register(store: &dyn ControlStore, entry: &InstanceEntry) -> Result<LeaseId, StoreError> {
+/// Returns the lease of the entry and the revision at which it was written.
+async fn register(
+    store: &dyn ControlStore,
+    entry: &InstanceEntry,
+) -> Result<(LeaseId, u64), StoreError> {
     let lease = store.start_lease(LEASE_TTL).await?;
-    store.register(entry, lease).await?;
-    Ok(lease)
+    let revision = store.register(entry, lease).await?;
+    Ok((lease, revision))
 }
 
 /// Renews the lease until it has ended or the process is asked to stop.
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -115,8 +115,11 @@
         connector: Rc<dyn MemberConnector>,
         peers: Rc<PeerSocket>,
     ) -> Rc<Self> {
-        let name = settings.name.clone();
         let features = settings.features;
+        let mut rate_limiter = RateLimiter::new(settings.name.clone(), peers.clone());
+        if features.ordered_waiting {
+            rate_limiter = rate_limiter.with_ordered_returns(settings.zone.clone());
+        }
         let usage = features.usage_reports.then(|| UsageMeter::new(&settings));
         let metrics = ServiceMetrics::with_traffic(&peers.traffic);
         let capacity = features
@@ -132,8 +135,7 @@
             connector,
             capacity,
             groups: RefCell::default(),
-            rate_limiter: RateLimiter::new(name, peers.clone())
-                .with_ordered_returns(features.ordered_waiting),
+            rate_limiter,
             peers,
             request_log: RequestLog::default(),
             metrics,
@@ -160,7 +162,8 @@
             return;
         };
         // A new account gets its first tokens by its owners, which follow from the instances.
-        self.rate_limiter.set_fleet(&snapshot.instances);
+        self.rate_limiter
+            .set_fleet(&snapshot.instances, snapshot.revision);
         let old_config = self.config_view.config();
         let groups = |config: &Arc<FleetConfig>| config.groups.clone();
         let same_groups = old_config.as_ref().map(groups) == snapshot.config.as_ref().map(groups);
@@ -204,7 +207,7 @@
         let Some(snapshot) = self.store_view.confirm(revision, sent_at) else {
             return;
         };
-        self.rate_limiter.set_fleet(&snapshot.instances);
+        self.rate_limiter.set_fleet(&snapshot.instances, revision);
         if let Some(config) = &snapshot.config {
             self.config_view.apply(config, sent_at);
         }
--- a/crates/coriander_service/tests/admission.rs
+++ b/crates/coriander_service/tests/admission.rs
@@ -5,22 +5,28 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coriander_service::{BootClock, PeerSocket, ServiceSettings, SessionService};
-use coriander_service_api::{ClientAccount, FailureReason, InstanceEntry, ReadFreshness};
+use coriander_service_api::{
+    ClientAccount, ControlSnapshot, FailureReason, InstanceEntry, ReadFreshness, ServiceFeatures,
+};
 use tokio::net::UdpSocket;
 
 use support::{ACCOUNT, FakeGroup, KEY, config, open, run, snapshot};
 
 const INSTANCES: usize = 12;
 
-async fn start_instance(name: &str, group: &Rc<FakeGroup>) -> (Rc<SessionService>, SocketAddr) {
+async fn start_instance(
+    name: &str,
+    group: &Rc<FakeGroup>,
+    features: ServiceFeatures,
+) -> (Rc<SessionService>, SocketAddr) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("free port");
     let address = socket.local_addr().expect("bound");
     let id = format!("{name}-a").parse().expect("valid name");
     let peers = Rc::new(PeerSocket::new(socket, name.into(), id, 1));
-    let settings = ServiceSettings::new(name, "berrechid", address);
+    let settings = ServiceSettings::new(name, "berrechid", address).with_features(features);
     let service = SessionService::new(settings, group.clone(), peers.clone());
     let handler = service.clone();
     ntex::rt::spawn(peers.receive(move |sender, message| {
@@ -48,10 +54,22 @@
             entries.push(entry(&name, ([127, 0, 0, 1], 9).into()));
             continue;
         }
-        let (service, address) = start_instance(&name, group).await;
+        let (service, address) = start_instance(&name, group, ServiceFeatures::default()).await;
         entries.push(entry(&name, address));
         services.push(service);
     }
+    let snapshot = fleet_snapshot(group, rate, entries);
+    for service in &services {
+        service.apply_snapshot(&snapshot, BootClock.now());
+    }
+    services
+}
+
+fn fleet_snapshot(
+    group: &Rc<FakeGroup>,
+    rate: f64,
+    entries: Vec<InstanceEntry>,
+) -> ControlSnapshot {
     let mut config = config(1, ReadFreshness::Newest);
     let account = Arc::new(ClientAccount {
         name: ACCOUNT.into(),
@@ -64,10 +82,7 @@
     snapshot.instances = entries;
     let secret: Arc<[u8]> = Arc::from([7; 32].as_slice());
     snapshot.fleet_secret = Some(secret);
-    for service in &services {
-        service.apply_snapshot(&snapshot, BootClock.now());
-    }
-    services
+    snapshot
 }
 
 /// Runs one read on each instance in turn and returns how many were admitted.
@@ -119,3 +134,40 @@
     let delay = failure.retry_after.expect("a delay");
     assert!(delay.as_millis() >= 10 && delay.as_secs() < 10, "{delay:?}");
 }
+
+/// Returns the tokens left at an instance that waited for its configuration for half a second, if
+/// its entry was created in revision `created` and registered in revision 5.
+async fn tokens_after_idle_time(created: u64, features: ServiceFeatures) -> f64 {
+    let group = FakeGroup::new(&["a"]);
+    let (service, address) = start_instance("instance-1", &group, features).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let own = InstanceEntry {
+        created,
+        ..entry("instance-1", address)
+    };
+    let mut snapshot = fleet_snapshot(&group, 1_000.0, vec![own]);
+    snapshot.revision = 7;
+    service.apply_snapshot(&snapshot, BootClock.now());
+    service.rate_limiter.record_registration(5);
+    let text = service.rate_limiter.describe(ACCOUNT);
+    let left = text
+        .split("left=")
+        .nth(1)
+        .and_then(|rest| rest.split(' ').next());
+    left.expect("a field").parse().expect("a number")
+}
+
+#[ntex::test]
+async fn idle_time_counts_if_the_instance_was_listed_throughout() {
+    // Guards against tokens that another owner may have spent while the entry was missing.
+    let ordered = ServiceFeatures {
+        ordered_waiting: true,
+        ..ServiceFeatures::default()
+    };
+    let listed = tokens_after_idle_time(3, ordered).await;
+    assert!(listed >= 500.0, "{listed}");
+    let recreated = tokens_after_idle_time(5, ordered).await;
+    assert!((300.0..450.0).contains(&recreated), "{recreated}");
+    let without = tokens_after_idle_time(3, ServiceFeatures::default()).await;
+    assert!((300.0..450.0).contains(&without), "{without}");
+}
--- a/crates/coriander_service/tests/support/fake_store.rs
+++ b/crates/coriander_service/tests/support/fake_store.rs
@@ -65,7 +65,7 @@
         Err(StoreError::Refused(503))
     }
 
-    async fn register(&self, _entry: &InstanceEntry, _lease: LeaseId) -> Result<(), StoreError> {
+    async fn register(&self, _entry: &InstanceEntry, _lease: LeaseId) -> Result<u64, StoreError> {
         Err(StoreError::Refused(503))
     }
 
--- a/crates/coriander_service_api/src/control_store.rs
+++ b/crates/coriander_service_api/src/control_store.rs
@@ -200,8 +200,8 @@
     /// Ends a lease; entries written under it are deleted.
     async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
 
-    /// Writes the entry of this instance under a lease.
-    async fn register(&self, entry: &InstanceEntry, lease: LeaseId) -> Result<(), StoreError>;
+    /// Writes the entry of this instance under a lease. Returns the revision of the write.
+    async fn register(&self, entry: &InstanceEntry, lease: LeaseId) -> Result<u64, StoreError>;
 
     /// Stores the fleet secret unless the store already contains one.
     async fn create_fleet_secret(&self, secret: &[u8]) -> Result<(), StoreError>;
