Repeat statements only within a budget of account and instance

Cause: an instance repeats reads at other members, and statements that a member refused, until their time is over. While members are short, each refused statement came back up to a dozen times and took the place of first attempts.

First attempts are never refused. A repetition beyond the budget is refused at once with the result of the last attempt and a return time; the log line names the budget in inputs, and repetitions_total counts. RetryBudget moves from coriander_routing to coriander_limits, so that the Hrana front and the session service share it, and gets its ratio and size as parameters; its defaults are unchanged.

Tests of coriander_routing and corianderstile were not run.

--- a/crates/coriander_limits/src/lib.rs
+++ b/crates/coriander_limits/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`GrantClient`] admits requests with granted tokens, which it prefetches from owners.
 //! * [`FairQueue`] orders the waiting requests of a database and sheds overdue ones.
 //! * [`RateShares`] divides the rates of accounts among instances of the session service.
+//! * [`RepetitionBudget`] limits the statements that an instance repeats.
 //! * [`SlotLimiter`] limits the concurrent statements per member, based on its refusals.
 //!
 //! ```
@@ -59,6 +60,8 @@
 mod rate_estimate;
 mod rate_owners;
 mod rate_shares;
+mod repetition_budget;
+mod retry_budget;
 mod slot_limiter;
 mod token_bucket;
 mod token_messages;
@@ -71,6 +74,8 @@
 pub use owner_table::OwnerTable;
 pub use rate_owners::FleetInstance;
 pub use rate_shares::{LoanOffer, RateShares};
+pub use repetition_budget::{RepetitionBudget, RepetitionRefusal};
+pub use retry_budget::RetryBudget;
 pub use slot_limiter::SlotLimiter;
 pub use token_bucket::BucketShare;
 pub use token_messages::{
--- a/crates/coriander_routing/src/retry_budget.rs
+++ b/crates/coriander_limits/src/retry_budget.rs
@@ -9,7 +9,7 @@
 /// Token bucket that requests refill and that retries and hedged reads consume.
 ///
 /// ```
-/// use coriander_routing::RetryBudget;
+/// use coriander_limits::RetryBudget;
 ///
 /// let mut budget = RetryBudget::default();
 /// while budget.try_take() {}
@@ -23,28 +23,39 @@
 pub struct RetryBudget {
     /// Balance, in requests.
     balance: u32,
+    requests_per_retry: u32,
+    max_saved: u32,
     refused: u64,
 }
 
 impl Default for RetryBudget {
-    /// Returns a full budget, so that a new instance can retry immediately.
+    /// Returns a full budget for the requests of a whole instance, so that a new instance can retry
+    /// immediately.
     fn default() -> Self {
+        Self::new(REQUESTS_PER_RETRY, MAX_SAVED_RETRIES)
+    }
+}
+
+impl RetryBudget {
+    /// Creates a full budget that gains a retry with each `requests_per_retry` requests, up to
+    /// `max_saved`.
+    pub const fn new(requests_per_retry: u32, max_saved: u32) -> Self {
         Self {
-            balance: MAX_SAVED_RETRIES * REQUESTS_PER_RETRY,
+            balance: max_saved * requests_per_retry,
+            requests_per_retry,
+            max_saved,
             refused: 0,
         }
     }
-}
 
-impl RetryBudget {
     /// Records a request of a caller; retries and hedges must not be recorded.
     pub fn record_request(&mut self) {
-        self.balance = (self.balance + 1).min(MAX_SAVED_RETRIES * REQUESTS_PER_RETRY);
+        self.balance = (self.balance + 1).min(self.max_saved * self.requests_per_retry);
     }
 
     /// Takes one retry or hedge from the budget, if it allows one.
     pub fn try_take(&mut self) -> bool {
-        match self.balance.checked_sub(REQUESTS_PER_RETRY) {
+        match self.balance.checked_sub(self.requests_per_retry) {
             Some(balance) => {
                 self.balance = balance;
                 true
@@ -58,7 +69,17 @@
 
     /// Returns the number of retries that are available.
     pub const fn available(&self) -> u32 {
-        self.balance / REQUESTS_PER_RETRY
+        self.balance / self.requests_per_retry
+    }
+
+    /// Returns the number of requests until a retry is available.
+    pub const fn requests_to_retry(&self) -> u32 {
+        self.requests_per_retry.saturating_sub(self.balance)
+    }
+
+    /// Returns whether the budget gains nothing from further requests.
+    pub const fn is_full(&self) -> bool {
+        self.balance >= self.max_saved * self.requests_per_retry
     }
 
     /// Returns the number of refused retries.
--- a/crates/coriander_routing/src/hedge_policy.rs
+++ b/crates/coriander_routing/src/hedge_policy.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
+use coriander_limits::RetryBudget;
 use hdrhistogram::Histogram;
 
-use crate::RetryBudget;
-
 /// Latency samples per measurement period; the policy uses the last complete period.
 const PERIOD_SAMPLES: u64 = 1000;
 
@@ -22,7 +21,8 @@
 /// Hedging delay of one request class, from its latency target and measured latencies.
 ///
 /// ```
-/// use coriander_routing::{HedgePolicy, RetryBudget};
+/// use coriander_limits::RetryBudget;
+/// use coriander_routing::HedgePolicy;
 /// use std::time::Duration;
 ///
 /// let mut policy = HedgePolicy::new(Duration::from_millis(100));
--- a/crates/coriander_routing/src/lib.rs
+++ b/crates/coriander_routing/src/lib.rs
@@ -49,7 +49,6 @@
 mod request_log;
 mod request_parts;
 mod request_results;
-mod retry_budget;
 mod script;
 mod sql_words;
 mod statement_cache;
@@ -66,7 +65,6 @@
     LookupResult, MAX_REQUEST_ID_LENGTH, RequestIdError, RequestIdentity, RequestLog, StoredResults,
 };
 pub use request_parts::WrapError;
-pub use retry_budget::RetryBudget;
 pub use statement_cache::StatementCache;
 pub use statement_kind::StatementKind;
 pub use stored_outcome::MAX_OUTCOME_LENGTH;
--- a/crates/coriander_service/src/admission/mod.rs
+++ b/crates/coriander_service/src/admission/mod.rs
@@ -1,4 +1,5 @@
-//! Admission of operations: key, route, age of the configuration, and rate.
+//! Admission of operations: key, route, age of the configuration, rate, and repetitions.
 
 pub mod access;
 pub mod rate_limiter;
+pub mod repetitions;
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission::rate_limiter::RateLimiter;
+use crate::admission::repetitions::Repetitions;
 use crate::configuration::config_view::ConfigView;
 use crate::configuration::store_update::SnapshotDigest;
 use crate::configuration::store_view::StoreView;
@@ -100,6 +101,8 @@
     pub store_view: StoreView,
     /// Rate limits of client accounts.
     pub rate_limiter: RateLimiter,
+    /// Budget of repeated statements.
+    pub repetitions: Repetitions,
     phase: Cell<ServicePhase>,
     session_count: Cell<usize>,
     registration_lease: Cell<Option<LeaseId>>,
@@ -136,6 +139,7 @@
             capacity,
             groups: RefCell::default(),
             rate_limiter,
+            repetitions: Repetitions::new(features.ordered_waiting, BootClock.now()),
             peers,
             request_log: RequestLog::default(),
             metrics,
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -93,6 +93,7 @@
     account_operations: Family<AccountLabels, Counter>,
     attempts: Family<GroupLabels, Counter>,
     attempt_time: Family<MemberGroupLabel, Histogram, fn() -> Histogram>,
+    repetitions: Family<ResultLabel, Counter>,
     store_calls: Family<ResultLabel, Counter>,
     entries_left_out: Gauge,
     promotions: Family<GroupLabels, Counter>,
@@ -119,6 +120,7 @@
             account_operations: Family::default(),
             attempts: Family::default(),
             attempt_time: Family::new_with_constructor(latency_histogram),
+            repetitions: Family::default(),
             store_calls: Family::default(),
             entries_left_out: Gauge::default(),
             promotions: Family::default(),
@@ -179,6 +181,12 @@
             "Operations by client account, admitted or refused for its rate",
             self.account_operations.clone(),
         );
+        registry.register(
+            "repetitions",
+            "Repetitions of statements: allowed, or refused for want of a budget of the account or \
+             of the instance",
+            self.repetitions.clone(),
+        );
         registry.register(
             "store_calls",
             "Reads of the platform's store by result",
@@ -312,6 +320,12 @@
         histogram.observe(duration.as_secs_f64());
     }
 
+    /// Counts a repetition of a statement that was allowed, or the budget that refused it.
+    pub fn count_repetition(&self, result: &'static str) {
+        let label = ResultLabel { result };
+        self.repetitions.get_or_create(&label).inc();
+    }
+
     /// Counts a read of the store.
     pub fn count_store_call(&self, result: &'static str) {
         let label = ResultLabel { result };
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -90,6 +90,35 @@
         self.deadline.since(self.now())
     }
 
+    /// Records the first attempt of the statement, which allows a part of a repetition.
+    pub fn record_first_attempt(&self) {
+        let account = &self.access.account_name;
+        self.service.repetitions.record_first(account, self.now());
+    }
+
+    /// Checks that the statement may be repeated after a failed attempt. Fails with what that
+    /// attempt tells the caller, and with the time at which a repetition is expected to be allowed.
+    pub fn check_repetition(&self, failure: &SessionFailure) -> Result<(), SessionFailure> {
+        let account = &self.access.account_name;
+        let checked = self
+            .service
+            .repetitions
+            .try_repeat(account, failure, self.now());
+        let metrics = &self.service.metrics;
+        let Err(refusal) = checked else {
+            metrics.count_repetition("allowed");
+            return Ok(());
+        };
+        metrics.count_repetition(refusal.budget);
+        let retry_after = failure.retry_after.unwrap_or_default();
+        let inputs = failure.decision_inputs.as_deref().unwrap_or_default();
+        let inputs = format!("{inputs} retry_budget={}", refusal.budget);
+        let refused = failure.clone();
+        Err(refused
+            .with_retry_after(retry_after.max(refusal.retry_after))
+            .with_decision_inputs(inputs.trim_start().to_owned()))
+    }
+
     /// Waits before the next attempt at busy members. Returns false if no time would be left for
     /// it.
     pub async fn wait_for_busy_members(&self, backoff: &mut BusyBackoff) -> bool {
@@ -282,6 +311,7 @@
     let mut attempted = TriedMembers::new();
     let mut backoff = BusyBackoff::default();
     let mut failure = None;
+    context.record_first_attempt();
     while context.time_remaining() > MIN_ATTEMPT_TIME {
         let attempt = if statement.writes {
             attempt_write(context, statement).await
@@ -295,12 +325,14 @@
                 let is_busy =
                     retry.code == FailureCode::Busy && retry.reason != FailureReason::MemberSilent;
                 let has_no_room = retry.reason == FailureReason::NoConnection;
-                failure = Some(retry);
-                if !is_busy || context.has_untried_replica(&tried) {
-                    continue;
-                }
+                let repeats_now = !is_busy || context.has_untried_replica(&tried);
                 // A request without room is refused at once: waiting would only repeat it.
-                if has_no_room || !context.wait_for_busy_members(&mut backoff).await {
+                if has_no_room && !repeats_now {
+                    return Err(retry);
+                }
+                context.check_repetition(&retry)?;
+                failure = Some(retry);
+                if !repeats_now && !context.wait_for_busy_members(&mut backoff).await {
                     break;
                 }
             }
--- a/crates/coriander_service/src/sessions/transaction.rs
+++ b/crates/coriander_service/src/sessions/transaction.rs
@@ -25,14 +25,19 @@
     let mut tried = TriedMembers::new();
     let mut backoff = BusyBackoff::default();
     let mut failure = None;
+    context.record_first_attempt();
     while context.time_remaining() > MIN_ATTEMPT_TIME {
         match attempt_begin(context, transaction, statement, &mut tried).await {
             Attempt::Completed(completed) => return Ok(completed),
             Attempt::Failed(failure) => return Err(failure),
             Attempt::Retry(retry) => {
                 let has_no_room = retry.reason == FailureReason::NoConnection;
+                if has_no_room {
+                    return Err(retry);
+                }
+                context.check_repetition(&retry)?;
                 failure = Some(retry);
-                if has_no_room || !context.wait_for_busy_members(&mut backoff).await {
+                if !context.wait_for_busy_members(&mut backoff).await {
                     break;
                 }
             }
--- a/crates/corianderstile/src/read_selector.rs
+++ b/crates/corianderstile/src/read_selector.rs
@@ -8,9 +8,9 @@
     ConfirmReply, GroupStatus, LogPosition, MemberId, MemberRole, MonotonicTime, ZoneName,
 };
 use coriander_failover::PrimaryView;
+use coriander_limits::RetryBudget;
 use coriander_routing::{
-    MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable,
-    RequestTicket, RetryBudget,
+    MemberPlacement, MemberReport, ReadChoice, ReadRequest, ReadRouter, ReplicaTable, RequestTicket,
 };
 use coriander_tokens::SessionPosition;
 use coriander_upstream::UpstreamError;
