--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::admission::rate_limiter::RateLimiter;
+use crate::admission::repetitions::Repetitions;
 use crate::configuration::config_view::ConfigView;
 use crate::configuration::store_update::SnapshotDigest;
 use crate::configuration::store_view::StoreView;
@@ -86,6 +87,8 @@
     pub store_view: StoreView,
     /// Rate limits of client accounts.
     pub rate_limiter: RateLimiter,
+    /// Budget of repeated statements.
+    pub repetitions: Repetitions,
     registration_lease: Cell<Option<LeaseId>>,
     /// Account name for callers of routes that need no key.
     pub anonymous_account: Arc<str>,
@@ -99,8 +102,11 @@
         connector: Rc<dyn MemberConnector>,
         peers: Rc<PeerSocket>,
     ) -> Rc<Self> {
-        let name = settings.name.clone();
         let features = settings.features;
+        let mut rate_limiter = RateLimiter::new(settings.name.clone(), peers.clone());
+        if features.ordered_waiting {
+            rate_limiter = rate_limiter.with_ordered_returns(settings.zone.clone());
+        }
         let usage = features.usage_reports.then(|| UsageMeter::new(&settings));
         let metrics = ServiceMetrics::with_traffic(&peers.traffic);
         let capacity = features
@@ -116,8 +122,8 @@
             connector,
             capacity,
             groups: RefCell::default(),
-            rate_limiter: RateLimiter::new(name, peers.clone())
-                .with_ordered_returns(features.ordered_waiting),
+            rate_limiter,
+            repetitions: Repetitions::new(features.ordered_waiting, BootClock.now()),
             peers,
             request_log: RequestLog::default(),
             metrics,
@@ -142,7 +148,8 @@
             return;
         };
         // A new account gets its first tokens by its owners, which follow from the instances.
-        self.rate_limiter.set_fleet(&snapshot.instances);
+        self.rate_limiter
+            .set_fleet(&snapshot.instances, snapshot.revision);
         let old_config = self.config_view.config();
         let groups = |config: &Arc<FleetConfig>| config.groups.clone();
         let same_groups = old_config.as_ref().map(groups) == snapshot.config.as_ref().map(groups);
@@ -186,7 +193,7 @@
         let Some(snapshot) = self.store_view.confirm(revision, sent_at) else {
             return;
         };
-        self.rate_limiter.set_fleet(&snapshot.instances);
+        self.rate_limiter.set_fleet(&snapshot.instances, revision);
         if let Some(config) = &snapshot.config {
             self.config_view.apply(config, sent_at);
         }
