Count messages between instances and exchanges with members by zone

Cause: bytes between availability zones are dear to some deployments, and nothing said what they are made of.

No tests were run on this commit alone.

--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -1,5 +1,6 @@
 //! Server for the connections of other instances.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,11 +35,11 @@
     /// than `remaining`.
     async fn handle(&self, connection: ConnectionId, request: Q, remaining: Duration) -> R;
 
-    /// Counts a request and its size on the connection.
-    fn record_request(&self, _request: &Q, _bytes: usize) {}
+    /// Counts a request, the address of its sender and its size on the connection.
+    fn record_request(&self, _sender: IpAddr, _request: &Q, _bytes: usize) {}
 
-    /// Counts a reply and its size on the connection.
-    fn record_reply(&self, _reply: &R, _bytes: usize) {}
+    /// Counts a reply, the address of its receiver and its size on the connection.
+    fn record_reply(&self, _receiver: IpAddr, _reply: &R, _bytes: usize) {}
 
     /// Called after a connection has ended.
     fn connection_ended(&self, _connection: ConnectionId) {}
@@ -64,12 +65,13 @@
             return;
         };
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, address)) => {
                 accepted += 1;
                 let id = ConnectionId(accepted);
+                let peer = address.ip();
                 let (codec, service) = (codec.clone(), service.clone());
                 ntex::rt::spawn(async move {
-                    serve_connection(id, stream, codec, service.clone(), permit).await;
+                    serve_connection((id, peer), stream, codec, service.clone(), permit).await;
                     service.connection_ended(id);
                 });
             }
@@ -83,7 +85,7 @@
 }
 
 async fn serve_connection<Q, R>(
-    id: ConnectionId,
+    (id, peer): (ConnectionId, IpAddr),
     stream: TcpStream,
     codec: FrameCodec,
     service: Rc<dyn PeerService<Q, R>>,
@@ -124,7 +126,7 @@
                 deadline,
                 body,
             })) => {
-                service.record_request(&body, reader.frame_bytes());
+                service.record_request(peer, &body, reader.frame_bytes());
                 let arrived_at = BootClock.now();
                 let remaining = deadline.saturating_sub(arrived_at.since_start());
                 if remaining.is_zero() {
@@ -144,7 +146,7 @@
                     match codec.encode(&reply) {
                         Ok(frame) => {
                             if let PeerFrame::Reply { body, .. } = &reply {
-                                service.record_reply(body, frame.len());
+                                service.record_reply(peer, body, frame.len());
                             }
                             // Sending fails only if the connection is closed, so no caller waits.
                             drop(write_queue.send(frame).await);
--- a/crates/coriander_service/src/fleet/peer_socket.rs
+++ b/crates/coriander_service/src/fleet/peer_socket.rs
@@ -74,6 +74,7 @@
         let others = instances.iter().filter(|entry| entry.id != self.own_name);
         let addresses = others.map(|entry| (entry.id.clone(), entry.address));
         *self.peers.borrow_mut() = addresses.collect();
+        self.traffic.set_instances(instances, &self.own_name);
     }
 
     /// Returns the addresses of the other instances.
@@ -100,7 +101,10 @@
             }
         };
         match self.socket.try_send_to(&datagram, address) {
-            Ok(_) => self.traffic.count_sent(message.kind(), datagram.len()),
+            Ok(_) => {
+                let traffic = &self.traffic;
+                traffic.count_sent(message.kind(), address.ip(), datagram.len());
+            }
             Err(error) => {
                 log::debug!(address:% = address, error:% = error; "datagram not sent");
             }
@@ -135,7 +139,7 @@
             match decoded {
                 Ok(datagram) => {
                     let kind = datagram.message.kind();
-                    self.traffic.count_received(kind, length);
+                    self.traffic.count_received(kind, sender.ip(), length);
                     handle(sender, datagram.message);
                 }
                 Err(error) => log::debug!("peers: datagram from {sender} dropped: {error}"),
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -7,7 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -449,16 +449,17 @@
         }
     }
 
-    fn record_request(&self, request: &RelayRequest, bytes: usize) {
+    fn record_request(&self, sender: IpAddr, request: &RelayRequest, bytes: usize) {
         if let Some(service) = self.service.upgrade() {
             let traffic = &service.peers.traffic;
-            traffic.count_received(request.kind(), bytes);
+            traffic.count_received(request.kind(), sender, bytes);
         }
     }
 
-    fn record_reply(&self, reply: &RelayReply, bytes: usize) {
+    fn record_reply(&self, receiver: IpAddr, reply: &RelayReply, bytes: usize) {
         if let Some(service) = self.service.upgrade() {
-            service.peers.traffic.count_sent(reply.kind(), bytes);
+            let traffic = &service.peers.traffic;
+            traffic.count_sent(reply.kind(), receiver, bytes);
         }
     }
 
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns the availability zone of the member.
+    pub fn zone(&self) -> Arc<str> {
+        self.member.zone()
+    }
+
     /// Executes a plan and records what it shows about the member.
     pub async fn exchange(&mut self, plan: &ExchangePlan) -> ExchangeOutcome {
         let member = self.member.clone();
--- a/crates/coriander_service/src/sessions/exchange.rs
+++ b/crates/coriander_service/src/sessions/exchange.rs
@@ -79,6 +79,13 @@
         self.acquire_timeout = self.acquire_timeout.min(remaining);
     }
 
+    /// Returns the size of the text that a member gets, without what its protocol adds.
+    pub fn statement_bytes(&self) -> usize {
+        let statement = &self.statement;
+        let prepared = statement.prepared.as_ref();
+        prepared.map_or(statement.text.len(), |(_, arguments)| arguments.len())
+    }
+
     /// Returns whether only the primary may run it. The COMMIT of a transaction that has written
     /// counts as a write.
     pub fn needs_primary(&self) -> bool {
@@ -129,6 +136,12 @@
         }
     }
 
+    /// Returns the size of the rows of the member's reply, without what its protocol adds.
+    pub fn reply_bytes(&self) -> usize {
+        let reply = self.result.as_ref();
+        reply.map_or(0, |reply| reply.rows.iter().map(|row| row.len()).sum())
+    }
+
     /// Returns whether the transaction of a reserved connection continues after this exchange.
     pub fn keeps_connection(&self, plan: &ExchangePlan) -> bool {
         let Ok(reply) = &self.result else {
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::admission::access::GrantedAccess;
+use crate::fleet::peer_traffic::ZoneRelation;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
 use crate::members::member_pool::PoolError;
@@ -251,10 +252,26 @@
             ReadRequirement::Primary => self.wait_for_primary().await?,
             ReadRequirement::MinPosition(_) => self.choose_read_target(tried).await?,
         };
+        self.count_read_target(requirement, &member);
         tried.push(member.id.clone());
         Ok(member)
     }
 
+    fn count_read_target(&self, requirement: ReadRequirement, member: &Member) {
+        let primary = self.group.primary(self.now());
+        let is_primary = primary.is_some_and(|primary| primary.id == member.id);
+        let target = match requirement {
+            ReadRequirement::MinPosition(_) if is_primary => "primary",
+            ReadRequirement::MinPosition(_) => "replica",
+            ReadRequirement::Primary if self.access.route.freshness == ReadFreshness::Newest => {
+                "newest"
+            }
+            ReadRequirement::Primary => "no_position",
+        };
+        let zone = ZoneRelation::new(&self.service.settings().zone, &member.zone());
+        self.service.peers.traffic.count_read_target(target, zone);
+    }
+
     async fn choose_read_target(
         &self,
         tried: &mut TriedMembers,
--- a/crates/coriander_service/src/usage/begun_operation.rs
+++ b/crates/coriander_service/src/usage/begun_operation.rs
@@ -5,6 +5,7 @@
 
 use coriander_core::RequestOutcome;
 
+use crate::fleet::peer_traffic::ZoneRelation;
 use crate::members::held_connection::HeldConnection;
 use crate::service::SessionService;
 use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
@@ -23,6 +24,9 @@
     let usage = service.usage.as_ref().filter(|_| is_counted);
     let begun = usage.map(|usage| BegunOperation::new(usage, &plan.account));
     let outcome = held.exchange(plan).await;
+    let zone = ZoneRelation::new(&service.settings().zone, &held.zone());
+    let traffic = &service.peers.traffic;
+    traffic.count_member(zone, plan.statement_bytes(), outcome.reply_bytes());
     if let Some(begun) = begun {
         begun.finish(&outcome);
     }
