Place reads by zone, and shorten messages between instances

Change: read targets are ordered by zone and role, without statements in flight; every second account in the zone of a primary reads from it. An instance without a recent position sends the age, and the home instance fills the position in; requests carry the newest position that their sender knows. Prepared statements are sent without their text, further plans of a stream without names, durations in microseconds, and a stream that has ended with a reply gets no message.

Tests of coriander_service, coriander_capacity, coriander_peer and coriander_wire pass; those of the other crates were not run.

--- a/crates/coriander_capacity/src/lib.rs
+++ b/crates/coriander_capacity/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`CapacityBoard`] holds what one instance has learned about all members.
 //! * [`ConcurrencyLimit`] is the number of statements that one member takes well.
 //! * [`LatencyProfile`] is the usual latency of one class of statements.
+//! * [`placement_order`] says where reads go while members have room.
 //! * [`OutlierDetector`] sets a member aside by outcome and latency, and takes it back by probes.
 //!
 //! ```
@@ -28,6 +29,7 @@
 mod latency_profile;
 mod member_report;
 mod outlier_detector;
+mod read_placement;
 
 pub use capacity_board::{CapacityBoard, CapacityEvent, ReadCandidate};
 pub use concurrency_limit::ConcurrencyLimit;
@@ -35,3 +37,4 @@
 pub use latency_profile::LatencyProfile;
 pub use member_report::{CapacityNotice, ConfirmedPosition, MemberReport};
 pub use outlier_detector::{OutlierCause, OutlierChange, OutlierDetector};
+pub use read_placement::{PlacementCandidate, placement_order};
--- a/crates/coriander_peer/src/peer_connection.rs
+++ b/crates/coriander_peer/src/peer_connection.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coriander_wire::{DecodeError, EncodeError, FrameCodec, FrameStatus};
+use coriander_wire::{DecodeError, EncodeError, FrameCodec, FrameStatus, wire_duration};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -25,6 +25,7 @@
     /// The first frame of each side.
     Hello {
         /// Time at which it was sent.
+        #[serde(with = "wire_duration")]
         sent_at: Duration,
     },
     /// A request.
@@ -32,6 +33,7 @@
         /// Number of the request on its connection.
         number: u64,
         /// Time from which the sender no longer waits for the reply.
+        #[serde(with = "wire_duration")]
         deadline: Duration,
         /// The request.
         body: Box<Q>,
@@ -41,6 +43,7 @@
         /// Number of the request.
         number: u64,
         /// Time at which it was sent.
+        #[serde(with = "wire_duration")]
         sent_at: Duration,
         /// The reply.
         body: R,
--- a/crates/coriander_service/src/fleet/peer_socket.rs
+++ b/crates/coriander_service/src/fleet/peer_socket.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::InstanceId;
+use coriander_core::{InstanceId, stable_hash};
 use coriander_service_api::InstanceEntry;
 use coriander_wire::DatagramCodec;
 use sha2::{Digest, Sha256};
@@ -30,6 +30,7 @@
 pub struct PeerSocket {
     socket: UdpSocket,
     own_name: Arc<str>,
+    /// Sender of the datagrams.
     own_id: InstanceId,
     epoch: u64,
     codec: RefCell<Option<(Arc<[u8]>, DatagramCodec)>>,
@@ -42,11 +43,14 @@
 impl PeerSocket {
     /// Creates the peer socket. It sends no messages until the fleet secret is set.
     pub fn new(socket: UdpSocket, own_name: Arc<str>, own_id: InstanceId, epoch: u64) -> Self {
+        // Most datagrams are a few bytes long. Processes with the same short id still differ by
+        // epoch, so that none takes the datagrams of another for repeated ones.
+        let short_id = format!("{:08x}", stable_hash(&*own_name) as u32);
         Self {
             socket,
             own_name,
-            own_id,
-            epoch,
+            own_id: short_id.parse().unwrap_or(own_id),
+            epoch: epoch & u64::from(u32::MAX),
             codec: RefCell::default(),
             peers: RefCell::default(),
             traffic: PeerTraffic::default(),
--- a/crates/coriander_service/src/fleet/peer_traffic.rs
+++ b/crates/coriander_service/src/fleet/peer_traffic.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use coriander_service_api::InstanceEntry;
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
@@ -16,17 +16,17 @@
 struct TrafficLabels {
     kind: &'static str,
     direction: &'static str,
-    zone: ZoneRelation,
+    zone: &'static str,
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct TargetLabels {
     target: &'static str,
-    zone: ZoneRelation,
+    zone: &'static str,
 }
 
 /// Whether the other side of a message is in the availability zone of this instance.
-#[derive(Clone, Copy, Debug, Default, EncodeLabelValue, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ZoneRelation {
     /// In the same one.
     Own,
@@ -42,6 +42,14 @@
     pub fn new(own: &str, other: &str) -> Self {
         if own == other { Self::Own } else { Self::Other }
     }
+
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Other => "other",
+            Self::Unknown => "unknown",
+        }
+    }
 }
 
 /// Counters of messages between instances. Copies share their counts.
@@ -76,7 +84,10 @@
 
     /// Counts the choice of a member for a read.
     pub fn count_read_target(&self, target: &'static str, zone: ZoneRelation) {
-        let labels = TargetLabels { target, zone };
+        let labels = TargetLabels {
+            target,
+            zone: zone.label(),
+        };
         self.read_targets.get_or_create(&labels).inc();
     }
 
@@ -118,7 +129,7 @@
         let labels = TrafficLabels {
             kind,
             direction,
-            zone,
+            zone: zone.label(),
         };
         self.messages.get_or_create(&labels).inc();
         self.bytes.get_or_create(&labels).inc_by(bytes as u64);
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -22,7 +22,9 @@
 use crate::BootClock;
 use crate::configuration::config_delta::ConfigDelta;
 use crate::configuration::store_update::SnapshotDigest;
-use crate::fleet::relay_messages::{HeldUpdate, RelayReply, RelayRequest, StreamNumber};
+use crate::fleet::relay_messages::{
+    HeldUpdate, RelayReply, RelayRequest, StreamNames, StreamNumber,
+};
 use crate::members::held_connection::HeldConnection;
 use crate::members::member_pool::PoolError;
 use crate::service::{ServicePhase, SessionService};
@@ -108,7 +110,7 @@
         address: SocketAddr,
         stream: StreamNumber,
         must_exist: bool,
-        plan: &ExchangePlan,
+        plan: ExchangePlan,
     ) -> ExchangeOutcome {
         let client = self.client.borrow().clone();
         let Some(client) = client else {
@@ -118,12 +120,12 @@
         self.pending_requests
             .borrow_mut()
             .insert(stream, (address, started));
+        let limit = plan.time_limit + REPLY_MARGIN;
         let request = RelayRequest::Exchange {
             stream,
             must_exist,
-            plan: Box::new(plan.clone()),
+            plan: Box::new(plan),
         };
-        let limit = plan.time_limit + REPLY_MARGIN;
         let reply = client.call(address, request, limit).await;
         self.pending_requests.borrow_mut().remove(&stream);
         let now = BootClock.now();
@@ -258,7 +260,7 @@
 /// Executes exchanges for other instances.
 pub struct RelayServer {
     service: Weak<SessionService>,
-    streams: RefCell<HashMap<(ConnectionId, StreamNumber), HeldConnection>>,
+    streams: RefCell<HashMap<(ConnectionId, StreamNumber), (HeldConnection, StreamNames)>>,
     /// Streams that ended during an exchange.
     ended_streams: RefCell<HashSet<(ConnectionId, StreamNumber)>>,
     /// Streams with an exchange in progress.
@@ -306,7 +308,7 @@
         &self,
         key: (ConnectionId, StreamNumber),
         must_exist: bool,
-        plan: &ExchangePlan,
+        plan: &mut ExchangePlan,
     ) -> ExchangeOutcome {
         if BootClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
@@ -317,8 +319,11 @@
         if plan.needs_primary() && !self.is_primary_confirmed(plan) {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::PrimaryUnconfirmed));
         }
+        if !self.resolve_age(plan) {
+            return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::PositionUnknown));
+        }
         self.running_exchanges.borrow_mut().insert(key);
-        let held = self.streams.borrow_mut().remove(&key);
+        let held = self.streams.borrow_mut().remove(&key).map(|held| held.0);
         let outcome = self.exchange_held(key, held, must_exist, plan).await;
         self.running_exchanges.borrow_mut().remove(&key);
         outcome
@@ -336,6 +341,12 @@
         phase > last_phase
     }
 
+    fn resolve_age(&self, plan: &mut ExchangePlan) -> bool {
+        let service = self.service.upgrade();
+        let group = service.and_then(|service| service.find_group(&plan.group));
+        group.is_none_or(|group| group.resolve_age(plan, BootClock.now()))
+    }
+
     /// Returns whether this instance confirms that the member of a plan may be used as primary.
     fn is_primary_confirmed(&self, plan: &ExchangePlan) -> bool {
         let now = BootClock.now();
@@ -367,7 +378,8 @@
         let outcome = exchange_counted(&service, &mut held, plan).await;
         let ended = self.ended_streams.borrow_mut().remove(&key);
         if outcome.keeps_connection(plan) && !ended {
-            self.streams.borrow_mut().insert(key, held);
+            let names = StreamNames::of(plan);
+            self.streams.borrow_mut().insert(key, (held, names));
         }
         outcome
     }
@@ -386,13 +398,13 @@
 
     /// Applies what the sender of a plan has set aside. It counts from the arrival, whatever the
     /// plan waits for then.
-    fn receive_reports(&self, plan: &ExchangePlan) {
+    fn receive_reports(&self, plan: &ExchangePlan, max_way: Duration) {
         if plan.capacity.is_some()
             && let Some(service) = self.service.upgrade()
             && let Some(member) = service.find_member(&plan.group, &plan.member)
             && let Some(capacity) = &member.capacity
         {
-            capacity.receive(plan, BootClock.now());
+            capacity.receive(plan, max_way, BootClock.now());
         }
     }
 
@@ -421,9 +433,18 @@
                 must_exist,
                 mut plan,
             } => {
+                let key = (connection, stream);
+                if let Some((_, names)) = self.streams.borrow().get(&key) {
+                    names.restore(&mut plan);
+                } else if must_exist {
+                    let outcome = ExchangeOutcome::failed(no_reply("unknown stream"));
+                    return RelayReply::Outcome(Box::new(outcome));
+                }
+                // The deadline was computed with a lower bound of the time here.
+                let max_way = (plan.time_limit + REPLY_MARGIN).saturating_sub(remaining);
                 plan.limit_time(remaining);
-                self.receive_reports(&plan);
-                let outcome = self.exchange((connection, stream), must_exist, &plan).await;
+                self.receive_reports(&plan, max_way);
+                let outcome = self.exchange(key, must_exist, &mut plan).await;
                 RelayReply::Outcome(Box::new(outcome))
             }
             RelayRequest::EndStream(stream) => {
@@ -451,15 +472,19 @@
 
     fn record_request(&self, sender: IpAddr, request: &RelayRequest, bytes: usize) {
         if let Some(service) = self.service.upgrade() {
-            let traffic = &service.peers.traffic;
-            traffic.count_received(request.kind(), sender, bytes);
+            service
+                .peers
+                .traffic
+                .count_received(request.kind(), sender, bytes);
         }
     }
 
     fn record_reply(&self, receiver: IpAddr, reply: &RelayReply, bytes: usize) {
         if let Some(service) = self.service.upgrade() {
-            let traffic = &service.peers.traffic;
-            traffic.count_sent(reply.kind(), receiver, bytes);
+            service
+                .peers
+                .traffic
+                .count_sent(reply.kind(), receiver, bytes);
         }
     }
 
--- a/crates/coriander_service/src/fleet/relay_messages.rs
+++ b/crates/coriander_service/src/fleet/relay_messages.rs
@@ -1,8 +1,10 @@
 //! Requests and replies between instances over connections.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
+use coriander_wire::wire_duration;
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::config_delta::ConfigDelta;
@@ -12,6 +14,31 @@
 /// Number of a reserved connection, assigned by the requesting instance.
 pub type StreamNumber = u64;
 
+/// Names in the plans of a stream, which its home instance keeps with the connection.
+pub struct StreamNames {
+    group: Arc<str>,
+    member: Arc<str>,
+    account: Arc<str>,
+}
+
+impl StreamNames {
+    /// Returns the names of a plan.
+    pub fn of(plan: &ExchangePlan) -> Self {
+        Self {
+            group: plan.group.clone(),
+            member: plan.member.clone(),
+            account: plan.account.clone(),
+        }
+    }
+
+    /// Sets the names of a further plan of the stream.
+    pub fn restore(&self, plan: &mut ExchangePlan) {
+        plan.group = self.group.clone();
+        plan.member = self.member.clone();
+        plan.account = self.account.clone();
+    }
+}
+
 /// A request to a home instance.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum RelayRequest {
@@ -31,6 +58,7 @@
         /// Digest of the snapshot that the sender has.
         known: SnapshotDigest,
         /// Time for which the receiver may wait for a snapshot that it has not applied yet.
+        #[serde(with = "wire_duration")]
         hold: Duration,
     },
     /// Checks that the instance replies.
@@ -84,6 +112,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct HeldUpdate {
     /// Time from the arrival of the request until the update was made.
+    #[serde(with = "wire_duration")]
     pub held: Duration,
     /// The update.
     pub update: StoreUpdate,
--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_capacity::ReadCandidate;
+use coriander_capacity::{PlacementCandidate, ReadCandidate, placement_order};
 use coriander_core::{LogPosition, MonotonicTime, stable_hash};
 use coriander_service_api::{MemberConnector, MemberEntry, MemberTarget, PositionTimeline};
 use smallvec::SmallVec;
@@ -16,6 +16,7 @@
 use crate::members::member::Member;
 use crate::members::member_capacity::{MemberCapacity, SharedCapacity};
 use crate::members::member_pool::MemberPool;
+use crate::sessions::exchange::ExchangePlan;
 
 /// How long a member without an entry is still used. Entries lost in an outage of the store return
 /// within this time.
@@ -27,10 +28,6 @@
 /// Minimum time for which such a replica is not read from.
 const MIN_LAG_DELAY: Duration = Duration::from_millis(30);
 
-/// Cost of a read target in another availability zone, in waiting requests. A replica there is
-/// as good as the primary here, so that bytes between zones are saved where room allows.
-const OTHER_ZONE_COST: u32 = 1;
-
 /// A database group.
 pub struct DatabaseGroup {
     /// Name of the group.
@@ -337,22 +334,21 @@
         let candidates = members
             .iter()
             .filter(|member| Self::is_read_target(member, tried, now));
-        let cost = |member: &&Rc<Member>| {
-            let is_primary = primary
-                .as_ref()
-                .is_some_and(|primary| primary.id == member.id);
-            let affinity = account_affinity(account, &member.id);
-            let zone_cost = self.zone_cost(member);
-            (member.read_cost(account, is_primary) + zone_cost, affinity)
+        let is_primary = |member: &Member| {
+            let primary = primary.as_ref();
+            primary.is_some_and(|primary| primary.id == member.id)
         };
         let mut candidates: SmallVec<[&Rc<Member>; 4]> = candidates.collect();
-        candidates.sort_by_cached_key(cost);
         if let Some(capacity) = &self.capacity {
-            let is_primary = |member: &Member| {
-                let primary = primary.as_ref();
-                primary.is_some_and(|primary| primary.id == member.id)
-            };
+            candidates = place(capacity, account, &candidates, is_primary);
             candidates = order_by_capacity(capacity, &candidates, is_primary, members.len(), now);
+        } else {
+            // A member that a zone prefers could be overloaded unnoticed where capacity is not
+            // learned, so the zone does not count.
+            candidates.sort_by_cached_key(|member| {
+                let affinity = account_affinity(account, &member.id);
+                (member.read_cost(account, is_primary(member)), affinity)
+            });
         }
         let admitted = |member: &&&Rc<Member>| member.admit_statement(now);
         candidates
@@ -361,14 +357,17 @@
             .map(|member| (*member).clone())
     }
 
-    /// Returns the cost of the way to a member's zone; 0 where capacity is not learned, as a member
-    /// that a zone prefers could then be overloaded unnoticed.
-    fn zone_cost(&self, member: &Member) -> u32 {
-        let capacity = self.capacity.as_ref();
-        match capacity {
-            Some(capacity) if !capacity.is_own_zone(&member.entry.borrow().zone) => OTHER_ZONE_COST,
-            _ => 0,
+    /// Fills in the position that the log of a member must contain for the age that a plan accepts.
+    /// Returns false if no position is known that was confirmed recently enough.
+    pub fn resolve_age(&self, plan: &mut ExchangePlan, now: MonotonicTime) -> bool {
+        let Some(max_age) = plan.max_age else {
+            return true;
+        };
+        let position = self.min_position_for_age(max_age, now);
+        if let Some(position) = position {
+            plan.resolve_age(position);
         }
+        position.is_some()
     }
 
     /// Records that the log of a member did not contain the position that a read required. The log
@@ -411,6 +410,25 @@
     }
 }
 
+/// Orders read targets of an account by zone and role.
+fn place<'a>(
+    capacity: &SharedCapacity,
+    account: &str,
+    members: &[&'a Rc<Member>],
+    is_primary: impl Fn(&Member) -> bool,
+) -> SmallVec<[&'a Rc<Member>; 4]> {
+    let candidates: SmallVec<[PlacementCandidate; 4]> = members
+        .iter()
+        .map(|member| PlacementCandidate {
+            is_own_zone: capacity.is_own_zone(&member.entry.borrow().zone),
+            is_primary: is_primary(member),
+            affinity: account_affinity(account, &member.id),
+        })
+        .collect();
+    let order = placement_order(&candidates);
+    order.into_iter().map(|index| members[index]).collect()
+}
+
 /// Orders read targets, given in the order of preference, by learned capacity.
 fn order_by_capacity<'a>(
     capacity: &SharedCapacity,
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -111,14 +111,27 @@
         }
     }
 
-    /// Applies what the instance that asks for a plan has set aside, when its request is received.
-    pub fn receive(&self, plan: &ExchangePlan, now: MonotonicTime) {
+    /// Applies what the instance that asks for a plan has set aside and the position that it knows,
+    /// when its request is received, at most `max_way` after it was sent.
+    pub fn receive(&self, plan: &ExchangePlan, max_way: Duration, now: MonotonicTime) {
         if let Some(notice) = &plan.capacity {
             let mut board = self.shared.board.borrow_mut();
             board.apply_reports(notice, now, now);
+            if let Some(confirmed) = notice.position {
+                let sent_at = now.saturating_sub(max_way);
+                self.record_confirmed(confirmed, sent_at);
+            }
         }
     }
 
+    /// Records a position whose age counts to a time not after the message that carries it.
+    fn record_confirmed(&self, confirmed: ConfirmedPosition, counted_to: MonotonicTime) {
+        let age = Duration::from_millis(u64::from(confirmed.age_ms));
+        let confirmed_at = counted_to.saturating_sub(age);
+        let mut positions = self.positions.borrow_mut();
+        positions.record(confirmed_at, confirmed.position);
+    }
+
     /// Records an exchange that this instance ran itself, and adds what the instance that asked for
     /// it should know.
     pub fn record_local(
@@ -170,10 +183,7 @@
         if let Some(confirmed) = notice.position {
             // The reply was made after the request was sent, so that the confirmation is at most
             // this much older, whatever the time that the reply took.
-            let age = Duration::from_millis(u64::from(confirmed.age_ms));
-            let confirmed_at = sent_at.saturating_sub(age);
-            let mut positions = self.positions.borrow_mut();
-            positions.record(confirmed_at, confirmed.position);
+            self.record_confirmed(confirmed, sent_at);
         }
         let event = sample_outcome(outcome).and_then(|result| {
             let mut board = self.shared.board.borrow_mut();
@@ -184,10 +194,17 @@
         board.apply_reply(notice, &self.member, sent_at, now);
     }
 
-    /// Returns what a request to another instance carries; `None` if there is nothing to tell.
-    pub fn notice(&self) -> Option<Box<CapacityNotice>> {
-        let notice = self.shared.board.borrow().notice();
-        (!notice.reports.is_empty()).then(|| Box::new(notice))
+    /// Returns what a request to another instance carries; `None` if there is nothing to tell. The
+    /// home instance of a replica also gets the newest confirmed position, as it runs nothing at
+    /// the primary itself.
+    pub fn notice(&self, plan: &ExchangePlan, now: MonotonicTime) -> Option<Box<CapacityNotice>> {
+        let mut notice = self.shared.board.borrow().notice();
+        let opens_stream = plan.begin.is_some() || !plan.keep_reserved;
+        if opens_stream && !plan.needs_primary() {
+            notice.position = self.newest_position(now);
+        }
+        let is_empty = notice.reports.is_empty() && notice.position.is_none();
+        (!is_empty).then(|| Box::new(notice))
     }
 
     /// Forgets the member.
--- a/crates/coriander_service/src/members/pool_error.rs
+++ b/crates/coriander_service/src/members/pool_error.rs
@@ -25,6 +25,9 @@
     /// The member may not be used as primary, or no longer.
     #[error("primary role of the member is not confirmed")]
     PrimaryUnconfirmed,
+    /// No position of the primary is known that was confirmed recently enough for the read.
+    #[error("no recent position of the primary is known")]
+    PositionUnknown,
     /// The member drains or its zone is taken out of service.
     #[error("member takes no new work")]
     MemberLeaving,
--- a/crates/coriander_service/src/sessions/attempt.rs
+++ b/crates/coriander_service/src/sessions/attempt.rs
@@ -149,6 +149,11 @@
             let failure = SessionFailure::new(FailureCode::Busy, FailureReason::NoPrimary);
             Attempt::Retry(failure.with_retry_after(PRIMARY_RETRY_AFTER))
         }
+        ExchangeError::NotSent(PoolError::PositionUnknown) => {
+            // The next attempt goes to the primary, without a delay.
+            let failure = SessionFailure::new(FailureCode::Lagging, FailureReason::NoMember);
+            Attempt::Retry(failure.with_retry_after(BUSY_RETRY_AFTER))
+        }
         ExchangeError::NotSent(PoolError::HomeUnavailable) => Attempt::Retry(SessionFailure::new(
             FailureCode::Busy,
             FailureReason::ConnectionLost,
--- a/crates/coriander_service/src/sessions/exchange.rs
+++ b/crates/coriander_service/src/sessions/exchange.rs
@@ -8,6 +8,7 @@
 use coriander_service_api::{
     FailureCode, LinkError, MemberReply, PreparedShape, SessionValues, TransactionStatus,
 };
+use coriander_wire::{option_wire_duration, wire_duration};
 use serde::{Deserialize, Serialize};
 
 use crate::members::member_pool::PoolError;
@@ -53,15 +54,22 @@
     pub statement: PlannedStatement,
     /// Position that the member's log must contain for the statement itself.
     pub min_position: Option<LogPosition>,
+    /// Maximum age of the data, where the sender knows no position that the log must contain for it:
+    /// the instance that executes the plan fills it in.
+    #[serde(with = "option_wire_duration")]
+    pub max_age: Option<Duration>,
     /// Priority of waiting requests; lower values are served first.
     pub priority: u32,
     /// Share of the account relative to others, from its rate limit.
     pub account_weight: u32,
     /// Time within which the latency target can still be met; zero if it is missed.
+    #[serde(with = "wire_duration")]
     pub target_remaining: Duration,
     /// Maximum wait for a connection.
+    #[serde(with = "wire_duration")]
     pub acquire_timeout: Duration,
     /// Time limit of the whole exchange.
+    #[serde(with = "wire_duration")]
     pub time_limit: Duration,
     /// Whether the connection stays reserved for further statements of the transaction.
     pub keep_reserved: bool,
@@ -79,6 +87,33 @@
         self.acquire_timeout = self.acquire_timeout.min(remaining);
     }
 
+    /// Sets the position that the member's log must contain for the age of the data; `position` is
+    /// the lowest one that is known to suffice.
+    pub fn resolve_age(&mut self, position: LogPosition) {
+        self.max_age = None;
+        let min_position = match &mut self.begin {
+            Some(begin) => &mut begin.min_position,
+            None => &mut self.min_position,
+        };
+        *min_position = (*min_position).max(Some(position));
+    }
+
+    /// Returns the plan as it is sent to the home instance: without the text of a prepared
+    /// statement, which follows from its shape and arguments, and, on an open stream, without what
+    /// the home instance keeps with the connection.
+    pub fn compact(&self, is_stream_open: bool) -> Self {
+        let mut plan = self.clone();
+        if plan.statement.prepared.is_some() {
+            plan.statement.text = "".into();
+        }
+        if is_stream_open {
+            for name in [&mut plan.group, &mut plan.member, &mut plan.account] {
+                *name = "".into();
+            }
+        }
+        plan
+    }
+
     /// Returns the size of the text that a member gets, without what its protocol adds.
     pub fn statement_bytes(&self) -> usize {
         let statement = &self.statement;
@@ -128,6 +163,7 @@
             Err(ExchangeError::NotSent(PoolError::Exhausted { .. })) => "no_connection",
             Err(ExchangeError::NotSent(PoolError::NoRoom { .. })) => "no_room",
             Err(ExchangeError::NotSent(PoolError::PrimaryUnconfirmed)) => "lead_unproved",
+            Err(ExchangeError::NotSent(PoolError::PositionUnknown)) => "position_unknown",
             Err(ExchangeError::NotSent(PoolError::HomeUnavailable)) => "home_not_reached",
             Err(ExchangeError::NotSent(PoolError::MemberLeaving)) => "member_leaving",
             Err(ExchangeError::NotSent(PoolError::Connect(_))) => "connect_failed",
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -78,6 +78,16 @@
     Primary,
     /// Its log contains a position, if there is one.
     MinPosition(Option<LogPosition>),
+    /// Its log contains a position, if there is one, and its data has at most an age. This instance
+    /// knows no position for the age; the one that executes the read may.
+    MaxAge(Option<LogPosition>, Duration),
+}
+
+impl ReadRequirement {
+    /// Returns whether a replica may serve the read.
+    const fn allows_replica(self) -> bool {
+        matches!(self, Self::MinPosition(_) | Self::MaxAge(..))
+    }
 }
 
 impl OperationContext<'_> {
@@ -128,6 +138,7 @@
             begin: None,
             statement: statement.clone(),
             min_position: None,
+            max_age: None,
             priority: self.access.route.priority,
             account_weight: self.access.weight(),
             target_remaining: target.since(self.now()),
@@ -151,13 +162,19 @@
         let metrics = &self.service.metrics;
         metrics.count_attempt(&plan.group, result, duration);
         let begin_min_position = plan.begin.and_then(|begin| begin.min_position);
-        self.trace.borrow_mut().add(AttemptTrace {
+        let mut trace = self.trace.borrow_mut();
+        trace.position_unknown |= matches!(
+            outcome.result,
+            Err(ExchangeError::NotSent(PoolError::PositionUnknown))
+        );
+        trace.add(AttemptTrace {
             member: plan.member.clone(),
             home_instance: link.last_home_instance(),
             min_position: plan.min_position.or(begin_min_position),
             result,
             duration,
         });
+        drop(trace);
         outcome
     }
 
@@ -193,6 +210,9 @@
         };
         match self.group.min_position_for_age(max_age, self.now()) {
             Some(min_position) => ReadRequirement::MinPosition(own_commit.max(Some(min_position))),
+            None if self.service.capacity.is_some() && !self.trace.borrow().position_unknown => {
+                ReadRequirement::MaxAge(own_commit, max_age)
+            }
             None => ReadRequirement::Primary,
         }
     }
@@ -238,8 +258,8 @@
 
     /// Returns whether a read that was refused by the tried members may run on another replica.
     fn has_untried_replica(&self, tried: &TriedMembers) -> bool {
-        let is_read_target = matches!(self.read_requirement(), ReadRequirement::MinPosition(_));
-        !tried.is_empty() && is_read_target && self.group.has_read_target(tried, self.now())
+        let allows_replica = self.read_requirement().allows_replica();
+        !tried.is_empty() && allows_replica && self.group.has_read_target(tried, self.now())
     }
 
     /// Chooses a member for a read and records it as tried.
@@ -250,7 +270,9 @@
     ) -> Result<Rc<Member>, SessionFailure> {
         let member = match requirement {
             ReadRequirement::Primary => self.wait_for_primary().await?,
-            ReadRequirement::MinPosition(_) => self.choose_read_target(tried).await?,
+            ReadRequirement::MinPosition(_) | ReadRequirement::MaxAge(..) => {
+                self.choose_read_target(tried).await?
+            }
         };
         self.count_read_target(requirement, &member);
         tried.push(member.id.clone());
@@ -261,8 +283,9 @@
         let primary = self.group.primary(self.now());
         let is_primary = primary.is_some_and(|primary| primary.id == member.id);
         let target = match requirement {
-            ReadRequirement::MinPosition(_) if is_primary => "primary",
+            _ if requirement.allows_replica() && is_primary => "primary",
             ReadRequirement::MinPosition(_) => "replica",
+            ReadRequirement::MaxAge(..) => "replica_by_age",
             ReadRequirement::Primary if self.access.route.freshness == ReadFreshness::Newest => {
                 "newest"
             }
@@ -366,6 +389,11 @@
             plan.min_position = min_position;
             plan.runs_whole_time |= !context.has_untried_replica(tried);
         }
+        ReadRequirement::MaxAge(min_position, max_age) => {
+            plan.min_position = min_position;
+            plan.max_age = Some(max_age);
+            plan.runs_whole_time |= !context.has_untried_replica(tried);
+        }
         ReadRequirement::Primary => {
             plan.begin = Some(PlannedBegin {
                 read_only: false,
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -8,7 +8,6 @@
 use crate::members::database_group::DatabaseGroup;
 use crate::members::held_connection::{HeldConnection, OutstandingStatement};
 use crate::members::member::{Member, RequestGuard};
-use crate::members::member_capacity::MemberCapacity;
 use crate::members::member_pool::PoolError;
 use crate::service::SessionService;
 use crate::sessions::exchange::{ExchangeError, ExchangeOutcome, ExchangePlan};
@@ -102,6 +101,10 @@
                     plan.time_limit
                         .saturating_sub(BootClock.now().since(started)),
                 );
+                if !self.group.resolve_age(&mut plan, BootClock.now()) {
+                    let error = ExchangeError::NotSent(PoolError::PositionUnknown);
+                    return ExchangeOutcome::failed(error);
+                }
                 match HeldConnection::acquire(&self.member, &plan).await {
                     Ok(held) => self.exchange_local(Box::new(held), &plan).await,
                     Err(error) => ExchangeOutcome::failed(ExchangeError::NotSent(error)),
@@ -141,14 +144,9 @@
         let sent_at = BootClock.now();
         let outstanding = OutstandingStatement::new(&self.member, sent_at);
         let capacity = self.member.capacity.as_ref();
-        let notice = capacity.and_then(MemberCapacity::notice);
-        let outcome = if notice.is_some() {
-            let mut plan = plan.clone();
-            plan.capacity = notice;
-            relay.exchange(address, stream, must_exist, &plan).await
-        } else {
-            relay.exchange(address, stream, must_exist, plan).await
-        };
+        let mut compact = plan.compact(must_exist);
+        compact.capacity = capacity.and_then(|capacity| capacity.notice(plan, sent_at));
+        let outcome = relay.exchange(address, stream, must_exist, compact).await;
         drop(outstanding);
         let now = BootClock.now();
         if let Some(capacity) = &self.member.capacity {
@@ -168,6 +166,9 @@
                 stream,
                 _request_guard: request_guard,
             };
+        } else if matches!(outcome.result, Ok(_) | Err(ExchangeError::Declined(..))) {
+            // The exchange ran, so that the home instance has released the stream as well.
+            stream_guard.disarm();
         }
         outcome
     }
--- a/crates/coriander_service/src/sessions/operation_trace.rs
+++ b/crates/coriander_service/src/sessions/operation_trace.rs
@@ -40,6 +40,9 @@
 /// All attempts for one statement.
 #[derive(Clone, Debug, Default)]
 pub struct OperationTrace {
+    /// Whether an attempt has shown that the instance which would execute the read knows no
+    /// position for its age either, so that only the primary can serve it.
+    pub position_unknown: bool,
     attempts: Vec<AttemptTrace>,
 }
 
--- a/crates/coriander_service/src/sessions/transaction.rs
+++ b/crates/coriander_service/src/sessions/transaction.rs
@@ -31,7 +31,11 @@
             Attempt::Failed(failure) => return Err(failure),
             Attempt::Retry(retry) => {
                 let has_no_room = retry.reason == FailureReason::NoConnection;
+                let goes_to_primary = retry.code == FailureCode::Lagging;
                 failure = Some(retry);
+                if goes_to_primary {
+                    continue;
+                }
                 if has_no_room || !context.wait_for_busy_members(&mut backoff).await {
                     break;
                 }
@@ -63,11 +67,16 @@
             read_only: false,
             min_position: None,
         },
-        ReadRequirement::MinPosition(min_position) => PlannedBegin {
-            read_only: true,
-            min_position,
-        },
+        ReadRequirement::MinPosition(min_position) | ReadRequirement::MaxAge(min_position, _) => {
+            PlannedBegin {
+                read_only: true,
+                min_position,
+            }
+        }
     });
+    if let ReadRequirement::MaxAge(_, max_age) = requirement {
+        plan.max_age = Some(max_age);
+    }
     let mut link = OperationLink::new(context.service, &context.group, &member);
     let outcome = context.exchange(&mut link, &plan).await;
     let result = match outcome.result {
--- a/crates/coriander_service/tests/capacity_relay.rs
+++ b/crates/coriander_service/tests/capacity_relay.rs
@@ -123,6 +123,53 @@
     assert_eq!(member, "a");
 }
 
+#[ntex::test]
+async fn home_instance_fills_in_the_position_for_an_age() {
+    // Guards against reads that go to the primary because their instance is the only one that knows
+    // no position, and against a home instance that takes an old one for new.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let fleet = Fleet::start(&group).await;
+    let max_age = Duration::from_millis(400);
+    fleet.apply(2, ReadFreshness::Bounded { max_age });
+    let mut session = open(&fleet.home).await;
+    run(&mut session, "w", "WRITE 1 x").await;
+    for replica in ["b", "c"] {
+        group.member(replica).applied_index.set(11);
+    }
+    let mut session = open(&fleet.remote).await;
+    for (id, begin) in [("q1", None), ("q2", Some("BEGIN READ"))] {
+        if let Some(begin) = begin {
+            run(&mut session, "b", begin).await;
+        }
+        let response = run(&mut session, id, "READ 1").await;
+        assert!(response.result.is_ok());
+        assert_ne!(last_member(&group), "a");
+        run(&mut session, "r", "ROLLBACK").await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut session = open(&fleet.remote).await;
+    let started = BootClock.now();
+    let response = run(&mut session, "q3", "READ 1").await;
+    assert!(response.result.is_ok());
+    assert_eq!(last_member(&group), "a");
+    assert!(BootClock.now().since(started) < Duration::from_millis(100));
+}
+
+#[ntex::test]
+async fn replica_that_lacks_the_filled_in_position_is_not_read() {
+    // Guards against outdated reads: the home instance knows a newer position than the replicas have.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    let fleet = Fleet::start(&group).await;
+    let max_age = Duration::from_millis(400);
+    fleet.apply(2, ReadFreshness::Bounded { max_age });
+    let mut session = open(&fleet.home).await;
+    run(&mut session, "w", "WRITE 1 x").await;
+    let mut session = open(&fleet.remote).await;
+    let response = run(&mut session, "q1", "READ 1").await;
+    assert!(response.result.is_ok());
+    assert_eq!(last_member(&group), "a");
+}
+
 #[ntex::test]
 async fn member_set_aside_by_its_home_instance_is_avoided_by_others() {
     // Guards against each of many instances learning by failures of its own callers.
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -14,7 +14,8 @@
     ServiceSettings, SessionService, SnapshotDigest,
 };
 use coriander_service_api::{
-    ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures,
+    AccessMode, ClientStatement, ControlSnapshot, FailureCode, InstanceEntry, PreparedShape,
+    ReadFreshness, ServiceFeatures, StatementKind,
 };
 use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
@@ -126,6 +127,46 @@
     assert_eq!(group.member("a").applied_index.get(), 11);
 }
 
+#[ntex::test]
+async fn committed_transaction_sends_nothing_after_its_last_reply() {
+    // Guards against a message and its acknowledgement for each transaction that has ended anyway,
+    // and against one that goes on under other names than it was opened with.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, home_instance) = start_two(&group).await;
+    let mut session = open(&remote.service).await;
+    let shape = PreparedShape {
+        access: AccessMode::Write,
+        shape: "q2c".into(),
+    };
+    let name: Arc<str> = "s1".into();
+    let prepare = StatementKind::Prepare {
+        name: name.clone(),
+        shape,
+    };
+    let execute = StatementKind::Execute {
+        name,
+        arguments: "1 x".into(),
+    };
+    for (id, text, kind) in [
+        ("p", "PREPARE s1", prepare),
+        ("b", "BEGIN", StatementKind::Begin { read_only: false }),
+        ("e1", "EXECUTE s1 1 x", execute.clone()),
+        ("e2", "EXECUTE s1 1 x", execute),
+        ("c", "COMMIT", StatementKind::Commit),
+    ] {
+        let statement = ClientStatement::new(id, text, kind);
+        let response = session.execute(statement).await;
+        assert!(response.result.is_ok(), "{id}");
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let metrics = home_instance.service.encode_metrics();
+    assert!(metrics.contains("kind=\"exchange\""), "{metrics}");
+    assert!(!metrics.contains("kind=\"end_stream\""), "{metrics}");
+    assert_eq!(group.member("a").applied_index.get(), 11);
+    let accounts = home_instance.service.usage.as_ref();
+    assert_eq!(accounts.map(|usage| usage.counted()), Some(1));
+}
+
 #[ntex::test]
 async fn abandoned_transaction_is_rolled_back_on_the_home_instance() {
     let group = FakeGroup::new(&["a"]);
--- a/crates/coriander_wire/src/lib.rs
+++ b/crates/coriander_wire/src/lib.rs
@@ -28,8 +28,10 @@
 mod datagram_codec;
 mod frame_codec;
 mod message_mac;
+pub mod option_wire_duration;
 mod reject_counts;
 mod replay_window;
+pub mod wire_duration;
 mod wire_error;
 
 pub use datagram_codec::{DatagramCodec, MAX_DATAGRAM_LENGTH, ReceivedDatagram};
