--- a/crates/coriander_service/src/admission/repetitions.rs
+++ b/crates/coriander_service/src/admission/repetitions.rs
@@ -44,9 +44,13 @@
 
 /// Returns whether a failed attempt has taken time of a member or a place in its queue.
 const fn has_used_a_member(failure: &SessionFailure) -> bool {
-    let is_unreached = matches!(
-        failure.reason,
-        FailureReason::ConnectionLost | FailureReason::NoMember | FailureReason::NoPrimary
-    );
-    !(is_unreached && matches!(failure.code, FailureCode::Busy))
+    match failure.code {
+        // The member only said that another one has to run the statement.
+        FailureCode::Lagging | FailureCode::ReadOnly | FailureCode::Misrouted => false,
+        FailureCode::Busy => !matches!(
+            failure.reason,
+            FailureReason::ConnectionLost | FailureReason::NoMember | FailureReason::NoPrimary
+        ),
+        _ => true,
+    }
 }
--- a/crates/coriander_service/src/fleet/peer_socket.rs
+++ b/crates/coriander_service/src/fleet/peer_socket.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_core::InstanceId;
+use coriander_core::{InstanceId, stable_hash};
 use coriander_service_api::InstanceEntry;
 use coriander_wire::DatagramCodec;
 use sha2::{Digest, Sha256};
@@ -30,6 +30,7 @@
 pub struct PeerSocket {
     socket: UdpSocket,
     own_name: Arc<str>,
+    /// Sender of the datagrams.
     own_id: InstanceId,
     epoch: u64,
     codec: RefCell<Option<(Arc<[u8]>, DatagramCodec)>>,
@@ -42,11 +43,14 @@
 impl PeerSocket {
     /// Creates the peer socket. It sends no messages until the fleet secret is set.
     pub fn new(socket: UdpSocket, own_name: Arc<str>, own_id: InstanceId, epoch: u64) -> Self {
+        // Most datagrams are a few bytes long. Processes with the same short id still differ by
+        // epoch, so that none takes the datagrams of another for repeated ones.
+        let short_id = format!("{:08x}", stable_hash(&*own_name) as u32);
         Self {
             socket,
             own_name,
-            own_id,
-            epoch,
+            own_id: short_id.parse().unwrap_or(own_id),
+            epoch: epoch & u64::from(u32::MAX),
             codec: RefCell::default(),
             peers: RefCell::default(),
             traffic: PeerTraffic::default(),
@@ -74,6 +78,7 @@
         let others = instances.iter().filter(|entry| entry.id != self.own_name);
         let addresses = others.map(|entry| (entry.id.clone(), entry.address));
         *self.peers.borrow_mut() = addresses.collect();
+        self.traffic.set_instances(instances, &self.own_name);
     }
 
     /// Returns the addresses of the other instances.
@@ -100,7 +105,10 @@
             }
         };
         match self.socket.try_send_to(&datagram, address) {
-            Ok(_) => self.traffic.count_sent(message.kind(), datagram.len()),
+            Ok(_) => {
+                let traffic = &self.traffic;
+                traffic.count_sent(message.kind(), address.ip(), datagram.len());
+            }
             Err(error) => {
                 log::debug!(address:% = address, error:% = error; "datagram not sent");
             }
@@ -135,7 +143,7 @@
             match decoded {
                 Ok(datagram) => {
                     let kind = datagram.message.kind();
-                    self.traffic.count_received(kind, length);
+                    self.traffic.count_received(kind, sender.ip(), length);
                     handle(sender, datagram.message);
                 }
                 Err(error) => log::debug!("peers: datagram from {sender} dropped: {error}"),
