Decide how many statements run at a member at a time

Change: StatementGate counts the statements at a member and says how many operations may begin; transactions already begun never wait, and statements that are overdue take no room. GateLimit learns the limit: it grows while statements take at most a quarter of the shortest target or twice their lowest latency, and falls above. Predictions of the queue use the scarcer of connections and room. Nothing uses the gate yet.

--- a/crates/coriander_capacity/src/capacity_board.rs
+++ b/crates/coriander_capacity/src/capacity_board.rs
@@ -117,6 +117,12 @@
         state.in_flight += 1;
     }
 
+    /// Returns the number of statements that this instance runs or queues at a member.
+    pub fn in_flight(&self, member: &str) -> u32 {
+        let state = self.members.get(member);
+        state.map_or(0, |state| state.in_flight)
+    }
+
     /// Ends a statement that [`Self::begin`] has counted.
     pub fn end(&mut self, member: &str) {
         if let Some(state) = self.members.get_mut(member) {
--- a/crates/coriander_capacity/src/lib.rs
+++ b/crates/coriander_capacity/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`CapacityBoard`] holds what one instance has learned about all members.
 //! * [`ConcurrencyLimit`] is the number of statements that one member takes well.
+//! * [`GateLimit`] is the number of statements that are let through to one member.
 //! * [`LatencyProfile`] is the usual latency of one class of statements.
 //! * [`OutlierDetector`] sets a member aside by outcome and latency, and takes it back by probes.
 //!
@@ -25,6 +26,7 @@
 mod capacity_board;
 mod concurrency_limit;
 mod exchange_sample;
+mod gate_limit;
 mod latency_profile;
 mod member_report;
 mod outlier_detector;
@@ -32,6 +34,7 @@
 pub use capacity_board::{CapacityBoard, CapacityEvent, ReadCandidate};
 pub use concurrency_limit::ConcurrencyLimit;
 pub use exchange_sample::{ExchangeSample, SampleOutcome, StatementClass};
+pub use gate_limit::GateLimit;
 pub use latency_profile::LatencyProfile;
 pub use member_report::{CapacityNotice, ConfirmedPosition, MemberReport};
 pub use outlier_detector::{OutlierCause, OutlierChange, OutlierDetector};
--- a/crates/coriander_queue/src/waiting_queue.rs
+++ b/crates/coriander_queue/src/waiting_queue.rs
@@ -9,6 +9,7 @@
 use crate::account_shares::{AccountShares, ShareStanding};
 use crate::decayed_rate::DecayedRate;
 use crate::queued_request::{QueuedRequest, RequestTicket};
+use crate::statement_gate::StatementGate;
 
 /// Maximum number of waiting requests. With more of them, the order would cost more than it gives.
 const MAX_WAITING: usize = 512;
@@ -53,6 +54,27 @@
         self.mean_hold.div_f64(self.connections.max(1) as f64)
     }
 
+    /// Returns the rate of a pool that also lets only as many statements through as a gate has room
+    /// for: that of the scarcer of the two.
+    #[must_use]
+    pub fn limited_by(self, gate: &StatementGate, now: MonotonicTime) -> Self {
+        let available = self.available.min(gate.room(now));
+        let by_gate = Self {
+            connections: gate.expected_places(),
+            mean_hold: gate.mean_operation(),
+            ..self
+        };
+        let scarcer = if by_gate.interval() > self.interval() {
+            by_gate
+        } else {
+            self
+        };
+        Self {
+            available,
+            ..scarcer
+        }
+    }
+
     /// Returns how many of the requests before one have to end before it gets a connection.
     fn waits_for(&self, ahead: usize) -> u32 {
         u32::try_from(ahead.saturating_sub(self.available)).unwrap_or(u32::MAX)
