Let the queue pass only as many statements as a member takes well

Change: where the settings ask for the contracts pool and health, an operation gets a connection when its member has room in the gate, and waits in the ordered queue otherwise; no connection is opened for a request without room. Statements of open transactions, COMMIT and ROLLBACK run at once. A dropped exchange leaves its place. The limit follows the exchanges of this instance; the shortest target comes from the routes of the group.

Tests of coriander_service pass; other crates and the fault soak were not run.

--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -7,7 +7,9 @@
 
 use coriander_capacity::ReadCandidate;
 use coriander_core::{LogPosition, MonotonicTime, stable_hash};
-use coriander_service_api::{MemberConnector, MemberEntry, MemberTarget, PositionTimeline};
+use coriander_service_api::{
+    FleetConfig, MemberConnector, MemberEntry, MemberTarget, PositionTimeline,
+};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
@@ -91,6 +93,19 @@
         }
     }
 
+    /// Sets the shortest latency target of the routes to the group, from which the members learn how
+    /// many statements they take well.
+    pub fn apply_targets(&self, config: &FleetConfig) {
+        let routes = config.routes.values();
+        let targets = routes.filter(|route| route.group == self.name);
+        let shortest = targets.map(|route| route.latency_target).min();
+        for member in self.members.borrow().iter() {
+            if let Some(capacity) = &member.capacity {
+                capacity.set_shortest_target(shortest.unwrap_or_default());
+            }
+        }
+    }
+
     /// Applies the entries of the group's members.
     pub fn apply_entries(
         &self,
@@ -156,6 +171,9 @@
             let positions = self.position_timeline.clone();
             MemberCapacity::new(shared, self.name.clone(), entry.id.clone(), positions)
         });
+        if let Some(capacity) = &capacity {
+            pool.set_statement_limit(capacity.statement_limit());
+        }
         let member = Member::new(entry, pool, capacity, now);
         member.update(entry, now);
         members.push(Rc::new(member));
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -12,6 +12,7 @@
 use crate::BootClock;
 use crate::members::connection_request::ConnectionRequest;
 use crate::members::member::{Member, RequestGuard};
+use crate::members::member_gate::StatementPermit;
 use crate::members::member_pool::PoolError;
 use crate::members::pooled_connection::PooledConnection;
 use crate::sessions::exchange::{
@@ -30,6 +31,8 @@
     /// Time for which the first exchange waited in an ordered queue. The time limit of its plan
     /// includes it.
     waited: Duration,
+    /// Permit of the first statement until it runs, where the statements at a member are limited.
+    permit: Option<StatementPermit>,
     _request_guard: RequestGuard,
 }
 
@@ -44,7 +47,8 @@
         let result = member.pool.acquire(&request).await;
         drop(waiting);
         match result {
-            Ok(connection) => Ok(Self {
+            Ok(mut connection) => Ok(Self {
+                permit: StatementPermit::take(&member.pool, &mut connection),
                 member: member.clone(),
                 connection: Some(connection),
                 in_transaction: false,
@@ -74,10 +78,18 @@
         };
         let started = BootClock.now();
         let running = capacity.begin(started);
+        // Further statements of a transaction run at once: others may wait for its locks.
+        let permit = self.permit.take();
+        let permit = permit.or_else(|| StatementPermit::begin(&member.pool, started));
+        if let Some(permit) = &permit {
+            permit.set_counts_until(started + capacity.overdue_time(plan));
+        }
         let mut outcome = self.execute(plan, capacity.time_limit(plan, started)).await;
         drop(running);
         let now = BootClock.now();
         capacity.record_local(plan, &mut outcome, started, now);
+        member.pool.set_statement_limit(capacity.statement_limit());
+        drop(permit);
         outcome
     }
 
--- a/crates/coriander_service/src/members/member.rs
+++ b/crates/coriander_service/src/members/member.rs
@@ -255,9 +255,11 @@
         let entry = self.entry.borrow();
         let capacity = self.capacity.as_ref();
         let capacity = capacity.map(|capacity| format!(" {}", capacity.describe(now)));
+        let gate = self.pool.gate_counts();
+        let gate = gate.map(|(running, limit)| format!(" running={running} gate_limit={limit}"));
         format!(
             "member id={} address={} zone={} role={:?} leaving={} missing={} usable={} \
-             failing_for={:?} in_flight={} connections={} waiting={} opened={}{}",
+             failing_for={:?} in_flight={} connections={} waiting={} opened={}{}{}",
             self.id,
             entry.address,
             entry.zone,
@@ -270,6 +272,7 @@
             self.pool.open_count(),
             self.pool.waiting_count(),
             self.pool.opened_count(),
+            gate.unwrap_or_default(),
             capacity.unwrap_or_default()
         )
     }
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use coriander_capacity::{
-    CapacityBoard, CapacityEvent, CapacityNotice, ConfirmedPosition, ExchangeSample, OutlierChange,
-    ReadCandidate, SampleOutcome, StatementClass,
+    CapacityBoard, CapacityEvent, CapacityNotice, ConfirmedPosition, ExchangeSample, GateLimit,
+    OutlierChange, ReadCandidate, SampleOutcome, StatementClass,
 };
 use coriander_core::MonotonicTime;
 use coriander_service_api::{FailureCode, LinkError, PositionTimeline};
@@ -62,6 +62,8 @@
     peers: RefCell<SmallVec<[Arc<str>; 4]>>,
     /// Confirmed positions of the group's primary, shared with the group.
     positions: Rc<RefCell<PositionTimeline>>,
+    /// Limit of the statements that the queue lets through.
+    gate_limit: RefCell<GateLimit>,
 }
 
 impl MemberCapacity {
@@ -78,6 +80,7 @@
             member,
             peers: RefCell::default(),
             positions,
+            gate_limit: RefCell::default(),
         }
     }
 
@@ -86,6 +89,21 @@
         *self.peers.borrow_mut() = peers;
     }
 
+    /// Sets the shortest latency target of the callers of the group.
+    pub fn set_shortest_target(&self, target: Duration) {
+        self.gate_limit.borrow_mut().set_shortest_target(target);
+    }
+
+    /// Returns how many statements the queue lets through at a time.
+    pub fn statement_limit(&self) -> f64 {
+        self.gate_limit.borrow().limit()
+    }
+
+    /// Returns the time after which a statement is no longer expected to be answered.
+    pub fn overdue_time(&self, plan: &ExchangePlan) -> Duration {
+        self.gate_limit.borrow().overdue_time(class_of(plan))
+    }
+
     /// Counts a statement that this instance runs or queues until the guard is dropped.
     pub fn begin(&self, now: MonotonicTime) -> CapacityGuard {
         self.shared.board.borrow_mut().begin(&self.member, now);
@@ -137,6 +155,9 @@
                 outcome: result,
                 latency: now.since(started),
             };
+            let others = self.shared.board.borrow().in_flight(&self.member);
+            let mut gate_limit = self.gate_limit.borrow_mut();
+            gate_limit.record(&sample, others + 1, now);
             let event = self.shared.board.borrow_mut().record_local_with_peers(
                 &self.member,
                 &sample,
--- a/crates/coriander_service/src/members/member_pool.rs
+++ b/crates/coriander_service/src/members/member_pool.rs
@@ -405,7 +405,10 @@
 
     /// Returns a connection that was handed over to a request and not used. It gives no sample of the
     /// hold time, as that would let the queue expect connections earlier than they become free.
-    pub(crate) fn return_unused(&self, connection: PooledConnection) {
+    pub(crate) fn return_unused(&self, mut connection: PooledConnection) {
+        if let Some(number) = connection.statement.take() {
+            self.end_statement(number);
+        }
         self.return_connection(connection, self.clock.now());
     }
 
--- a/crates/coriander_service/src/members/mod.rs
+++ b/crates/coriander_service/src/members/mod.rs
@@ -6,6 +6,7 @@
 pub mod held_connection;
 pub mod member;
 pub mod member_capacity;
+pub mod member_gate;
 pub mod member_health;
 pub mod member_pool;
 pub mod ordered_waiting;
--- a/crates/coriander_service/src/members/ordered_waiting.rs
+++ b/crates/coriander_service/src/members/ordered_waiting.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
-use coriander_queue::{OpeningPace, RequestTicket, ReturnSchedule, ServiceRate, WaitingQueue};
+use coriander_queue::{
+    OpeningPace, RequestTicket, ReturnSchedule, ServiceRate, StatementGate, WaitingQueue,
+};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::members::connection_request::ConnectionRequest;
+use crate::members::member_gate::HAND_OVER_TIME;
 use crate::members::member_pool::{
     MIN_REPLACE_IDLE, MemberPool, PoolState, REPLACE_ANY_DELAY, REPLACE_CHECK_INTERVAL,
 };
@@ -60,6 +63,8 @@
     returns: ReturnSchedule,
     dispatched_at: MonotonicTime,
     waits: Vec<ConnectionWait>,
+    /// Limits the statements at the member, where its capacity is learned.
+    pub(crate) gate: Option<StatementGate>,
 }
 
 impl OrderedWaiting {
@@ -68,9 +73,18 @@
         self.queue.len()
     }
 
-    /// Records that a connection of an account is in use.
-    fn begin_use(&mut self, account: &Arc<str>) {
-        *self.in_use.entry(account.clone()).or_default() += 1;
+    /// Returns how many operations may begin.
+    pub(crate) fn room(&self, now: MonotonicTime) -> usize {
+        let gate = self.gate.as_ref();
+        gate.map_or(usize::MAX, |gate| gate.room(now))
+    }
+
+    /// Records that an operation of an account uses a connection.
+    fn begin_use(&mut self, connection: &mut PooledConnection, now: MonotonicTime) {
+        let account = connection.account.clone();
+        *self.in_use.entry(account).or_default() += 1;
+        let gate = self.gate.as_mut();
+        connection.statement = gate.map(|gate| gate.begin_operation(now, now + HAND_OVER_TIME));
     }
 
     /// Records that a connection of an account is no longer in use.
@@ -143,12 +157,14 @@
         request: &ConnectionRequest<'_>,
     ) -> Result<PooledConnection, PoolError> {
         let started = self.clock.now();
-        if let Some(connection) = self.take_idle(request.account, request.values) {
+        if self.may_pass(started)
+            && let Some(mut connection) = self.take_idle(request.account, request.values)
+        {
             self.with_ordered(|ordered| {
                 ordered
                     .queue
                     .record_immediate(&request.to_queued(), started);
-                ordered.begin_use(request.account);
+                ordered.begin_use(&mut connection, started);
             });
             return Ok(connection);
         }
@@ -175,7 +191,7 @@
         }
     }
 
-    fn with_ordered(&self, change: impl FnOnce(&mut OrderedWaiting)) {
+    pub(crate) fn with_ordered(&self, change: impl FnOnce(&mut OrderedWaiting)) {
         if let Some(ordered) = &mut self.state.borrow_mut().ordered {
             change(ordered);
         }
@@ -262,6 +278,14 @@
         now: MonotonicTime,
     ) {
         let rate = self.service_rate(state, now);
+        let rate = match &ordered.gate {
+            Some(gate) => rate.limited_by(gate, now),
+            None => rate,
+        };
+        let (running, limit) = match &ordered.gate {
+            Some(gate) => (gate.running(now), gate.places()),
+            None => (0, 0),
+        };
         for ticket in ordered.queue.refuse_unservable(rate, now) {
             let Some(caller) = ordered.callers.remove(&ticket) else {
                 continue;
@@ -275,6 +299,8 @@
                 _ => PoolError::NoRoom {
                     open: state.open_count,
                     cap: self.max_open.get(),
+                    running,
+                    limit,
                     waiting: ordered.queue.len(),
                     retry_after: delay,
                 },
@@ -298,15 +324,27 @@
         }
         let mut positions: HashMap<Arc<str>, u32> = HashMap::new();
         let mut accounts = Vec::new();
+        let mut room = ordered.room(now);
+        let mut without_connection = 0;
         for ticket in ordered.queue.in_order(now) {
+            if room == 0 {
+                break;
+            }
             let Some(request) = ordered.queue.get(ticket) else {
                 continue;
             };
             let account = request.account.clone();
             if let Some(connection) = self.remove_idle(state, &account, now) {
-                Self::hand_over(state, ordered, ticket, connection, now);
+                if Self::hand_over(state, ordered, ticket, connection, now) {
+                    room -= 1;
+                }
+                continue;
+            }
+            // No connection is opened for a request that may not use it yet.
+            if without_connection >= room {
                 continue;
             }
+            without_connection += 1;
             if let Some(count) = expected.get_mut(&account)
                 && *count > 0
             {
@@ -348,29 +386,28 @@
         }
     }
 
+    /// Hands a connection over to a waiting request. Returns whether the request took it.
     fn hand_over(
         state: &mut PoolState,
         ordered: &mut OrderedWaiting,
         ticket: RequestTicket,
-        connection: PooledConnection,
+        mut connection: PooledConnection,
         now: MonotonicTime,
-    ) {
+    ) -> bool {
         let Some(caller) = ordered.callers.remove(&ticket) else {
             state.idle.push(connection);
-            return;
+            return false;
         };
-        let account = connection.account.clone();
-        match caller.result.send(Ok(connection)) {
-            Ok(()) => {
-                ordered.begin_use(&account);
-                ordered.queue.serve(ticket, now);
-            }
-            Err(Ok(connection)) => {
-                ordered.queue.remove(ticket);
-                state.idle.push(connection);
-            }
-            Err(Err(_)) => {}
+        if caller.result.is_closed() {
+            ordered.queue.remove(ticket);
+            state.idle.push(connection);
+            return false;
         }
+        ordered.begin_use(&mut connection, now);
+        ordered.queue.serve(ticket, now);
+        // The receiver is open, and nothing else runs in between.
+        let _ = caller.result.send(Ok(connection));
+        true
     }
 
     /// Reserves a slot for a new connection, closing an idle one of another account if the limit is
--- a/crates/coriander_service/src/members/pool_error.rs
+++ b/crates/coriander_service/src/members/pool_error.rs
@@ -32,12 +32,19 @@
     #[error(transparent)]
     Connect(#[from] LinkError),
     /// The requests that are served first leave no room until the deadline.
-    #[error("no room until the deadline: open={open} cap={cap} waiting={waiting}")]
+    #[error(
+        "no room until the deadline: open={open} cap={cap} running={running} limit={limit} \
+         waiting={waiting}"
+    )]
     NoRoom {
         /// Open connections of the instance to the member.
         open: usize,
         /// Maximum number of connections of the instance to the member.
         cap: usize,
+        /// Statements of the instance that run at the member; 0 where their number is not limited.
+        running: usize,
+        /// Maximum number of them, learned; 0 where it is not limited.
+        limit: usize,
         /// Requests that wait and are still expected to be served.
         waiting: usize,
         /// Expected time until there is room for the caller.
--- a/crates/coriander_service/src/members/pooled_connection.rs
+++ b/crates/coriander_service/src/members/pooled_connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coriander_core::MonotonicTime;
+use coriander_queue::StatementNumber;
 use coriander_service_api::{
     LinkError, MemberLink, MemberStatement, PreparedShape, ReplyBatch, SessionValues,
 };
@@ -34,6 +35,8 @@
     is_state_known: bool,
     /// Time of the last acquisition or release.
     pub(crate) last_used: MonotonicTime,
+    /// Statement that was let through to the member with the connection.
+    pub(crate) statement: Option<StatementNumber>,
 }
 
 impl PooledConnection {
@@ -49,6 +52,7 @@
             has_unread_replies: false,
             is_state_known: true,
             last_used: now,
+            statement: None,
         }
     }
 
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -251,6 +251,7 @@
             let in_group = |entry: &&MemberEntry| entry.group == *name;
             let entries: Vec<_> = snapshot.members.iter().filter(in_group).collect();
             group.apply_entries(&entries, &snapshot.evacuated_zones, now);
+            group.apply_targets(&config);
             let primaries = &snapshot.primaries;
             let designated = primaries.iter().find(|primary| primary.group == *name);
             group.set_designated_primary(designated.map(|primary| primary.member.clone()));
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -106,6 +106,7 @@
     connection_wait: Family<WaitLabels, Histogram, fn() -> Histogram>,
     capacity_changes: CapacityChanges,
     learned_limit: Family<MemberGroupLabel, Gauge<f64, AtomicU64>>,
+    member_statements: Family<GroupLabels, Gauge>,
     set_aside: Family<MemberGroupLabel, Gauge>,
 }
 
@@ -132,6 +133,7 @@
             connection_wait: Family::new_with_constructor(latency_histogram),
             capacity_changes: CapacityChanges::default(),
             learned_limit: Family::default(),
+            member_statements: Family::default(),
             set_aside: Family::default(),
         };
         metrics.register();
@@ -240,6 +242,11 @@
             "Sum of the learned concurrency limits of the members of a group",
             self.learned_limit.clone(),
         );
+        registry.register(
+            "member_statements",
+            "Statements at the members of a group, running and the learned limit of the queue",
+            self.member_statements.clone(),
+        );
         registry.register(
             "members_set_aside",
             "Members of a group that are set aside",
@@ -362,6 +369,18 @@
         let open = members.iter().map(|member| member.pool.open_count()).sum();
         let waiting = members.iter().map(|member| member.pool.waiting_count());
         self.set_connections(&group.name, open, waiting.sum());
+        let counts = members
+            .iter()
+            .filter_map(|member| member.pool.gate_counts());
+        let counts = counts.reduce(|sum, next| (sum.0 + next.0, sum.1 + next.1));
+        if let Some((running, limit)) = counts {
+            for (result, count) in [("running", running), ("limit", limit)] {
+                let labels = group_labels(&group.name, result);
+                self.member_statements
+                    .get_or_create(&labels)
+                    .set(count as i64);
+            }
+        }
         for wait in members.iter().flat_map(|member| member.pool.take_waits()) {
             self.record_connection_wait(wait.priority, wait.served, wait.duration);
         }
--- /dev/null
+++ b/crates/coriander_service/tests/member_gate.rs
@@ -0,0 +1,142 @@
+//! Statements that the queue lets through to a member at a time, where the settings ask for ordered
+//! waiting and learned capacity.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coriander_service::{ServiceSettings, SessionService};
+use coriander_service_api::{ReadFreshness, ServiceFeatures};
+
+use support::{FakeGroup, GROUP, apply, config, open, run, start_with};
+
+/// Time of a statement far above what the limit of a group with a target of 150 ms allows.
+const SLOW: Duration = Duration::from_millis(100);
+
+async fn start_gated(group: &Rc<FakeGroup>, learned_capacity: bool) -> Rc<SessionService> {
+    let features = ServiceFeatures {
+        ordered_waiting: true,
+        learned_capacity,
+        ..ServiceFeatures::default()
+    };
+    let settings = ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 0).into())
+        .with_platform_fences(true)
+        .with_features(features);
+    let service = start_with(group, settings).await;
+    let mut config = config(1, ReadFreshness::Newest);
+    let limits = config.groups.get_mut(GROUP).expect("group is configured");
+    limits.connections_per_member = 56;
+    apply(&service, config, group.entries());
+    service
+}
+
+fn spawn_reads(service: &Rc<SessionService>, count: usize) -> Vec<ntex::rt::JoinHandle<()>> {
+    let read = |_| {
+        let service = service.clone();
+        ntex::rt::spawn(async move {
+            let mut session = open(&service).await;
+            let _ = run(&mut session, "q", "READ 1").await;
+        })
+    };
+    (0..count).map(read).collect()
+}
+
+/// Returns the statements that run at the only member, and the limit.
+fn gate_counts(service: &SessionService) -> (usize, usize) {
+    let members = service.groups()[0].members();
+    members[0]
+        .pool
+        .gate_counts()
+        .expect("the member has a gate")
+}
+
+#[ntex::test]
+async fn slow_member_gets_few_statements_and_more_when_it_is_well() {
+    // Guards against a crowd inside a slow member while its home instance has connections left, and
+    // against a limit that stays low.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_gated(&group, true).await;
+    let member = group.member("a");
+    let mut session = open(&service).await;
+    for index in 0..10 {
+        run(&mut session, &format!("w{index}"), "READ 1").await;
+    }
+    member.statement_time.set(SLOW);
+    let crowd = spawn_reads(&service, 60);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let (running, limit) = gate_counts(&service);
+    assert!(running <= limit && limit <= 2, "{running} of {limit} run");
+    assert!(service.describe().contains(" gate_limit="));
+    member.statement_time.set(Duration::from_millis(2));
+    for read in crowd {
+        read.await.expect("not cancelled");
+    }
+    for read in spawn_reads(&service, 40) {
+        read.await.expect("not cancelled");
+    }
+    assert!(gate_counts(&service).1 >= 4, "{:?}", gate_counts(&service));
+    let metrics = service.encode_metrics();
+    assert!(metrics.contains("member_statements{"), "{metrics}");
+}
+
+#[ntex::test]
+async fn transaction_goes_on_while_others_wait_for_room() {
+    // Guards against a transaction that keeps its locks while it waits behind new work.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_gated(&group, true).await;
+    group.member("a").statement_time.set(SLOW);
+    let mut session = open(&service).await;
+    run(&mut session, "b", "BEGIN").await;
+    let response = run(&mut session, "t", "READ 1").await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    let crowd = spawn_reads(&service, 60);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (running, limit) = gate_counts(&service);
+    assert!(running >= limit, "there is room: {running} of {limit}");
+    for (id, text) in [("w", "WRITE 1 x"), ("c", "COMMIT")] {
+        let started = Instant::now();
+        let response = run(&mut session, id, text).await;
+        assert!(response.result.is_ok(), "{:?}", response.result);
+        assert!(
+            started.elapsed() < SLOW * 2,
+            "{id}: {:?}",
+            started.elapsed()
+        );
+    }
+    for read in crowd {
+        read.await.expect("not cancelled");
+    }
+}
+
+#[ntex::test]
+async fn statement_of_a_caller_that_is_gone_leaves_its_place() {
+    // Guards against places lost with callers or their instances that are killed or cut off.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_gated(&group, true).await;
+    group.member("a").statement_time.set(SLOW);
+    let mut tasks = Vec::new();
+    for _ in 0..20 {
+        let service = service.clone();
+        tasks.push(ntex::rt::spawn(async move {
+            let mut session = open(&service).await;
+            let read = run(&mut session, "q", "READ 1");
+            let _ = tokio::time::timeout(Duration::from_millis(50), read).await;
+        }));
+    }
+    for task in tasks {
+        task.await.expect("not cancelled");
+    }
+    assert_eq!(gate_counts(&service).0, 0);
+}
+
+#[ntex::test]
+async fn statements_are_not_limited_without_learned_capacity() {
+    // Guards against a change on deployments that ask for ordered waiting only.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_gated(&group, false).await;
+    for read in spawn_reads(&service, 4) {
+        read.await.expect("not cancelled");
+    }
+    assert!(!service.describe().contains("gate_limit="));
+}
