--- a/crates/coriander_service/tests/member_gate.rs
+++ b/crates/coriander_service/tests/member_gate.rs
@@ -6,9 +6,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coriander_service::{ServiceSettings, SessionService};
+use coriander_service::{RelayServer, ServiceSettings, SessionService, ShutdownTask};
 use coriander_service_api::{ReadFreshness, ServiceFeatures};
 
+use support::fake_store::FakeStore;
 use support::{FakeGroup, GROUP, apply, config, open, run, start_with};
 
 /// Time of a statement far above what the limit of a group with a target of 150 ms allows.
@@ -130,6 +131,39 @@
     assert_eq!(gate_counts(&service).0, 0);
 }
 
+#[ntex::test]
+async fn planned_stop_of_a_home_instance_serves_requests_that_wait_for_room() {
+    // Guards against requests in the queue of an instance that stops, which nobody answers, and
+    // against a commit that waits behind them.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_gated(&group, true).await;
+    let mut transaction = open(&service).await;
+    run(&mut transaction, "b", "BEGIN").await;
+    run(&mut transaction, "w", "WRITE 1 x").await;
+    group.member("a").statement_time.set(Duration::from_millis(30));
+    let mut reads = Vec::new();
+    for _ in 0..12 {
+        let mut session = open(&service).await;
+        reads.push(ntex::rt::spawn(async move {
+            run(&mut session, "q", "READ 1").await.result
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert!(service.groups()[0].members()[0].pool.waiting_count() > 0);
+    let shutdown = ShutdownTask::new(
+        service.clone(),
+        RelayServer::new(&service),
+        FakeStore::new(1),
+    );
+    ntex::rt::spawn(async move { shutdown.run().await });
+    let response = run(&mut transaction, "c", "COMMIT").await;
+    assert!(response.result.is_ok(), "{:?}", response.result);
+    for read in reads {
+        let result = read.await.expect("not cancelled");
+        assert!(result.is_ok(), "{result:?}");
+    }
+}
+
 #[ntex::test]
 async fn statements_are_not_limited_without_learned_capacity() {
     // Guards against a change on deployments that ask for ordered waiting only.
