--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -173,9 +173,10 @@
     hold: Duration,
 ) -> UpdateResult {
     let sent_at = service.clock.now();
-    let digest = service.store_view.digest();
+    let request = service.store_view.known();
+    let digest = request.digest;
     let known = service.store_view.snapshot().unwrap_or_default();
-    let Some(reply) = service.relay.request_update(source, digest, hold).await else {
+    let Some(reply) = service.relay.request_update(source, request, hold).await else {
         return UpdateResult::NoReply;
     };
     let now = service.clock.now();
--- a/crates/coriander_service/src/configuration/store_update.rs
+++ b/crates/coriander_service/src/configuration/store_update.rs
@@ -69,6 +69,24 @@
     }
 }
 
+/// The snapshot that an instance has, as it states it in a request for an update.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnownSnapshot {
+    /// Digests of its parts.
+    pub digest: SnapshotDigest,
+    /// Revision of the store; 0 if there is no snapshot.
+    pub revision: u64,
+}
+
+impl KnownSnapshot {
+    /// Returns whether a source with the snapshot `own` holds a request from an instance with this
+    /// one. Without a newer snapshot it has nothing to send: lists of an older one, sent about six
+    /// times a second to each instance that had read the store itself, were ignored there.
+    pub fn waits_for(&self, own: &Self) -> bool {
+        self.revision > own.revision || self.digest == own.digest
+    }
+}
+
 fn digest(value: &impl Serialize) -> u64 {
     match postcard::to_stdvec(value) {
         Ok(bytes) => stable_hash(bytes),
@@ -165,6 +183,17 @@
         }
     }
 
+    /// Returns the update for an instance whose snapshot is newer: only what it needs to know how
+    /// far this instance is.
+    pub fn older(snapshot: &ControlSnapshot, config_version: u64, age: Duration) -> Self {
+        Self {
+            age: Some(age),
+            revision: snapshot.revision,
+            config_version,
+            ..Self::default()
+        }
+    }
+
     /// Returns whether the configuration differs from the known one and was left out.
     pub const fn lacks_config(&self, known_version: u64) -> bool {
         self.config_version != known_version && self.config.is_none()
--- a/crates/coriander_service/src/configuration/store_view.rs
+++ b/crates/coriander_service/src/configuration/store_view.rs
@@ -7,7 +7,9 @@
 use coriander_service_api::ControlSnapshot;
 
 use crate::configuration::config_delta::{ConfigDelta, ConfigHistory};
-use crate::configuration::store_update::{SnapshotDigest, SnapshotHistory, StoreUpdate};
+use crate::configuration::store_update::{
+    KnownSnapshot, SnapshotDigest, SnapshotHistory, StoreUpdate,
+};
 
 #[derive(Clone)]
 struct NewestRead {
@@ -83,19 +85,32 @@
         digest.unwrap_or_default()
     }
 
+    /// Returns the digest and the revision of the newest snapshot.
+    pub fn known(&self) -> KnownSnapshot {
+        let newest = self.newest.borrow();
+        let known = newest.as_ref().map(|read| KnownSnapshot {
+            digest: read.digest,
+            revision: read.snapshot.revision,
+        });
+        known.unwrap_or_default()
+    }
+
     /// Returns the difference between a recent version of the configuration and the newest one;
     /// `None` if that version is not known.
     pub fn config_delta(&self, version: u64) -> Option<ConfigDelta> {
         self.config_history.borrow().delta_since(version)
     }
 
-    /// Returns the update for an instance that has the parts of `known`.
-    pub fn update_since(&self, known: &SnapshotDigest, now: MonotonicTime) -> StoreUpdate {
+    /// Returns the update for an instance that has `known`.
+    pub fn update_since(&self, known: &KnownSnapshot, now: MonotonicTime) -> StoreUpdate {
         let Some(read) = self.newest.borrow().clone() else {
             return StoreUpdate::default();
         };
         let age = now.since(read.sent_at);
+        if known.revision > read.snapshot.revision {
+            return StoreUpdate::older(&read.snapshot, read.digest.config_version, age);
+        }
         let history = self.history.borrow();
-        StoreUpdate::since(known, &history, &read.snapshot, &read.digest, age)
+        StoreUpdate::since(&known.digest, &history, &read.snapshot, &read.digest, age)
     }
 }
--- a/crates/coriander_service/src/configuration/update_sources.rs
+++ b/crates/coriander_service/src/configuration/update_sources.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use coriander_service_api::InstanceEntry;
 use smallvec::SmallVec;
+use tokio::time::timeout;
 
+use crate::configuration::store_update::KnownSnapshot;
+use crate::fleet::relay_messages::HeldUpdate;
 use crate::service::SessionService;
 use crate::spread::update_tree::{READERS_PER_ZONE, UpdateTree};
 
@@ -41,6 +45,24 @@
         (is_other && self.relay.is_usable(entry.address)).then_some(entry.address)
     }
 
+    /// Returns the update for an instance with `known`, as soon as it lacks a part or this instance
+    /// has applied another snapshot that is not older, and at the latest after `hold`.
+    pub async fn hold_update(&self, known: &KnownSnapshot, hold: Duration) -> HeldUpdate {
+        let arrived_at = self.clock.now();
+        let newer_snapshot = async {
+            loop {
+                self.snapshot_applied.notified().await;
+                if known.revision <= self.store_view.known().revision {
+                    return;
+                }
+            }
+        };
+        if !hold.is_zero() && known.waits_for(&self.store_view.known()) {
+            let _ = timeout(hold, newer_snapshot).await;
+        }
+        self.held_update(known, arrived_at, self.clock.now())
+    }
+
     fn is_usable_instance(&self, own_name: &Arc<str>) -> impl Fn(&InstanceEntry) -> bool {
         move |entry| entry.id == *own_name || self.relay.is_usable(entry.address)
     }
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -17,11 +17,11 @@
 use coriander_service_api::LinkError;
 use coriander_wire::FrameCodec;
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::BootClock;
 use crate::configuration::config_delta::ConfigDelta;
-use crate::configuration::store_update::SnapshotDigest;
+use crate::configuration::store_update::KnownSnapshot;
 use crate::fleet::relay_messages::{HeldUpdate, RelayReply, RelayRequest, StreamNumber};
 use crate::members::held_connection::HeldConnection;
 use crate::members::member_pool::PoolError;
@@ -149,7 +149,7 @@
     pub async fn request_update(
         &self,
         address: SocketAddr,
-        known: SnapshotDigest,
+        known: KnownSnapshot,
         hold: Duration,
     ) -> Option<HeldUpdate> {
         let client = self.client.borrow().clone()?;
@@ -372,18 +372,6 @@
         outcome
     }
 
-    /// Returns the update for an instance with the digest `known`, as soon as it lacks a part or
-    /// this instance has applied another snapshot, and at the latest after `hold`.
-    async fn store_update(&self, known: &SnapshotDigest, hold: Duration) -> Option<HeldUpdate> {
-        let arrived_at = BootClock.now();
-        let service = self.service.upgrade()?;
-        let current = service.store_view.digest();
-        if !hold.is_zero() && current == *known {
-            let _ = timeout(hold, service.snapshot_applied.notified()).await;
-        }
-        Some(service.held_update(known, arrived_at, BootClock.now()))
-    }
-
     /// Applies what the sender of a plan has set aside. It counts from the arrival, whatever the
     /// plan waits for then.
     fn receive_reports(&self, plan: &ExchangePlan) {
@@ -435,10 +423,11 @@
                 RelayReply::Acknowledged
             }
             RelayRequest::StoreUpdate { known, hold } => {
-                let update = self.store_update(&known, hold.min(MAX_HOLD_TIME)).await;
-                update.map_or(RelayReply::Acknowledged, |update| {
-                    RelayReply::StoreUpdate(Box::new(update))
-                })
+                let Some(service) = self.service.upgrade() else {
+                    return RelayReply::Acknowledged;
+                };
+                let update = service.hold_update(&known, hold.min(MAX_HOLD_TIME)).await;
+                RelayReply::StoreUpdate(Box::new(update))
             }
             RelayRequest::Ping => RelayReply::Acknowledged,
             RelayRequest::ConfigDelta { known_version } => {
--- a/crates/coriander_service/src/fleet/relay_messages.rs
+++ b/crates/coriander_service/src/fleet/relay_messages.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::config_delta::ConfigDelta;
-use crate::configuration::store_update::{SnapshotDigest, StoreUpdate};
+use crate::configuration::store_update::{KnownSnapshot, StoreUpdate};
 use crate::sessions::exchange::{ExchangeOutcome, ExchangePlan};
 
 /// Number of a reserved connection, assigned by the requesting instance.
@@ -28,8 +28,8 @@
     EndStream(StreamNumber),
     /// Requests the parts of the newest snapshot of the store that the sender lacks.
     StoreUpdate {
-        /// Digest of the snapshot that the sender has.
-        known: SnapshotDigest,
+        /// The snapshot that the sender has.
+        known: KnownSnapshot,
         /// Time for which the receiver may wait for a snapshot that it has not applied yet.
         hold: Duration,
     },
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -30,8 +30,9 @@
 pub use configuration::control_loop::run_store_sync;
 pub use configuration::list_update::ListUpdate;
 pub use configuration::store_update::{
-    InstanceUpdate, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
+    InstanceUpdate, KnownSnapshot, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
 };
+pub use configuration::store_view::StoreView;
 pub use coriander_peer::BootClock;
 pub use duties::duty_lease::{rank_delay, run_duty};
 pub use fleet::peer_messages::PeerMessage;
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -18,7 +18,7 @@
 
 use crate::admission::rate_limiter::RateLimiter;
 use crate::configuration::config_view::ConfigView;
-use crate::configuration::store_update::SnapshotDigest;
+use crate::configuration::store_update::KnownSnapshot;
 use crate::configuration::store_view::StoreView;
 use crate::duties::duty_lease::SAFE_LEASE_LIFETIME;
 use crate::duties::duty_state::DutyState;
@@ -223,12 +223,12 @@
             .apply(snapshot.usage_lease.as_ref(), &process_id);
     }
 
-    /// Returns the parts of the newest snapshot that an instance with the digest `known` lacks, for
+    /// Returns the parts of the newest snapshot that an instance with `known` lacks, for
     /// a request that arrived at `arrived_at`. The age of the read and the time for which the
     /// request was held refer to the same moment `now`.
     pub fn held_update(
         &self,
-        known: &SnapshotDigest,
+        known: &KnownSnapshot,
         arrived_at: MonotonicTime,
         now: MonotonicTime,
     ) -> HeldUpdate {
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -10,8 +10,8 @@
 use async_trait::async_trait;
 use coriander_peer::{ConnectionId, PeerService, serve_peers};
 use coriander_service::{
-    BootClock, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer, ServicePhase,
-    ServiceSettings, SessionService, SnapshotDigest,
+    BootClock, KnownSnapshot, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer,
+    ServicePhase, ServiceSettings, SessionService,
 };
 use coriander_service_api::{
     ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures,
@@ -240,7 +240,7 @@
 async fn store_update_omits_known_parts() {
     let group = FakeGroup::new(&["a"]);
     let (remote, _home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let update = remote
         .service
         .store_view
@@ -251,7 +251,7 @@
     let update = remote
         .service
         .store_view
-        .update_since(&SnapshotDigest::default(), BootClock.now());
+        .update_since(&KnownSnapshot::default(), BootClock.now());
     assert!(update.config.is_some() && update.members.is_some());
 }
 
@@ -261,7 +261,7 @@
     // level of the tree would add the interval between two of them.
     let group = FakeGroup::new(&["a"]);
     let (remote, home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let hold = Duration::from_millis(600);
     let mut newer = (*remote.service.store_view.snapshot().expect("applied")).clone();
     newer.revision += 1;
@@ -289,12 +289,12 @@
     // that the store was read later than it was.
     let group = FakeGroup::new(&["a"]);
     let (remote, home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let hold = Duration::from_millis(120);
     let relay = &home.service.relay;
     let request = relay.request_update(remote.entry.address, known, hold);
     let reply = request.await.expect("replies");
-    assert!(reply.update.is_unchanged(known.config_version));
+    assert!(reply.update.is_unchanged(known.digest.config_version));
     assert!(
         reply.held >= hold && reply.update.age >= Some(reply.held),
         "{reply:?}"
@@ -307,7 +307,7 @@
     // level of the tree, so that withdrawn keys were accepted for longer.
     let group = FakeGroup::new(&["a"]);
     let (remote, _home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let arrived_at = BootClock.now();
     let made_at = arrived_at + Duration::from_millis(400);
     let update = remote.service.held_update(&known, arrived_at, made_at);
--- a/crates/coriander_service/tests/store_update.rs
+++ b/crates/coriander_service/tests/store_update.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use coriander_service::{
-    InstanceUpdate, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
+    BootClock, InstanceUpdate, KnownSnapshot, MemberUpdate, SnapshotDigest, SnapshotHistory,
+    StoreUpdate, StoreView,
 };
 use coriander_service_api::{ControlSnapshot, InstanceEntry, MemberRole, ReadFreshness};
 
@@ -147,3 +148,32 @@
     let (_, update) = update_after(|snapshot| snapshot.evacuated_zones.push("berrechid".into()));
     assert!(!update.is_unchanged(7));
 }
+
+#[test]
+fn update_since_sends_no_list_to_an_instance_with_a_newer_snapshot() {
+    // An instance that has read the store itself got all lists of its source about six times a
+    // second, and ignored them, until the source had caught up.
+    for instances in [30, 300, 2_100] {
+        let mut snapshot = large_snapshot();
+        let entry = snapshot.instances[0].clone();
+        snapshot.instances = vec![entry; instances];
+        let view = StoreView::default();
+        view.record(&snapshot, BootClock.now());
+        let own = view.known();
+        let mut ahead = own;
+        ahead.revision += 1;
+        ahead.digest = SnapshotDigest::default();
+        assert!(ahead.waits_for(&own), "is held");
+        let update = view.update_since(&ahead, BootClock.now());
+        assert!(update.age.is_some() && update.revision < ahead.revision);
+        assert!(encoded_size(&update) < 32, "{instances} instances");
+        // One that lacks parts, of the same or of an older snapshot, gets them at once.
+        let behind = KnownSnapshot::default();
+        assert!(!behind.waits_for(&own));
+        assert!(
+            view.update_since(&behind, BootClock.now())
+                .instances
+                .is_some()
+        );
+    }
+}
