Serve starting instances from others of the fleet

Each instance read the whole store at its start, the document of the configuration included: 8 to 10 calls and about 450 kB at 300 instances, and once more for each after every kill of the fleet.

The first four of the instances that it knows in its zone read the store as before; the others do so 1 to 2 s after their start if nobody has served them. A source that starts as well holds their request for 300 ms.

Messages between instances are unchanged; an update may contain the configuration of a larger document. Tests without a network at 30, 300 and 2,100 instances (starting_fleet, update_tree), and relay, store_update, store, fleet_contacts: passed.

--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -23,6 +23,11 @@
 /// then passes through the tree at once, and an instance asks about once for each read of the store.
 const HOLD_TIME: Duration = Duration::from_millis(600);
 
+/// Time for which a source that starts as well holds the request of an instance without a snapshot.
+/// With the timeout of the request it stays below the delay after which such an instance reads the
+/// store.
+const START_HOLD: Duration = Duration::from_millis(300);
+
 /// Age from which an update of another instance is too old, so that this instance reads the store.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(1_600);
 
@@ -45,12 +50,17 @@
 /// Keeps the snapshot of the store up to date until the process ends.
 ///
 /// One instance of each zone reads the store. The others request updates along the update tree of
-/// the zone, with the age of the read, and read the store themselves only if they get none.
+/// the zone, with the age of the read, and read the store themselves only if they get none. An
+/// instance that starts reads only what it needs to ask the others, so that a fleet that starts
+/// together does not transfer its configuration once for each instance.
 pub async fn run_store_sync(service: Rc<SessionService>, store: Rc<dyn ControlStore>) {
-    let mut reads = StoreReads::default();
+    let mut reads = StoreReads::new(service.clock.now());
     let mut secret_missing_since = None;
-    // A request for a newer snapshot is not held by its receiver.
-    let mut hold = Duration::ZERO;
+    match store.read_contacts(&service.settings().name).await {
+        Ok(contacts) => service.apply_contacts(&contacts),
+        Err(error) => log::debug!(error:% = error; "instances not read, the whole store is"),
+    }
+    let mut hold = START_HOLD;
     loop {
         let started = service.clock.now();
         let result = receive_update(&service, &*store, &mut reads, hold).await;
@@ -76,7 +86,10 @@
         let remaining = interval.saturating_sub(service.clock.now().since(started));
         // A request that needs a newer snapshot ends the wait early.
         let woken = timeout(remaining, service.refresh_requested.notified()).await;
-        hold = if woken.is_ok() || !is_updated {
+        hold = if service.config_view.config().is_none() {
+            START_HOLD
+        } else if woken.is_ok() || !is_updated {
+            // A request for a newer snapshot is not held by its receiver.
             Duration::ZERO
         } else {
             HOLD_TIME
@@ -97,6 +110,7 @@
 
 /// The store as this instance last found it.
 struct StoreReads {
+    started_at: MonotonicTime,
     /// Delay after the last read if it failed.
     failure_delay: Option<Duration>,
     retry_at: MonotonicTime,
@@ -106,28 +120,30 @@
     spread: f64,
 }
 
-impl Default for StoreReads {
-    fn default() -> Self {
+impl StoreReads {
+    fn new(started_at: MonotonicTime) -> Self {
         Self {
+            started_at,
             failure_delay: None,
             retry_at: MonotonicTime::ZERO,
             turn: rand::random_range(0..1 << 16),
             spread: rand::random(),
         }
     }
-}
 
-impl StoreReads {
     const fn is_failing(&self) -> bool {
         self.failure_delay.is_some()
     }
 
     /// Returns whether this instance reads the store, after it received no recent update.
     fn may_read(&self, service: &SessionService, result: UpdateResult, now: MonotonicTime) -> bool {
+        let tree = service.update_tree();
         let has_reply = result != UpdateResult::NoReply;
-        let read_age = service.update_tree().read_age(has_reply, self.spread);
-        let age = service.config_view.age(now);
-        age.is_none_or(|age| age >= read_age) && now >= self.retry_at
+        let is_due = service.config_view.age(now).map_or_else(
+            || now.since(self.started_at) >= tree.start_delay(self.spread),
+            |age| age >= tree.read_age(has_reply, self.spread),
+        );
+        is_due && now >= self.retry_at
     }
 
     fn record_failure(&mut self, now: MonotonicTime) {
--- a/crates/coriander_service/src/configuration/store_update.rs
+++ b/crates/coriander_service/src/configuration/store_update.rs
@@ -9,9 +9,8 @@
 
 use crate::configuration::list_update::{ListHistory, ListUpdate, sorted};
 
-/// Maximum size of a configuration document in an update, in bytes. Larger ones would saturate the
-/// network link of a store reader that serves all instances of its zone; those instances read them
-/// from the store.
+/// Maximum size of a configuration in an update, in bytes as it is sent. Larger ones would saturate
+/// the network link of an instance that serves twelve others; those read them from the store.
 const MAX_UPDATE_CONFIG_BYTES: usize = 32 * 1024;
 
 /// Instances of the fleet, as a full list or as a difference.
@@ -120,6 +119,8 @@
 pub struct SnapshotHistory {
     instances: ListHistory<InstanceEntry>,
     members: ListHistory<MemberEntry>,
+    /// Version of the newest configuration, and its size as it is sent.
+    config_bytes: Option<(u64, usize)>,
 }
 
 impl SnapshotHistory {
@@ -127,6 +128,21 @@
     pub fn record(&mut self, digest: &SnapshotDigest, snapshot: &ControlSnapshot) {
         self.instances.record(digest.instances, &snapshot.instances);
         self.members.record(digest.members, &snapshot.members);
+        if let Some(config) = &snapshot.config
+            && self.config_bytes.map(|(version, _)| version) != Some(config.version)
+        {
+            let bytes = postcard::to_stdvec(&**config).map_or(usize::MAX, |bytes| bytes.len());
+            self.config_bytes = Some((config.version, bytes));
+        }
+    }
+
+    /// Returns the size of a configuration as it is sent. A document may be many times larger,
+    /// because it has fields that the service does not use; its size counts for a configuration that
+    /// is not the newest one.
+    fn sent_bytes(&self, config: &FleetConfig) -> usize {
+        let newest = self.config_bytes;
+        let known = newest.filter(|(version, _)| *version == config.version);
+        known.map_or(config.document_bytes, |(_, bytes)| bytes)
     }
 }
 
@@ -167,7 +183,7 @@
             revision: snapshot.revision,
             config_version: digest.config_version,
             config: config.filter(|config| {
-                let is_small = config.document_bytes <= MAX_UPDATE_CONFIG_BYTES;
+                let is_small = history.sent_bytes(config) <= MAX_UPDATE_CONFIG_BYTES;
                 config.version != known.config_version && is_small
             }),
             config_revision: snapshot.config_revision,
--- a/crates/coriander_service/src/configuration/update_sources.rs
+++ b/crates/coriander_service/src/configuration/update_sources.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_service_api::InstanceEntry;
+use coriander_core::MonotonicTime;
+use coriander_service_api::{FleetContacts, InstanceEntry};
+use coriander_wire::FrameCodec;
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
@@ -17,6 +19,38 @@
 pub type UpdateSources = SmallVec<[SocketAddr; READERS_PER_ZONE]>;
 
 impl SessionService {
+    /// Applies what a starting instance has read to reach others. A fleet without a secret leaves it
+    /// without other instances, so that it reads the whole store.
+    pub fn apply_contacts(&self, contacts: &FleetContacts) {
+        let Some(secret) = &contacts.fleet_secret else {
+            return;
+        };
+        if self.store_view.snapshot().is_some() {
+            return;
+        }
+        let settings = self.settings();
+        let mut instances = contacts.instances.clone();
+        if instances.iter().all(|entry| entry.id != settings.name) {
+            instances.push(InstanceEntry {
+                id: settings.name.clone(),
+                address: settings.peer_address,
+                zone: settings.zone.clone(),
+                created: 0,
+            });
+        }
+        self.peers.set_peers(&instances);
+        self.fleet.borrow_mut().apply(&instances);
+        self.apply_secret(secret);
+    }
+
+    /// Applies the fleet secret, by which messages between instances are authenticated.
+    pub fn apply_secret(&self, secret: &Arc<[u8]>) {
+        if let Some(key) = self.peers.set_secret(secret) {
+            self.relay.set_codec(FrameCodec::new(&key));
+            self.fleet_key.send_replace(Some(key));
+        }
+    }
+
     /// Returns the position of this instance in the update tree of its zone.
     pub fn update_tree(&self) -> UpdateTree {
         let settings = self.settings();
@@ -63,6 +97,21 @@
         self.held_update(known, arrived_at, self.clock.now())
     }
 
+    /// Returns the parts of the newest snapshot that an instance with `known` lacks, for
+    /// a request that arrived at `arrived_at`. The age of the read and the time for which the
+    /// request was held refer to the same moment `now`.
+    pub fn held_update(
+        &self,
+        known: &KnownSnapshot,
+        arrived_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> HeldUpdate {
+        HeldUpdate {
+            held: now.since(arrived_at),
+            update: self.store_view.update_since(known, now),
+        }
+    }
+
     fn is_usable_instance(&self, own_name: &Arc<str>) -> impl Fn(&InstanceEntry) -> bool {
         move |entry| entry.id == *own_name || self.relay.is_usable(entry.address)
     }
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -13,12 +13,10 @@
     ClientSession, ControlSnapshot, Duty, FailureCode, FailureReason, FleetConfig, InstanceEntry,
     LeaseId, MemberConnector, MemberEntry, SessionFailure, SessionHost,
 };
-use coriander_wire::FrameCodec;
 use tokio::sync::{Notify, watch};
 
 use crate::admission::rate_limiter::RateLimiter;
 use crate::configuration::config_view::ConfigView;
-use crate::configuration::store_update::KnownSnapshot;
 use crate::configuration::store_view::StoreView;
 use crate::duties::duty_lease::SAFE_LEASE_LIFETIME;
 use crate::duties::duty_state::DutyState;
@@ -26,7 +24,6 @@
 use crate::fleet::peer_messages::PeerMessage;
 use crate::fleet::peer_socket::PeerSocket;
 use crate::fleet::relay::RelayClient;
-use crate::fleet::relay_messages::HeldUpdate;
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
 use crate::members::member_capacity::SharedCapacity;
@@ -180,11 +177,8 @@
             self.peers.set_peers(&snapshot.instances);
             self.fleet.borrow_mut().apply(&snapshot.instances);
         }
-        if let Some(secret) = &snapshot.fleet_secret
-            && let Some(key) = self.peers.set_secret(secret)
-        {
-            self.relay.set_codec(FrameCodec::new(&key));
-            self.fleet_key.send_replace(Some(key));
+        if let Some(secret) = &snapshot.fleet_secret {
+            self.apply_secret(secret);
         }
         self.apply_duties(snapshot);
         // The announcement of a shutdown changes the assignment of connections before the store
@@ -223,21 +217,6 @@
             .apply(snapshot.usage_lease.as_ref(), &process_id);
     }
 
-    /// Returns the parts of the newest snapshot that an instance with `known` lacks, for
-    /// a request that arrived at `arrived_at`. The age of the read and the time for which the
-    /// request was held refer to the same moment `now`.
-    pub fn held_update(
-        &self,
-        known: &KnownSnapshot,
-        arrived_at: MonotonicTime,
-        now: MonotonicTime,
-    ) -> HeldUpdate {
-        HeldUpdate {
-            held: now.since(arrived_at),
-            update: self.store_view.update_since(known, now),
-        }
-    }
-
     /// Applies the members of a snapshot. `assignment_changed` says whether the division of
     /// connections among the instances has to be recomputed.
     fn apply_members(&self, snapshot: &ControlSnapshot, assignment_changed: bool) {
--- a/crates/coriander_service/src/spread/update_tree.rs
+++ b/crates/coriander_service/src/spread/update_tree.rs
@@ -25,6 +25,11 @@
 /// same time overload it, so that no read ends before its timeout.
 const READ_SPREAD: Duration = Duration::from_millis(1_000);
 
+/// Time from its start after which an instance that is not a reader of its zone, and that no other
+/// instance has sent a snapshot, reads the store itself. While a fleet starts together, the readers
+/// need a second at most for a configuration of 1 MB on a link of 10 Mbit/s.
+const START_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Position of an instance among those of its zone that are usable, ranked by a hash.
 ///
 /// ```
@@ -110,6 +115,15 @@
         }
     }
 
+    /// Returns the time from its start after which an instance without a snapshot reads the store,
+    /// if no other instance has sent it one.
+    pub fn start_delay(&self, spread: f64) -> Duration {
+        if self.is_reader() {
+            return Duration::ZERO;
+        }
+        START_DELAY + READ_SPREAD.mul_f64(spread.clamp(0.0, 1.0))
+    }
+
     /// Returns the age of its snapshot from which the instance reads the store. `has_reply` says
     /// whether a source replied, if only with an old snapshot; `spread` between 0 and 1 differs
     /// between instances.
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -14,7 +14,7 @@
     ServicePhase, ServiceSettings, SessionService,
 };
 use coriander_service_api::{
-    ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures,
+    ControlSnapshot, FailureCode, FleetContacts, InstanceEntry, ReadFreshness, ServiceFeatures,
 };
 use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
@@ -411,3 +411,42 @@
     run(&mut session, "c", "COMMIT").await;
     assert_eq!((counted(&remote), counted(&home_instance)), (0, 2));
 }
+
+#[ntex::test]
+async fn starting_instance_gets_a_snapshot_from_another() {
+    // A fleet that starts together transferred its document, 256 KB, once for each instance, and
+    // again after each kill, although the service uses a small part of it.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, _home) = start_two(&group).await;
+    let mut newer = (*remote.service.store_view.snapshot().expect("applied")).clone();
+    let mut large = config(2, ReadFreshness::Newest);
+    large.document_bytes = 256 << 10;
+    newer.config = Some(Arc::new(large));
+    newer.revision += 1;
+    remote.service.apply_snapshot(&newer, BootClock.now());
+    let starting = start_instance("new", "ain-sebaa", &group).await;
+    let contacts = FleetContacts {
+        fleet_secret: newer.fleet_secret.clone(),
+        instances: vec![remote.entry.clone()],
+    };
+    starting.service.apply_contacts(&contacts);
+    let sources = starting.service.update_sources(true, 0);
+    assert!(sources.contains(&remote.entry.address), "{sources:?}");
+    let relay = &starting.service.relay;
+    let hold = Duration::from_millis(300);
+    let request = relay.request_update(remote.entry.address, KnownSnapshot::default(), hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.held < hold, "{:?}", reply.held);
+    assert!(!reply.update.lacks_config(0), "{reply:?}");
+    let snapshot = reply.update.apply_to(&ControlSnapshot::default());
+    assert_eq!(snapshot.instances, newer.instances);
+    // Contacts without a secret, as before the first start, leave an instance on its own.
+    let alone = start_instance("alone", "ain-sebaa", &group).await;
+    let contacts = FleetContacts {
+        fleet_secret: None,
+        ..contacts
+    };
+    alone.service.apply_contacts(&contacts);
+    assert!(alone.service.update_sources(true, 0).is_empty());
+    assert!(alone.service.update_tree().is_reader());
+}
--- a/crates/coriander_service_api/src/control_store.rs
+++ b/crates/coriander_service_api/src/control_store.rs
@@ -57,6 +57,15 @@
     pub created: u64,
 }
 
+/// What a starting instance needs to ask others for the contents of the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FleetContacts {
+    /// Secret that authenticates messages between instances; `None` if it does not exist yet.
+    pub fleet_secret: Option<Arc<[u8]>>,
+    /// Some instances of the fleet, or all of them.
+    pub instances: Vec<InstanceEntry>,
+}
+
 /// A duty that one instance performs at a time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Duty {
@@ -184,6 +193,12 @@
     /// Reads the whole content; the result is at least as recent as the start of the call.
     async fn read_all(&self) -> Result<ControlSnapshot, StoreError>;
 
+    /// Reads the secret of the fleet and some instances in few calls, for the instance `own_id` that
+    /// starts. A store that offers no shorter way returns nothing, so that all is read.
+    async fn read_contacts(&self, _own_id: &str) -> Result<FleetContacts, StoreError> {
+        Ok(FleetContacts::default())
+    }
+
     /// Reads only the configuration; `None` if the store contains no valid one.
     async fn read_config(&self) -> Result<Option<Arc<FleetConfig>>, StoreError>;
 
--- a/crates/coriander_service_api/src/lib.rs
+++ b/crates/coriander_service_api/src/lib.rs
@@ -26,9 +26,9 @@
 pub use client_statement::{AccessMode, ClientStatement, PreparedShape, StatementKind};
 pub use config_finding::{ConfigFinding, ConfigProblem, FindingSeverity};
 pub use control_store::{
-    ControlSnapshot, ControlStore, DesignatedPrimary, Duty, DutyLease, InstanceEntry, LeaseId,
-    LineageRecord, MemberEntry, MemberRole, PromotionApi, PromotionError, StoreError, TermOrigin,
-    UsageApi, UsageReportError,
+    ControlSnapshot, ControlStore, DesignatedPrimary, Duty, DutyLease, FleetContacts,
+    InstanceEntry, LeaseId, LineageRecord, MemberEntry, MemberRole, PromotionApi, PromotionError,
+    StoreError, TermOrigin, UsageApi, UsageReportError,
 };
 pub use fleet_config::{ClientAccount, DatabaseRoute, FleetConfig, GroupLimits, ReadFreshness};
 pub use member_link::{
