Keep home instances over changes of the list of instances

Each change of the list dropped all home instances, and choosing them again hashes every instance of the zone for each member; while a fleet starts or restarts, every list is a change. Ranking the instances for the warm-up share of a member sorted the whole fleet for each member.

Home instances are now updated from the added instances and chosen again only if one of them is gone. The rank counts the instances before the own one without sorting. The time was not measured.

--- a/crates/coriander_service/src/fleet/fleet_view.rs
+++ b/crates/coriander_service/src/fleet/fleet_view.rs
@@ -1,6 +1,6 @@
 //! The instances of the fleet and the home instances of members.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,26 +28,91 @@
     instances: Vec<InstanceEntry>,
     /// Instances that have announced their shutdown; they get no new work.
     leaving: HashSet<Arc<str>>,
-    /// Home instances by the hash of the input of their choice; cleared when the instances change.
-    cached_homes: RefCell<HashMap<u64, Rc<[InstanceEntry]>>>,
+    /// Home instances by the hash of the input of their choice.
+    cached_homes: RefCell<HashMap<u64, CachedHomes>>,
+}
+
+/// Chosen home instances, with the input of their choice.
+#[derive(Debug)]
+struct CachedHomes {
+    member: Arc<str>,
+    zone: Arc<str>,
+    connections: usize,
+    homes: Rc<[InstanceEntry]>,
+    /// Whether they were asked for since the last list; those of removed members are not.
+    is_used: Cell<bool>,
+}
+
+impl CachedHomes {
+    fn location(&self) -> MemberLocation<'_> {
+        MemberLocation {
+            id: &self.member,
+            zone: &self.zone,
+            connections: self.connections,
+        }
+    }
+
+    /// Replaces home instances by added ones that rank better. Returns false if all have to be
+    /// chosen again, because one is no longer listed or none is in the zone of the member, or if
+    /// nobody asks for them any more.
+    fn update(&mut self, listed: &HashMap<&str, &InstanceEntry>, added: &[&InstanceEntry]) -> bool {
+        let is_kept = |home: &InstanceEntry| {
+            home.zone == self.zone && listed.get(&*home.id).is_some_and(|entry| *entry == home)
+        };
+        if !self.is_used.take() || self.homes.is_empty() || !self.homes.iter().all(is_kept) {
+            return false;
+        }
+        let in_zone = added
+            .iter()
+            .copied()
+            .filter(|entry| entry.zone == self.zone);
+        let in_zone: Vec<_> = in_zone.collect();
+        if !in_zone.is_empty() {
+            let candidates = self.homes.iter().chain(in_zone).collect();
+            self.homes = choose_best(candidates, &self.location());
+        }
+        true
+    }
+}
+
+/// Returns the home instances of a member among the candidates, best first.
+fn choose_best(
+    mut candidates: Vec<&InstanceEntry>,
+    member: &MemberLocation<'_>,
+) -> Rc<[InstanceEntry]> {
+    candidates.sort_by_cached_key(|entry| stable_hash((member.id, &*entry.id)));
+    candidates.truncate(ConnectionCaps::max_home_instances(member.connections));
+    candidates.into_iter().cloned().collect()
 }
 
 impl FleetView {
     /// Applies the registered instances.
     pub fn apply(&mut self, instances: &[InstanceEntry]) {
-        let is_listed = |name: &Arc<str>| instances.iter().any(|entry| entry.id == *name);
-        self.leaving.retain(is_listed);
+        let listed: HashMap<&str, &InstanceEntry> =
+            instances.iter().map(|entry| (&*entry.id, entry)).collect();
+        let known: HashMap<&str, &InstanceEntry> = self
+            .instances
+            .iter()
+            .map(|entry| (&*entry.id, entry))
+            .collect();
         // A new registration with the same name belongs to a new process.
-        let is_same_registration = |name: &Arc<str>| {
-            let created = |list: &[InstanceEntry]| {
-                let entry = list.iter().find(|entry| entry.id == *name);
-                entry.map(|entry| entry.created)
-            };
-            created(instances) == created(&self.instances)
-        };
-        self.leaving.retain(is_same_registration);
+        self.leaving.retain(|name| {
+            let created =
+                |list: &HashMap<&str, &InstanceEntry>| list.get(&**name).map(|entry| entry.created);
+            created(&listed).is_some() && created(&listed) == created(&known)
+        });
+        // Choosing the home instances of all members at each change of the list cost as many hashes
+        // as there are members times instances, and while a fleet starts, every list is a change.
+        let is_added = |entry: &&InstanceEntry| known.get(&*entry.id) != Some(entry);
+        let added: Vec<_> = instances.iter().filter(is_added).collect();
+        let mut homes = self.cached_homes.borrow_mut();
+        if self.leaving.is_empty() {
+            homes.retain(|_, cached| cached.update(&listed, &added));
+        } else {
+            homes.clear();
+        }
+        drop(homes);
         self.instances = instances.to_vec();
-        self.cached_homes.borrow_mut().clear();
     }
 
     /// Records that an instance is about to stop.
@@ -62,17 +127,15 @@
     fn home_instances(&self, member: &MemberLocation<'_>) -> Rc<[InstanceEntry]> {
         let key = stable_hash((member.id, member.zone, member.connections));
         let mut cached = self.cached_homes.borrow_mut();
-        let homes = cached.entry(key);
-        homes
-            .or_insert_with(|| self.choose_home_instances(member))
-            .clone()
-    }
-
-    fn choose_home_instances(&self, member: &MemberLocation<'_>) -> Rc<[InstanceEntry]> {
-        let mut homes = self.candidates(member.zone);
-        homes.sort_by_cached_key(|entry| stable_hash((member.id, &*entry.id)));
-        homes.truncate(ConnectionCaps::max_home_instances(member.connections));
-        homes.into_iter().cloned().collect()
+        let homes = cached.entry(key).or_insert_with(|| CachedHomes {
+            member: member.id.into(),
+            zone: member.zone.into(),
+            connections: member.connections,
+            homes: choose_best(self.candidates(member.zone), member),
+            is_used: Cell::default(),
+        });
+        homes.is_used.set(true);
+        homes.homes.clone()
     }
 
     fn candidates(&self, zone: &str) -> Vec<&InstanceEntry> {
@@ -119,10 +182,14 @@
 
     /// Returns the rank of an instance for a member, starting at 0, and the number of instances.
     pub fn member_rank(&self, member: &str, own_name: &str) -> (usize, usize) {
-        let mut ranked: Vec<_> = self.instances.iter().map(|entry| &*entry.id).collect();
-        ranked.sort_by_cached_key(|id| stable_hash((member, *id)));
-        let index = ranked.iter().position(|id| *id == own_name);
-        (index.unwrap_or(0), ranked.len().max(1))
+        let is_listed = self.instances.iter().any(|entry| &*entry.id == own_name);
+        let own = stable_hash((member, own_name));
+        let is_before = |entry: &&InstanceEntry| stable_hash((member, &*entry.id)) < own;
+        let before = self.instances.iter().filter(is_before).count();
+        (
+            if is_listed { before } else { 0 },
+            self.instances.len().max(1),
+        )
     }
 
     /// Returns the position of an instance in the update tree of its zone, and the usable instances
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -35,6 +35,7 @@
 pub use configuration::store_view::StoreView;
 pub use coriander_peer::BootClock;
 pub use duties::duty_lease::{rank_delay, run_duty};
+pub use fleet::fleet_view::{FleetView, MemberLocation};
 pub use fleet::peer_messages::PeerMessage;
 pub use fleet::peer_socket::PeerSocket;
 pub use fleet::registration::run_registration;
