Bound the delay of a start, and compute a difference of configurations once

The configuration is too large to be sent between instances, so each level of the update tree read it from the store after the level above. The difference of two configurations was computed for each instance that asked for it.

The delay before a starting instance reads the store is 0.6 to 1.2 s now, which suffices for documents of 256 KB. The newest difference is kept until the next version. A configuration with too many entries for an update is not encoded to find out.

Tests of starting_fleet, config_delta, store_update, relay, fleet_view and update_tree pass.

--- a/crates/coriander_service/src/configuration/config_delta.rs
+++ b/crates/coriander_service/src/configuration/config_delta.rs
@@ -98,6 +98,9 @@
 #[derive(Debug, Default)]
 pub struct ConfigHistory {
     versions: VecDeque<Arc<FleetConfig>>,
+    /// The last computed difference to the newest version. All instances that ask the same one need
+    /// it at about the same time, and each computation compares all accounts and keys.
+    last_delta: Option<ConfigDelta>,
 }
 
 impl ConfigHistory {
@@ -107,6 +110,7 @@
         if newest >= Some(config.version) {
             return;
         }
+        self.last_delta = None;
         self.versions.push_back(config.clone());
         if self.versions.len() > MAX_VERSIONS {
             self.versions.pop_front();
@@ -115,10 +119,16 @@
 
     /// Returns the difference between a recent version and the newest one; `None` if that version
     /// is not known.
-    pub fn delta_since(&self, version: u64) -> Option<ConfigDelta> {
+    pub fn delta_since(&mut self, version: u64) -> Option<ConfigDelta> {
+        let last = self.last_delta.as_ref();
+        if let Some(delta) = last.filter(|delta| delta.base_version == version) {
+            return Some(delta.clone());
+        }
         let mut versions = self.versions.iter();
         let old = versions.find(|config| config.version == version)?;
         let new = self.versions.back()?;
-        Some(ConfigDelta::between(old, new))
+        let delta = ConfigDelta::between(old, new);
+        self.last_delta = Some(delta.clone());
+        Some(delta)
     }
 }
--- a/crates/coriander_service/src/configuration/store_update.rs
+++ b/crates/coriander_service/src/configuration/store_update.rs
@@ -13,6 +13,20 @@
 /// the network link of an instance that serves twelve others; those read them from the store.
 const MAX_UPDATE_CONFIG_BYTES: usize = 32 * 1024;
 
+/// Lower bound of the size of one key, account or route as it is sent, in bytes.
+const MIN_ENTRY_BYTES: usize = 16;
+
+/// Returns the size of a configuration as it is sent. One with so many entries that it is too large
+/// for an update is not encoded to find out: with 10,000 keys that takes milliseconds.
+fn encoded_bytes(config: &FleetConfig) -> usize {
+    let entries = config.keys.len() + config.accounts.len() + config.routes.len();
+    let min_bytes = entries * MIN_ENTRY_BYTES;
+    if min_bytes > MAX_UPDATE_CONFIG_BYTES {
+        return min_bytes;
+    }
+    postcard::to_stdvec(config).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 /// Instances of the fleet, as a full list or as a difference.
 pub type InstanceUpdate = ListUpdate<InstanceEntry>;
 
@@ -131,8 +145,7 @@
         if let Some(config) = &snapshot.config
             && self.config_bytes.map(|(version, _)| version) != Some(config.version)
         {
-            let bytes = postcard::to_stdvec(&**config).map_or(usize::MAX, |bytes| bytes.len());
-            self.config_bytes = Some((config.version, bytes));
+            self.config_bytes = Some((config.version, encoded_bytes(config)));
         }
     }
 
--- a/crates/coriander_service/src/configuration/store_view.rs
+++ b/crates/coriander_service/src/configuration/store_view.rs
@@ -98,7 +98,7 @@
     /// Returns the difference between a recent version of the configuration and the newest one;
     /// `None` if that version is not known.
     pub fn config_delta(&self, version: u64) -> Option<ConfigDelta> {
-        self.config_history.borrow().delta_since(version)
+        self.config_history.borrow_mut().delta_since(version)
     }
 
     /// Returns the update for an instance that has `known`.
--- a/crates/coriander_service/src/spread/update_tree.rs
+++ b/crates/coriander_service/src/spread/update_tree.rs
@@ -26,9 +26,14 @@
 const READ_SPREAD: Duration = Duration::from_millis(1_000);
 
 /// Time from its start after which an instance that is not a reader of its zone, and that no other
-/// instance has sent a snapshot, reads the store itself. While a fleet starts together, the readers
-/// need a second at most for a configuration of 1 MB on a link of 10 Mbit/s.
-const START_DELAY: Duration = Duration::from_millis(1_000);
+/// instance has sent a snapshot, reads the store itself. While a fleet starts together, its readers
+/// need 300 ms for a document of 256 KB on a link of 10 Mbit/s. A larger one is not worth waiting
+/// for, because instances do not send it to each other: one level of the tree after the other would
+/// read it, a second each for 1 MB.
+const START_DELAY: Duration = Duration::from_millis(600);
+
+/// Period over which the reads of such instances are spread.
+const START_SPREAD: Duration = Duration::from_millis(600);
 
 /// Position of an instance among those of its zone that are usable, ranked by a hash.
 ///
@@ -121,7 +126,7 @@
         if self.is_reader() {
             return Duration::ZERO;
         }
-        START_DELAY + READ_SPREAD.mul_f64(spread.clamp(0.0, 1.0))
+        START_DELAY + START_SPREAD.mul_f64(spread.clamp(0.0, 1.0))
     }
 
     /// Returns the age of its snapshot from which the instance reads the store. `has_reply` says
--- a/crates/coriander_service/tests/config_delta.rs
+++ b/crates/coriander_service/tests/config_delta.rs
@@ -62,6 +62,15 @@
     let known = config(8, ReadFreshness::Newest);
     let newest = delta.apply_to(&known).map(|config| config.version);
     assert_eq!(newest, Some(12));
+    // The difference is kept for the other instances that ask, but not for another version.
+    assert_eq!(history.delta_since(8), Some(delta));
+    let since_10 = history.delta_since(10).expect("recent");
+    assert_eq!(since_10.apply_to(&known), None);
+    history.record(&config(13, ReadFreshness::Newest).into());
+    let delta = history.delta_since(10).expect("recent");
+    let known = config(10, ReadFreshness::Newest);
+    let newest = delta.apply_to(&known).map(|config| config.version);
+    assert_eq!(newest, Some(13));
 }
 
 #[test]
--- a/crates/coriander_service/tests/store_update.rs
+++ b/crates/coriander_service/tests/store_update.rs
@@ -118,6 +118,26 @@
     assert!(!update.lacks_config(8));
 }
 
+#[test]
+fn since_omits_a_configuration_with_many_keys() {
+    // A configuration of 300 keys passes, one of 3,000 would saturate the link of its source.
+    for (keys, is_sent) in [(300, true), (3_000, false)] {
+        let mut large = config(8, ReadFreshness::Newest);
+        large.document_bytes = 256 << 10;
+        let account = large.keys.values().next().expect("a key").clone();
+        let names = (0..keys).map(|number| format!("key-{number}").into());
+        large.keys = names.map(|name| (name, account.clone())).collect();
+        let newer = snapshot(large, Vec::new());
+        let digest = SnapshotDigest::of(&newer);
+        let mut history = SnapshotHistory::default();
+        history.record(&digest, &newer);
+        let known = SnapshotDigest::default();
+        let update = StoreUpdate::since(&known, &history, &newer, &digest, Duration::ZERO);
+        assert_eq!(update.config.is_some(), is_sent, "{keys} keys");
+        assert!(encoded_size(&update) < 33 << 10, "{keys} keys");
+    }
+}
+
 #[test]
 fn since_sends_a_change_of_one_member_as_a_change() {
     // All members in each update, about 10 kB at 100 members, saturated the link of a store reader
