--- a/crates/coriander_service/src/configuration/store_update.rs
+++ b/crates/coriander_service/src/configuration/store_update.rs
@@ -9,11 +9,24 @@
 
 use crate::configuration::list_update::{ListHistory, ListUpdate, sorted};
 
-/// Maximum size of a configuration document in an update, in bytes. Larger ones would saturate the
-/// network link of a store reader that serves all instances of its zone; those instances read them
-/// from the store.
+/// Maximum size of a configuration in an update, in bytes as it is sent. Larger ones would saturate
+/// the network link of an instance that serves twelve others; those read them from the store.
 const MAX_UPDATE_CONFIG_BYTES: usize = 32 * 1024;
 
+/// Lower bound of the size of one key, account or route as it is sent, in bytes.
+const MIN_ENTRY_BYTES: usize = 16;
+
+/// Returns the size of a configuration as it is sent. One with so many entries that it is too large
+/// for an update is not encoded to find out: with 10,000 keys that takes milliseconds.
+fn encoded_bytes(config: &FleetConfig) -> usize {
+    let entries = config.keys.len() + config.accounts.len() + config.routes.len();
+    let min_bytes = entries * MIN_ENTRY_BYTES;
+    if min_bytes > MAX_UPDATE_CONFIG_BYTES {
+        return min_bytes;
+    }
+    postcard::to_stdvec(config).map_or(usize::MAX, |bytes| bytes.len())
+}
+
 /// Instances of the fleet, as a full list or as a difference.
 pub type InstanceUpdate = ListUpdate<InstanceEntry>;
 
@@ -69,6 +82,24 @@
     }
 }
 
+/// The snapshot that an instance has, as it states it in a request for an update.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnownSnapshot {
+    /// Digests of its parts.
+    pub digest: SnapshotDigest,
+    /// Revision of the store; 0 if there is no snapshot.
+    pub revision: u64,
+}
+
+impl KnownSnapshot {
+    /// Returns whether a source with the snapshot `own` holds a request from an instance with this
+    /// one. Without a newer snapshot it has nothing to send: lists of an older one, sent about six
+    /// times a second to each instance that had read the store itself, were ignored there.
+    pub fn waits_for(&self, own: &Self) -> bool {
+        self.revision > own.revision || self.digest == own.digest
+    }
+}
+
 fn digest(value: &impl Serialize) -> u64 {
     match postcard::to_stdvec(value) {
         Ok(bytes) => stable_hash(bytes),
@@ -102,6 +133,8 @@
 pub struct SnapshotHistory {
     instances: ListHistory<InstanceEntry>,
     members: ListHistory<MemberEntry>,
+    /// Version of the newest configuration, and its size as it is sent.
+    config_bytes: Option<(u64, usize)>,
 }
 
 impl SnapshotHistory {
@@ -109,6 +142,20 @@
     pub fn record(&mut self, digest: &SnapshotDigest, snapshot: &ControlSnapshot) {
         self.instances.record(digest.instances, &snapshot.instances);
         self.members.record(digest.members, &snapshot.members);
+        if let Some(config) = &snapshot.config
+            && self.config_bytes.map(|(version, _)| version) != Some(config.version)
+        {
+            self.config_bytes = Some((config.version, encoded_bytes(config)));
+        }
+    }
+
+    /// Returns the size of a configuration as it is sent. A document may be many times larger,
+    /// because it has fields that the service does not use; its size counts for a configuration that
+    /// is not the newest one.
+    fn sent_bytes(&self, config: &FleetConfig) -> usize {
+        let newest = self.config_bytes;
+        let known = newest.filter(|(version, _)| *version == config.version);
+        known.map_or(config.document_bytes, |(_, bytes)| bytes)
     }
 }
 
@@ -149,7 +196,7 @@
             revision: snapshot.revision,
             config_version: digest.config_version,
             config: config.filter(|config| {
-                let is_small = config.document_bytes <= MAX_UPDATE_CONFIG_BYTES;
+                let is_small = history.sent_bytes(config) <= MAX_UPDATE_CONFIG_BYTES;
                 config.version != known.config_version && is_small
             }),
             config_revision: snapshot.config_revision,
@@ -165,6 +212,17 @@
         }
     }
 
+    /// Returns the update for an instance whose snapshot is newer: only what it needs to know how
+    /// far this instance is.
+    pub fn older(snapshot: &ControlSnapshot, config_version: u64, age: Duration) -> Self {
+        Self {
+            age: Some(age),
+            revision: snapshot.revision,
+            config_version,
+            ..Self::default()
+        }
+    }
+
     /// Returns whether the configuration differs from the known one and was left out.
     pub const fn lacks_config(&self, known_version: u64) -> bool {
         self.config_version != known_version && self.config.is_none()
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -10,12 +10,12 @@
 use async_trait::async_trait;
 use coriander_peer::{ConnectionId, PeerService, serve_peers};
 use coriander_service::{
-    BootClock, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer, ServicePhase,
-    ServiceSettings, SessionService, SnapshotDigest,
+    BootClock, KnownSnapshot, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer,
+    ServicePhase, ServiceSettings, SessionService,
 };
 use coriander_service_api::{
-    AccessMode, ClientStatement, ControlSnapshot, FailureCode, InstanceEntry, PreparedShape,
-    ReadFreshness, ServiceFeatures, StatementKind,
+    AccessMode, ClientStatement, ControlSnapshot, FailureCode, FleetContacts, InstanceEntry,
+    PreparedShape, ReadFreshness, ServiceFeatures, StatementKind,
 };
 use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
@@ -281,7 +281,7 @@
 async fn store_update_omits_known_parts() {
     let group = FakeGroup::new(&["a"]);
     let (remote, _home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let update = remote
         .service
         .store_view
@@ -292,7 +292,7 @@
     let update = remote
         .service
         .store_view
-        .update_since(&SnapshotDigest::default(), BootClock.now());
+        .update_since(&KnownSnapshot::default(), BootClock.now());
     assert!(update.config.is_some() && update.members.is_some());
 }
 
@@ -302,7 +302,7 @@
     // level of the tree would add the interval between two of them.
     let group = FakeGroup::new(&["a"]);
     let (remote, home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let hold = Duration::from_millis(600);
     let mut newer = (*remote.service.store_view.snapshot().expect("applied")).clone();
     newer.revision += 1;
@@ -330,12 +330,12 @@
     // that the store was read later than it was.
     let group = FakeGroup::new(&["a"]);
     let (remote, home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let hold = Duration::from_millis(120);
     let relay = &home.service.relay;
     let request = relay.request_update(remote.entry.address, known, hold);
     let reply = request.await.expect("replies");
-    assert!(reply.update.is_unchanged(known.config_version));
+    assert!(reply.update.is_unchanged(known.digest.config_version));
     assert!(
         reply.held >= hold && reply.update.age >= Some(reply.held),
         "{reply:?}"
@@ -348,7 +348,7 @@
     // level of the tree, so that withdrawn keys were accepted for longer.
     let group = FakeGroup::new(&["a"]);
     let (remote, _home) = start_two(&group).await;
-    let known = remote.service.store_view.digest();
+    let known = remote.service.store_view.known();
     let arrived_at = BootClock.now();
     let made_at = arrived_at + Duration::from_millis(400);
     let update = remote.service.held_update(&known, arrived_at, made_at);
@@ -452,3 +452,42 @@
     run(&mut session, "c", "COMMIT").await;
     assert_eq!((counted(&remote), counted(&home_instance)), (0, 2));
 }
+
+#[ntex::test]
+async fn starting_instance_gets_a_snapshot_from_another() {
+    // A fleet that starts together transferred its document, 256 KB, once for each instance, and
+    // again after each kill, although the service uses a small part of it.
+    let group = FakeGroup::new(&["a"]);
+    let (remote, _home) = start_two(&group).await;
+    let mut newer = (*remote.service.store_view.snapshot().expect("applied")).clone();
+    let mut large = config(2, ReadFreshness::Newest);
+    large.document_bytes = 256 << 10;
+    newer.config = Some(Arc::new(large));
+    newer.revision += 1;
+    remote.service.apply_snapshot(&newer, BootClock.now());
+    let starting = start_instance("new", "ain-sebaa", &group).await;
+    let contacts = FleetContacts {
+        fleet_secret: newer.fleet_secret.clone(),
+        instances: vec![remote.entry.clone()],
+    };
+    starting.service.apply_contacts(&contacts);
+    let sources = starting.service.update_sources(true, 0);
+    assert!(sources.contains(&remote.entry.address), "{sources:?}");
+    let relay = &starting.service.relay;
+    let hold = Duration::from_millis(300);
+    let request = relay.request_update(remote.entry.address, KnownSnapshot::default(), hold);
+    let reply = request.await.expect("replies");
+    assert!(reply.held < hold, "{:?}", reply.held);
+    assert!(!reply.update.lacks_config(0), "{reply:?}");
+    let snapshot = reply.update.apply_to(&ControlSnapshot::default());
+    assert_eq!(snapshot.instances, newer.instances);
+    // Contacts without a secret, as before the first start, leave an instance on its own.
+    let alone = start_instance("alone", "ain-sebaa", &group).await;
+    let contacts = FleetContacts {
+        fleet_secret: None,
+        ..contacts
+    };
+    alone.service.apply_contacts(&contacts);
+    assert!(alone.service.update_sources(true, 0).is_empty());
+    assert!(alone.service.update_tree().is_reader());
+}
--- a/crates/coriander_service/tests/store_update.rs
+++ b/crates/coriander_service/tests/store_update.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use coriander_service::{
-    InstanceUpdate, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
+    BootClock, InstanceUpdate, KnownSnapshot, MemberUpdate, SnapshotDigest, SnapshotHistory,
+    StoreUpdate, StoreView,
 };
 use coriander_service_api::{ControlSnapshot, InstanceEntry, MemberRole, ReadFreshness};
 
@@ -117,6 +118,26 @@
     assert!(!update.lacks_config(8));
 }
 
+#[test]
+fn since_omits_a_configuration_with_many_keys() {
+    // A configuration of 300 keys passes, one of 3,000 would saturate the link of its source.
+    for (keys, is_sent) in [(300, true), (3_000, false)] {
+        let mut large = config(8, ReadFreshness::Newest);
+        large.document_bytes = 256 << 10;
+        let account = large.keys.values().next().expect("a key").clone();
+        let names = (0..keys).map(|number| format!("key-{number}").into());
+        large.keys = names.map(|name| (name, account.clone())).collect();
+        let newer = snapshot(large, Vec::new());
+        let digest = SnapshotDigest::of(&newer);
+        let mut history = SnapshotHistory::default();
+        history.record(&digest, &newer);
+        let known = SnapshotDigest::default();
+        let update = StoreUpdate::since(&known, &history, &newer, &digest, Duration::ZERO);
+        assert_eq!(update.config.is_some(), is_sent, "{keys} keys");
+        assert!(encoded_size(&update) < 33 << 10, "{keys} keys");
+    }
+}
+
 #[test]
 fn since_sends_a_change_of_one_member_as_a_change() {
     // All members in each update, about 10 kB at 100 members, saturated the link of a store reader
@@ -147,3 +168,32 @@
     let (_, update) = update_after(|snapshot| snapshot.evacuated_zones.push("berrechid".into()));
     assert!(!update.is_unchanged(7));
 }
+
+#[test]
+fn update_since_sends_no_list_to_an_instance_with_a_newer_snapshot() {
+    // An instance that has read the store itself got all lists of its source about six times a
+    // second, and ignored them, until the source had caught up.
+    for instances in [30, 300, 2_100] {
+        let mut snapshot = large_snapshot();
+        let entry = snapshot.instances[0].clone();
+        snapshot.instances = vec![entry; instances];
+        let view = StoreView::default();
+        view.record(&snapshot, BootClock.now());
+        let own = view.known();
+        let mut ahead = own;
+        ahead.revision += 1;
+        ahead.digest = SnapshotDigest::default();
+        assert!(ahead.waits_for(&own), "is held");
+        let update = view.update_since(&ahead, BootClock.now());
+        assert!(update.age.is_some() && update.revision < ahead.revision);
+        assert!(encoded_size(&update) < 32, "{instances} instances");
+        // One that lacks parts, of the same or of an older snapshot, gets them at once.
+        let behind = KnownSnapshot::default();
+        assert!(!behind.waits_for(&own));
+        assert!(
+            view.update_since(&behind, BootClock.now())
+                .instances
+                .is_some()
+        );
+    }
+}
