--- a/crates/coriander_standin/src/process/deployment_run.rs
+++ b/crates/coriander_standin/src/process/deployment_run.rs
@@ -29,6 +29,8 @@
     pub list_lag_ms: u64,
     /// Number of instances; `None` uses the number of the profile.
     pub instances: Option<usize>,
+    /// Further sections of the settings of all instances.
+    pub extra_settings: String,
 }
 
 impl Default for RunOptions {
@@ -38,6 +40,7 @@
             lag_ms: 20,
             list_lag_ms: 500,
             instances: None,
+            extra_settings: String::new(),
         }
     }
 }
@@ -91,7 +94,7 @@
             }
         }
         for number in 0..options.instances.unwrap_or(profile.instances) {
-            run.start_instance(profile, number).await?;
+            run.start_instance(profile, options, number).await?;
         }
         let document = profile.to_document()?;
         run.admin(0).apply_document(&document).await?;
@@ -219,13 +222,15 @@
     async fn start_instance(
         &mut self,
         profile: &DeploymentProfile,
+        options: &RunOptions,
         number: usize,
     ) -> Result<(), ProcessError> {
         let zone = profile.zones[number % profile.zones.len()];
         let name = format!("instance-{}", number + 1);
-        let spec = InstanceSpec::new(&name, zone, &profile.zones, self.platform)?
+        let mut spec = InstanceSpec::new(&name, zone, &profile.zones, self.platform)?
             .with_bound("connections_per_database", profile.connections as u64)
             .with_bound("slots_per_member", profile.slots as u64);
+        spec.extra_settings.clone_from(&options.extra_settings);
         self.group.start_instance(&spec).await?;
         self.instances.push(spec);
         Ok(())
--- a/crates/coriander_standin/src/process/instance_spec.rs
+++ b/crates/coriander_standin/src/process/instance_spec.rs
@@ -26,6 +26,8 @@
     pub secret: String,
     /// Lines of the section `bounds`, as key and value.
     pub bounds: Vec<(String, String)>,
+    /// Further sections at the end of the file.
+    pub extra_settings: String,
 }
 
 impl InstanceSpec {
@@ -46,6 +48,7 @@
             platform,
             secret: "test-fleet-secret-0123456789".to_owned(),
             bounds: Vec::new(),
+            extra_settings: String::new(),
         })
     }
 
@@ -81,6 +84,6 @@
         for (key, value) in &self.bounds {
             text += &format!("{key} = {value}\n");
         }
-        text
+        text + &self.extra_settings
     }
 }
--- a/crates/coriander_standin/tests/common/fleet.rs
+++ b/crates/coriander_standin/tests/common/fleet.rs
@@ -280,7 +280,7 @@
             statement_time_us: 200,
             lag_ms: 5,
             list_lag_ms: 100,
-            instances: None,
+            ..RunOptions::default()
         };
         let run = DeploymentRun::start(&DeploymentProfile::small(), &options)
             .await
