Bound the memory and the connections of callers of the Hrana front

Cause: the Hrana front buffered whole bodies and answers without a bound on their sum, decoded a body before it counted its statements, counted no connections, and closed the connection of an overlong body with unread bytes, which reset it.

Change: the decisions and the gate of the session front serve this front too, with limits from a section [machine]. Connections are admitted before HTTP reads from them. The key is checked before the body is read; a body is read within the memory for callers, and a refused one is received to its end. Statements are counted before they are decoded. Responses of members are read when there is memory for them, which stays counted until the answer is written; a shortage says nothing about the member. Slow bodies are refused, unread answers closed. The admin address has 32 connections of its own. Both addresses serve HTTP/1.1 only, no longer HTTP/2 without TLS, whose streams would not be counted. Messages between instances are unchanged: the memory of a reply is left out of its frame.

--- a/crates/coriander_memory/src/connection_table.rs
+++ b/crates/coriander_memory/src/connection_table.rs
@@ -128,6 +128,12 @@
         self.unidentified.remove(&number);
     }
 
+    /// Returns whether the account of a connection has been recorded.
+    pub fn is_identified(&self, number: ConnectionNumber) -> bool {
+        let connection = self.connections.get(&number);
+        connection.is_some_and(|connection| connection.account.is_some())
+    }
+
     /// Records the session of a connection. Over the limit of its account it replaces the longest
     /// idle session of the account.
     pub fn identify(&mut self, number: ConnectionNumber, account: &Arc<str>) -> Admission {
--- a/crates/coriander_memory/tests/connection_table.rs
+++ b/crates/coriander_memory/tests/connection_table.rs
@@ -95,3 +95,15 @@
     }
     assert_eq!(table.accept().1, Admission::Refused);
 }
+
+#[test]
+fn is_identified_ends_with_the_connection() {
+    // Guards against an HTTP connection that is counted for its account with each request.
+    let (mut table, _) = small_table();
+    let (connection, _) = table.accept();
+    assert!(!table.is_identified(connection));
+    table.identify(connection, &"account".into());
+    assert!(table.is_identified(connection));
+    table.remove(connection);
+    assert!(!table.is_identified(connection));
+}
--- a/crates/coriander_routing/src/replica_table.rs
+++ b/crates/coriander_routing/src/replica_table.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Records that the reply to a request was not read, which shows nothing about the member.
+    pub fn record_unread(&mut self, ticket: &RequestTicket) {
+        self.finish_request(ticket);
+    }
+
     /// Records that a request received no reply, and pauses reads to the member for a short time.
     pub fn record_failure(&mut self, ticket: &RequestTicket, now: MonotonicTime) {
         if let Some(member) = self.finish_request(ticket) {
--- a/crates/coriander_upstream/src/http_member.rs
+++ b/crates/coriander_upstream/src/http_member.rs
@@ -1,6 +1,7 @@
 //! Upstream member over HTTP.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -10,6 +11,7 @@
 use ntex::SharedCfg;
 use ntex::client::error::ClientError;
 use ntex::client::{Client, ClientResponse, Connector};
+use ntex::http::header::CONTENT_LENGTH;
 use ntex::io::IoConfig;
 use ntex::time::{Millis, Seconds, timeout};
 use ntex::util::Bytes;
@@ -20,8 +22,8 @@
     classify_error, no_response, parse_error_response, parse_json, parse_pipeline,
 };
 use crate::{
-    MIN_POSITION_HEADER, MemberSettings, PipelineReply, PipelineRequest, TERM_HEADER,
-    UpstreamError, UpstreamMember,
+    MIN_POSITION_HEADER, MemberSettings, NoMemory, PipelineReply, PipelineRequest, ResponseBudget,
+    ResponseMemory, TERM_HEADER, UpstreamError, UpstreamMember,
 };
 
 /// Idle time after which the client closes a connection. Shorter than the usual keep-alive of
@@ -50,6 +52,7 @@
     settings: MemberSettings,
     control: Client,
     pipelines: Client,
+    budget: Option<Rc<dyn ResponseBudget>>,
 }
 
 impl HttpMember {
@@ -76,9 +79,32 @@
             settings,
             control: build_client("upstream-control", settings).await?,
             pipelines: build_client("upstream-pipeline", settings).await?,
+            budget: None,
         })
     }
 
+    /// Makes the responses of pipelines wait for memory before their bodies are read.
+    #[must_use]
+    pub fn with_budget(mut self, budget: Rc<dyn ResponseBudget>) -> Self {
+        self.budget = Some(budget);
+        self
+    }
+
+    async fn reserve_memory(
+        &self,
+        response: &ClientResponse,
+    ) -> Result<ResponseMemory, UpstreamError> {
+        let Some(budget) = &self.budget else {
+            return Ok(None);
+        };
+        let length = response.headers().get(CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+        // Without a length, the body may be as long as the limit.
+        let body_bytes = length.unwrap_or(self.settings.max_response_bytes);
+        let reserved = budget.reserve(body_bytes).await;
+        reserved.map_err(|NoMemory| UpstreamError::NoMemory)
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         path: &str,
@@ -196,15 +222,16 @@
         if let Some(position) = request.min_position {
             call = call.header(MIN_POSITION_HEADER, position.to_string());
         }
-        let (response, body) = call_with_timeout(request.timeout, async {
+        let (memory, (response, body)) = call_with_timeout(request.timeout, async {
             let response = call
                 .send_body(request.body)
                 .await
                 .map_err(|e| classify_error(&e))?;
-            self.read_success(response).await
+            let memory = self.reserve_memory(&response).await?;
+            Ok((memory, self.read_success(response).await?))
         })
         .await?;
-        parse_pipeline(response.headers(), body)
+        parse_pipeline(response.headers(), body, memory)
     }
 
     fn address(&self) -> &str {
@@ -239,5 +266,5 @@
         .no_default_headers()
         .build(SharedCfg::new(tag).add(io))
         .await
-        .map_err(|e| classify_error(&ClientError::Error(std::rc::Rc::new(e))))
+        .map_err(|e| classify_error(&ClientError::Error(Rc::new(e))))
 }
--- a/crates/coriander_upstream/src/http_response.rs
+++ b/crates/coriander_upstream/src/http_response.rs
@@ -12,8 +12,8 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    LOG_POSITION_HEADER, OUTCOME_HEADER, PipelineReply, SendFailure, TERM_HEADER, UpstreamError,
-    UpstreamRefusal,
+    LOG_POSITION_HEADER, OUTCOME_HEADER, PipelineReply, ResponseMemory, SendFailure, TERM_HEADER,
+    UpstreamError, UpstreamRefusal,
 };
 
 const NOT_RUN: &str = "not_run";
@@ -98,10 +98,16 @@
 pub(crate) fn parse_pipeline(
     headers: &HeaderMap,
     body: Bytes,
+    memory: ResponseMemory,
 ) -> Result<PipelineReply, UpstreamError> {
     let term = TermNumber::new(read_header(headers, TERM_HEADER)?);
     let log: LogPosition = read_header(headers, LOG_POSITION_HEADER)?;
-    Ok(PipelineReply { body, term, log })
+    Ok(PipelineReply {
+        body,
+        term,
+        log,
+        memory,
+    })
 }
 
 fn read_header<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<T, UpstreamError> {
--- a/crates/coriander_upstream/src/lib.rs
+++ b/crates/coriander_upstream/src/lib.rs
@@ -22,6 +22,7 @@
 mod member_settings;
 mod pipeline_call;
 mod pool_settings;
+mod response_budget;
 mod stream_body;
 mod stream_pool;
 mod upstream_error;
@@ -34,6 +35,7 @@
     PipelineRequest, TERM_HEADER,
 };
 pub use pool_settings::PoolSettings;
+pub use response_budget::{NoMemory, ResponseBudget, ResponseMemory};
 pub use stream_body::{close_stream_body, open_stream_body, read_baton};
 pub use stream_pool::{PoolCounts, StreamLease, StreamPool, StreamUse};
 pub use upstream_error::{SendFailure, UpstreamError, UpstreamRefusal};
--- a/crates/coriander_upstream/src/pipeline_call.rs
+++ b/crates/coriander_upstream/src/pipeline_call.rs
@@ -5,6 +5,8 @@
 use coriander_core::{LogPosition, TermNumber};
 use ntex::util::Bytes;
 
+use crate::ResponseMemory;
+
 /// Header with the term in which a statement request may run, and with the member's term in
 /// responses.
 pub const TERM_HEADER: &str = "x-group-term";
@@ -108,4 +110,6 @@
     pub term: TermNumber,
     /// Last entry of the member's log when it responded.
     pub log: LogPosition,
+    /// Memory of the response.
+    pub memory: ResponseMemory,
 }
--- a/crates/coriander_upstream/src/upstream_error.rs
+++ b/crates/coriander_upstream/src/upstream_error.rs
@@ -56,6 +56,10 @@
         /// Start of the response body.
         body: String,
     },
+    /// The response was not read, because this process has no memory for it. It shows nothing about
+    /// the member.
+    #[error("no memory for the response")]
+    NoMemory,
     /// The response does not follow the protocol.
     #[error("malformed response: {reason}")]
     Malformed {
@@ -79,9 +83,10 @@
     pub fn outcome(&self) -> RequestOutcome {
         match self {
             Self::NotSent(_) | Self::Refused(_) => RequestOutcome::NotRun,
-            Self::NoResponse { .. } | Self::Failed { .. } | Self::Malformed { .. } => {
-                RequestOutcome::Unknown
-            }
+            Self::NoResponse { .. }
+            | Self::Failed { .. }
+            | Self::Malformed { .. }
+            | Self::NoMemory => RequestOutcome::Unknown,
         }
     }
 
--- a/crates/coriander_upstream/tests/http_member.rs
+++ b/crates/coriander_upstream/tests/http_member.rs
@@ -2,14 +2,20 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use coriander_core::{InstanceId, LogPosition, MemberRole, RequestOutcome, TermNumber};
 use coriander_upstream::{
-    HttpMember, MemberSettings, PipelineRequest, SendFailure, UpstreamError, UpstreamMember,
+    HttpMember, MemberSettings, NoMemory, PipelineRequest, ResponseBudget, ResponseMemory,
+    SendFailure, UpstreamError, UpstreamMember,
 };
 
+/// Returns the response to a request.
+type Respond = fn(&str) -> String;
+
 const TERM: TermNumber = TermNumber::new(7);
 
 /// Serves each connection once: passes the request to `respond` and writes what it returns.
@@ -185,3 +191,60 @@
         );
     }
 }
+
+/// Grants memory for bodies of up to 4 bytes.
+struct SmallBudget;
+
+#[async_trait(?Send)]
+impl ResponseBudget for SmallBudget {
+    async fn reserve(&self, body_bytes: usize) -> Result<ResponseMemory, NoMemory> {
+        if body_bytes > 4 {
+            return Err(NoMemory);
+        }
+        Ok(Some(Rc::new(body_bytes)))
+    }
+}
+
+/// Guards against responses that are read without memory, also if they do not announce a length.
+#[ntex::test]
+async fn pipeline_waits_for_memory() {
+    let cases: [(Respond, bool); 3] = [
+        (
+            |_| response("200 OK", "x-group-term: 7\r\nx-log-position: 7.4\r\n", "{}"),
+            true,
+        ),
+        (
+            |_| {
+                response(
+                    "200 OK",
+                    "x-group-term: 7\r\nx-log-position: 7.4\r\n",
+                    "{     }",
+                )
+            },
+            false,
+        ),
+        (
+            |_| {
+                "HTTP/1.1 200 OK\r\nx-group-term: 7\r\nx-log-position: 7.4\r\n\
+                 transfer-encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+                    .to_owned()
+            },
+            false,
+        ),
+    ];
+    for (respond, is_read) in cases {
+        let member = member(serve(respond))
+            .await
+            .with_budget(Rc::new(SmallBudget));
+        let request = PipelineRequest::new(TERM, "{}").with_timeout(Duration::from_millis(300));
+        let memory = member.pipeline(request).await.map(|reply| reply.memory);
+        match memory {
+            Ok(memory) => assert!(is_read && memory.is_some()),
+            Err(error) => {
+                assert!(!is_read, "{error}");
+                assert_eq!(error, UpstreamError::NoMemory);
+                assert_eq!(error.outcome(), RequestOutcome::Unknown);
+            }
+        }
+    }
+}
--- a/crates/corianderstile/src/admin.rs
+++ b/crates/corianderstile/src/admin.rs
@@ -30,10 +30,9 @@
 }
 
 async fn metrics(proxy: SharedProxy) -> HttpResponse {
-    proxy.refresh_metrics();
     HttpResponse::Ok()
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-        .body(proxy.metrics.encode())
+        .body(proxy.encode_metrics())
 }
 
 async fn show_config(proxy: SharedProxy) -> HttpResponse {
--- a/crates/corianderstile/src/caller/routes.rs
+++ b/crates/corianderstile/src/caller/routes.rs
@@ -1,15 +1,20 @@
 //! HTTP routes for callers.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use coriander_core::{ErrorCode, RequestError};
-use ntex::util::BytesMut;
+use ntex::http::body::Body;
 use ntex::web::types::{Path, Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+use platform_adapter::{ConnectionGuard, MemoryGate};
 
+use super::body_reader::{BodyReader, FREE_BYTES, ReceivedBody};
+use super::caller_connections::ConnectionUse;
 use super::caller_request::{
     CallerEndpoint, CallerRequest, REQUEST_ID_HEADER, SERVED_BY_HEADER, SESSION_HEADER,
 };
+use super::held_body::HeldBody;
 use super::{cursor_lines, error_response};
 use crate::entry::{EntryResponse, EntryService};
 
@@ -97,20 +102,47 @@
     body: Payload,
     entry: &Rc<EntryService>,
 ) -> HttpResponse {
-    let result = async {
-        let body = read_body(body, entry.body_limit()).await?;
-        let request = CallerRequest::from_headers(endpoint, database, request.headers(), body)?;
-        Ok(request)
-    }
-    .await;
-    let request = match result {
+    let Some(guard) = entry.connections().find(request) else {
+        // The connection has been told to close.
+        let error = RequestError::not_run(ErrorCode::Overloaded, "the connection is closed");
+        return error_response(&error, "");
+    };
+    let connection = ConnectionUse::begin(guard);
+    let gate = entry.connections().gate();
+    let reader = BodyReader::new(body, gate.clone(), entry.body_limit());
+    let checked = CallerRequest::from_headers(endpoint, database, request.headers(), Vec::new());
+    let mut request = match checked {
         Ok(request) => request,
-        Err(error) => return error_response(&error, ""),
+        Err(error) => {
+            reader.discard().await;
+            return error_response(&error, "");
+        }
+    };
+    let received = match identify(entry, connection.guard(), &request.key) {
+        Ok(()) => reader.read().await,
+        Err(error) => {
+            reader.discard().await;
+            Err(error)
+        }
+    };
+    let ReceivedBody { bytes, permit } = match received {
+        Ok(received) => received,
+        Err(error) => {
+            let refused = entry.refuse(request, error);
+            return entry_response(endpoint, refused, gate, connection);
+        }
     };
+    request.body = bytes;
+    let service = entry.clone();
     // The request runs in its own task, so that a caller that disconnects does not cancel it.
-    let task = ntex::rt::spawn(EntryService::serve(entry.clone(), request));
+    let task = ntex::rt::spawn(async move {
+        if let Some(permit) = &permit {
+            permit.set_busy(true);
+        }
+        service.serve(request).await
+    });
     match task.await {
-        Ok(response) => entry_response(endpoint, response),
+        Ok(response) => entry_response(endpoint, response, gate, connection),
         Err(_) => {
             let error = RequestError::unknown(ErrorCode::Internal, "request task failed");
             error_response(&error, "")
@@ -118,7 +150,22 @@
     }
 }
 
-fn entry_response(endpoint: CallerEndpoint, response: EntryResponse) -> HttpResponse {
+/// Counts a connection for the account of its first request.
+fn identify(entry: &EntryService, guard: &ConnectionGuard, key: &str) -> Result<(), RequestError> {
+    let account = entry.find_account(key)?;
+    if guard.is_identified() || guard.identify(&Arc::from(account.as_str())) {
+        return Ok(());
+    }
+    let message = "the account has too many connections";
+    Err(RequestError::not_run(ErrorCode::Overloaded, message))
+}
+
+fn entry_response(
+    endpoint: CallerEndpoint,
+    response: EntryResponse,
+    gate: &Rc<MemoryGate>,
+    connection: ConnectionUse,
+) -> HttpResponse {
     let EntryResponse { request_id, result } = response;
     let success = match result {
         Ok(success) => success,
@@ -139,20 +186,9 @@
     response.set_header(REQUEST_ID_HEADER, request_id);
     response.set_header(SESSION_HEADER, success.session);
     response.set_header(SERVED_BY_HEADER, success.served_by.to_string());
-    response.body(body)
-}
-
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Vec<u8>, RequestError> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = ntex::util::stream_recv(&mut payload).await {
-        let chunk = chunk.map_err(|error| {
-            RequestError::not_run(ErrorCode::BadRequest, format!("body not received: {error}"))
-        })?;
-        if body.len() + chunk.len() > limit {
-            let message = format!("body is longer than {limit} bytes");
-            return Err(RequestError::not_run(ErrorCode::BadRequest, message));
-        }
-        body.extend_from_slice(&chunk);
+    if body.len() <= FREE_BYTES {
+        return response.body(body);
     }
-    Ok(body.to_vec())
+    let held = HeldBody::start(body, success.memory, gate, connection);
+    response.body(Body::from_message(held))
 }
--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -5,14 +5,18 @@
 use std::time::Duration;
 
 use coriander_core::{
-    ClassName, DatabaseName, ErrorCode, InstanceId, MonotonicTime, RequestError, RequestOutcome,
+    AccountName, ClassName, DatabaseName, ErrorCode, InstanceId, MonotonicTime, RequestError,
+    RequestOutcome,
 };
 use coriander_membership::WorkAdmission;
 use coriander_routing::{RequestClassification, RequestKind, StatementCache};
 use coriander_tokens::{SecretKeys, SessionPosition, SessionToken, TransactionBaton};
+use coriander_upstream::ResponseMemory;
 use libsql_hrana::proto::PipelineReqBody;
 
-use crate::caller::{CallerEndpoint, CallerRequest, cursor_to_pipeline};
+use crate::caller::{
+    CallerConnections, CallerEndpoint, CallerRequest, count_statements, cursor_to_pipeline,
+};
 use crate::config::ConfigService;
 use crate::decision_log::{DecisionLog, DecisionRecord};
 use crate::gateway::GatewaySet;
@@ -38,6 +42,8 @@
     pub session: String,
     /// Member that executed the request.
     pub served_by: ServedBy,
+    /// Memory of the body.
+    pub memory: ResponseMemory,
 }
 
 /// Result of a request together with its request id.
@@ -70,6 +76,8 @@
     pub metrics: Rc<ProxyMetrics>,
     /// Recent decisions.
     pub decisions: Rc<DecisionLog>,
+    /// Connections of callers and their memory.
+    pub connections: Rc<CallerConnections>,
 }
 
 /// Accepts callers' requests and passes them to the gateway of their database.
@@ -102,6 +110,27 @@
         self.context.bounds.max_body_bytes
     }
 
+    /// Returns the connections of callers.
+    pub fn connections(&self) -> &Rc<CallerConnections> {
+        &self.context.connections
+    }
+
+    /// Returns the account of a key.
+    pub fn find_account(&self, key: &str) -> Result<AccountName, RequestError> {
+        self.context.config.may_serve()?;
+        Ok(self.context.config.verify(key)?.account)
+    }
+
+    /// Records a request that is refused before its body is known.
+    pub fn refuse(&self, request: CallerRequest, error: RequestError) -> EntryResponse {
+        let request_id = request.request_id.unwrap_or_else(generated_id);
+        let mut record = DecisionRecord::new(request_id.clone());
+        let result = Err(error);
+        self.record_result(&request.class, &result, Duration::ZERO, &mut record);
+        self.context.decisions.push(record);
+        EntryResponse { request_id, result }
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
@@ -121,8 +150,7 @@
     pub async fn serve(self: Rc<Self>, request: CallerRequest) -> EntryResponse {
         self.in_flight.set(self.in_flight.get() + 1);
         let start = self.context.clock.now();
-        let generated = || format!("auto-{:032x}", rand::random::<u128>());
-        let request_id = request.request_id.clone().unwrap_or_else(generated);
+        let request_id = request.request_id.clone().unwrap_or_else(generated_id);
         let mut record = DecisionRecord::new(request_id.clone());
         let class = request.class.clone();
         let result = self.run(request, &request_id, start, &mut record).await;
@@ -160,6 +188,7 @@
             body: reply.body,
             session: checked.token.encode(&self.context.secrets),
             served_by: reply.served_by,
+            memory: reply.memory,
         })
     }
 
@@ -217,7 +246,7 @@
     fn check_baton(
         &self,
         text: &str,
-        account: &coriander_core::AccountName,
+        account: &AccountName,
         database: &DatabaseName,
     ) -> Result<TransactionBaton, RequestError> {
         let baton = TransactionBaton::decode(text, &self.context.secrets, account)
@@ -386,31 +415,26 @@
     }
 }
 
+fn generated_id() -> String {
+    format!("auto-{:032x}", rand::random::<u128>())
+}
+
 fn parse_body(
     request: &CallerRequest,
     max_statements: usize,
 ) -> Result<PipelineReqBody, RequestError> {
-    let body: PipelineReqBody = match request.endpoint {
-        CallerEndpoint::Cursor => cursor_to_pipeline(&request.body)?,
-        CallerEndpoint::Pipeline => serde_json::from_slice(&request.body)
-            .map_err(|error| RequestError::not_run(ErrorCode::BadRequest, error.to_string()))?,
-    };
-    let count = count_statements(&body);
+    let invalid =
+        |error: serde_json::Error| RequestError::not_run(ErrorCode::BadRequest, error.to_string());
+    let count = count_statements(&request.body).map_err(invalid)?;
     if count > max_statements {
         let message =
             format!("request has {count} statements; at most {max_statements} are allowed");
         return Err(RequestError::not_run(ErrorCode::BadRequest, message));
     }
-    Ok(body)
-}
-
-fn count_statements(body: &PipelineReqBody) -> usize {
-    use libsql_hrana::proto::StreamRequest;
-    let count = |request: &StreamRequest| match request {
-        StreamRequest::Batch(batch) => batch.batch.steps.len(),
-        _ => 1,
-    };
-    body.requests.iter().map(count).sum()
+    match request.endpoint {
+        CallerEndpoint::Cursor => cursor_to_pipeline(&request.body),
+        CallerEndpoint::Pipeline => serde_json::from_slice(&request.body).map_err(invalid),
+    }
 }
 
 /// Returns whether a body may continue a transaction; reads only its baton.
--- a/crates/corianderstile/src/gateway/database_gateway.rs
+++ b/crates/corianderstile/src/gateway/database_gateway.rs
@@ -13,6 +13,7 @@
 use coriander_failover::PrimaryView;
 use coriander_routing::{RequestClassification, RequestKind, StatementCache};
 use coriander_tokens::SecretKeys;
+use coriander_upstream::ResponseBudget;
 use coriander_upstream::{StreamLease, StreamUse};
 use libsql_hrana::proto::{PipelineReqBody, PipelineRespBody, StreamResult};
 
@@ -60,6 +61,8 @@
     pub may_run: KeyCheck,
     /// Rate limits of client accounts.
     pub rates: Rc<RateService>,
+    /// Memory of the answers of members.
+    pub answers: Rc<dyn ResponseBudget>,
     /// Returns the target of a class.
     pub class_target: Box<dyn Fn(&ClassName) -> ClassTarget>,
     /// Returns whether operators keep a zone in service.
--- a/crates/corianderstile/src/gateway/member_handle.rs
+++ b/crates/corianderstile/src/gateway/member_handle.rs
@@ -7,8 +7,8 @@
 
 use coriander_core::{LogPosition, MemberId, TermNumber, ZoneName};
 use coriander_upstream::{
-    PipelineRequest, StreamLease, StreamPool, StreamUse, UpstreamError, UpstreamMember,
-    close_stream_body, open_stream_body, read_baton,
+    PipelineRequest, ResponseMemory, StreamLease, StreamPool, StreamUse, UpstreamError,
+    UpstreamMember, close_stream_body, open_stream_body, read_baton,
 };
 use libsql_hrana::proto::{PipelineRespBody, StreamRequest, StreamResult};
 use serde::Serialize;
@@ -21,6 +21,8 @@
     pub results: Vec<StreamResult>,
     /// Last entry of the member's log.
     pub log: LogPosition,
+    /// Memory of the response.
+    pub memory: ResponseMemory,
 }
 
 /// Options of a call to a member.
@@ -94,6 +96,7 @@
         Ok(StreamReply {
             results: body.results,
             log: reply.log,
+            memory: reply.memory,
         })
     }
 
--- a/crates/corianderstile/src/gateway/member_list.rs
+++ b/crates/corianderstile/src/gateway/member_list.rs
@@ -64,7 +64,7 @@
 
     async fn open_member(&self, id: &MemberId, member: &ServiceMember) -> Option<Rc<MemberHandle>> {
         let client = match HttpMember::new(member.address, MemberSettings::default()).await {
-            Ok(client) => client,
+            Ok(client) => client.with_budget(self.context.answers.clone()),
             Err(error) => {
                 log::error!("gateway: client of member {id} not created: {error}");
                 return None;
--- a/crates/corianderstile/src/gateway/run_read.rs
+++ b/crates/corianderstile/src/gateway/run_read.rs
@@ -99,6 +99,8 @@
                 self.read_selector.record_failure(&ticket, &error);
                 match &error {
                     UpstreamError::Refused(refusal) if refusal.status == 503 => permit.refuse(),
+                    // The member has answered.
+                    UpstreamError::NoMemory => {}
                     _ => self.group.statement_failed(&member.id),
                 }
                 return Err(read_error(&error));
@@ -113,6 +115,7 @@
         Ok(ForwardReply {
             body: response_body(None, pipeline.insert_close_results(reply.results))?,
             written: None,
+            memory: reply.memory,
             served_by: ServedBy {
                 member: member.id.clone(),
                 is_primary,
@@ -234,6 +237,10 @@
 fn read_error(error: &UpstreamError) -> RequestError {
     match error.outcome() {
         RequestOutcome::NotRun => not_run_error(error),
+        // Not repeated: the same answer would meet the same shortage and hold a slot meanwhile.
+        _ if *error == UpstreamError::NoMemory => {
+            RequestError::unknown(ErrorCode::Overloaded, error.to_string())
+        }
         _ => RequestError::unknown(ErrorCode::UpstreamTimeout, error.to_string()),
     }
 }
--- a/crates/corianderstile/src/gateway/run_transaction.rs
+++ b/crates/corianderstile/src/gateway/run_transaction.rs
@@ -101,7 +101,9 @@
         };
         drop(permit);
         let mut reply = reply.map_err(|error| {
-            self.group.statement_failed(&view.member);
+            if error != UpstreamError::NoMemory {
+                self.group.statement_failed(&view.member);
+            }
             transaction_error(&error)
         })?;
         let is_autocommit = pop_autocommit(&mut reply.results);
@@ -117,6 +119,7 @@
         Ok(ForwardReply {
             body: response_body(baton, pipeline.insert_close_results(reply.results))?,
             written,
+            memory: reply.memory,
             served_by: ServedBy {
                 member: view.member,
                 is_primary: true,
--- a/crates/corianderstile/src/gateway/run_write.rs
+++ b/crates/corianderstile/src/gateway/run_write.rs
@@ -142,8 +142,10 @@
                 }
                 return WriteAttempt::NotRun(not_run_error(&error));
             }
-            Err(_) => {
-                self.group.statement_failed(&member.id);
+            Err(error) => {
+                if error != UpstreamError::NoMemory {
+                    self.group.statement_failed(&member.id);
+                }
                 return WriteAttempt::Unknown;
             }
         };
@@ -235,6 +237,7 @@
         Ok(ForwardReply {
             body: response_body(None, pipeline.insert_close_results(results))?,
             written: None,
+            memory: None,
             served_by: ServedBy {
                 member: view.member.clone(),
                 is_primary: true,
--- a/crates/corianderstile/src/lib.rs
+++ b/crates/corianderstile/src/lib.rs
@@ -23,6 +23,7 @@
 mod peer;
 mod process_clock;
 mod proxy;
+mod proxy_parts;
 mod rate_service;
 mod read_selector;
 mod server;
@@ -30,6 +31,7 @@
 mod settings;
 mod settings_reader;
 
+pub use caller::count_statements;
 pub use proxy::StartError;
 pub use server::run_server;
 pub use session_server::{SessionSettings, run_session_server};
--- a/crates/corianderstile/src/peer/messages.rs
+++ b/crates/corianderstile/src/peer/messages.rs
@@ -10,6 +10,7 @@
 };
 use coriander_limits::{HandOver, HandOverReply, TokenGrant, TokenRequest};
 use coriander_tokens::SessionPosition;
+use coriander_upstream::ResponseMemory;
 use serde::{Deserialize, Serialize};
 
 /// A request to another instance.
@@ -106,4 +107,7 @@
     pub written: Option<LogPosition>,
     /// Member that executed the request or returned its stored outcome.
     pub served_by: ServedBy,
+    /// Memory of the answer; not sent to other instances.
+    #[serde(skip)]
+    pub memory: ResponseMemory,
 }
--- a/crates/corianderstile/src/proxy.rs
+++ b/crates/corianderstile/src/proxy.rs
@@ -2,31 +2,35 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, UdpSocket as StdUdpSocket};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use coriander_config::Incarnation;
 use coriander_consul::{
-    ConsulStore, InstanceRegistration, MemberState, ModifyIndex, PlatformError, PlatformStore,
+    InstanceRegistration, MemberState, ModifyIndex, PlatformError, PlatformStore,
 };
 use coriander_core::{DatabaseName, FleetMember, InstanceId};
 use coriander_membership::{OwnStatus, WorkAdmission};
+use coriander_memory::MemoryLimits;
 use coriander_tokens::SecretKeys;
 use coriander_wire::{DatagramCodec, FrameCodec};
+use platform_adapter::MemoryGate;
 use tokio::net::{TcpListener, UdpSocket};
 
+use crate::caller::{AnswerBudget, CallerConnections};
 use crate::config::{
     ConfigContext, ConfigService, join_fleet, leave_fleet, remove_lost_members, watch_platform,
 };
 use crate::decision_log::DecisionLog;
 use crate::entry::{EntryContext, EntryService};
-use crate::gateway::{GatewayContext, GatewaySet};
+use crate::gateway::GatewaySet;
 use crate::membership_service::MembershipService;
 use crate::metrics::ProxyMetrics;
 use crate::peer::{ConnectionId, PeerClient, PeerReply, PeerRequest, PeerService, serve_peers};
 use crate::process_clock::ProcessClock;
+use crate::proxy_parts::{bind_peer_address, build_store, gateway_context};
 use crate::rate_service::RateService;
 use crate::settings::InstanceSettings;
 
@@ -122,11 +126,17 @@
         let zone = settings.zone.clone();
         let membership = MembershipService::new(own_id.clone(), zone, clock, datagrams);
         let rates = RateService::new(own_id.clone(), clock, membership.clone(), peers.clone());
-        let context = gateway_context(&settings, &own_id, clock, &secrets, &config, &rates);
+        let gate = MemoryGate::new(&MemoryLimits::new(&settings.machine));
+        let answers = Rc::new(AnswerBudget(gate.clone()));
+        let context = gateway_context(
+            &settings, &own_id, clock, &secrets, &config, &rates, answers,
+        );
         let gateways = Rc::new(GatewaySet::new(Rc::new(context)));
         let metrics = Rc::new(ProxyMetrics::new());
         let decisions = Rc::new(DecisionLog::default());
+        let connections = CallerConnections::new(gate);
         let entry = EntryService::new(EntryContext {
+            connections,
             own_id: own_id.clone(),
             clock,
             bounds: settings.bounds.clone(),
@@ -163,13 +173,27 @@
         Ok(proxy)
     }
 
+    /// Returns the limits of what callers may hold.
+    pub fn memory_limits(&self) -> MemoryLimits {
+        MemoryLimits::new(&self.settings.machine)
+    }
+
     /// Returns the number of requests and transactions in progress.
     pub fn in_flight(&self) -> usize {
         self.entry.in_flight() + self.gateways.in_flight()
     }
 
+    /// Returns the metrics as text. Those of the limits are before the last line, which ends it.
+    pub fn encode_metrics(&self) -> String {
+        self.refresh_metrics();
+        let text = self.metrics.encode();
+        let limits = self.entry.connections().gate().encode_metrics();
+        let body = text.strip_suffix("# EOF\n").unwrap_or(&text);
+        format!("{body}{limits}# EOF\n")
+    }
+
     /// Updates the gauges from the current state.
-    pub fn refresh_metrics(&self) {
+    fn refresh_metrics(&self) {
         let metrics = &self.metrics;
         let document = self.config.document();
         let (size, live) = self.membership.peer_counts(&document);
@@ -448,51 +472,3 @@
         self.0.metrics.invalid_frames.inc();
     }
 }
-
-fn gateway_context(
-    settings: &InstanceSettings,
-    own_id: &InstanceId,
-    clock: ProcessClock,
-    secrets: &SecretKeys,
-    config: &Rc<ConfigService>,
-    rates: &Rc<RateService>,
-) -> GatewayContext {
-    let (key_config, class_config, zone_config) = (config.clone(), config.clone(), config.clone());
-    GatewayContext {
-        own_id: own_id.clone(),
-        own_zone: settings.zone.clone(),
-        clock,
-        secrets: secrets.clone(),
-        bounds: settings.bounds.clone(),
-        may_run: Box::new(move |key| key_config.check_key(key)),
-        rates: rates.clone(),
-        class_target: Box::new(move |class| class_config.class_target(class)),
-        is_zone_in: Box::new(move |zone| zone_config.is_zone_in(zone)),
-    }
-}
-
-async fn build_store(settings: &InstanceSettings) -> Result<ConsulStore, PlatformError> {
-    let mut addresses = settings.platform_addresses.iter();
-    let first = addresses.next().ok_or_else(|| PlatformError::NotSent {
-        reason: "no platform address is configured".to_owned(),
-    })?;
-    let builder = addresses.fold(ConsulStore::builder(*first), |builder, address| {
-        builder.address(*address)
-    });
-    builder
-        .call_timeout(Duration::from_millis(800))
-        .build()
-        .await
-}
-
-fn bind_peer_address(address: SocketAddr) -> Result<(TcpListener, UdpSocket), StartError> {
-    let listen_error = |source| StartError::Listen { address, source };
-    let listener = std::net::TcpListener::bind(address).map_err(listen_error)?;
-    listener.set_nonblocking(true).map_err(listen_error)?;
-    let socket = StdUdpSocket::bind(address).map_err(listen_error)?;
-    socket.set_nonblocking(true).map_err(listen_error)?;
-    Ok((
-        TcpListener::from_std(listener).map_err(listen_error)?,
-        UdpSocket::from_std(socket).map_err(listen_error)?,
-    ))
-}
--- a/crates/corianderstile/src/read_selector.rs
+++ b/crates/corianderstile/src/read_selector.rs
@@ -169,6 +169,7 @@
         let mut table = self.table.borrow_mut();
         match error {
             UpstreamError::Refused(_) => table.record_refusal(ticket),
+            UpstreamError::NoMemory => table.record_unread(ticket),
             _ => table.record_failure(ticket, self.clock.now()),
         }
     }
--- a/crates/corianderstile/src/server.rs
+++ b/crates/corianderstile/src/server.rs
@@ -4,13 +4,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use coriander_memory::MemoryLimits;
 use ntex::http::HttpService;
+use ntex::io::Io;
+use ntex::service::{chain_factory, fn_service};
 use ntex::time::Seconds;
 use ntex::web::App;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::admin::admin_routes;
-use crate::caller::caller_routes;
+use crate::caller::{CallerConnections, MAX_ADMIN_CONNECTIONS, caller_routes};
 use crate::proxy::{Proxy, StartError};
 use crate::settings::InstanceSettings;
 
@@ -26,11 +29,16 @@
     let caller_listener = std::net::TcpListener::bind(caller).map_err(listen_error(caller))?;
     let admin_listener = std::net::TcpListener::bind(admin).map_err(listen_error(admin))?;
     let (event_sender, mut event_receiver) = tokio::sync::mpsc::unbounded_channel();
+    // Connections over the limits are accepted and closed. This limit only bounds how many of them
+    // wait to be closed.
+    let limits = MemoryLimits::new(&settings.machine);
+    let max_connections = limits.max_connections + 2 * MAX_ADMIN_CONNECTIONS;
     let (stop_sender, _) = tokio::sync::broadcast::channel::<()>(1);
     let worker_stop = stop_sender.clone();
     let server = ntex::server::build()
         .workers(1)
         .disable_signals()
+        .maxconn(max_connections)
         .shutdown_timeout(Seconds(1))
         .on_worker_start(move || {
             let settings = settings.clone();
@@ -53,16 +61,21 @@
             }
         })
         .listen("callers", caller_listener, async |_| {
-            let proxy = current_proxy();
-            HttpService::new(
-                App::new()
-                    .state(proxy.entry.clone())
-                    .configure(caller_routes),
-            )
+            let entry = current_proxy().entry.clone();
+            let connections = entry.connections().clone();
+            let admit = fn_service(async move |io: Io| connections.admit(io));
+            chain_factory(admit).and_then(HttpService::h1(
+                App::new().state(entry).configure(caller_routes),
+            ))
         })
         .and_then(|builder| {
             builder.listen("admin", admin_listener, async |_| {
-                HttpService::new(App::new().state(current_proxy()).configure(admin_routes))
+                let proxy = current_proxy();
+                let connections = CallerConnections::for_admin(&proxy.memory_limits());
+                let admit = fn_service(async move |io: Io| connections.admit(io));
+                chain_factory(admit).and_then(HttpService::h1(
+                    App::new().state(proxy).configure(admin_routes),
+                ))
             })
         })
         .map_err(listen_error(caller))?
--- a/crates/corianderstile/src/session_server/settings.rs
+++ b/crates/corianderstile/src/session_server/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of an instance that serves sessions on the users' platform.
 
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -12,7 +11,7 @@
 use platform_adapter::decode_features;
 
 use crate::settings::SettingsError;
-use crate::settings_reader::SettingsReader;
+use crate::settings_reader::{MACHINE_KEYS, SettingsReader};
 
 const KNOWN_KEYS: &[(&str, &[&str])] = &[
     ("instance", &["name", "zone"]),
@@ -25,15 +24,9 @@
     ),
     ("features", &["contracts", "duties"]),
     ("usage", &["address", "window_ms", "report_delay_ms"]),
-    ("machine", &["memory_mb", "descriptors"]),
+    MACHINE_KEYS,
 ];
 
-/// Memory of the machine in MiB: with less, the program itself has no room.
-const MEMORY_RANGE_MB: RangeInclusive<u64> = 48..=1_048_576;
-
-/// Descriptors of the machine. 200 are for files and 128 for members, store and other instances.
-const DESCRIPTOR_RANGE: RangeInclusive<u64> = 360..=10_000_000;
-
 const ALLOWED_ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
 
 /// Checked settings of an instance that serves sessions.
@@ -91,15 +84,7 @@
         let fences = reader.number("bounds", "platform_fences", 0, 0..=1);
         let contracts = reader.text("features", "contracts").unwrap_or_default();
         let duties = reader.text("features", "duties").unwrap_or_default();
-        let default = MachineLimits::default();
-        let mut limit = |key, default: usize, range| {
-            let value = reader.number("machine", key, default as u64, range);
-            usize::try_from(value).unwrap_or(default)
-        };
-        let machine = MachineLimits {
-            memory_mb: limit("memory_mb", default.memory_mb, MEMORY_RANGE_MB),
-            descriptors: limit("descriptors", default.descriptors, DESCRIPTOR_RANGE),
-        };
+        let machine = reader.machine();
         reader.finish()?;
         // Every value is present because `finish` reports all that are missing.
         let settings = (|| {
--- a/crates/corianderstile/src/settings.rs
+++ b/crates/corianderstile/src/settings.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use coriander_core::{InstanceId, ZoneName};
+use coriander_memory::MachineLimits;
 use thiserror::Error;
 
-use crate::settings_reader::SettingsReader;
+use crate::settings_reader::{MACHINE_KEYS, SettingsReader};
 
 /// An invalid entry of a settings file.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -134,6 +135,8 @@
     pub fleet_secret: FleetSecret,
     /// Limits on requests and resources.
     pub bounds: RequestBounds,
+    /// Memory and descriptors of the machine.
+    pub machine: MachineLimits,
 }
 
 /// Secret shared by the fleet; its value is not printed.
@@ -178,6 +181,7 @@
             "shutdown_ms",
         ],
     ),
+    MACHINE_KEYS,
 ];
 
 impl InstanceSettings {
@@ -213,6 +217,7 @@
         );
         let fleet_secret = read_secret(&mut reader);
         let bounds = read_bounds(&mut reader);
+        let machine = reader.machine();
         if let Some(zone) = &zone
             && !zones.is_empty()
             && !zones.contains(zone)
@@ -237,6 +242,7 @@
                 platform_addresses,
                 fleet_secret: fleet_secret?,
                 bounds,
+                machine,
             })
         })();
         settings.ok_or_else(|| SettingsError::Invalid(Vec::new()))
--- a/crates/corianderstile/src/settings_reader.rs
+++ b/crates/corianderstile/src/settings_reader.rs
@@ -5,10 +5,20 @@
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
+use coriander_memory::MachineLimits;
 use ini::Ini;
 
 use crate::settings::{InvalidSetting, SettingProblem, SettingsError};
 
+/// Memory of the machine in MiB: with less, the program itself has no room.
+const MEMORY_RANGE_MB: RangeInclusive<u64> = 48..=1_048_576;
+
+/// Descriptors of the machine. 200 are for files and 128 for members, store and other instances.
+const DESCRIPTOR_RANGE: RangeInclusive<u64> = 360..=10_000_000;
+
+/// Section with the memory and descriptors of the machine.
+pub const MACHINE_KEYS: (&str, &[&str]) = ("machine", &["memory_mb", "descriptors"]);
+
 /// Values of an INI file together with the invalid settings found so far.
 pub struct SettingsReader {
     file: PathBuf,
@@ -121,6 +131,19 @@
         }
     }
 
+    /// Returns the optional section with the memory and descriptors of the machine.
+    pub fn machine(&mut self) -> MachineLimits {
+        let default = MachineLimits::default();
+        let mut limit = |key, default: usize, range| {
+            let value = self.number(MACHINE_KEYS.0, key, default as u64, range);
+            usize::try_from(value).unwrap_or(default)
+        };
+        MachineLimits {
+            memory_mb: limit("memory_mb", default.memory_mb, MEMORY_RANGE_MB),
+            descriptors: limit("descriptors", default.descriptors, DESCRIPTOR_RANGE),
+        }
+    }
+
     /// Records an invalid setting found by a check across several keys.
     pub fn reject(&mut self, section: &str, key: &str, problem: SettingProblem, allowed: &str) {
         self.push(section, key, problem, allowed);
--- a/crates/corianderstile/tests/settings.rs
+++ b/crates/corianderstile/tests/settings.rs
@@ -107,3 +107,16 @@
     let expected = ("instance.name".to_owned(), SettingProblem::Invalid);
     assert_eq!(problems(&text), [expected]);
 }
+
+#[test]
+fn parse_reads_machine() {
+    // Guards against limits of callers that ignore the machine of the process.
+    let default = parse(VALID).expect("valid settings").machine;
+    assert_eq!((default.memory_mb, default.descriptors), (512, 4_096));
+    let text = format!("{VALID}\n[machine]\nmemory_mb = 112\ndescriptors = 1024\n");
+    let machine = parse(&text).expect("valid settings").machine;
+    assert_eq!((machine.memory_mb, machine.descriptors), (112, 1_024));
+    let text = format!("{VALID}\n[machine]\nmemory_mb = 8\n");
+    let rejected = vec![("machine.memory_mb".to_owned(), SettingProblem::Invalid)];
+    assert_eq!(problems(&text), rejected);
+}
