Join the parts: zones of instances in the example of fleet changes

Cause: two parts met in one interface.

Change: the example uses the zones of instances; formatter on one test file.

Result: the workspace compiles with all targets.

--- a/crates/coriander_limits/examples/fleet_changes.rs
+++ b/crates/coriander_limits/examples/fleet_changes.rs
@@ -2,19 +2,20 @@
 //!
 //! `cargo run --release -p coriander_limits --example fleet_changes`
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coriander_core::MonotonicTime;
-use coriander_limits::RateShares;
+use coriander_limits::{FleetInstance, RateShares};
 
 /// Longer than the time for which an instance without an entry still counts.
 const STEP: Duration = Duration::from_secs(20);
 
-fn names(range: std::ops::Range<usize>) -> Vec<Arc<str>> {
-    range
-        .map(|number| format!("frontend-midlands-a-{number}").into())
-        .collect()
+const ZONES: [&str; 3] = ["north", "east", "south"];
+
+fn list(range: std::ops::Range<usize>) -> Vec<FleetInstance> {
+    let zone = |number: usize| ZONES[number % ZONES.len()];
+    let instance = |number| FleetInstance::new(format!("instance-{number}"), zone(number));
+    range.map(instance).collect()
 }
 
 fn timed(work: impl FnOnce()) -> f64 {
@@ -26,9 +27,9 @@
 fn main() {
     println!("instances accounts  start_ms same_ms added_ms lost_ms half_lost_ms");
     for (instances, accounts) in [(300, 330), (300, 3_400), (2_100, 3_400)] {
-        let all = names(0..instances);
+        let all = list(0..instances);
         let mut now = MonotonicTime::from_millis(100_000);
-        let mut shares = RateShares::new(all[0].clone());
+        let mut shares = RateShares::new(all[0].id.clone()).with_own_zone(all[0].zone.clone());
         shares.set_fleet(&all, now);
         let start = timed(|| {
             for number in 0..accounts {
@@ -37,7 +38,7 @@
         });
         let mut change = |range| {
             now = now + Duration::from_millis(1_000);
-            let list = names(range);
+            let list = list(range);
             timed(|| shares.set_fleet(&list, now))
         };
         let same = change(0..instances);
--- a/crates/coriander_service/tests/member_gate.rs
+++ b/crates/coriander_service/tests/member_gate.rs
@@ -140,7 +140,10 @@
     let mut transaction = open(&service).await;
     run(&mut transaction, "b", "BEGIN").await;
     run(&mut transaction, "w", "WRITE 1 x").await;
-    group.member("a").statement_time.set(Duration::from_millis(30));
+    group
+        .member("a")
+        .statement_time
+        .set(Duration::from_millis(30));
     let mut reads = Vec::new();
     for _ in 0..12 {
         let mut session = open(&service).await;
