Repeat statements for free that a member declined as the wrong one

Change: the evaluation of an attempt says whether its repetition counts. It is free if the attempt reached no member, or one that declined because it lags or is not the primary.

--- a/crates/coriander_service/src/admission/repetitions.rs
+++ b/crates/coriander_service/src/admission/repetitions.rs
@@ -4,7 +4,6 @@
 
 use coriander_core::MonotonicTime;
 use coriander_limits::{RepetitionBudget, RepetitionRefusal};
-use coriander_service_api::{FailureCode, FailureReason, SessionFailure};
 
 /// Budget of repetitions; without limits where the settings do not ask for ordered waiting.
 pub struct Repetitions {
@@ -25,28 +24,11 @@
         }
     }
 
-    /// Takes a repetition after a failed attempt, if the budget allows it. An attempt that reached
-    /// no member and no queue is repeated for free, because it has taken nothing from others.
-    pub fn try_repeat(
-        &self,
-        account: &str,
-        failure: &SessionFailure,
-        now: MonotonicTime,
-    ) -> Result<(), RepetitionRefusal> {
+    /// Takes a repetition, if the budget allows it.
+    pub fn try_repeat(&self, account: &str, now: MonotonicTime) -> Result<(), RepetitionRefusal> {
         match &self.budget {
-            Some(budget) if has_used_a_member(failure) => {
-                budget.borrow_mut().try_repeat(account, now)
-            }
-            _ => Ok(()),
+            Some(budget) => budget.borrow_mut().try_repeat(account, now),
+            None => Ok(()),
         }
     }
 }
-
-/// Returns whether a failed attempt has taken time of a member or a place in its queue.
-const fn has_used_a_member(failure: &SessionFailure) -> bool {
-    let is_unreached = matches!(
-        failure.reason,
-        FailureReason::ConnectionLost | FailureReason::NoMember | FailureReason::NoPrimary
-    );
-    !(is_unreached && matches!(failure.code, FailureCode::Busy))
-}
--- a/crates/coriander_service/src/sessions/attempt.rs
+++ b/crates/coriander_service/src/sessions/attempt.rs
@@ -38,12 +38,32 @@
     }
 }
 
+/// Whether a repetition counts towards the budget of repetitions.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryCost {
+    /// The attempt has taken time of a member or a place in its queue.
+    Counted,
+    /// The attempt reached no member, or one that declined at once because it is the wrong one. It
+    /// has taken nothing from others.
+    Free,
+}
+
+impl RetryCost {
+    /// Returns the cost after a member refused with a code.
+    const fn of_refusal(code: FailureCode) -> Self {
+        match code {
+            FailureCode::ReadOnly | FailureCode::Lagging | FailureCode::Misrouted => Self::Free,
+            _ => Self::Counted,
+        }
+    }
+}
+
 /// Outcome of one attempt.
 pub enum Attempt {
     /// The statement is completed.
     Completed(CompletedStatement),
     /// Nothing was run, or only a read; the statement may be retried on any member.
-    Retry(SessionFailure),
+    Retry(SessionFailure, RetryCost),
     /// The statement has failed and must not be retried.
     Failed(SessionFailure),
 }
@@ -82,6 +102,7 @@
 ) -> Attempt {
     record_refusal(context, member, refusal.code, position);
     let outcome = refusal.code.member_outcome();
+    let cost = RetryCost::of_refusal(refusal.code);
     let failure =
         SessionFailure::new(refusal.code, FailureReason::MemberRefused).with_detail(refusal.detail);
     match outcome {
@@ -90,9 +111,9 @@
                 code: FailureCode::Busy,
                 ..failure
             };
-            Attempt::Retry(busy.with_retry_after(BUSY_RETRY_AFTER))
+            Attempt::Retry(busy.with_retry_after(BUSY_RETRY_AFTER), cost)
         }
-        _ if !writes => Attempt::Retry(failure),
+        _ if !writes => Attempt::Retry(failure, cost),
         _ => Attempt::Failed(failure),
     }
 }
@@ -137,7 +158,7 @@
                 Attempt::Failed(failure)
             } else {
                 // Another replica may have room.
-                Attempt::Retry(failure)
+                Attempt::Retry(failure, RetryCost::Counted)
             }
         }
         ExchangeError::NotSent(PoolError::Connect(link)) if !link.is_unreachable() => {
@@ -147,31 +168,39 @@
         }
         ExchangeError::NotSent(PoolError::PrimaryUnconfirmed) => {
             let failure = SessionFailure::new(FailureCode::Busy, FailureReason::NoPrimary);
-            Attempt::Retry(failure.with_retry_after(PRIMARY_RETRY_AFTER))
+            Attempt::Retry(
+                failure.with_retry_after(PRIMARY_RETRY_AFTER),
+                RetryCost::Free,
+            )
+        }
+        ExchangeError::NotSent(PoolError::HomeUnavailable) => {
+            let failure = SessionFailure::new(FailureCode::Busy, FailureReason::ConnectionLost);
+            Attempt::Retry(failure, RetryCost::Free)
         }
-        ExchangeError::NotSent(PoolError::HomeUnavailable) => Attempt::Retry(SessionFailure::new(
-            FailureCode::Busy,
-            FailureReason::ConnectionLost,
-        )),
         ExchangeError::NotSent(PoolError::MemberLeaving) => {
             let failure = SessionFailure::new(FailureCode::Busy, FailureReason::NoMember);
-            Attempt::Retry(failure.with_retry_after(BUSY_RETRY_AFTER))
+            Attempt::Retry(failure.with_retry_after(BUSY_RETRY_AFTER), RetryCost::Free)
         }
         ExchangeError::NotSent(PoolError::Connect(link)) => {
             let failure = SessionFailure::new(FailureCode::Busy, FailureReason::ConnectionLost);
             let failure = failure.with_detail(link.to_string().into());
-            Attempt::Retry(failure.with_retry_after(BUSY_RETRY_AFTER))
+            Attempt::Retry(failure.with_retry_after(BUSY_RETRY_AFTER), RetryCost::Free)
         }
         ExchangeError::Declined(code, position) => {
             record_refusal(context, member, code, position);
             let failure = SessionFailure::new(FailureCode::Busy, FailureReason::MemberRefused);
-            let failure = failure.with_detail(code.label().into());
-            Attempt::Retry(failure.with_retry_after(BUSY_RETRY_AFTER))
+            let failure = failure
+                .with_detail(code.label().into())
+                .with_retry_after(BUSY_RETRY_AFTER);
+            Attempt::Retry(failure, RetryCost::of_refusal(code))
         }
         ExchangeError::NoReply(link) if writes => Attempt::Failed(in_doubt(&link)),
         ExchangeError::NoReply(link) => {
             let failure = SessionFailure::new(FailureCode::Timeout, link_reason(&link));
-            Attempt::Retry(failure.with_detail(link.to_string().into()))
+            Attempt::Retry(
+                failure.with_detail(link.to_string().into()),
+                RetryCost::Counted,
+            )
         }
     }
 }
--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -18,7 +18,9 @@
 use crate::members::member::Member;
 use crate::members::member_pool::PoolError;
 use crate::service::SessionService;
-use crate::sessions::attempt::{Attempt, CompletedStatement, evaluate_reply, no_connection};
+use crate::sessions::attempt::{
+    Attempt, CompletedStatement, RetryCost, evaluate_reply, no_connection,
+};
 use crate::sessions::busy_backoff::BusyBackoff;
 use crate::sessions::exchange::{
     ExchangeError, ExchangeOutcome, ExchangePlan, PlannedBegin, PlannedStatement,
@@ -98,12 +100,17 @@
 
     /// Checks that the statement may be repeated after a failed attempt. Fails with what that
     /// attempt tells the caller, and with the time at which a repetition is expected to be allowed.
-    pub fn check_repetition(&self, failure: &SessionFailure) -> Result<(), SessionFailure> {
+    pub fn check_repetition(
+        &self,
+        failure: &SessionFailure,
+        cost: RetryCost,
+    ) -> Result<(), SessionFailure> {
+        if cost == RetryCost::Free {
+            return Ok(());
+        }
         let account = &self.access.account_name;
-        let checked = self
-            .service
-            .repetitions
-            .try_repeat(account, failure, self.now());
+        let repetitions = &self.service.repetitions;
+        let checked = repetitions.try_repeat(account, self.now());
         let metrics = &self.service.metrics;
         let Err(refusal) = checked else {
             metrics.count_repetition("allowed");
@@ -321,7 +328,7 @@
         match attempt {
             Attempt::Completed(completed) => return Ok(completed),
             Attempt::Failed(failure) => return Err(failure),
-            Attempt::Retry(retry) => {
+            Attempt::Retry(retry, cost) => {
                 let is_busy =
                     retry.code == FailureCode::Busy && retry.reason != FailureReason::MemberSilent;
                 let has_no_room = retry.reason == FailureReason::NoConnection;
@@ -330,7 +337,7 @@
                 if has_no_room && !repeats_now {
                     return Err(retry);
                 }
-                context.check_repetition(&retry)?;
+                context.check_repetition(&retry, cost)?;
                 failure = Some(retry);
                 if !repeats_now && !context.wait_for_busy_members(&mut backoff).await {
                     break;
@@ -400,7 +407,7 @@
         Attempt::Failed(failure)
             if is_full && member.capacity.is_some() && context.has_untried_replica(tried) =>
         {
-            Attempt::Retry(failure)
+            Attempt::Retry(failure, RetryCost::Counted)
         }
         attempt => attempt,
     }
--- a/crates/coriander_service/src/sessions/transaction.rs
+++ b/crates/coriander_service/src/sessions/transaction.rs
@@ -30,12 +30,12 @@
         match attempt_begin(context, transaction, statement, &mut tried).await {
             Attempt::Completed(completed) => return Ok(completed),
             Attempt::Failed(failure) => return Err(failure),
-            Attempt::Retry(retry) => {
+            Attempt::Retry(retry, cost) => {
                 let has_no_room = retry.reason == FailureReason::NoConnection;
                 if has_no_room {
                     return Err(retry);
                 }
-                context.check_repetition(&retry)?;
+                context.check_repetition(&retry, cost)?;
                 failure = Some(retry);
                 if !context.wait_for_busy_members(&mut backoff).await {
                     break;
--- a/crates/coriander_service/tests/repetitions.rs
+++ b/crates/coriander_service/tests/repetitions.rs
@@ -9,20 +9,23 @@
 
 const FAULTS: usize = 1_000;
 
+fn settings(ordered_waiting: bool) -> ServiceSettings {
+    let features = ServiceFeatures {
+        ordered_waiting,
+        ..ServiceFeatures::default()
+    };
+    ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 0).into())
+        .with_platform_fences(true)
+        .with_features(features)
+}
+
 /// Runs writes at a primary that refuses all of them; returns how many attempts reached it.
 async fn attempts_of_refused_writes(ordered_waiting: bool, count: usize) -> usize {
     let group = FakeGroup::new(&["a"]);
     for _ in 0..FAULTS {
         group.add_fault("a", "WRITE", Fault::Refuse(FailureCode::Busy));
     }
-    let features = ServiceFeatures {
-        ordered_waiting,
-        ..ServiceFeatures::default()
-    };
-    let settings = ServiceSettings::new("instance-1", "berrechid", ([127, 0, 0, 1], 0).into())
-        .with_platform_fences(true)
-        .with_features(features);
-    let service = start_with(&group, settings).await;
+    let service = start_with(&group, settings(ordered_waiting)).await;
     apply(&service, config(1, ReadFreshness::Newest), group.entries());
     let mut session = open(&service).await;
     for index in 0..count {
@@ -50,6 +53,25 @@
     assert!((30..=allowed).contains(&attempts), "{attempts}");
 }
 
+#[ntex::test]
+async fn reads_declined_by_lagging_replicas_do_not_use_the_budget() {
+    // Guards against refusals while replicas lag and the primary has room.
+    let group = FakeGroup::new(&["a", "b", "c"]);
+    for replica in ["b", "c"] {
+        for _ in 0..FAULTS {
+            group.add_fault(replica, "READ", Fault::Refuse(FailureCode::Lagging));
+        }
+    }
+    let service = start_with(&group, settings(true)).await;
+    let freshness = ReadFreshness::OwnWrites { max_age: None };
+    apply(&service, config(1, freshness), group.entries());
+    let mut session = open(&service).await;
+    for index in 0..100 {
+        let response = run(&mut session, &format!("q{index}"), "READ 1").await;
+        assert_eq!(code(&response), None, "read {index}");
+    }
+}
+
 #[ntex::test]
 async fn refused_writes_are_repeated_without_ordered_waiting() {
     // Guards against a budget where the settings do not ask for one.
