Let a starting reader read the store without asking the others first

An instance that starts and finds itself among the first four of its zone asked the instances before it, with up to 600 ms for each that is gone, before it read the store.

Tests of relay, starting_fleet and update_tree pass.

--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -63,7 +63,11 @@
     let mut hold = START_HOLD;
     loop {
         let started = service.clock.now();
-        let result = receive_update(&service, &*store, &mut reads, hold).await;
+        let result = if reads.starts_as_reader(&service) {
+            UpdateResult::NoReply
+        } else {
+            receive_update(&service, &*store, &mut reads, hold).await
+        };
         let is_updated = result == UpdateResult::Recent;
         let now = service.clock.now();
         if !is_updated && reads.may_read(&service, result, now) {
@@ -135,6 +139,13 @@
         self.failure_delay.is_some()
     }
 
+    /// Returns whether this instance starts as a reader of its zone. It reads the store without
+    /// asking the other readers first: they may be gone, and each of them would cost a timeout.
+    fn starts_as_reader(&self, service: &SessionService) -> bool {
+        let has_snapshot = service.store_view.snapshot().is_some();
+        !has_snapshot && !self.is_failing() && service.update_tree().is_reader()
+    }
+
     /// Returns whether this instance reads the store, after it received no recent update.
     fn may_read(&self, service: &SessionService, result: UpdateResult, now: MonotonicTime) -> bool {
         let tree = service.update_tree();
