--- a/crates/coriander_memory/src/memory_limits.rs
+++ b/crates/coriander_memory/src/memory_limits.rs
@@ -71,6 +71,11 @@
 }
 
 impl MemoryLimits {
+    /// Returns the bytes of a share.
+    pub const fn share(&self, share: MemoryShare) -> usize {
+        self.share_bytes[share.index()]
+    }
+
     /// Derives the limits. A quarter of the memory is for clients: the rest holds the program, the
     /// configuration and what is counted for no one, such as 4 KiB of input per connection.
     pub fn new(machine: &MachineLimits) -> Self {
--- a/crates/coriander_usage/src/usage_policy.rs
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -81,6 +81,11 @@
         self.report_delay.mul_f64(fraction).max(COLLECT_TIME)
     }
 
+    /// Returns whether a report can have all counts by the time at which it is due.
+    pub fn can_be_punctual(&self) -> bool {
+        self.report_delay >= COLLECT_TIME
+    }
+
     /// Returns the time by which the report of a window is due at the platform.
     pub fn due_at(&self, window: u64) -> Duration {
         self.end_of(window) + self.report_delay
--- a/crates/corianderstile/src/caller/body_reader.rs
+++ b/crates/corianderstile/src/caller/body_reader.rs
@@ -19,7 +19,7 @@
 /// Memory of a request per byte of its body: the body, its copy for the gateway, the decoded
 /// statements, the body for the member and the buffer of its connection, or the frame for another
 /// instance.
-const COPIES: usize = 6;
+pub const BODY_COPIES: usize = 6;
 
 /// Time for which reading stops for lack of memory: longer than the time after which a half-sent
 /// body gives way, so that a wait ends with memory when the others have stopped.
@@ -115,7 +115,7 @@
             // A permit for the longest body: holders that wait for each other would block.
             (self.limit, MemoryShare::Large)
         };
-        let acquired = self.gate.acquire(share, granted * COPIES, MEMORY_WAIT);
+        let acquired = self.gate.acquire(share, granted * BODY_COPIES, MEMORY_WAIT);
         let Some(permit) = acquired.await else {
             return false;
         };
--- a/crates/corianderstile/src/caller/mod.rs
+++ b/crates/corianderstile/src/caller/mod.rs
@@ -11,6 +11,7 @@
 mod statement_count;
 
 pub use answer_budget::AnswerBudget;
+pub use body_reader::BODY_COPIES;
 pub use caller_connections::{CallerConnections, MAX_ADMIN_CONNECTIONS};
 pub use caller_request::{CallerEndpoint, CallerRequest};
 pub use cursor_body::{cursor_lines, cursor_to_pipeline};
--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -29,7 +29,7 @@
 use crate::settings::RequestBounds;
 
 /// Maximum duration of a request, including a change of primary (9 s).
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Delay before a request is sent to the gateways again.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
--- a/crates/corianderstile/src/lib.rs
+++ b/crates/corianderstile/src/lib.rs
@@ -29,6 +29,7 @@
 mod server;
 mod session_server;
 mod settings;
+mod settings_conflicts;
 mod settings_reader;
 
 pub use caller::count_statements;
@@ -36,3 +37,4 @@
 pub use server::run_server;
 pub use session_server::{SessionSettings, run_session_server};
 pub use settings::{InstanceSettings, InvalidSetting, SettingProblem, SettingsError};
+pub use settings_conflicts::SettingConflict;
--- a/crates/corianderstile/src/main.rs
+++ b/crates/corianderstile/src/main.rs
@@ -7,7 +7,8 @@
 use argh::FromArgs;
 use coriander_journal::start_journal;
 use corianderstile::{
-    InstanceSettings, SessionSettings, SettingsError, run_server, run_session_server,
+    InstanceSettings, SessionSettings, SettingConflict, SettingsError, run_server,
+    run_session_server,
 };
 use platform_adapter::SETTINGS_VARIABLE;
 
@@ -49,9 +50,12 @@
             return Ok(ExitCode::from(EXIT_SETTINGS));
         }
     };
+    let conflicts = settings.conflicts();
     if arguments.check {
-        println!("{}: settings are valid", path.display());
-        return Ok(ExitCode::SUCCESS);
+        return Ok(print_check(&path, &conflicts));
+    }
+    for conflict in &conflicts {
+        log::warn!("settings: {conflict}");
     }
     let result = match settings {
         ProcessSettings::Hrana(settings) => run_server(*settings).await,
@@ -67,6 +71,18 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Prints the result of `--check` for settings that are valid each.
+fn print_check(path: &Path, conflicts: &[SettingConflict]) -> ExitCode {
+    if conflicts.is_empty() {
+        println!("{}: settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    for conflict in conflicts {
+        eprintln!("{}: {conflict}", path.display());
+    }
+    ExitCode::from(EXIT_SETTINGS)
+}
+
 fn settings_path(option: Option<PathBuf>) -> Option<PathBuf> {
     option.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
 }
@@ -78,6 +94,14 @@
 }
 
 impl ProcessSettings {
+    /// Returns the limits that contradict each other. A process starts with them nevertheless.
+    fn conflicts(&self) -> Vec<SettingConflict> {
+        match self {
+            Self::Hrana(settings) => settings.conflicts(),
+            Self::Sessions(settings) => settings.conflicts(),
+        }
+    }
+
     fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
             file: path.to_owned(),
--- a/crates/corianderstile/tests/settings.rs
+++ b/crates/corianderstile/tests/settings.rs
@@ -120,3 +120,32 @@
     let rejected = vec![("machine.memory_mb".to_owned(), SettingProblem::Invalid)];
     assert_eq!(problems(&text), rejected);
 }
+
+/// Guards against limits that are valid each and together cannot hold or have no effect.
+#[test]
+fn conflicts_names_limits_that_contradict_each_other() {
+    let conflicts = |sections: &str| {
+        let settings = parse(&format!("{VALID}\n{sections}")).expect("valid settings");
+        let texts: Vec<_> = settings
+            .conflicts()
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        texts.join("\n")
+    };
+    assert_eq!(conflicts(""), "");
+    insta::assert_snapshot!(
+        conflicts("[bounds]\nbody_bytes = 3145728\n[machine]\nmemory_mb = 64\n"),
+        @r"
+    [machine] descriptors and [machine] memory_mb: as many connections hold 173 MiB, and 32 MiB are for them
+    [bounds] body_bytes and [machine] memory_mb: one body holds 18874368 bytes, and 8388608 are for all of them
+    "
+    );
+    insta::assert_snapshot!(
+        conflicts("[bounds]\nupstream_timeout_ms = 20000\nslots_per_member = 30\n"),
+        @r"
+    [bounds] upstream_timeout_ms and the time limit of a request: a request ends after 10s, before the wait for a member
+    [bounds] slots_per_member and [bounds] connections_per_database: 30 statements at a time need more than 20 connections
+    "
+    );
+}
--- a/crates/corianderstile/tests/usage_settings.rs
+++ b/crates/corianderstile/tests/usage_settings.rs
@@ -63,3 +63,26 @@
         );
     }
 }
+
+/// Guards against reports that are late by the settings alone, and connections that do not fit.
+#[test]
+fn conflicts_names_limits_of_sessions() {
+    let conflicts = |sections: &str| {
+        let settings = parse(&format!("{SETTINGS}{sections}"));
+        let texts: Vec<_> = settings
+            .conflicts()
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        texts.join("\n")
+    };
+    let late = "[usage]\nreport_delay_ms = 1000\n";
+    assert_eq!(conflicts(late), "", "without the duty nothing is reported");
+    insta::assert_snapshot!(
+        conflicts(&format!("{late}[features]\nduties = usage\n[machine]\ndescriptors = 100000\n")),
+        @r"
+    [machine] descriptors and [machine] memory_mb: as many connections hold 767 MiB, and 256 MiB are for them
+    [usage] report_delay_ms and [features] duties: the counts of a window arrive after its report is due
+    "
+    );
+}
