Replace connections whose key has not been accepted

Cause: a connection of the Hrana front counted as used with its first request, whatever its key. Connections that repeat a request with an unknown key could not be replaced, and kept other callers out.

Change: it can be replaced until a key has been accepted.

--- a/crates/corianderstile/src/caller/caller_connections.rs
+++ b/crates/corianderstile/src/caller/caller_connections.rs
@@ -74,9 +74,9 @@
 pub struct ConnectionUse(Rc<ConnectionGuard>);
 
 impl ConnectionUse {
-    /// Starts a request.
+    /// Starts a request. Until a key has been accepted, the connection can be replaced nevertheless:
+    /// requests with unknown keys would otherwise keep other callers out.
     pub fn begin(guard: Rc<ConnectionGuard>) -> Self {
-        guard.set_named();
         guard.set_idle(false);
         Self(guard)
     }
