Open connections ahead for the requests that run next behind the gate

Cause: a home instance with little room opened a connection only once there was room, so that handshakes and statements took turns. An idle connection whose request waited for room could also be replaced for a later request.

Change: connections are opened for as many requests beyond the room as statements may run, and one that such a request waits with is not replaced.

--- a/crates/coriander_service/src/members/ordered_waiting.rs
+++ b/crates/coriander_service/src/members/ordered_waiting.rs
@@ -79,6 +79,12 @@
         gate.map_or(usize::MAX, |gate| gate.room(now))
     }
 
+    /// Returns how many statements may run at a time.
+    fn places(&self) -> usize {
+        let gate = self.gate.as_ref();
+        gate.map_or(usize::MAX, StatementGate::places)
+    }
+
     /// Records that an operation of an account uses a connection.
     fn begin_use(&mut self, connection: &mut PooledConnection, now: MonotonicTime) {
         let account = connection.account.clone();
@@ -325,26 +331,33 @@
         let mut positions: HashMap<Arc<str>, u32> = HashMap::new();
         let mut accounts = Vec::new();
         let mut room = ordered.room(now);
-        let mut without_connection = 0;
+        // Connections are opened ahead for as many requests as run next, and for no others.
+        let ahead = ordered.places();
+        let mut prepared = 0;
+        let mut kept: HashMap<Arc<str>, usize> = HashMap::new();
         for ticket in ordered.queue.in_order(now) {
-            if room == 0 {
+            if room == 0 && prepared >= ahead {
                 break;
             }
             let Some(request) = ordered.queue.get(ticket) else {
                 continue;
             };
             let account = request.account.clone();
-            if let Some(connection) = self.remove_idle(state, &account, now) {
+            if room > 0
+                && let Some(connection) = self.remove_idle(state, &account, now)
+            {
                 if Self::hand_over(state, ordered, ticket, connection, now) {
                     room -= 1;
                 }
                 continue;
             }
-            // No connection is opened for a request that may not use it yet.
-            if without_connection >= room {
+            if prepared >= ahead.saturating_add(room) {
+                continue;
+            }
+            prepared += 1;
+            if room == 0 && keep_idle(state, &mut kept, &account) {
                 continue;
             }
-            without_connection += 1;
             if let Some(count) = expected.get_mut(&account)
                 && *count > 0
             {
@@ -359,7 +372,7 @@
                 continue;
             }
             let is_impatient = waited >= caller.patience;
-            if self.reserve_ordered(state, ordered, is_impatient, now) {
+            if self.reserve_ordered(state, ordered, &kept, is_impatient, now) {
                 ordered.opening.push(account.clone());
                 accounts.push(account);
             }
@@ -416,6 +429,7 @@
         &self,
         state: &mut PoolState,
         ordered: &OrderedWaiting,
+        kept: &HashMap<Arc<str>, usize>,
         is_impatient: bool,
         now: MonotonicTime,
     ) -> bool {
@@ -427,7 +441,8 @@
                 return false;
             }
             let is_replaceable = |idle: &PooledConnection| {
-                is_impatient || now.since(idle.last_used) >= MIN_REPLACE_IDLE
+                let is_kept = kept.contains_key(&idle.account);
+                !is_kept && (is_impatient || now.since(idle.last_used) >= MIN_REPLACE_IDLE)
             };
             let Some(index) = state.idle.iter().position(is_replaceable) else {
                 return false;
@@ -441,6 +456,18 @@
     }
 }
 
+/// Keeps an idle connection for a request of an account that waits for room. Returns whether there
+/// is one.
+fn keep_idle(state: &PoolState, kept: &mut HashMap<Arc<str>, usize>, account: &Arc<str>) -> bool {
+    let idle = state.idle.iter().filter(|idle| idle.account == *account);
+    let count = kept.get(account).copied().unwrap_or(0);
+    let is_kept = count < idle.count();
+    if is_kept {
+        kept.insert(account.clone(), count + 1);
+    }
+    is_kept
+}
+
 /// A request in the queue. When dropped, it leaves the queue, and a connection that was handed over
 /// to it returns to the pool.
 struct PendingHandOver<'a> {
--- a/crates/coriander_service/tests/member_gate.rs
+++ b/crates/coriander_service/tests/member_gate.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant};
 
 use coriander_service::{RelayServer, ServiceSettings, SessionService, ShutdownTask};
-use coriander_service_api::{ReadFreshness, ServiceFeatures};
+use coriander_service_api::{ClientAccount, ReadFreshness, ServiceFeatures, SessionHost};
 
 use support::fake_store::FakeStore;
-use support::{FakeGroup, GROUP, apply, config, open, run, start_with};
+use support::{DATABASE, FakeGroup, GROUP, apply, config, open, run, start_with};
 
 /// Time of a statement far above what the limit of a group with a target of 150 ms allows.
 const SLOW: Duration = Duration::from_millis(100);
@@ -28,6 +28,14 @@
     let mut config = config(1, ReadFreshness::Newest);
     let limits = config.groups.get_mut(GROUP).expect("group is configured");
     limits.connections_per_member = 56;
+    for name in ["second", "third"] {
+        let account = ClientAccount {
+            name: name.into(),
+            rate: None,
+            burst: 0.0,
+        };
+        config.keys.insert(name.into(), account.into());
+    }
     apply(&service, config, group.entries());
     service
 }
@@ -81,6 +89,40 @@
     assert!(metrics.contains("member_statements{"), "{metrics}");
 }
 
+#[ntex::test]
+async fn connection_of_the_next_request_is_opened_while_it_waits_for_room() {
+    // Guards against handshakes and statements by turns at a member that takes one statement, and
+    // against connections for all that wait.
+    let group = FakeGroup::new(&["a"]);
+    let service = start_gated(&group, true).await;
+    let mut session = open(&service).await;
+    for index in 0..10 {
+        run(&mut session, &format!("w{index}"), "READ 1").await;
+    }
+    group.member("a").statement_time.set(SLOW / 2);
+    for index in 0..20 {
+        run(&mut session, &format!("s{index}"), "READ 1").await;
+    }
+    group.member("a").statement_time.set(SLOW);
+    assert_eq!(gate_counts(&service).1, 1);
+    let open_count = || service.groups()[0].members()[0].pool.open_count();
+    let before = open_count();
+    let mut reads = spawn_reads(&service, 1);
+    for key in ["second", "third"] {
+        let session = service.open(DATABASE, key).await;
+        let mut session = session.unwrap_or_else(|failure| panic!("{}", failure.message()));
+        reads.push(ntex::rt::spawn(async move {
+            let _ = run(&mut session, "q", "READ 1").await;
+        }));
+    }
+    tokio::time::sleep(SLOW / 2).await;
+    assert_eq!(gate_counts(&service).0, 1);
+    assert_eq!(open_count(), before + 1);
+    for read in reads {
+        read.await.expect("not cancelled");
+    }
+}
+
 #[ntex::test]
 async fn transaction_goes_on_while_others_wait_for_room() {
     // Guards against a transaction that keeps its locks while it waits behind new work.
@@ -140,7 +182,10 @@
     let mut transaction = open(&service).await;
     run(&mut transaction, "b", "BEGIN").await;
     run(&mut transaction, "w", "WRITE 1 x").await;
-    group.member("a").statement_time.set(Duration::from_millis(30));
+    group
+        .member("a")
+        .statement_time
+        .set(Duration::from_millis(30));
     let mut reads = Vec::new();
     for _ in 0..12 {
         let mut session = open(&service).await;
