--- a/crates/coriander_service/tests/capacity_relay.rs
+++ b/crates/coriander_service/tests/capacity_relay.rs
@@ -196,3 +196,45 @@
     // The first read brings the report.
     assert!(before - faults() <= 1, "{} reads failed", before - faults());
 }
+
+#[ntex::test]
+async fn home_instance_of_a_replica_learns_the_position_from_its_callers() {
+    // Guards against a zone in which each instance sends its first read to a primary elsewhere,
+    // because only that one's home instance confirms positions.
+    let group = FakeGroup::new(&["a", "b"]);
+    let mut members = group.entries();
+    members[1].zone = "ain-sebaa".into();
+    let mut started = vec![start_instance("at-primary", "berrechid", &group).await];
+    for name in ["one", "two", "three"] {
+        started.push(start_instance(name, "ain-sebaa", &group).await);
+    }
+    let max_age = Duration::from_millis(1_500);
+    let mut snapshot = snapshot(config(1, ReadFreshness::Bounded { max_age }), members);
+    snapshot.instances = started.iter().map(|(_, entry)| entry.clone()).collect();
+    let secret: Arc<[u8]> = Arc::from([7; 32].as_slice());
+    snapshot.fleet_secret = Some(secret);
+    for (service, _) in &started {
+        service.apply_snapshot(&snapshot, BootClock.now());
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let is_caller = |service: &Rc<SessionService>| {
+        let replica = service.find_member(support::GROUP, "b");
+        let replica = replica.expect("it is listed");
+        service.home_instance(&replica, support::ACCOUNT).is_some()
+    };
+    let services = started[1..].iter().map(|(service, _)| service);
+    let callers: Vec<_> = services.filter(|service| is_caller(service)).collect();
+    let [first, second] = callers.as_slice() else {
+        panic!("one of three is the home instance");
+    };
+    let mut session = open(first).await;
+    run(&mut session, "w", "WRITE 1 x").await;
+    group.member("b").applied_index.set(11);
+    run(&mut session, "q1", "READ 1").await;
+    assert_eq!(last_member(&group), "b");
+    let mut session = open(second).await;
+    run(&mut session, "q2", "READ 1").await;
+    assert_eq!(last_member(&group), "b");
+    let metrics = second.encode_metrics();
+    assert!(metrics.contains("target=\"replica_by_age\""), "{metrics}");
+}
