Find limits of a configuration with which nothing can run

Change: three findings, as errors. An account takes whole tokens, so a burst below 1 never has one.

Still missing: the rates of all accounts against what members can take, because a configuration names neither the number of members nor the time of a statement.

--- a/crates/coriander_config_check/src/config_check.rs
+++ b/crates/coriander_config_check/src/config_check.rs
@@ -32,6 +32,10 @@
     for account in config.accounts.values() {
         check_account(account, with_keys.contains(&account.name), &mut findings);
     }
+    if config.idle_transaction_timeout == Some(Duration::ZERO) {
+        let problem = ConfigProblem::NoIdleTime;
+        findings.push(ConfigFinding::new("limits", "transactions", problem));
+    }
     // Entries come from hash maps, whose order differs from run to run.
     findings.sort_by(|a, b| (a.severity, &a.entry).cmp(&(b.severity, &b.entry)));
     findings
@@ -42,7 +46,9 @@
     if !config.groups.contains_key(&route.group) {
         add(ConfigProblem::MissingGroup(route.group.clone()));
     }
-    if route.latency_target > route.statement_timeout {
+    if route.statement_timeout.is_zero() {
+        add(ConfigProblem::NoTime);
+    } else if route.latency_target > route.statement_timeout {
         add(ConfigProblem::TargetAboveTimeout {
             target: route.latency_target,
             timeout: route.statement_timeout,
@@ -86,6 +92,8 @@
     let burst = account.burst;
     if rate <= 0.0 {
         add(ConfigProblem::NoRate);
+    } else if burst < 1.0 {
+        add(ConfigProblem::BurstBelowOne(burst));
     } else if burst < rate {
         add(ConfigProblem::BurstBelowRate { burst, rate });
     }
--- a/crates/coriander_config_check/tests/check_config.rs
+++ b/crates/coriander_config_check/tests/check_config.rs
@@ -142,6 +142,25 @@
     assert_eq!(problems(&config_with(0.0, 5.0)), [ConfigProblem::NoRate]);
 }
 
+/// Guards against limits with which nothing can run although each looks like a number.
+#[test]
+fn check_config_finds_limits_with_which_nothing_runs() {
+    let route = DatabaseRoute {
+        statement_timeout: Duration::ZERO,
+        ..route()
+    };
+    let mut config = config(route, group(), account(0.2, 0.5), &["j8pjbvk9"]);
+    config.idle_transaction_timeout = Some(Duration::ZERO);
+    insta::assert_snapshot!(CheckReport::new(&config, Vec::new(), None), @r#"
+    version 7: 3 findings
+    error: account "harbour": account may run nothing: its burst 0.5 is below 1
+    error: limits "transactions": open transactions end at once: idle timeout of 0
+    error: route "orders": statements have a timeout of 0
+    "#);
+    config.idle_transaction_timeout = None;
+    assert_eq!(problems(&config).len(), 2);
+}
+
 /// Guards against a maximum age that sends all reads to the primary unnoticed.
 #[test]
 fn check_config_finds_an_age_that_no_replica_meets() {
--- a/crates/coriander_service_api/src/config_finding.rs
+++ b/crates/coriander_service_api/src/config_finding.rs
@@ -34,6 +34,12 @@
     NoConnections,
     /// The account may run nothing.
     NoRate,
+    /// The account never has a whole operation left, so it may run nothing.
+    BurstBelowOne(f64),
+    /// Statements of the route have no time, so each ends at its timeout.
+    NoTime,
+    /// Each open transaction is idle for too long at once.
+    NoIdleTime,
     /// No route names the group.
     UnusedGroup,
     /// The account has no key, so nobody can use it.
@@ -74,7 +80,10 @@
             | Self::TimeOutOfRange(_)
             | Self::MissingGroup(_)
             | Self::NoConnections
-            | Self::NoRate => FindingSeverity::Error,
+            | Self::NoRate
+            | Self::BurstBelowOne(_)
+            | Self::NoTime
+            | Self::NoIdleTime => FindingSeverity::Error,
             Self::UnusedGroup
             | Self::NoKey
             | Self::NoCaller
@@ -95,6 +104,11 @@
             Self::MissingGroup(group) => write!(f, "group {group:?} has no entry"),
             Self::NoConnections => write!(f, "members accept no connection"),
             Self::NoRate => write!(f, "account may run nothing: its rate is not above 0"),
+            Self::BurstBelowOne(burst) => {
+                write!(f, "account may run nothing: its burst {burst} is below 1")
+            }
+            Self::NoTime => write!(f, "statements have a timeout of 0"),
+            Self::NoIdleTime => write!(f, "open transactions end at once: idle timeout of 0"),
             Self::UnusedGroup => write!(f, "no route names the group"),
             Self::NoKey => write!(f, "account has no key"),
             Self::NoCaller => write!(f, "route needs a key, but no account has one"),
