--- a/crates/coriander_capacity/src/gate_limit.rs
+++ b/crates/coriander_capacity/src/gate_limit.rs
@@ -88,6 +88,9 @@
                 };
                 self.record_latency(sample.class, secs, in_flight);
             }
+            // One that was given up within the bound says nothing, and it must not make the limit of
+            // a silent member grow.
+            SampleOutcome::Unanswered if secs <= self.bound_secs(sample.class) => {}
             SampleOutcome::Unanswered => self.record_latency(sample.class, secs, in_flight),
             SampleOutcome::Rejected => self.limit.record_rejection(in_flight, now),
             // A statement that fails says nothing about the room.
--- a/crates/coriander_capacity/tests/gate_limit.rs
+++ b/crates/coriander_capacity/tests/gate_limit.rs
@@ -70,3 +70,22 @@
     record(&mut limit, 5, SampleOutcome::Rejected, 1, 4);
     assert!(limit.limit() < 2.0, "{}", limit.limit());
 }
+
+#[test]
+fn limit_does_not_grow_with_statements_that_were_given_up() {
+    // Guards against a silent member that gets more and more statements, because callers with long
+    // targets let many be given up within the latency up to which the limit grows.
+    for (target, given_up_after) in [(300, 60), (500, 100), (1_000, 60), (1_000, 240)] {
+        let mut limit = limit_with_target(target);
+        record(&mut limit, 20, SampleOutcome::Served, 12, 4);
+        let before = limit.limit();
+        record(
+            &mut limit,
+            200,
+            SampleOutcome::Unanswered,
+            given_up_after,
+            30,
+        );
+        assert!(limit.limit() <= before, "{target} ms: {}", limit.limit());
+    }
+}
--- a/crates/coriander_queue/src/statement_gate.rs
+++ b/crates/coriander_queue/src/statement_gate.rs
@@ -80,10 +80,11 @@
     pub fn set_limit(&mut self, limit: f64, now: MonotonicTime) {
         let elapsed = now.since(self.limit_set_at).as_secs_f64();
         self.limit_set_at = now;
-        self.limit = limit;
+        // Until now the former limit was in force, so a quiet time brings the expected one to that.
         let kept = (-elapsed / EXPECTED_LIMIT_WINDOW.as_secs_f64()).exp();
-        let fallen = limit + (self.expected_limit - limit) * kept;
-        self.expected_limit = limit.max(fallen);
+        let expected = self.limit + (self.expected_limit - self.limit) * kept;
+        self.expected_limit = limit.max(expected);
+        self.limit = limit;
     }
 
     /// Returns how many statements are expected to run at a time. A limit that has just fallen grows
--- a/crates/coriander_queue/tests/member_gate.rs
+++ b/crates/coriander_queue/tests/member_gate.rs
@@ -228,3 +228,16 @@
     };
     assert_eq!(few.limited_by(&gate, now), few);
 }
+
+#[test]
+fn expected_places_follow_a_fall_slowly_also_after_a_quiet_time() {
+    // Guards against requests that are refused because the first slow statement after a pause makes
+    // the limit fall, although it grows again within a second.
+    let mut gate = StatementGate::new(4.0);
+    gate.set_limit(2.0, MonotonicTime::from_millis(10_000));
+    assert_eq!(gate.expected_places(), 4);
+    gate.set_limit(2.0, MonotonicTime::from_millis(10_500));
+    assert_eq!(gate.expected_places(), 3);
+    gate.set_limit(2.0, MonotonicTime::from_millis(14_000));
+    assert_eq!(gate.expected_places(), 2);
+}
--- a/crates/coriander_service/src/members/held_connection.rs
+++ b/crates/coriander_service/src/members/held_connection.rs
@@ -47,6 +47,11 @@
         let result = member.pool.acquire(&request).await;
         drop(waiting);
         match result {
+            // The member may have started to leave during the wait.
+            Ok(connection) if !member.may_start(plan.needs_primary(), BootClock.now()) => {
+                member.pool.return_unused(connection);
+                Err(PoolError::MemberLeaving)
+            }
             Ok(mut connection) => Ok(Self {
                 permit: StatementPermit::take(&member.pool, &mut connection),
                 member: member.clone(),
--- a/crates/coriander_service/src/usage/usage_meter.rs
+++ b/crates/coriander_service/src/usage/usage_meter.rs
@@ -148,6 +148,13 @@
         }
     }
 
+    /// Returns whether counts are sent to an instance now. A confirmation of a former collector must
+    /// not stand for one of its successor.
+    fn is_collector(&self, sender: SocketAddr) -> bool {
+        let collectors = self.collectors.borrow();
+        collectors.iter().any(|(address, _)| *address == sender)
+    }
+
     /// Confirms the counts of a window that this instance has sent to itself as a collector.
     fn confirm_own(&self, window: u64) {
         let collector = self.collector.borrow();
@@ -221,13 +228,13 @@
             UsageMessage::Counts(counts, wall_time) => {
                 let mut clock = self.clock.borrow_mut();
                 clock.record_peer(counts.process, *wall_time, now);
-                if counts.is_closed {
-                    let collector = self.collector.borrow();
-                    let received = collector.received(counts.process, &counts.zone, counts.window);
+                let collector = self.collector.borrow();
+                let received = collector.received(counts.process, &counts.zone, counts.window);
+                if let Some(operations) = received.filter(|_| counts.is_closed) {
                     let reply = UsageMessage::Received {
                         collector: self.process,
                         window: counts.window,
-                        operations: received.unwrap_or(0),
+                        operations,
                         wall_time: clock.wall_time(now),
                     };
                     service.peers.send(sender, &PeerMessage::Usage(reply));
@@ -239,8 +246,10 @@
                 operations,
                 wall_time,
             } => {
-                let mut counter = self.counter.borrow_mut();
-                counter.confirm(*window, *collector, *operations);
+                if self.is_collector(sender) {
+                    let mut counter = self.counter.borrow_mut();
+                    counter.confirm(*window, *collector, *operations);
+                }
                 let mut clock = self.clock.borrow_mut();
                 clock.record_peer(*collector, *wall_time, now);
             }
--- a/crates/coriander_service/tests/shutdown.rs
+++ b/crates/coriander_service/tests/shutdown.rs
@@ -104,6 +104,8 @@
         refused_after >= SHUTDOWN_TIMEOUT / 2,
         "the first half is for the client"
     );
+    // Refused from the phase that begins then, not only shortly before the exit.
+    assert_eq!(stopping.service.phase(), ServicePhase::Finishing);
     let ran = stopping.group.ran_texts().len();
     let failure = failure(&response);
     assert_eq!(failure.code, FailureCode::Aborted);
@@ -189,6 +191,7 @@
     let (_, _exit) = stopping.stop();
     let lifecycle = &stopping.service.lifecycle;
     lifecycle.wait_for_phase(ServicePhase::Finishing).await;
+    assert_eq!(lifecycle.phase(), ServicePhase::Finishing);
     for text in ["READ 1", "WRITE 1 x", "BEGIN"] {
         let response = run(&mut session, "q", text).await;
         assert_eq!(failure(&response).code, FailureCode::Busy, "{text}");
