--- a/crates/coriander_limits/examples/fleet_changes.rs
+++ b/crates/coriander_limits/examples/fleet_changes.rs
@@ -13,7 +13,7 @@
 
 fn names(range: std::ops::Range<usize>) -> Vec<Arc<str>> {
     range
-        .map(|number| format!("frontend-midlands-a-{number}").into())
+        .map(|number| format!("instance-{number}").into())
         .collect()
 }
 
