Count the age of a relayed position from when it was sent

The home instance took a confirmed position for younger than it is. The client computed the deadline of a request only after the connection was open, and the server measured the remaining time on arrival and applied it when the handler ran, so that a slow connect or a stall between both shortened the age.

The caller now passes an absolute deadline (`call_until`) that counts from the time at which the age was read, the connection converts just this deadline, and the handler gets it as an absolute time. A request whose deadline has passed before the connection is open is not sent (`PeerError::Expired`) and does not mark the instance as down.

--- a/crates/coriander_peer/src/peer_client.rs
+++ b/crates/coriander_peer/src/peer_client.rs
@@ -6,11 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coriander_core::MonotonicTime;
 use coriander_wire::FrameCodec;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 
+use crate::boot_clock::BootClock;
 use crate::peer_connection::{PeerConnection, PeerError};
 
 /// Timeout of opening a connection; well above the network delay between zones.
@@ -41,9 +43,21 @@
         address: SocketAddr,
         request: Q,
         timeout: Duration,
+    ) -> Result<R, PeerError> {
+        let deadline = BootClock.now() + timeout;
+        self.call_until(address, request, deadline).await
+    }
+
+    /// Sends a request to the instance at `address` and waits for the reply until `deadline`, which
+    /// is on the clock of [`BootClock`]. Opening a connection is part of that time.
+    pub async fn call_until(
+        &self,
+        address: SocketAddr,
+        request: Q,
+        deadline: MonotonicTime,
     ) -> Result<R, PeerError> {
         let connection = self.get_or_connect(address).await?;
-        let result = connection.call(request, timeout).await;
+        let result = connection.call(request, deadline).await;
         if !connection.is_open() {
             self.connections.borrow_mut().remove(&address);
         }
--- a/crates/coriander_peer/src/peer_connection.rs
+++ b/crates/coriander_peer/src/peer_connection.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coriander_core::MonotonicTime;
 use coriander_wire::{DecodeError, EncodeError, FrameCodec, FrameStatus, wire_duration};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -56,6 +57,9 @@
     /// No connection could be opened, so nothing was sent.
     #[error("peer not reachable")]
     NotSent,
+    /// The deadline passed before the connection was open, so nothing was sent.
+    #[error("deadline passed before the request was sent")]
+    Expired,
     /// The connection was lost or the request timed out after it was sent.
     #[error("no reply from peer")]
     NoReply,
@@ -137,16 +141,19 @@
         self.is_closed.send_replace(true);
     }
 
-    /// Sends a request and waits for its reply.
+    /// Sends a request and waits for its reply until `deadline`.
     ///
-    /// A reply that arrives after the timeout is dropped. It cannot complete another request,
+    /// A reply that arrives after the deadline is dropped. It cannot complete another request,
     /// because request numbers are not reused.
-    pub async fn call(&self, request: Q, timeout: Duration) -> Result<R, PeerError> {
+    pub async fn call(&self, request: Q, deadline: MonotonicTime) -> Result<R, PeerError> {
+        if BootClock.now() >= deadline {
+            return Err(PeerError::Expired);
+        }
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let frame = self.codec.encode(&PeerFrame::<Q, R>::Request {
             number: id,
-            deadline: self.peer_time.at(BootClock.now()).saturating_add(timeout),
+            deadline: self.peer_time.at(deadline),
             body: Box::new(request),
         })?;
         let (sender, receiver) = oneshot::channel();
@@ -158,7 +165,8 @@
             self.remove_waiter(id);
             return Err(PeerError::NotSent);
         }
-        let reply = tokio::time::timeout(timeout, receiver).await;
+        let remaining = deadline.since(BootClock.now());
+        let reply = tokio::time::timeout(remaining, receiver).await;
         self.remove_waiter(id);
         match reply {
             Ok(Ok(reply)) => Ok(reply),
--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use coriander_core::MonotonicTime;
 use coriander_wire::FrameCodec;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -32,8 +33,9 @@
 #[async_trait(?Send)]
 pub trait PeerService<Q, R> {
     /// Handles one request that arrived on a connection. Its sender waits for the reply no longer
-    /// than `remaining`.
-    async fn handle(&self, connection: ConnectionId, request: Q, remaining: Duration) -> R;
+    /// than until `deadline`, a lower bound of the time at which it stops waiting. It is absolute, so
+    /// that a delay before the request is handled does not move it.
+    async fn handle(&self, connection: ConnectionId, request: Q, deadline: MonotonicTime) -> R;
 
     /// Counts a request, the address of its sender and its size on the connection.
     fn record_request(&self, _sender: IpAddr, _request: &Q, _bytes: usize) {}
@@ -133,9 +135,9 @@
             })) => {
                 service.record_request(peer, &body, reader.frame_bytes());
                 let arrived_at = BootClock.now();
-                let remaining = deadline.saturating_sub(arrived_at.since_start());
-                if remaining.is_zero() {
-                    let late = arrived_at.since_start().saturating_sub(deadline);
+                let deadline = MonotonicTime::new(deadline);
+                if arrived_at >= deadline {
+                    let late = arrived_at.since(deadline);
                     log::warn!(late:? = late; "late request of an instance not handled");
                     continue;
                 }
@@ -145,7 +147,7 @@
                 ntex::rt::spawn(async move {
                     let reply = PeerFrame::<Q, R>::Reply {
                         number,
-                        body: service.handle(id, *body, remaining).await,
+                        body: service.handle(id, *body, deadline).await,
                         sent_at: BootClock.now().since_start(),
                     };
                     let encoded = if service.shortens_replies(peer) {
--- a/crates/coriander_peer/tests/late_requests.rs
+++ b/crates/coriander_peer/tests/late_requests.rs
@@ -1,12 +1,13 @@
 //! Requests that are held up between two instances.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use coriander_peer::{ConnectionId, PeerClient, PeerError, PeerService, serve_peers};
+use coriander_core::MonotonicTime;
+use coriander_peer::{BootClock, ConnectionId, PeerClient, PeerError, PeerService, serve_peers};
 use coriander_wire::FrameCodec;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,6 +18,9 @@
 /// How long a held-up link delays what the client sends; well above [`TIMEOUT`].
 const DELAY: Duration = Duration::from_millis(400);
 
+/// How long a peer delays its first frame; below the timeout of opening a connection.
+const SLOW_CONNECT: Duration = Duration::from_millis(250);
+
 fn codec() -> FrameCodec {
     FrameCodec::new(&[7; 32])
 }
@@ -25,20 +29,33 @@
     PeerClient::new(codec())
 }
 
-/// Returns what it is asked, and keeps the requests with the time that remained.
+/// Returns what it is asked, and keeps the requests with their deadlines.
 #[derive(Default)]
 struct EchoService {
-    handled: RefCell<Vec<(u32, Duration)>>,
+    handled: RefCell<Vec<(u32, MonotonicTime)>>,
+    /// How long a task blocks the thread after a request has arrived and before it is handled.
+    stall: Cell<Duration>,
     invalid_frames: Cell<u32>,
 }
 
 #[async_trait(?Send)]
 impl PeerService<u32, u32> for EchoService {
-    async fn handle(&self, _connection: ConnectionId, request: u32, remaining: Duration) -> u32 {
-        self.handled.borrow_mut().push((request, remaining));
+    async fn handle(
+        &self,
+        _connection: ConnectionId,
+        request: u32,
+        deadline: MonotonicTime,
+    ) -> u32 {
+        self.handled.borrow_mut().push((request, deadline));
         request
     }
 
+    fn record_request(&self, _sender: IpAddr, _request: &u32, _bytes: usize) {
+        // Tasks run in the order in which they are spawned, and the handler is spawned next.
+        let stall = self.stall.get();
+        ntex::rt::spawn(async move { std::thread::sleep(stall) });
+    }
+
     fn count_invalid_frame(&self) {
         self.invalid_frames.set(self.invalid_frames.get() + 1);
     }
@@ -100,13 +117,50 @@
 }
 
 #[ntex::test]
-async fn call_passes_the_remaining_time_on() {
+async fn call_passes_the_deadline_on() {
     let (address, service) = start_service().await;
+    let sent_at = BootClock.now();
     let reply = client().call(address, 5, TIMEOUT).await;
     assert_eq!(reply.expect("handled in time"), 5);
-    let (request, remaining) = service.handled.borrow()[0];
+    let (request, deadline) = service.handled.borrow()[0];
     assert_eq!(request, 5);
-    assert!(remaining > Duration::ZERO && remaining <= TIMEOUT);
+    assert!(deadline > sent_at && deadline <= BootClock.now() + TIMEOUT);
+}
+
+#[ntex::test]
+async fn deadline_counts_from_before_the_connection_is_opened() {
+    // Guards against a deadline, and ages counted from it, that are too late by the time of the
+    // connect: the peer sends its first frame only after a while.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("bound");
+    let service = Rc::new(EchoService::default());
+    let served = service.clone();
+    ntex::rt::spawn(async move {
+        sleep(SLOW_CONNECT).await;
+        serve_peers(listener, codec(), served).await;
+    });
+    let deadline = BootClock.now() + SLOW_CONNECT * 3;
+    let reply = client().call_until(address, 1, deadline).await;
+    assert_eq!(reply.expect("handled in time"), 1);
+    assert!(service.handled.borrow()[0].1 <= deadline);
+
+    let (target, _service) = start_service().await;
+    let reply = client().call_until(target, 1, BootClock.now()).await;
+    assert!(matches!(reply, Err(PeerError::Expired)), "{reply:?}");
+}
+
+#[ntex::test]
+async fn deadline_is_not_moved_by_a_stall_before_the_handler() {
+    // Guards against a remaining time that is measured on arrival and applied later.
+    let (address, service) = start_service().await;
+    service.stall.set(TIMEOUT);
+    let deadline = BootClock.now() + TIMEOUT * 3;
+    let reply = client().call_until(address, 1, deadline).await;
+    assert_eq!(reply.expect("handled in time"), 1);
+    let handled_at = BootClock.now();
+    let (_, received) = service.handled.borrow()[0];
+    assert!(received <= deadline);
+    assert!(received.since(handled_at) <= TIMEOUT * 2);
 }
 
 #[ntex::test]
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -104,29 +104,30 @@
         self.last_stream.get()
     }
 
-    /// Executes an exchange on another instance.
+    /// Executes an exchange on another instance. The ages in the plan and its time limit count from
+    /// `sent_at`.
     pub async fn exchange(
         &self,
         address: SocketAddr,
         stream: StreamNumber,
         must_exist: bool,
         plan: ExchangePlan,
+        sent_at: MonotonicTime,
     ) -> ExchangeOutcome {
         let client = self.client.borrow().clone();
         let Some(client) = client else {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
         };
-        let started = BootClock.now();
         self.pending_requests
             .borrow_mut()
-            .insert(stream, (address, started));
-        let limit = plan.time_limit + REPLY_MARGIN;
+            .insert(stream, (address, sent_at));
+        let deadline = sent_at + (plan.time_limit + REPLY_MARGIN);
         let request = RelayRequest::Exchange {
             stream,
             must_exist,
             plan: Box::new(plan),
         };
-        let reply = client.call(address, request, limit).await;
+        let reply = client.call_until(address, request, deadline).await;
         self.pending_requests.borrow_mut().remove(&stream);
         let now = BootClock.now();
         match reply {
@@ -140,6 +141,9 @@
                 self.set_down(address, now);
                 ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable))
             }
+            Err(PeerError::Expired) => {
+                ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable))
+            }
             Err(PeerError::NoReply) => ExchangeOutcome::no_reply("no reply from the home instance"),
         }
     }
@@ -162,7 +166,7 @@
                     address:% = address, error:% = error;
                     "no update of the store received from an instance"
                 );
-                if matches!(error, PeerError::NoReply) {
+                if matches!(error, PeerError::Expired | PeerError::NoReply) {
                     // Its link or processor may be busy with updates. Only a failed ping ends the
                     // exchanges that run there.
                     self.suspects.borrow_mut().insert(address);
@@ -304,7 +308,8 @@
         must_exist: bool,
         plan: &mut ExchangePlan,
     ) -> ExchangeOutcome {
-        if BootClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
+        let is_late = plan.time_limit.is_zero();
+        if is_late || BootClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
         }
         if self.is_refused_by_phase(must_exist, plan) {
@@ -376,15 +381,15 @@
         outcome
     }
 
-    /// Applies what the sender of a plan has set aside. It counts from the arrival, whatever the
-    /// plan waits for then.
-    fn receive_reports(&self, plan: &ExchangePlan, max_way: Duration) {
+    /// Applies what the sender of a plan, sent not before `sent_at`, has set aside. It counts from
+    /// the arrival, whatever the plan waits for then.
+    fn receive_reports(&self, plan: &ExchangePlan, sent_at: MonotonicTime) {
         if plan.capacity.is_some()
             && let Some(service) = self.service.upgrade()
             && let Some(member) = service.find_member(&plan.group, &plan.member)
             && let Some(capacity) = &member.capacity
         {
-            capacity.receive(plan, max_way, BootClock.now());
+            capacity.receive(plan, sent_at, BootClock.now());
         }
     }
 
@@ -405,7 +410,7 @@
         &self,
         connection: ConnectionId,
         request: RelayRequest,
-        remaining: Duration,
+        deadline: MonotonicTime,
     ) -> RelayReply {
         match request {
             RelayRequest::Exchange {
@@ -421,9 +426,9 @@
                     return RelayReply::Outcome(Box::new(outcome));
                 }
                 // The deadline was computed with a lower bound of the time here.
-                let max_way = (plan.time_limit + REPLY_MARGIN).saturating_sub(remaining);
-                plan.limit_time(remaining);
-                self.receive_reports(&plan, max_way);
+                let sent_at = deadline.saturating_sub(plan.time_limit + REPLY_MARGIN);
+                plan.limit_time(deadline.since(BootClock.now()));
+                self.receive_reports(&plan, sent_at);
                 let outcome = self.exchange(key, must_exist, &mut plan).await;
                 RelayReply::Outcome(Box::new(outcome))
             }
--- a/crates/coriander_service/src/members/member_capacity.rs
+++ b/crates/coriander_service/src/members/member_capacity.rs
@@ -130,13 +130,12 @@
     }
 
     /// Applies what the instance that asks for a plan has set aside and the position that it knows,
-    /// when its request is received, at most `max_way` after it was sent.
-    pub fn receive(&self, plan: &ExchangePlan, max_way: Duration, now: MonotonicTime) {
+    /// when its request, sent not before `sent_at`, is received.
+    pub fn receive(&self, plan: &ExchangePlan, sent_at: MonotonicTime, now: MonotonicTime) {
         if let Some(notice) = &plan.capacity {
             let mut board = self.shared.board.borrow_mut();
             board.apply_reports(notice, now, now);
             if let Some(confirmed) = notice.position {
-                let sent_at = now.saturating_sub(max_way);
                 self.record_confirmed(confirmed, sent_at);
             }
         }
--- a/crates/coriander_service/src/sessions/operation_link.rs
+++ b/crates/coriander_service/src/sessions/operation_link.rs
@@ -146,7 +146,9 @@
         let capacity = self.member.capacity.as_ref();
         let mut compact = plan.compact(must_exist);
         compact.capacity = capacity.and_then(|capacity| capacity.notice(plan, sent_at));
-        let outcome = relay.exchange(address, stream, must_exist, compact).await;
+        let outcome = relay
+            .exchange(address, stream, must_exist, compact, sent_at)
+            .await;
         drop(outstanding);
         let now = BootClock.now();
         if let Some(capacity) = &self.member.capacity {
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use coriander_core::MonotonicTime;
 use coriander_peer::{ConnectionId, PeerService, serve_peers};
 use coriander_service::{
     BootClock, KnownSnapshot, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer,
@@ -74,7 +75,7 @@
 
 #[async_trait(?Send)]
 impl PeerService<RelayRequest, RelayReply> for SilentService {
-    async fn handle(&self, _: ConnectionId, _: RelayRequest, _: Duration) -> RelayReply {
+    async fn handle(&self, _: ConnectionId, _: RelayRequest, _: MonotonicTime) -> RelayReply {
         std::future::pending().await
     }
 
--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -361,7 +361,7 @@
                 ErrorCode::Internal,
                 "unexpected reply of a peer",
             )),
-            Err(PeerError::NotSent | PeerError::Encode(_)) => {
+            Err(PeerError::NotSent | PeerError::Expired | PeerError::Encode(_)) => {
                 Err(self.gateway_lost_error(checked, gateway_left()))
             }
             Err(PeerError::NoReply) => {
--- a/crates/corianderstile/src/proxy.rs
+++ b/crates/corianderstile/src/proxy.rs
@@ -11,9 +11,10 @@
 use coriander_consul::{
     InstanceRegistration, MemberState, ModifyIndex, PlatformError, PlatformStore,
 };
-use coriander_core::{DatabaseName, FleetMember, InstanceId};
+use coriander_core::{DatabaseName, FleetMember, InstanceId, MonotonicTime};
 use coriander_membership::{OwnStatus, WorkAdmission};
 use coriander_memory::MemoryLimits;
+use coriander_peer::BootClock;
 use coriander_tokens::SecretKeys;
 use coriander_wire::{DatagramCodec, FrameCodec};
 use platform_adapter::MemoryGate;
@@ -440,12 +441,12 @@
         &self,
         _connection: ConnectionId,
         request: PeerRequest,
-        remaining: Duration,
+        deadline: MonotonicTime,
     ) -> PeerReply {
         let proxy = &self.0;
         match request {
             PeerRequest::Forward(mut forward) => {
-                forward.remaining = forward.remaining.min(remaining);
+                forward.remaining = forward.remaining.min(deadline.since(BootClock.now()));
                 let is_open = forward.stream.is_some();
                 if !is_open && proxy.membership.admission() != WorkAdmission::Serve {
                     return PeerReply::Forwarded(Err(proxy.membership.refusal()));
