--- a/crates/coriander_peer/src/lib.rs
+++ b/crates/coriander_peer/src/lib.rs
@@ -29,3 +29,4 @@
 pub use peer_client::PeerClient;
 pub use peer_connection::PeerError;
 pub use peer_server::{ConnectionId, PeerService, serve_peers};
+pub use peer_time::PeerTime;
