Forget ended streams on every path and run nothing for gone callers

A stream or connection that ended while its plan waited for a connection to the member left an entry in `ended_streams` for good when none was opened, and its statement still ran when one was. A request that arrived together with the end of its connection could leave a stream of a connection that had already ended.

The entry is removed at the end of each exchange, the open connections are known, and an exchange of an ended stream or connection is given up as not sent once the member's connection is there; no stream is kept for a connection that has ended.

The three new tests failed with the former relay.rs (one entry left; the write ran in the other two) and pass now, as do relay (20), capacity_relay, shutdown and transactions. The arrival of a request with the end of its connection has no test of its own.

--- a/crates/coriander_peer/src/peer_server.rs
+++ b/crates/coriander_peer/src/peer_server.rs
@@ -48,7 +48,11 @@
         false
     }
 
-    /// Called after a connection has ended.
+    /// Called when a connection is accepted, before its first request.
+    fn connection_started(&self, _connection: ConnectionId) {}
+
+    /// Called after a connection has ended. Handlers of requests that arrived with its end may start
+    /// after this call.
     fn connection_ended(&self, _connection: ConnectionId) {}
 
     /// Counts a connection that was closed because of an invalid frame.
@@ -78,6 +82,7 @@
                 let peer = address.ip();
                 let (codec, service) = (codec.clone(), service.clone());
                 ntex::rt::spawn(async move {
+                    service.connection_started(id);
                     serve_connection((id, peer), stream, codec, service.clone(), permit).await;
                     service.connection_ended(id);
                 });
--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -259,6 +259,8 @@
 pub struct RelayServer {
     service: Weak<SessionService>,
     streams: RefCell<HashMap<(ConnectionId, StreamNumber), (HeldConnection, StreamNames)>>,
+    /// Connections of other instances that are open.
+    connections: RefCell<HashSet<ConnectionId>>,
     /// Streams that ended during an exchange.
     ended_streams: RefCell<HashSet<(ConnectionId, StreamNumber)>>,
     /// Streams with an exchange in progress.
@@ -272,6 +274,7 @@
         Rc::new(Self {
             service: Rc::downgrade(service),
             streams: RefCell::default(),
+            connections: RefCell::default(),
             ended_streams: RefCell::default(),
             running_exchanges: RefCell::default(),
             last_tick: Cell::new(BootClock.now()),
@@ -302,6 +305,17 @@
         self.streams.borrow().len() + self.running_exchanges.borrow().len()
     }
 
+    /// Returns the number of streams that ended while their exchange is in progress.
+    pub fn ended_count(&self) -> usize {
+        self.ended_streams.borrow().len()
+    }
+
+    /// Returns whether nobody waits for the exchange of a stream.
+    fn is_abandoned(&self, key: &(ConnectionId, StreamNumber)) -> bool {
+        let is_open = self.connections.borrow().contains(&key.0);
+        !is_open || self.ended_streams.borrow().contains(key)
+    }
+
     async fn exchange(
         &self,
         key: (ConnectionId, StreamNumber),
@@ -325,6 +339,7 @@
         let held = self.streams.borrow_mut().remove(&key).map(|held| held.0);
         let outcome = self.exchange_held(key, held, plan).await;
         self.running_exchanges.borrow_mut().remove(&key);
+        self.ended_streams.borrow_mut().remove(&key);
         outcome
     }
 
@@ -369,12 +384,14 @@
                 Err(error) => return ExchangeOutcome::failed(ExchangeError::NotSent(error)),
             },
         };
+        if self.is_abandoned(&key) {
+            return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
+        }
         let Some(service) = self.service.upgrade() else {
             return ExchangeOutcome::no_reply("the process has ended");
         };
         let outcome = exchange_counted(&service, &mut held, plan).await;
-        let ended = self.ended_streams.borrow_mut().remove(&key);
-        if outcome.keeps_connection(plan) && !ended {
+        if outcome.keeps_connection(plan) && !self.is_abandoned(&key) {
             let names = StreamNames::of(plan);
             self.streams.borrow_mut().insert(key, (held, names));
         }
@@ -481,12 +498,12 @@
         log::warn!("connection closed after an invalid frame");
     }
 
+    fn connection_started(&self, connection: ConnectionId) {
+        self.connections.borrow_mut().insert(connection);
+    }
+
     fn connection_ended(&self, connection: ConnectionId) {
-        let running = self.running_exchanges.borrow();
-        let of_connection = running.iter().filter(|(id, _)| *id == connection);
-        self.ended_streams
-            .borrow_mut()
-            .extend(of_connection.copied());
+        self.connections.borrow_mut().remove(&connection);
         self.streams
             .borrow_mut()
             .retain(|(id, _), _| *id != connection);
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -492,3 +492,62 @@
     assert!(alone.service.update_sources(true, 0).is_empty());
     assert!(alone.service.update_tree().is_reader());
 }
+
+/// Lets a caller of a transaction go while its first statement waits for a connection, and returns
+/// what the member has run.
+async fn leave_while_acquiring(
+    group: &Rc<FakeGroup>,
+    leave: impl FnOnce(&Instance, &Instance),
+    opens: bool,
+) -> Vec<String> {
+    let (remote, home_instance) = start_two(group).await;
+    let member = group.member("a");
+    member.handshake_time.set(Duration::from_millis(200));
+    if !opens {
+        member.max_connections.set(0);
+    }
+    let mut session = open(&remote.service).await;
+    run(&mut session, "b", "BEGIN").await;
+    {
+        let write = run(&mut session, "w", "WRITE 1 x");
+        let first = tokio::time::timeout(Duration::from_millis(50), write).await;
+        assert!(first.is_err(), "the statement waits");
+    }
+    assert_eq!(home_instance.relay.active_count(), 1);
+    leave(&remote, &home_instance);
+    drop(session);
+    tokio::time::sleep(Duration::from_millis(40)).await;
+    assert_eq!(home_instance.relay.active_count(), 1);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(home_instance.relay.active_count(), 0);
+    assert_eq!(home_instance.relay.ended_count(), 0);
+    group.ran_texts()
+}
+
+#[ntex::test]
+async fn stream_that_ends_before_a_failed_connect_is_forgotten() {
+    // Guards against an entry that stays for each caller that is gone when no connection opens.
+    let group = FakeGroup::new(&["a"]);
+    let ran = leave_while_acquiring(&group, |_, _| {}, false).await;
+    assert!(ran.is_empty(), "{ran:?}");
+}
+
+#[ntex::test]
+async fn statement_of_a_stream_that_ended_while_it_waited_does_not_run() {
+    // Guards against statements at a member for which nobody waits.
+    let group = FakeGroup::new(&["a"]);
+    let ran = leave_while_acquiring(&group, |_, _| {}, true).await;
+    assert!(ran.is_empty(), "{ran:?}");
+}
+
+#[ntex::test]
+async fn statement_of_a_connection_that_ended_while_it_waited_does_not_run() {
+    // Guards against statements, and streams, of a connection that nobody uses any more.
+    let group = FakeGroup::new(&["a"]);
+    let disconnect = |remote: &Instance, home: &Instance| {
+        let relay = &remote.service.relay;
+        relay.set_down(home.entry.address, BootClock.now());
+    };
+    let ran = leave_while_acquiring(&group, disconnect, true).await;
+    assert!(ran.is_empty(), "{ran:?}");
+}
