Correct what becomes of the place of a caller that is gone

The design note and the comment of a test said that the statements of a killed instance leave their place at the gate at once. That holds for callers on the home instance itself: the end of a connection between instances does not cancel a relayed exchange, which keeps its place until it ends.

--- a/crates/coriander_service/tests/member_gate.rs
+++ b/crates/coriander_service/tests/member_gate.rs
@@ -154,7 +154,8 @@
 
 #[ntex::test]
 async fn statement_of_a_caller_that_is_gone_leaves_its_place() {
-    // Guards against places lost with callers or their instances that are killed or cut off.
+    // Guards against places lost with callers on the home instance itself. Relayed statements keep
+    // theirs until they end; see docs/design/admission-and-queueing.md.
     let group = FakeGroup::new(&["a"]);
     let service = start_gated(&group, true).await;
     group.member("a").statement_time.set(SLOW);
