--- a/crates/coriander_service/src/fleet/relay.rs
+++ b/crates/coriander_service/src/fleet/relay.rs
@@ -104,29 +104,30 @@
         self.last_stream.get()
     }
 
-    /// Executes an exchange on another instance.
+    /// Executes an exchange on another instance. The ages in the plan and its time limit count from
+    /// `sent_at`.
     pub async fn exchange(
         &self,
         address: SocketAddr,
         stream: StreamNumber,
         must_exist: bool,
         plan: ExchangePlan,
+        sent_at: MonotonicTime,
     ) -> ExchangeOutcome {
         let client = self.client.borrow().clone();
         let Some(client) = client else {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
         };
-        let started = BootClock.now();
         self.pending_requests
             .borrow_mut()
-            .insert(stream, (address, started));
-        let limit = plan.time_limit + REPLY_MARGIN;
+            .insert(stream, (address, sent_at));
+        let deadline = sent_at + (plan.time_limit + REPLY_MARGIN);
         let request = RelayRequest::Exchange {
             stream,
             must_exist,
             plan: Box::new(plan),
         };
-        let reply = client.call(address, request, limit).await;
+        let reply = client.call_until(address, request, deadline).await;
         self.pending_requests.borrow_mut().remove(&stream);
         let now = BootClock.now();
         match reply {
@@ -140,6 +141,9 @@
                 self.set_down(address, now);
                 ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable))
             }
+            Err(PeerError::Expired) => {
+                ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable))
+            }
             Err(PeerError::NoReply) => ExchangeOutcome::no_reply("no reply from the home instance"),
         }
     }
@@ -162,7 +166,7 @@
                     address:% = address, error:% = error;
                     "no update of the store received from an instance"
                 );
-                if matches!(error, PeerError::NoReply) {
+                if matches!(error, PeerError::Expired | PeerError::NoReply) {
                     // Its link or processor may be busy with updates. Only a failed ping ends the
                     // exchanges that run there.
                     self.suspects.borrow_mut().insert(address);
@@ -255,6 +259,8 @@
 pub struct RelayServer {
     service: Weak<SessionService>,
     streams: RefCell<HashMap<(ConnectionId, StreamNumber), (HeldConnection, StreamNames)>>,
+    /// Connections of other instances that are open.
+    connections: RefCell<HashSet<ConnectionId>>,
     /// Streams that ended during an exchange.
     ended_streams: RefCell<HashSet<(ConnectionId, StreamNumber)>>,
     /// Streams with an exchange in progress.
@@ -268,6 +274,7 @@
         Rc::new(Self {
             service: Rc::downgrade(service),
             streams: RefCell::default(),
+            connections: RefCell::default(),
             ended_streams: RefCell::default(),
             running_exchanges: RefCell::default(),
             last_tick: Cell::new(BootClock.now()),
@@ -298,13 +305,25 @@
         self.streams.borrow().len() + self.running_exchanges.borrow().len()
     }
 
+    /// Returns the number of streams that ended while their exchange is in progress.
+    pub fn ended_count(&self) -> usize {
+        self.ended_streams.borrow().len()
+    }
+
+    /// Returns whether nobody waits for the exchange of a stream.
+    fn is_abandoned(&self, key: &(ConnectionId, StreamNumber)) -> bool {
+        let is_open = self.connections.borrow().contains(&key.0);
+        !is_open || self.ended_streams.borrow().contains(key)
+    }
+
     async fn exchange(
         &self,
         key: (ConnectionId, StreamNumber),
         must_exist: bool,
         plan: &mut ExchangePlan,
     ) -> ExchangeOutcome {
-        if BootClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
+        let is_late = plan.time_limit.is_zero();
+        if is_late || BootClock.now().since(self.last_tick.get()) > MAX_TICK_GAP {
             return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
         }
         if self.is_refused_by_phase(must_exist, plan) {
@@ -320,6 +339,7 @@
         let held = self.streams.borrow_mut().remove(&key).map(|held| held.0);
         let outcome = self.exchange_held(key, held, plan).await;
         self.running_exchanges.borrow_mut().remove(&key);
+        self.ended_streams.borrow_mut().remove(&key);
         outcome
     }
 
@@ -364,27 +384,29 @@
                 Err(error) => return ExchangeOutcome::failed(ExchangeError::NotSent(error)),
             },
         };
+        if self.is_abandoned(&key) {
+            return ExchangeOutcome::failed(ExchangeError::NotSent(PoolError::HomeUnavailable));
+        }
         let Some(service) = self.service.upgrade() else {
             return ExchangeOutcome::no_reply("the process has ended");
         };
         let outcome = exchange_counted(&service, &mut held, plan).await;
-        let ended = self.ended_streams.borrow_mut().remove(&key);
-        if outcome.keeps_connection(plan) && !ended {
+        if outcome.keeps_connection(plan) && !self.is_abandoned(&key) {
             let names = StreamNames::of(plan);
             self.streams.borrow_mut().insert(key, (held, names));
         }
         outcome
     }
 
-    /// Applies what the sender of a plan has set aside. It counts from the arrival, whatever the
-    /// plan waits for then.
-    fn receive_reports(&self, plan: &ExchangePlan, max_way: Duration) {
+    /// Applies what the sender of a plan, sent not before `sent_at`, has set aside. It counts from
+    /// the arrival, whatever the plan waits for then.
+    fn receive_reports(&self, plan: &ExchangePlan, sent_at: MonotonicTime) {
         if plan.capacity.is_some()
             && let Some(service) = self.service.upgrade()
             && let Some(member) = service.find_member(&plan.group, &plan.member)
             && let Some(capacity) = &member.capacity
         {
-            capacity.receive(plan, max_way, BootClock.now());
+            capacity.receive(plan, sent_at, BootClock.now());
         }
     }
 
@@ -405,7 +427,7 @@
         &self,
         connection: ConnectionId,
         request: RelayRequest,
-        remaining: Duration,
+        deadline: MonotonicTime,
     ) -> RelayReply {
         match request {
             RelayRequest::Exchange {
@@ -421,9 +443,9 @@
                     return RelayReply::Outcome(Box::new(outcome));
                 }
                 // The deadline was computed with a lower bound of the time here.
-                let max_way = (plan.time_limit + REPLY_MARGIN).saturating_sub(remaining);
-                plan.limit_time(remaining);
-                self.receive_reports(&plan, max_way);
+                let sent_at = deadline.saturating_sub(plan.time_limit + REPLY_MARGIN);
+                plan.limit_time(deadline.since(BootClock.now()));
+                self.receive_reports(&plan, sent_at);
                 let outcome = self.exchange(key, must_exist, &mut plan).await;
                 RelayReply::Outcome(Box::new(outcome))
             }
@@ -476,12 +498,12 @@
         log::warn!("connection closed after an invalid frame");
     }
 
+    fn connection_started(&self, connection: ConnectionId) {
+        self.connections.borrow_mut().insert(connection);
+    }
+
     fn connection_ended(&self, connection: ConnectionId) {
-        let running = self.running_exchanges.borrow();
-        let of_connection = running.iter().filter(|(id, _)| *id == connection);
-        self.ended_streams
-            .borrow_mut()
-            .extend(of_connection.copied());
+        self.connections.borrow_mut().remove(&connection);
         self.streams
             .borrow_mut()
             .retain(|(id, _), _| *id != connection);
