Give no answer to loan requests without limits of the account

An instance that has just started knows the fleet secret before its first configuration and refused loans for 10 s, so callers within their rate were told to come back late. lend and lend_to_one_of return None without limits, no reply is sent, and the caller asks the next owner.

--- a/crates/coriander_limits/examples/support/shares_play.rs
+++ b/crates/coriander_limits/examples/support/shares_play.rs
@@ -105,7 +105,7 @@
         if is_silent {
             return;
         }
-        if let LoanOffer::Tokens(amount) = self.instances[owner].lend(ACCOUNT, wanted, now) {
+        if let Some(LoanOffer::Tokens(amount)) = self.instances[owner].lend(ACCOUNT, wanted, now) {
             self.instances[instance].receive_loan(ACCOUNT, amount, now, now);
         }
     }
--- a/crates/coriander_limits/src/account_share.rs
+++ b/crates/coriander_limits/src/account_share.rs
@@ -25,7 +25,7 @@
 const INITIAL_BURST_FRACTION: f64 = 0.3;
 
 /// Maximum delay after which a refused caller is asked to retry.
-pub(crate) const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 #[derive(Debug)]
 pub(crate) struct AccountShare {
--- a/crates/coriander_limits/src/rate_shares.rs
+++ b/crates/coriander_limits/src/rate_shares.rs
@@ -7,7 +7,7 @@
 use coriander_core::MonotonicTime;
 use smallvec::SmallVec;
 
-use crate::account_share::{AccountShare, MAX_RETRY_AFTER};
+use crate::account_share::AccountShare;
 use crate::rate_owners::{FleetInstance, OwnerSpread};
 
 /// Time after which an instance that is no longer listed leaves the fleet. Entries that expire
@@ -384,23 +384,22 @@
     }
 
     /// Deducts a loan of at most `wanted` tokens from the own share, for a request that asks all
-    /// owners.
-    pub fn lend(&mut self, account: &str, wanted: u32, now: MonotonicTime) -> LoanOffer {
+    /// owners. `None` without limits of the account.
+    pub fn lend(&mut self, account: &str, wanted: u32, now: MonotonicTime) -> Option<LoanOffer> {
         self.lend_to_one_of(account, wanted, None, now)
     }
 
     /// Deducts a loan of at most `wanted` tokens from the own share, for a request that asks
-    /// `asked_owners`; `None`: all of them.
+    /// `asked_owners`; `None`: all of them. Returns `None` without limits of the account: a process
+    /// that has just started knows nothing about its tokens, and the caller asks the next owner.
     pub fn lend_to_one_of(
         &mut self,
         account: &str,
         wanted: u32,
         asked_owners: Option<u32>,
         now: MonotonicTime,
-    ) -> LoanOffer {
-        let Some(share) = self.accounts.get_mut(account) else {
-            return LoanOffer::RetryAfter(MAX_RETRY_AFTER);
-        };
+    ) -> Option<LoanOffer> {
+        let share = self.accounts.get_mut(account)?;
         share.refill(now);
         let spare = (share.tokens - share.expected_demand(LENDER_HORIZON, now)).max(0.0);
         let max_amount = (spare * MAX_LOAN_FRACTION).max(spare.min(1.0)).floor();
@@ -418,10 +417,10 @@
                 }
                 None => share.promised += owner_fraction,
             }
-            return LoanOffer::RetryAfter(retry_after);
+            return Some(LoanOffer::RetryAfter(retry_after));
         }
         share.tokens -= amount;
-        LoanOffer::Tokens(amount as u32)
+        Some(LoanOffer::Tokens(amount as u32))
     }
 
     /// Adds a loan that was requested at `requested_at`, unless it has expired.
--- a/crates/coriander_limits/tests/rate_shares.rs
+++ b/crates/coriander_limits/tests/rate_shares.rs
@@ -41,7 +41,7 @@
         }
         let wanted = shares[0].tokens_to_borrow(ACCOUNT, now).max(1);
         for lender in 1..shares.len() {
-            let LoanOffer::Tokens(amount) = shares[lender].lend(ACCOUNT, wanted, now) else {
+            let Some(LoanOffer::Tokens(amount)) = shares[lender].lend(ACCOUNT, wanted, now) else {
                 continue;
             };
             loans += 1;
@@ -177,10 +177,10 @@
     fleet(1, rate, burst, ms(0)).remove(0)
 }
 
-fn refused(offer: LoanOffer) -> std::time::Duration {
+fn refused(offer: Option<LoanOffer>) -> std::time::Duration {
     match offer {
-        LoanOffer::RetryAfter(delay) => delay,
-        LoanOffer::Tokens(amount) => panic!("lent {amount}"),
+        Some(LoanOffer::RetryAfter(delay)) => delay,
+        other => panic!("not refused: {other:?}"),
     }
 }
 
@@ -197,10 +197,20 @@
     assert_eq!(delays, [100, 200, 300]);
     for delay in [101, 201, 301] {
         let offer = owner.lend(ACCOUNT, 1, ms(10_000 + delay));
-        assert_eq!(offer, LoanOffer::Tokens(1), "after {delay} ms");
+        assert_eq!(offer, Some(LoanOffer::Tokens(1)), "after {delay} ms");
     }
 }
 
+#[test]
+fn lend_without_limits_gives_no_answer() {
+    // An owner that had just started refused a caller within its rate for 10 s.
+    let mut starting = RateShares::new("i-0".into());
+    starting.set_fleet(&names(2), ms(10_000));
+    let answers =
+        [None, Some(2)].map(|asked| starting.lend_to_one_of(ACCOUNT, 1, asked, ms(10_000)));
+    assert_eq!(answers, [None, None]);
+}
+
 #[test]
 fn exhausted_retry_after_ends_when_the_rate_has_yielded_a_token() {
     let mut owner = lone_owner(20.0, 20.0);
--- a/crates/coriander_service/src/admission/rate_limiter.rs
+++ b/crates/coriander_service/src/admission/rate_limiter.rs
@@ -309,16 +309,16 @@
         }
     }
 
-    /// Handles a loan request of another instance.
+    /// Handles a loan request of another instance. Without limits of the account it gets no reply.
     pub fn lend(&self, sender: SocketAddr, request: &LoanRequest) {
         let now = self.clock.now();
         let mut shares = self.shares.borrow_mut();
-        let message = match shares.lend_to_one_of(
-            &request.account,
-            request.amount,
-            request.asked_owners,
-            now,
-        ) {
+        let offer =
+            shares.lend_to_one_of(&request.account, request.amount, request.asked_owners, now);
+        let Some(offer) = offer else {
+            return;
+        };
+        let message = match offer {
             LoanOffer::Tokens(amount) => PeerMessage::LoanReply(LoanReply {
                 account: request.account.clone(),
                 number: request.number,
