Read the contacts of a starting instance again after a failure

A failed read of the contacts was final, and its duration was taken from the delay after which the instance reads the whole store. The delay now starts after the contacts.

Test starting_instance_reads_its_contacts_again passes; without the repeated read its last assertion failed. The timeout itself has no test.

--- a/crates/coriander_service/src/configuration/control_loop.rs
+++ b/crates/coriander_service/src/configuration/control_loop.rs
@@ -44,6 +44,9 @@
 /// Minimum time between two reads that requests have triggered.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Maximum time for which the read of the contacts delays a read of the whole store.
+const CONTACTS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Length of the secret that authenticates messages between instances.
 const SECRET_BYTES: usize = 32;
 
@@ -54,15 +57,16 @@
 /// instance that starts reads only what it needs to ask the others, so that a fleet that starts
 /// together does not transfer its configuration once for each instance.
 pub async fn run_store_sync(service: Rc<SessionService>, store: Rc<dyn ControlStore>) {
+    read_contacts(&service, &*store).await;
+    // The delay until the whole store is read does not include the read of the contacts.
     let mut reads = StoreReads::new(service.clock.now());
     let mut secret_missing_since = None;
-    match store.read_contacts(&service.settings().name).await {
-        Ok(contacts) => service.apply_contacts(&contacts),
-        Err(error) => log::debug!(error:% = error; "instances not read, the whole store is"),
-    }
     let mut hold = START_HOLD;
     loop {
         let started = service.clock.now();
+        if reads.is_failing() && started >= reads.retry_at {
+            read_contacts(&service, &*store).await;
+        }
         let result = if reads.starts_as_reader(&service) {
             UpdateResult::NoReply
         } else {
@@ -101,6 +105,20 @@
     }
 }
 
+/// Reads what this instance needs to ask others, unless it has it or a snapshot.
+async fn read_contacts(service: &SessionService, store: &dyn ControlStore) {
+    if service.store_view.snapshot().is_some() || service.fleet_key.borrow().is_some() {
+        return;
+    }
+    let settings = service.settings();
+    let contacts = store.read_contacts(&settings.name);
+    match timeout(CONTACTS_TIMEOUT, contacts).await {
+        Ok(Ok(contacts)) => service.apply_contacts(&contacts),
+        Ok(Err(error)) => log::debug!(error:% = error; "instances not read, the whole store is"),
+        Err(_) => log::debug!("instances not read in time, the whole store is"),
+    }
+}
+
 /// What the sources of updates replied.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum UpdateResult {
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -11,7 +11,7 @@
 use coriander_peer::{ConnectionId, PeerService, serve_peers};
 use coriander_service::{
     BootClock, KnownSnapshot, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer,
-    ServicePhase, ServiceSettings, SessionService,
+    ServicePhase, ServiceSettings, SessionService, run_store_sync,
 };
 use coriander_service_api::{
     AccessMode, ClientStatement, ControlSnapshot, FailureCode, FleetContacts, InstanceEntry,
@@ -20,6 +20,7 @@
 use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
 
+use support::fake_store::FakeStore;
 use support::{FakeGroup, code, config, open, run, snapshot};
 
 struct Instance {
@@ -491,3 +492,18 @@
     assert!(alone.service.update_sources(true, 0).is_empty());
     assert!(alone.service.update_tree().is_reader());
 }
+
+#[ntex::test]
+async fn starting_instance_reads_its_contacts_again() {
+    // An instance whose first read of the contacts failed had no way to ask others while it could
+    // not read the whole store either.
+    let group = FakeGroup::new(&["a"]);
+    let starting = start_instance("new", "ain-sebaa", &group).await;
+    let store = FakeStore::new(1);
+    store.failing_contacts.set(1);
+    ntex::rt::spawn(run_store_sync(starting.service.clone(), store));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(starting.service.fleet_key.borrow().is_none());
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(starting.service.fleet_key.borrow().is_some());
+}
--- a/crates/coriander_service/tests/support/fake_store.rs
+++ b/crates/coriander_service/tests/support/fake_store.rs
@@ -9,8 +9,8 @@
 
 use async_trait::async_trait;
 use coriander_service_api::{
-    ControlSnapshot, ControlStore, DesignatedPrimary, Duty, FleetConfig, InstanceEntry, LeaseId,
-    LineageRecord, StoreError,
+    ControlSnapshot, ControlStore, DesignatedPrimary, Duty, FleetConfig, FleetContacts,
+    InstanceEntry, LeaseId, LineageRecord, StoreError,
 };
 use coriander_usage::UsageRecord;
 
@@ -22,6 +22,8 @@
     pub usage_record: RefCell<UsageRecord>,
     /// Whether it sends no response.
     pub is_silent: Cell<bool>,
+    /// Reads of the contacts that fail before one succeeds.
+    pub failing_contacts: Cell<usize>,
 }
 
 impl FakeStore {
@@ -32,6 +34,7 @@
             lineages: RefCell::default(),
             usage_record: RefCell::default(),
             is_silent: Cell::new(false),
+            failing_contacts: Cell::new(0),
         })
     }
 
@@ -49,6 +52,19 @@
         Err(StoreError::Refused(503))
     }
 
+    async fn read_contacts(&self, _own_id: &str) -> Result<FleetContacts, StoreError> {
+        let failing = self.failing_contacts.get();
+        if failing > 0 {
+            self.failing_contacts.set(failing - 1);
+            return Err(StoreError::Refused(503));
+        }
+        let secret: Arc<[u8]> = Arc::from([7; 32].as_slice());
+        Ok(FleetContacts {
+            fleet_secret: Some(secret),
+            instances: Vec::new(),
+        })
+    }
+
     async fn read_config(&self) -> Result<Option<Arc<FleetConfig>>, StoreError> {
         Err(StoreError::Refused(503))
     }
