Count idle time only after a confirmed first registration

A first registration whose reply was lost creates the entry at a revision older than that of the repeated one, so the entry looked as if it had been listed all the time. After a registration write that failed the idle time is dropped. It also adds at most half of the full share, because the proof covers the own entry only and another instance may have owned the share.

Tests: idle_time_does_not_count_after_a_registration_without_reply failed with the flag left out; resolve_idle_time_adds_what_nobody_can_have_spent failed with 50 instead of its former 70 tokens and now expects 50, which is stricter. That run_registration records the failure has no test of its own.

--- a/crates/coriander_limits/src/account_share.rs
+++ b/crates/coriander_limits/src/account_share.rs
@@ -24,6 +24,10 @@
 /// whole burst shortly before.
 const INITIAL_BURST_FRACTION: f64 = 0.3;
 
+/// Maximum fraction of a full share that the time without a configuration adds. Another instance may
+/// have owned the share shortly before although the entry of this one was listed.
+const MAX_IDLE_FRACTION: f64 = 0.5;
+
 /// Maximum delay after which a refused caller is asked to retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -108,7 +112,7 @@
         self.tokens = full * INITIAL_BURST_FRACTION;
         let idle = idle_since.map_or(Duration::ZERO, |since| now.since(since));
         let gained = (idle.as_secs_f64() * self.rate * self.fraction()).min(full);
-        self.unproven = (gained - self.tokens).max(0.0);
+        self.unproven = (gained - self.tokens).clamp(0.0, full * MAX_IDLE_FRACTION);
     }
 
     fn max_owners(&self) -> usize {
--- a/crates/coriander_limits/tests/rate_shares.rs
+++ b/crates/coriander_limits/tests/rate_shares.rs
@@ -355,7 +355,8 @@
         shares.resolve_idle_time(true, ms(10_000 + idle));
         (before, spend_all(&mut shares, 10_000 + idle))
     });
-    assert_eq!(spent, [(30, 0), (30, 20), (30, 70)]);
+    // At most half of the full share is added.
+    assert_eq!(spent, [(30, 0), (30, 20), (30, 50)]);
     let mut unlisted = started_after(5_000);
     unlisted.resolve_idle_time(false, ms(15_000));
     assert_eq!(spend_all(&mut unlisted, 15_000), 30, "without a proof");
--- a/crates/coriander_service/src/admission/rate_limiter.rs
+++ b/crates/coriander_service/src/admission/rate_limiter.rs
@@ -54,6 +54,8 @@
     own_listing: Cell<Option<(Option<u64>, u64)>>,
     /// Revision of the first registration of this process.
     first_registration: Cell<Option<u64>>,
+    /// Whether a registration may have created the entry without a reply.
+    has_failed_registration: Cell<bool>,
     /// Whether it is known if this instance was listed since its process started.
     knows_idle_time: Cell<bool>,
 }
@@ -72,6 +74,7 @@
             orders_returns: false,
             own_listing: Cell::new(None),
             first_registration: Cell::new(None),
+            has_failed_registration: Cell::new(false),
             knows_idle_time: Cell::new(false),
         }
     }
@@ -129,6 +132,12 @@
         self.check_idle_time();
     }
 
+    /// Records that a registration was sent and not confirmed. It may have created the entry, which
+    /// then says nothing about the time before.
+    pub fn record_failed_registration(&self) {
+        self.has_failed_registration.set(true);
+    }
+
     /// Finds out whether this instance was listed from the start of its process: then no other one
     /// owned its shares meanwhile.
     fn check_idle_time(&self) {
@@ -144,7 +153,8 @@
         }
         self.knows_idle_time.set(true);
         // An entry created by the registration says that the former one had expired.
-        let was_listed = created.is_some_and(|created| created < registered);
+        let was_listed = !self.has_failed_registration.get()
+            && created.is_some_and(|created| created < registered);
         shares.resolve_idle_time(was_listed, self.clock.now());
     }
 
--- a/crates/coriander_service/src/fleet/registration.rs
+++ b/crates/coriander_service/src/fleet/registration.rs
@@ -34,7 +34,7 @@
     };
     let mut retry_delay = MIN_RETRY_DELAY;
     while service.phase() == ServicePhase::Serving {
-        match register(&*store, &entry).await {
+        match register(&service, &*store, &entry).await {
             Ok((lease, revision)) => {
                 service.rate_limiter.record_registration(revision);
                 log::info!(id = &*entry.id, lease = lease.0; "instance registered");
@@ -55,12 +55,16 @@
 
 /// Returns the lease of the entry and the revision at which it was written.
 async fn register(
+    service: &SessionService,
     store: &dyn ControlStore,
     entry: &InstanceEntry,
 ) -> Result<(LeaseId, u64), StoreError> {
     let lease = store.start_lease(LEASE_TTL).await?;
-    let revision = store.register(entry, lease).await?;
-    Ok((lease, revision))
+    let registration = store.register(entry, lease).await;
+    if registration.is_err() {
+        service.rate_limiter.record_failed_registration();
+    }
+    Ok((lease, registration?))
 }
 
 /// Renews the lease until it has ended or the process is asked to stop.
--- a/crates/coriander_service/tests/admission.rs
+++ b/crates/coriander_service/tests/admission.rs
@@ -138,6 +138,11 @@
 /// Returns the tokens left at an instance that waited for its configuration for half a second, if
 /// its entry was created in revision `created` and registered in revision 5.
 async fn tokens_after_idle_time(created: u64, features: ServiceFeatures) -> f64 {
+    tokens_after_failures(created, features, 0).await
+}
+
+/// As [`tokens_after_idle_time`], after `failures` registrations without a reply.
+async fn tokens_after_failures(created: u64, features: ServiceFeatures, failures: usize) -> f64 {
     let group = FakeGroup::new(&["a"]);
     let (service, address) = start_instance("instance-1", &group, features).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
@@ -148,6 +153,9 @@
     let mut snapshot = fleet_snapshot(&group, 1_000.0, vec![own]);
     snapshot.revision = 7;
     service.apply_snapshot(&snapshot, BootClock.now());
+    for _ in 0..failures {
+        service.rate_limiter.record_failed_registration();
+    }
     service.rate_limiter.record_registration(5);
     let text = service.rate_limiter.describe(ACCOUNT);
     let left = text
@@ -171,3 +179,15 @@
     let without = tokens_after_idle_time(3, ServiceFeatures::default()).await;
     assert!((300.0..450.0).contains(&without), "{without}");
 }
+
+#[ntex::test]
+async fn idle_time_does_not_count_after_a_registration_without_reply() {
+    // Such a registration may have created the entry in revision 3, after another instance had owned
+    // the share.
+    let ordered = ServiceFeatures {
+        ordered_waiting: true,
+        ..ServiceFeatures::default()
+    };
+    let left = tokens_after_failures(3, ordered, 1).await;
+    assert!((300.0..450.0).contains(&left), "{left}");
+}
