Do not take an account for exhausted after a loan was spent by another request

When an owner lent tokens and another request spent them first, the request counted as refused by all owners, and further ones were refused without asking. A reply with tokens now leaves the account unrecorded.

The tests of admission pass; there is no test for the race itself.

--- a/crates/coriander_service/src/admission/rate_limiter.rs
+++ b/crates/coriander_service/src/admission/rate_limiter.rs
@@ -208,7 +208,11 @@
                     delay = Some(delay.map_or(retry_after, |delay| delay.min(retry_after)));
                     has_replied = true;
                 }
-                Some(LoanOffer::Tokens(_)) => has_replied = true,
+                Some(LoanOffer::Tokens(_)) => {
+                    has_replied = true;
+                    // If another request spends the loan first, the owner may still have more.
+                    all_replied = false;
+                }
                 None => all_replied = false,
             }
             // Also finds a late loan of another owner and what the own share has gained.
