--- a/crates/coriander_service/src/admission/rate_limiter.rs
+++ b/crates/coriander_service/src/admission/rate_limiter.rs
@@ -54,6 +54,8 @@
     own_listing: Cell<Option<(Option<u64>, u64)>>,
     /// Revision of the first registration of this process.
     first_registration: Cell<Option<u64>>,
+    /// Whether a registration may have created the entry without a reply.
+    has_failed_registration: Cell<bool>,
     /// Whether it is known if this instance was listed since its process started.
     knows_idle_time: Cell<bool>,
 }
@@ -72,6 +74,7 @@
             orders_returns: false,
             own_listing: Cell::new(None),
             first_registration: Cell::new(None),
+            has_failed_registration: Cell::new(false),
             knows_idle_time: Cell::new(false),
         }
     }
@@ -129,6 +132,12 @@
         self.check_idle_time();
     }
 
+    /// Records that a registration was sent and not confirmed. It may have created the entry, which
+    /// then says nothing about the time before.
+    pub fn record_failed_registration(&self) {
+        self.has_failed_registration.set(true);
+    }
+
     /// Finds out whether this instance was listed from the start of its process: then no other one
     /// owned its shares meanwhile.
     fn check_idle_time(&self) {
@@ -144,7 +153,8 @@
         }
         self.knows_idle_time.set(true);
         // An entry created by the registration says that the former one had expired.
-        let was_listed = created.is_some_and(|created| created < registered);
+        let was_listed = !self.has_failed_registration.get()
+            && created.is_some_and(|created| created < registered);
         shares.resolve_idle_time(was_listed, self.clock.now());
     }
 
@@ -198,7 +208,11 @@
                     delay = Some(delay.map_or(retry_after, |delay| delay.min(retry_after)));
                     has_replied = true;
                 }
-                Some(LoanOffer::Tokens(_)) => has_replied = true,
+                Some(LoanOffer::Tokens(_)) => {
+                    has_replied = true;
+                    // If another request spends the loan first, the owner may still have more.
+                    all_replied = false;
+                }
                 None => all_replied = false,
             }
             // Also finds a late loan of another owner and what the own share has gained.
@@ -309,16 +323,16 @@
         }
     }
 
-    /// Handles a loan request of another instance.
+    /// Handles a loan request of another instance. Without limits of the account it gets no reply.
     pub fn lend(&self, sender: SocketAddr, request: &LoanRequest) {
         let now = self.clock.now();
         let mut shares = self.shares.borrow_mut();
-        let message = match shares.lend_to_one_of(
-            &request.account,
-            request.amount,
-            request.asked_owners,
-            now,
-        ) {
+        let offer =
+            shares.lend_to_one_of(&request.account, request.amount, request.asked_owners, now);
+        let Some(offer) = offer else {
+            return;
+        };
+        let message = match offer {
             LoanOffer::Tokens(amount) => PeerMessage::LoanReply(LoanReply {
                 account: request.account.clone(),
                 number: request.number,
--- a/crates/coriander_service/tests/relay.rs
+++ b/crates/coriander_service/tests/relay.rs
@@ -12,7 +12,7 @@
 use coriander_peer::{ConnectionId, PeerService, serve_peers};
 use coriander_service::{
     BootClock, KnownSnapshot, PeerSocket, RelayClient, RelayReply, RelayRequest, RelayServer,
-    ServicePhase, ServiceSettings, SessionService,
+    ServicePhase, ServiceSettings, SessionService, run_store_sync,
 };
 use coriander_service_api::{
     AccessMode, ClientStatement, ControlSnapshot, FailureCode, FleetContacts, InstanceEntry,
@@ -21,6 +21,7 @@
 use coriander_wire::FrameCodec;
 use tokio::net::{TcpListener, UdpSocket};
 
+use support::fake_store::FakeStore;
 use support::{FakeGroup, code, config, open, run, snapshot};
 
 struct Instance {
@@ -551,3 +552,18 @@
     let ran = leave_while_acquiring(&group, disconnect, true).await;
     assert!(ran.is_empty(), "{ran:?}");
 }
+
+#[ntex::test]
+async fn starting_instance_reads_its_contacts_again() {
+    // An instance whose first read of the contacts failed had no way to ask others while it could
+    // not read the whole store either.
+    let group = FakeGroup::new(&["a"]);
+    let starting = start_instance("new", "ain-sebaa", &group).await;
+    let store = FakeStore::new(1);
+    store.failing_contacts.set(1);
+    ntex::rt::spawn(run_store_sync(starting.service.clone(), store));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(starting.service.fleet_key.borrow().is_none());
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(starting.service.fleet_key.borrow().is_some());
+}
