Take no repetition from the budget if no time is left for it

The budget was charged before the delay was known, and the repetition was then not made when its delay did not fit into the time left. Statements and opening transactions now ask for the delay first, then check the budget, then wait.

--- a/crates/coriander_service/src/sessions/operation.rs
+++ b/crates/coriander_service/src/sessions/operation.rs
@@ -140,14 +140,20 @@
     /// Waits before the next attempt at busy members. Returns false if no time would be left for
     /// it.
     pub async fn wait_for_busy_members(&self, backoff: &mut BusyBackoff) -> bool {
-        let remaining = self.time_remaining().saturating_sub(MIN_ATTEMPT_TIME);
-        let Some(delay) = backoff.next_delay(remaining, rand::random()) else {
+        let Some(delay) = self.busy_delay(backoff) else {
             return false;
         };
         sleep(delay).await;
         true
     }
 
+    /// Returns the delay before the next attempt at busy members; `None` if no time would be left
+    /// for it.
+    pub fn busy_delay(&self, backoff: &mut BusyBackoff) -> Option<Duration> {
+        let remaining = self.time_remaining().saturating_sub(MIN_ATTEMPT_TIME);
+        backoff.next_delay(remaining, rand::random())
+    }
+
     /// Returns how long a statement may use the member as primary; `None` if it may not.
     fn primary_use_remaining(&self, member: &Member) -> Option<Duration> {
         let group = &self.group.name;
@@ -377,10 +383,19 @@
                 if has_no_room && !repeats_now {
                     return Err(retry);
                 }
+                let delay = if repeats_now {
+                    Duration::ZERO
+                } else {
+                    match context.busy_delay(&mut backoff) {
+                        Some(delay) => delay,
+                        // A repetition that is not made must not be taken from the budget.
+                        None => return Err(retry),
+                    }
+                };
                 context.check_repetition(&retry, cost)?;
                 failure = Some(retry);
-                if !repeats_now && !context.wait_for_busy_members(&mut backoff).await {
-                    break;
+                if !repeats_now {
+                    sleep(delay).await;
                 }
             }
         }
--- a/crates/coriander_service/src/sessions/transaction.rs
+++ b/crates/coriander_service/src/sessions/transaction.rs
@@ -1,6 +1,9 @@
 //! Runs the statements of a transaction on one connection, and its COMMIT.
 
+use std::time::Duration;
+
 use coriander_service_api::{FailureCode, FailureReason, SessionFailure, TransactionStatus};
+use tokio::time::sleep;
 
 use crate::members::member::Member;
 use crate::members::member_pool::PoolError;
@@ -35,14 +38,20 @@
                 if has_no_room {
                     return Err(retry);
                 }
-                context.check_repetition(&retry, cost)?;
                 let goes_to_primary = retry.code == FailureCode::Lagging;
+                let delay = if goes_to_primary {
+                    Duration::ZERO
+                } else {
+                    match context.busy_delay(&mut backoff) {
+                        Some(delay) => delay,
+                        // A repetition that is not made must not be taken from the budget.
+                        None => return Err(retry),
+                    }
+                };
+                context.check_repetition(&retry, cost)?;
                 failure = Some(retry);
-                if goes_to_primary {
-                    continue;
-                }
-                if !context.wait_for_busy_members(&mut backoff).await {
-                    break;
+                if !goes_to_primary {
+                    sleep(delay).await;
                 }
             }
         }
