Bound the texts of errors about callers' input

Cause: the JSON decoder repeats a wrong value in full. A body with 1 MB in place of its list of requests gave a response of 1 MB that is not counted, and the decision log kept 1,000 such texts.

--- a/crates/corianderstile/src/caller/caller_request.rs
+++ b/crates/corianderstile/src/caller/caller_request.rs
@@ -3,6 +3,8 @@
 use coriander_core::{ClassName, DatabaseName, ErrorCode, RequestError};
 use ntex::http::HeaderMap;
 
+use super::bounded_text::{MAX_ERROR_BYTES, bounded_text};
+
 /// Class of requests without a class header.
 pub const DEFAULT_CLASS: &str = "default";
 
@@ -112,5 +114,6 @@
 }
 
 fn bad_request(name: &str, error: &dyn std::fmt::Display) -> RequestError {
-    RequestError::not_run(ErrorCode::BadRequest, format!("{name}: {error}"))
+    let message = bounded_text(&format!("{name}: {error}"), MAX_ERROR_BYTES);
+    RequestError::not_run(ErrorCode::BadRequest, message)
 }
--- a/crates/corianderstile/src/caller/cursor_body.rs
+++ b/crates/corianderstile/src/caller/cursor_body.rs
@@ -7,10 +7,13 @@
     StreamResponse, StreamResult,
 };
 
+use super::bounded_text::{MAX_ERROR_BYTES, bounded_text};
+
 /// Converts a cursor request into the pipeline that runs the same batch.
 pub fn cursor_to_pipeline(body: &[u8]) -> Result<PipelineReqBody, RequestError> {
     let cursor: CursorReqBody = serde_json::from_slice(body).map_err(|error| {
-        RequestError::not_run(ErrorCode::BadRequest, format!("cursor request: {error}"))
+        let message = bounded_text(&format!("cursor request: {error}"), MAX_ERROR_BYTES);
+        RequestError::not_run(ErrorCode::BadRequest, message)
     })?;
     let batch = StreamRequest::Batch(BatchStreamReq {
         batch: cursor.batch,
--- a/crates/corianderstile/src/decision_log.rs
+++ b/crates/corianderstile/src/decision_log.rs
@@ -7,9 +7,14 @@
 use coriander_config::{ExplainedStep, Explanation};
 use coriander_core::InstanceId;
 
+use crate::caller::bounded_text;
+
 /// Maximum number of recorded requests.
 const MAX_RECORDS: usize = 1000;
 
+/// Maximum length of the text of a step in bytes. Errors of members can be longer.
+const MAX_STEP_BYTES: usize = 500;
+
 /// Steps in the handling of one request.
 #[derive(Clone, Debug)]
 pub struct DecisionRecord {
@@ -27,11 +32,11 @@
     }
 
     /// Adds a step of a component; `after` is the time since the arrival of the request.
-    pub fn add(&mut self, after: Duration, part: &str, text: impl Into<String>) {
+    pub fn add(&mut self, after: Duration, part: &str, text: impl AsRef<str>) {
         self.steps.push(ExplainedStep {
             after,
             part: part.to_owned(),
-            text: text.into(),
+            text: bounded_text(text.as_ref(), MAX_STEP_BYTES),
         });
     }
 }
--- a/crates/corianderstile/src/entry.rs
+++ b/crates/corianderstile/src/entry.rs
@@ -15,7 +15,8 @@
 use libsql_hrana::proto::PipelineReqBody;
 
 use crate::caller::{
-    CallerConnections, CallerEndpoint, CallerRequest, count_statements, cursor_to_pipeline,
+    CallerConnections, CallerEndpoint, CallerRequest, MAX_ERROR_BYTES, bounded_text,
+    count_statements, cursor_to_pipeline,
 };
 use crate::config::ConfigService;
 use crate::decision_log::{DecisionLog, DecisionRecord};
@@ -423,8 +424,10 @@
     request: &CallerRequest,
     max_statements: usize,
 ) -> Result<PipelineReqBody, RequestError> {
-    let invalid =
-        |error: serde_json::Error| RequestError::not_run(ErrorCode::BadRequest, error.to_string());
+    let invalid = |error: serde_json::Error| {
+        let message = bounded_text(&error.to_string(), MAX_ERROR_BYTES);
+        RequestError::not_run(ErrorCode::BadRequest, message)
+    };
     let count = count_statements(&request.body).map_err(invalid)?;
     if count > max_statements {
         let message =
--- a/crates/corianderstile/src/lib.rs
+++ b/crates/corianderstile/src/lib.rs
@@ -32,7 +32,7 @@
 mod settings_conflicts;
 mod settings_reader;
 
-pub use caller::count_statements;
+pub use caller::{bounded_text, count_statements};
 pub use proxy::StartError;
 pub use server::run_server;
 pub use session_server::{SessionSettings, run_session_server};
