Keep the entry of a later connection with a reused number

Cause: the HTTP library reuses the numbers of connections. The end of an old connection could remove the entry of a later one, whose requests were then all refused while it stayed open.

Change: an entry is removed only by its own connection, and a request without an entry closes its connection.

Measured: the tests of hostile_callers about connections and unknown keys pass; no test provokes a reused number.

--- a/crates/corianderstile/src/caller/caller_connections.rs
+++ b/crates/corianderstile/src/caller/caller_connections.rs
@@ -58,11 +58,19 @@
                 () = guard.signal().wait() => connection.terminate(),
                 () = closed => {}
             }
-            connections.guards.borrow_mut().remove(&id);
+            connections.remove(id, &guard);
         });
         Ok(io)
     }
 
+    /// Removes a connection, unless a later one has been given its number meanwhile.
+    fn remove(&self, id: Id, guard: &Rc<ConnectionGuard>) {
+        let mut guards = self.guards.borrow_mut();
+        if guards.get(&id).is_some_and(|open| Rc::ptr_eq(open, guard)) {
+            guards.remove(&id);
+        }
+    }
+
     /// Returns the connection of a request while it is open.
     pub fn find(&self, request: &HttpRequest) -> Option<Rc<ConnectionGuard>> {
         let id = request.io().map(IoRef::id)?;
--- a/crates/corianderstile/src/caller/routes.rs
+++ b/crates/corianderstile/src/caller/routes.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use coriander_core::{ErrorCode, RequestError};
+use ntex::http::ConnectionType;
 use ntex::http::body::Body;
 use ntex::web::types::{Path, Payload, State};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
@@ -105,7 +106,11 @@
     let Some(guard) = entry.connections().find(request) else {
         // The connection has been told to close.
         let error = RequestError::not_run(ErrorCode::Overloaded, "the connection is closed");
-        return error_response(&error, "");
+        let mut response = error_response(&error, "");
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+        return response;
     };
     let connection = ConnectionUse::begin(guard);
     let gate = entry.connections().gate();
