--- a/crates/coriander_limits/src/rate_shares.rs
+++ b/crates/coriander_limits/src/rate_shares.rs
@@ -66,9 +66,9 @@
 /// The owners of an account have equal shares of its rate and burst. Their number follows the rate,
 /// not the size of the fleet, so that the tokens of a small account stay in few places. An instance
 /// without tokens borrows one for each request, from one owner after the other, those of its own
-/// availability zone first; a request is refused only when no owner has a token left. With much demand for an account, an instance borrows in
-/// advance. A loan is deducted from the lender's share first, so a lost message loses tokens and
-/// never adds any.
+/// availability zone first; a request is refused only when no owner has a token left. With much
+/// demand for an account, an instance borrows in advance. A loan is deducted from the lender's share
+/// first, so a lost message loses tokens and never adds any.
 ///
 /// ```
 /// use coriander_core::MonotonicTime;
--- a/crates/coriander_service/tests/capacity_relay.rs
+++ b/crates/coriander_service/tests/capacity_relay.rs
@@ -6,14 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriander_service::{
-    BootClock, PeerSocket, RelayClient, RelayServer, ServiceSettings, SessionService,
-};
+use coriander_service::{BootClock, SessionService};
 use coriander_service_api::{
     FailureCode, InstanceEntry, MemberEntry, ReadFreshness, ServiceFeatures,
 };
-use tokio::net::{TcpListener, UdpSocket};
-
+use support::relay_instance::RelayInstance;
 use support::{FakeGroup, Fault, config, open, run, snapshot};
 
 const OWN_WRITES: ReadFreshness = ReadFreshness::OwnWrites { max_age: None };
@@ -23,26 +20,12 @@
     zone: &str,
     group: &Rc<FakeGroup>,
 ) -> (Rc<SessionService>, InstanceEntry) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
-    let address = listener.local_addr().expect("bound");
-    let socket = UdpSocket::bind(address).await.expect("same port is free");
-    let id = format!("{name}-a").parse().expect("valid name");
-    let peers = Rc::new(PeerSocket::new(socket, name.into(), id, 1));
     let features = ServiceFeatures {
         learned_capacity: true,
         ..ServiceFeatures::default()
     };
-    let settings = ServiceSettings::new(name, zone, address).with_features(features);
-    let service = SessionService::new(settings, group.clone(), peers);
-    ntex::rt::spawn(RelayServer::new(&service).run(listener, service.clone()));
-    ntex::rt::spawn(RelayClient::monitor(service.clone()));
-    let entry = InstanceEntry {
-        id: name.into(),
-        address,
-        zone: zone.into(),
-        created: 1,
-    };
-    (service, entry)
+    let instance = RelayInstance::start(name, zone, features, group).await;
+    (instance.service, instance.entry)
 }
 
 /// Two instances; the members are in the zone of the second one only.
--- a/crates/coriander_service/tests/home_queue.rs
+++ b/crates/coriander_service/tests/home_queue.rs
@@ -8,15 +8,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coriander_service::{
-    BootClock, PeerSocket, RelayClient, RelayServer, ServicePhase, ServiceSettings, SessionService,
-};
+use coriander_service::{BootClock, ServicePhase, SessionService};
 use coriander_service_api::{
-    ControlSnapshot, FailureCode, InstanceEntry, ReadFreshness, ServiceFeatures, SessionResponse,
+    ControlSnapshot, FailureCode, ReadFreshness, ServiceFeatures, SessionResponse,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpStream};
 
+use support::relay_instance::RelayInstance;
 use support::{FakeGroup, config, open, run, snapshot};
 
 /// Statement timeout of [`config`]; a caller must have an answer by then.
@@ -82,40 +81,17 @@
     }
 }
 
-async fn start_instance(name: &str, zone: &str, group: &Rc<FakeGroup>) -> HomeInstance {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
-    let address = listener.local_addr().expect("bound");
-    let socket = UdpSocket::bind(address).await.expect("same port is free");
-    let id = format!("{name}-a").parse().expect("valid name");
-    let peers = Rc::new(PeerSocket::new(socket, name.into(), id, 1));
+async fn start_instance(name: &str, zone: &str, group: &Rc<FakeGroup>) -> RelayInstance {
     let features = ServiceFeatures {
         ordered_waiting: true,
         ..ServiceFeatures::default()
     };
-    let settings = ServiceSettings::new(name, zone, address).with_features(features);
-    let service = SessionService::new(settings, group.clone(), peers);
-    let relay = RelayServer::new(&service);
-    ntex::rt::spawn(relay.run(listener, service.clone()));
-    ntex::rt::spawn(RelayClient::monitor(service.clone()));
-    HomeInstance {
-        service,
-        entry: InstanceEntry {
-            id: name.into(),
-            address,
-            zone: zone.into(),
-            created: 1,
-        },
-    }
-}
-
-struct HomeInstance {
-    service: Rc<SessionService>,
-    entry: InstanceEntry,
+    RelayInstance::start(name, zone, features, group).await
 }
 
 struct TestFleet {
-    remote: HomeInstance,
-    home: HomeInstance,
+    remote: RelayInstance,
+    home: RelayInstance,
     path: Rc<Cell<PathState>>,
 }
 
--- a/crates/coriander_service/tests/support/mod.rs
+++ b/crates/coriander_service/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod fake_group;
 pub mod fake_store;
+pub mod relay_instance;
 
 use std::rc::Rc;
 use std::sync::Arc;
