Show a promotion that loses acknowledged commits after an outage of the store

After an outage of the store, in which the entries of the members lapse, the promoter takes the members whose entries are not back yet as gone and promotes a replica that lags, although the primary and the other replica are alive. With syncReplicas 1 the acknowledged commits of seconds are lost. Only a store outage or only a lagging replica breaks nothing.

--- /dev/null
+++ b/review/standin-2/fleet.rs
@@ -0,0 +1,186 @@
+//! Starts the front processes as the deploy file says, and plays the platform towards them.
+
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Zones of the front machines, as in the small site.
+pub const ZONES: [&str; 6] =
+    ["berrechid", "berrechid", "berrechid", "ain-sebaa", "ain-sebaa", "mohammedia"];
+
+/// Memory of a front machine.
+const MEMORY_MB: u64 = 260;
+
+const CONTRACTS: &str = "base,drain,config,cost,recover,sql,tenants,quota,places,platform";
+
+/// Ports that are free on all addresses of a case.
+pub struct Ports {
+    pub store: u16,
+    pub frontend: u16,
+    pub readiness: u16,
+    pub metrics: u16,
+    pub peers: u16,
+    pub members: u16,
+}
+
+pub fn front_ip(number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 10, 1, number as u8 + 1)
+}
+
+pub fn member_ip(service: usize, number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 10, 2 + service as u8, number as u8 + 1)
+}
+
+pub fn platform_ip() -> Ipv4Addr {
+    Ipv4Addr::new(127, 10, 0, 1)
+}
+
+/// Finds free ports.
+pub fn find_ports() -> Option<Ports> {
+    for attempt in 0..200u16 {
+        let base = 21_000 + (std::process::id() as u16 % 200) * 100 + attempt * 7 % 90;
+        let ips: Vec<Ipv4Addr> = (0..ZONES.len())
+            .map(front_ip)
+            .chain((0..3).flat_map(|service| (0..3).map(move |number| member_ip(service, number))))
+            .chain([platform_ip()])
+            .collect();
+        let is_free = |port: u16| {
+            ips.iter().all(|ip| TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok())
+        };
+        if (0..6).all(|offset| is_free(base + offset)) {
+            return Some(Ports {
+                store: base,
+                frontend: base + 1,
+                readiness: base + 2,
+                metrics: base + 3,
+                peers: base + 4,
+                members: base + 5,
+            });
+        }
+    }
+    None
+}
+
+pub struct Front {
+    pub name: String,
+    pub zone: &'static str,
+    pub address: SocketAddr,
+    pub readiness: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Mutex<Option<Child>>,
+}
+
+pub struct Fleet {
+    pub fronts: Vec<Front>,
+    program: PathBuf,
+}
+
+impl Fleet {
+    /// Writes the settings of all fronts into a folder, in the words of the deploy template.
+    pub fn prepare(folder: &Path, ports: &Ports) -> std::io::Result<Self> {
+        let platform = SocketAddr::from((platform_ip(), ports.store));
+        let mut fronts = Vec::new();
+        for (number, zone) in ZONES.iter().enumerate() {
+            let ip = front_ip(number);
+            let name = format!("frontend-{zone}-{}", number + 1);
+            let text = format!(
+                "[instance]\nname = {name}\nzone = {zone}\n\n[listen]\nsessions = {ip}:{}\n\
+                 readiness = {ip}:{}\nmetrics = {ip}:{}\npeers = {ip}:{}\n\n[store]\n\
+                 address = {platform}\n\n[promotion]\naddress = {platform}\n\n[bounds]\n\
+                 key_lifetime_ms = 5000\nshutdown_ms = 6000\nplatform_fences = 1\n\n[features]\n\
+                 contracts = {CONTRACTS}\nduties = failover\n\n[machine]\nmemory_mb = {MEMORY_MB}\n\
+                 descriptors = 4300\n\n[usage]\n",
+                ports.frontend, ports.readiness, ports.metrics, ports.peers
+            );
+            let settings = folder.join(format!("{name}.ini"));
+            fs::write(&settings, text)?;
+            fronts.push(Front {
+                zone,
+                address: SocketAddr::from((ip, ports.frontend)),
+                readiness: SocketAddr::from((ip, ports.readiness)),
+                log: folder.join(format!("{name}.log")),
+                settings,
+                name,
+                child: Mutex::new(None),
+            });
+        }
+        let program = fs::canonicalize("target/release/corianderstile")?;
+        Ok(Self { fronts, program })
+    }
+
+    /// Starts a front, or starts it again.
+    pub fn start(&self, number: usize) -> std::io::Result<()> {
+        let front = &self.fronts[number];
+        let log = File::options().create(true).append(true).open(&front.log)?;
+        let child = Command::new(&self.program)
+            .env_clear()
+            .env("CORIANDERSTILE_BOOT", &front.settings)
+            .env("PATH", "/usr/bin:/bin")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        STARTED.lock().expect("started").push(child.id());
+        *front.child.lock().expect("front") = Some(child);
+        Ok(())
+    }
+
+    pub fn start_all(&self) -> std::io::Result<()> {
+        (0..self.fronts.len()).try_for_each(|number| self.start(number))
+    }
+
+    /// Sends a signal to a front.
+    pub fn signal(&self, number: usize, signal: &str) {
+        let child = self.fronts[number].child.lock().expect("front");
+        if let Some(child) = &*child {
+            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        }
+    }
+
+    /// Kills a front and waits for its end.
+    pub fn kill(&self, number: usize) {
+        let mut child = self.fronts[number].child.lock().expect("front");
+        if let Some(mut child) = child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            STARTED.lock().expect("started").retain(|id| *id != child.id());
+        }
+    }
+
+    /// Asks whether a front is ready.
+    pub fn is_ready(&self, number: usize) -> bool {
+        let ask = || -> Option<bool> {
+            let address = self.fronts[number].readiness;
+            let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
+            stream.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
+            stream.write_all(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n").ok()?;
+            let mut text = [0; 32];
+            let count = stream.read(&mut text).ok()?;
+            Some(String::from_utf8_lossy(&text[..count]).contains(" 200 "))
+        };
+        ask().unwrap_or(false)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for number in 0..self.fronts.len() {
+            self.kill(number);
+        }
+    }
+}
+
+/// Ids of the processes that this one has started and not ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills the processes that this one has started and not ended.
+pub fn kill_started() {
+    for id in STARTED.lock().expect("started").iter() {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+}
