Show a front that refuses a member's work for good after a freeze

A request to end a stream that is held up for more than 250 ms is dropped by the home instance, which keeps the open transaction and its connection. One freeze of a second while five clients leave their transactions locks a tenant out of a primary, through all fronts.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod group;
 mod json;
+mod left_case;
 mod lost_case;
 mod record;
 mod setup;
@@ -28,6 +29,7 @@
     let folder = PathBuf::from(folder);
     start_watchdog();
     let result = match case.as_str() {
+        "left" => left_case::play(&folder, trouble),
         "lost" => lost_case::play(&folder, trouble),
         _ => Err("unknown case".into()),
     };
