Show a promotion that loses commits of a primary that is cut from the store

The promoter replaces a primary without an entry at once and doesn't demote it, so it acknowledges commits until its successor leads. With syncReplicas 1 and a successor that stops receiving meanwhile they are lost. Without the second disruption nothing is lost.

--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -9,12 +9,9 @@
     reader: BufReader<TcpStream>,
 }
 
-/// The answer to one message: rows, and a receipt or the code and text of an error.
-#[derive(Debug)]
+/// The answer to one message: a receipt, or the code and text of an error.
 pub struct Answer {
-    pub rows: Vec<String>,
     pub result: Result<String, String>,
-    pub state: char,
 }
 
 impl Client {
@@ -44,16 +41,15 @@
 
     /// Reads an answer; `None` if the connection ends or nothing comes in time.
     pub fn answer(&mut self) -> Option<Answer> {
-        let mut rows = Vec::new();
         let mut result = Err("NONE".to_owned());
         loop {
             let line = self.line()?;
             let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
             match word {
-                "ROW" => rows.push(rest.to_owned()),
+                "ROW" => {}
                 "COMPLETE" => result = Ok(rest.to_owned()),
                 "ERROR" => result = Err(rest.to_owned()),
-                "READY" => return Some(Answer { rows, result, state: rest.chars().next().unwrap_or('?') }),
+                "READY" => return Some(Answer { result }),
                 _ => return None,
             }
         }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -1,5 +1,6 @@
 //! Starts the front processes as the deploy file says, and plays the platform towards them.
 
+use std::collections::HashMap;
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -67,10 +68,11 @@
 
 pub struct Front {
     pub name: String,
-    pub zone: &'static str,
     pub address: SocketAddr,
     pub readiness: SocketAddr,
     settings: PathBuf,
+    /// Fields of the platform's settings of the machine.
+    fields: HashMap<String, String>,
     log: PathBuf,
     child: Mutex<Option<Child>>,
 }
@@ -78,39 +80,42 @@
 pub struct Fleet {
     pub fronts: Vec<Front>,
     program: PathBuf,
+    template: String,
 }
 
 impl Fleet {
-    /// Writes the settings of all fronts into a folder, in the words of the deploy template.
+    /// Writes the settings of all fronts into a folder, from the template of the deploy file.
     pub fn prepare(folder: &Path, ports: &Ports) -> std::io::Result<Self> {
-        let platform = SocketAddr::from((platform_ip(), ports.store));
         let mut fronts = Vec::new();
         for (number, zone) in ZONES.iter().enumerate() {
             let ip = front_ip(number);
             let name = format!("frontend-{zone}-{}", number + 1);
-            let text = format!(
-                "[instance]\nname = {name}\nzone = {zone}\n\n[listen]\nsessions = {ip}:{}\n\
-                 readiness = {ip}:{}\nmetrics = {ip}:{}\npeers = {ip}:{}\n\n[store]\n\
-                 address = {platform}\n\n[promotion]\naddress = {platform}\n\n[bounds]\n\
-                 key_lifetime_ms = 5000\nshutdown_ms = 6000\nplatform_fences = 1\n\n[features]\n\
-                 contracts = {CONTRACTS}\nduties = failover\n\n[machine]\nmemory_mb = {MEMORY_MB}\n\
-                 descriptors = 4300\n\n[usage]\n",
-                ports.frontend, ports.readiness, ports.metrics, ports.peers
-            );
-            let settings = folder.join(format!("{name}.ini"));
-            fs::write(&settings, text)?;
             fronts.push(Front {
-                zone,
                 address: SocketAddr::from((ip, ports.frontend)),
                 readiness: SocketAddr::from((ip, ports.readiness)),
                 log: folder.join(format!("{name}.log")),
-                settings,
-                name,
+                settings: folder.join(format!("{name}.ini")),
+                fields: settings_fields(&name, zone, ip, ports),
                 child: Mutex::new(None),
+                name,
             });
         }
         let program = fs::canonicalize("target/release/corianderstile")?;
-        Ok(Self { fronts, program })
+        let fleet = Self { fronts, program, template: fs::read_to_string("deploy/settings.ini")? };
+        fleet.write_settings(&[])?;
+        Ok(fleet)
+    }
+
+    /// Writes the settings of all fronts, with other values of some fields.
+    pub fn write_settings(&self, changed: &[(&str, &str)]) -> std::io::Result<()> {
+        for front in &self.fronts {
+            let mut fields = front.fields.clone();
+            for (name, value) in changed {
+                fields.insert((*name).to_owned(), (*value).to_owned());
+            }
+            fs::write(&front.settings, render(&self.template, &fields))?;
+        }
+        Ok(())
     }
 
     /// Starts a front, or starts it again.
@@ -152,6 +157,20 @@
         }
     }
 
+    /// Returns the exit code of a front whose process has ended, and forgets the process.
+    pub fn take_end(&self, number: usize) -> Option<Option<i32>> {
+        let mut child = self.fronts[number].child.lock().expect("front");
+        let status = child.as_mut()?.try_wait().ok()??;
+        let id = child.take()?.id();
+        STARTED.lock().expect("started").retain(|started| *started != id);
+        Some(status.code())
+    }
+
+    /// Returns whether a front has a process, which may have ended.
+    pub fn has_process(&self, number: usize) -> bool {
+        self.fronts[number].child.lock().expect("front").is_some()
+    }
+
     /// Asks whether a front is ready.
     pub fn is_ready(&self, number: usize) -> bool {
         let ask = || -> Option<bool> {
@@ -184,3 +203,56 @@
         let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
     }
 }
+
+/// Returns the fields of the platform's settings that the template uses, with the bounds of the site.
+fn settings_fields(name: &str, zone: &str, ip: Ipv4Addr, ports: &Ports) -> HashMap<String, String> {
+    let platform = format!("{}:{}", platform_ip(), ports.store);
+    let fields = [
+        ("nodeName", name.to_owned()),
+        ("zone", zone.to_owned()),
+        ("ip", ip.to_string()),
+        ("listen.frontend", format!("{ip}:{}", ports.frontend)),
+        ("listen.readiness", format!("{ip}:{}", ports.readiness)),
+        ("portRange.0", ports.peers.to_string()),
+        ("portRange.1", ports.metrics.to_string()),
+        ("platform.address", platform.clone()),
+        ("cloudApi.address", platform),
+        ("cloudApi.duties", "failover".to_owned()),
+        ("contracts", CONTRACTS.to_owned()),
+        ("bounds.revokeStrict", "true".to_owned()),
+        ("bounds.revokeMs", "5000".to_owned()),
+        ("bounds.graceS", "6".to_owned()),
+        ("bounds.fencing", "true".to_owned()),
+        ("limits.memoryMb", MEMORY_MB.to_string()),
+        ("limits.maxFds", "4300".to_owned()),
+    ];
+    fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect()
+}
+
+/// Fills in a template as DEPLOY.md says, as far as the project's template needs it: values, and
+/// sections that are rendered if a value is there and not false, or if it isn't.
+fn render(template: &str, fields: &HashMap<String, String>) -> String {
+    let mut out = String::new();
+    let mut rest = template;
+    while let Some((before, after)) = rest.split_once("{{") {
+        out.push_str(before);
+        let Some((name, after)) = after.split_once("}}") else { break };
+        let is_set = |name: &str| fields.get(name).is_some_and(|value| value != "false");
+        match name.split_at(1) {
+            ("#", section) | ("^", section) => {
+                let end = format!("{{{{/{section}}}}}");
+                let (body, after) = after.split_once(end.as_str()).unwrap_or((after, ""));
+                if is_set(section) == name.starts_with('#') {
+                    out.push_str(&render(body, fields));
+                }
+                rest = after;
+            }
+            _ => {
+                out.push_str(fields.get(name).map_or("", |value| value));
+                rest = after;
+            }
+        }
+    }
+    out.push_str(rest);
+    out
+}
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -38,15 +39,12 @@
     items: HashMap<String, String>,
     /// Receives nothing of the log.
     pub is_deaf: bool,
-    pub is_running: bool,
     pub is_draining: bool,
     /// Reaches the platform's store.
     pub reaches_store: bool,
     pub born: u64,
-    crashes: u64,
     /// Does not write its entry before this time.
     pub checks_in_after: Instant,
-    streams: Vec<TcpStream>,
     connections: usize,
     busy: usize,
     waiting: usize,
@@ -107,6 +105,8 @@
     state: Mutex<Vec<MemberState>>,
     changed: Condvar,
     record: Arc<Record>,
+    /// Whether a member receives nothing from the moment that its promotion is accepted.
+    pub goes_deaf_at_promotion: AtomicBool,
 }
 
 impl Group {
@@ -125,13 +125,10 @@
             log: Vec::new(),
             items: HashMap::new(),
             is_deaf: false,
-            is_running: true,
             is_draining: false,
             reaches_store: true,
             born: unix_ms(),
-            crashes: 0,
             checks_in_after: Instant::now(),
-            streams: Vec::new(),
             connections: 0,
             busy: 0,
             waiting: 0,
@@ -142,37 +139,20 @@
             state: Mutex::new(states.collect()),
             changed: Condvar::new(),
             record: record.clone(),
+            goes_deaf_at_promotion: AtomicBool::new(false),
         });
         for (number, (_, _, address)) in members.iter().enumerate() {
             let listener = TcpListener::bind(address)?;
-            let (group, address) = (group.clone(), *address);
-            thread::spawn(move || group.listen(number, address, listener));
+            let group = group.clone();
+            thread::spawn(move || group.listen(number, listener));
         }
         Ok(group)
     }
 
-    /// Accepts connections while the member runs; a crashed one has no listener.
-    fn listen(self: Arc<Self>, number: usize, address: SocketAddr, first: TcpListener) {
-        let mut listener = Some(first);
-        loop {
-            if !self.lock()[number].is_running {
-                listener = None;
-                thread::sleep(Duration::from_millis(5));
-                continue;
-            }
-            let Some(open) = &listener else {
-                listener = TcpListener::bind(address).ok();
-                continue;
-            };
-            let _ = open.set_nonblocking(true);
-            match open.accept() {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nonblocking(false);
-                    let group = self.clone();
-                    thread::spawn(move || group.serve(number, stream));
-                }
-                Err(_) => thread::sleep(Duration::from_millis(1)),
-            }
+    fn listen(self: Arc<Self>, number: usize, listener: TcpListener) {
+        for stream in listener.incoming().flatten() {
+            let group = self.clone();
+            thread::spawn(move || group.serve(number, stream));
         }
     }
 
@@ -195,30 +175,12 @@
         self.changed.notify_all();
     }
 
-    /// A member crashes: its connections end, and it comes back with its log.
-    pub fn set_running(&self, number: usize, is_running: bool) {
-        let mut members = self.lock();
-        members[number].is_running = is_running;
-        members[number].crashes += 1;
-        for stream in members[number].streams.drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        if is_running {
-            members[number].born = unix_ms();
-        }
-        Self::replicate(&mut members);
-        self.changed.notify_all();
-    }
-
     fn replicate(members: &mut [MemberState]) {
         let primaries = (0..members.len()).filter(|number| members[*number].is_primary);
         let Some(primary) = primaries.max_by_key(|number| members[*number].term) else { return };
-        if !members[primary].is_running {
-            return;
-        }
         let (log, term) = (members[primary].log.clone(), members[primary].term);
         for (number, member) in members.iter_mut().enumerate() {
-            if number != primary && member.is_running && !member.is_deaf {
+            if number != primary && !member.is_deaf {
                 member.is_primary = false;
                 member.term = term;
                 member.copy_log(&log);
@@ -228,14 +190,15 @@
 
     /// The platform's call: the member leads the next term after `promote_time`.
     pub fn promote(self: &Arc<Self>, id: &str) -> u16 {
-        let members = self.lock();
+        let mut members = self.lock();
         let Some(number) = members.iter().position(|member| member.id == id) else { return 409 };
-        if !members[number].is_running {
-            return 409;
-        }
         if members[number].is_primary {
             return 200;
         }
+        if self.goes_deaf_at_promotion.swap(false, Ordering::Relaxed) {
+            members[number].is_deaf = true;
+            self.record.note(&format!("{id} receives nothing"));
+        }
         drop(members);
         let group = self.clone();
         thread::spawn(move || {
@@ -247,7 +210,7 @@
 
     fn lead(&self, number: usize) {
         let mut members = self.lock();
-        if members[number].is_primary || !members[number].is_running {
+        if members[number].is_primary {
             return;
         }
         let term = members.iter().map(|member| member.term).max().unwrap_or(1) + 1;
@@ -270,7 +233,7 @@
     /// Appends a commit at the primary; `None` if the member does not lead.
     fn commit(&self, number: usize, writes: Vec<(String, String, String)>) -> Option<Position> {
         let mut members = self.lock();
-        if !members[number].is_primary || !members[number].is_running {
+        if !members[number].is_primary {
             return None;
         }
         let term = members[number].term;
@@ -278,11 +241,8 @@
         members[number].push(Entry { position, writes });
         Self::replicate(&mut members);
         loop {
-            if !members[number].is_running {
-                return None;
-            }
             let has_it = |member: &MemberState| {
-                !member.is_primary && member.is_running && !member.is_deaf && member.received() >= position
+                !member.is_primary && !member.is_deaf && member.received() >= position
             };
             if members.iter().filter(|member| has_it(member)).count() >= self.plan.sync_replicas {
                 return Some(position);
@@ -314,17 +274,7 @@
     }
 
     fn serve(&self, number: usize, stream: TcpStream) {
-        if !self.lock()[number].is_running {
-            return;
-        }
-        let Ok(kept) = stream.try_clone() else { return };
-        let mut members = self.lock();
-        members[number].connections += 1;
-        members[number].streams.push(kept);
-        if members[number].streams.len() > 200 {
-            members[number].streams.retain(|stream| stream.peer_addr().is_ok());
-        }
-        drop(members);
+        self.lock()[number].connections += 1;
         let _ = self.serve_session(number, stream);
         self.lock()[number].connections -= 1;
     }
@@ -333,7 +283,6 @@
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut writer = stream;
-        let crashes = self.lock()[number].crashes;
         let mut line = String::new();
         reader.read_line(&mut line).ok()?;
         let words: Vec<&str> = line.split_whitespace().collect();
@@ -360,9 +309,6 @@
             let rest = line.trim_end_matches(['\r', '\n']).strip_prefix("QUERY ")?;
             let (query, text) = rest.split_once(' ').unwrap_or((rest, ""));
             let answer = session.execute(query, text);
-            if self.lock()[number].crashes != crashes {
-                return None;
-            }
             let mut out = String::new();
             for row in &answer.rows {
                 out.push_str("ROW ");
--- a/review/standin-2/lost_case.rs
+++ b/review/standin-2/lost_case.rs
@@ -95,7 +95,7 @@
 }
 
 /// Writes one item after the other through one front.
-fn write(setup: &Setup, number: usize, stop: &AtomicBool) {
+pub fn write(setup: &Setup, number: usize, stop: &AtomicBool) {
     let service = number % setup.groups.len();
     let (database, key) = (format!("orders-db{service}"), format!("key-{}", number % 8));
     let mut client: Option<Client> = None;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! disruption out.
 
 mod client;
+mod cut_case;
 mod fleet;
 mod group;
 mod json;
@@ -29,6 +30,7 @@
     let folder = PathBuf::from(folder);
     start_watchdog();
     let result = match case.as_str() {
+        "cut" => cut_case::play(&folder, trouble),
         "left" => left_case::play(&folder, trouble),
         "lost" => lost_case::play(&folder, trouble),
         _ => Err("unknown case".into()),
--- a/review/standin-2/setup.rs
+++ b/review/standin-2/setup.rs
@@ -84,8 +84,7 @@
             }
         });
         setup.fleet.start_all()?;
-        let all_ready = || (0..setup.fleet.fronts.len()).all(|number| setup.fleet.is_ready(number));
-        if !wait_until(Duration::from_secs(20), all_ready) {
+        if !wait_until(Duration::from_secs(20), || setup.all_ready()) {
             return Err("the fronts are not ready".into());
         }
         // The limits of the tenants have been divided and the duty has been taken.
@@ -93,6 +92,10 @@
         Ok(setup)
     }
 
+    pub fn all_ready(&self) -> bool {
+        (0..self.fleet.fronts.len()).all(|number| self.fleet.is_ready(number))
+    }
+
     fn write_config(&self, plan: GroupPlan) {
         let mut routes = Vec::new();
         for group in &self.groups {
@@ -148,7 +151,7 @@
                     written.remove(&key);
                     self.store.remove(&key);
                 }
-                if !member.is_running || !member.reaches_store || Instant::now() < member.checks_in_after {
+                if !member.reaches_store || Instant::now() < member.checks_in_after {
                     continue;
                 }
                 let document = format!(
