Show that no process starts with a bound that is a fraction

The settings template writes 000 behind graceS; with 6.5 the number is not whole, and each process that is stopped and started ends with code 2. With a whole number all start.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod cut_case;
 mod fleet;
+mod fraction_case;
 mod group;
 mod json;
 mod left_case;
@@ -31,6 +32,7 @@
     start_watchdog();
     let result = match case.as_str() {
         "cut" => cut_case::play(&folder, trouble),
+        "fraction" => fraction_case::play(&folder, trouble),
         "left" => left_case::play(&folder, trouble),
         "lost" => lost_case::play(&folder, trouble),
         _ => Err("unknown case".into()),
