End the processes of a review script when it ends

The stand-in left its front processes running, because threads of its clients kept the deployment alive. It now ends them by their ids on every way out.

--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Zones of the front machines, as in the small site.
@@ -122,6 +123,10 @@
     pub fn start(&self, number: usize) -> std::io::Result<()> {
         let front = &self.fronts[number];
         let log = File::options().create(true).append(true).open(&front.log)?;
+        let mut started = STARTED.lock().expect("started");
+        if IS_OVER.load(Ordering::SeqCst) {
+            return Ok(());
+        }
         let child = Command::new(&self.program)
             .env_clear()
             .env("CORIANDERSTILE_BOOT", &front.settings)
@@ -130,7 +135,8 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        STARTED.lock().expect("started").push(child.id());
+        started.push(child.id());
+        drop(started);
         *front.child.lock().expect("front") = Some(child);
         Ok(())
     }
@@ -186,19 +192,15 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for number in 0..self.fronts.len() {
-            self.kill(number);
-        }
-    }
-}
-
 /// Ids of the processes that this one has started and not ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Kills the processes that this one has started and not ended.
+/// Whether no further process may be started.
+static IS_OVER: AtomicBool = AtomicBool::new(false);
+
+/// Kills the processes that this one has started and not ended, also those that still stand still.
 pub fn kill_started() {
+    IS_OVER.store(true, Ordering::SeqCst);
     for id in STARTED.lock().expect("started").iter() {
         let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -37,6 +37,8 @@
         "lost" => lost_case::play(&folder, trouble),
         _ => Err("unknown case".into()),
     };
+    // Threads of clients still use the deployment, so that it is not dropped.
+    setup::clean_up();
     match result {
         Ok(true) => {
             println!("the rule held");
@@ -61,7 +63,7 @@
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(116));
         println!("the case takes too long");
-        fleet::kill_started();
+        setup::clean_up();
         std::process::exit(2);
     });
 }
--- a/review/standin-2/setup.rs
+++ b/review/standin-2/setup.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Fleet, Ports, find_ports, member_ip, platform_ip};
+use crate::fleet::{Fleet, Ports, find_ports, kill_started, member_ip, platform_ip};
 use crate::group::{Group, GroupPlan, wait_until};
 use crate::record::Record;
 use crate::store::Store;
@@ -31,7 +31,6 @@
     pub groups: Vec<Arc<Group>>,
     pub fleet: Fleet,
     pub ports: Ports,
-    folder: PathBuf,
     version: AtomicU64,
     /// Time and contents of the last entry of each member.
     written: Mutex<HashMap<String, (Instant, String)>>,
@@ -42,7 +41,7 @@
     pub fn start(folder: &Path, services: usize, plan: GroupPlan) -> Result<Arc<Self>, Box<dyn std::error::Error>> {
         let record = Arc::new(Record::create(&folder.join("record.txt"))?);
         let ports = find_ports().ok_or("no free ports")?;
-        let temporary = std::env::temp_dir().join(format!("coriander-review-{}", std::process::id()));
+        let temporary = temporary_folder();
         fs::create_dir_all(&temporary)?;
         let mut groups = Vec::new();
         for service in 0..services {
@@ -69,7 +68,6 @@
             groups,
             fleet,
             ports,
-            folder: temporary,
             version: AtomicU64::new(1),
             written: Mutex::default(),
         });
@@ -187,12 +185,15 @@
     }
 }
 
-impl Drop for Setup {
-    fn drop(&mut self) {
-        if std::env::var_os("KEEP_LOGS").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        } else {
-            println!("logs in {}", self.folder.display());
-        }
+/// Returns the folder of the settings and logs of this case.
+fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("coriander-review-{}", std::process::id()))
+}
+
+/// Ends all processes that the case has started, and removes its temporary folder.
+pub fn clean_up() {
+    kill_started();
+    if std::env::var_os("KEEP_LOGS").is_none() {
+        let _ = fs::remove_dir_all(temporary_folder());
     }
 }
