Keep the review's cases to the limits of the variants that they use

Case 7 took the length of its cut from another variant of the disruption (7 s instead of 5 s); case 8 sent its signals at once instead of over 1.27 s. The claims name the site's variants as written, and the stand-in sends signals through the shell.

--- a/review/standin-2/cut_case.rs
+++ b/review/standin-2/cut_case.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::group::{GroupPlan, wait_until};
 use crate::lost_case::write;
@@ -13,11 +13,11 @@
 
 const ROUNDS: usize = 5;
 
-/// Time for which the primary is cut from the store (`primary_cut`, at most 7 s).
-const CUT: Duration = Duration::from_millis(7_000);
+/// Time for which the primary is cut from the store (`primary_cut`, core, at most 5 s).
+const CUT: Duration = Duration::from_millis(5_000);
 
 /// Time for which the successor receives nothing, from the moment that its promotion is accepted
-/// (`replica_lag`, deaf, at most 6.5 s). The promotion itself ends it after 0.6 s.
+/// (`replica_lag`, deaf, count 1, at most 6.5 s). The promotion itself ends it after 0.6 s.
 const DEAF: Duration = Duration::from_millis(1_000);
 
 /// Time between two rounds.
@@ -65,16 +65,19 @@
     let primary = group.primary();
     setup.record.note(&format!("round {round}: member {primary} of {} is cut from the store", group.name));
     group.goes_deaf_at_promotion.store(true, Ordering::Relaxed);
+    let started = Instant::now();
     group.lock()[primary].reaches_store = false;
     let promoted = wait_until(CUT, || !group.goes_deaf_at_promotion.load(Ordering::Relaxed));
+    let deaf_until = Instant::now() + DEAF;
+    group.goes_deaf_at_promotion.store(false, Ordering::Relaxed);
+    thread::sleep(CUT.saturating_sub(started.elapsed()).min(DEAF));
+    group.lock()[primary].reaches_store = true;
+    setup.record.note("the cut has ended");
     if promoted {
-        thread::sleep(DEAF);
+        thread::sleep(deaf_until.saturating_duration_since(Instant::now()));
         for number in 0..3 {
             group.set_deaf(number, false);
         }
         setup.record.note("all members receive again");
     }
-    group.goes_deaf_at_promotion.store(false, Ordering::Relaxed);
-    group.lock()[primary].reaches_store = true;
-    setup.record.note("the cut has ended");
 }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -154,7 +154,7 @@
     pub fn signal(&self, number: usize, signal: &str) {
         let child = self.fronts[number].child.lock().expect("front");
         if let Some(child) = &*child {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            send_signal(child.id(), signal);
         }
     }
 
@@ -207,10 +207,15 @@
 pub fn kill_started() {
     IS_OVER.store(true, Ordering::SeqCst);
     for id in STARTED.lock().expect("started").iter() {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        send_signal(*id, "KILL");
     }
 }
 
+/// Sends a signal through the shell, which needs no program for it.
+fn send_signal(id: u32, signal: &str) {
+    let _ = Command::new("sh").args(["-c", &format!("kill -{signal} {id}")]).status();
+}
+
 /// Returns the fields of the platform's settings that the template uses, with the bounds of the site.
 fn settings_fields(name: &str, zone: &str, ip: Ipv4Addr, ports: &Ports) -> HashMap<String, String> {
     let platform = format!("{}:{}", platform_ip(), ports.store);
--- a/review/standin-2/fraction_case.rs
+++ b/review/standin-2/fraction_case.rs
@@ -20,8 +20,10 @@
 /// Time between two machines that are stopped (`roll_term`, share 1.0).
 const GAP: Duration = Duration::from_secs(2);
 
-/// Machines whose settings file changes (`hup`, share at most 0.78 of six).
+/// Machines whose settings file changes (`hup`, share at most 0.78 of six), and the time between two
+/// of them (over `gap_s` 1.27).
 const CHANGED: usize = 4;
+const HUP_GAP: Duration = Duration::from_millis(420);
 
 /// Failed starts from which a program counts as one that doesn't start.
 const MIN_STARTS: usize = 3;
@@ -42,6 +44,7 @@
             fleet.write_front_settings(number, &[("bounds.graceS", "6.5")])?;
             fleet.signal(number, "HUP");
             record.note(&format!("the settings file of {} has graceS 6.5; SIGHUP", fleet.fronts[number].name));
+            thread::sleep(HUP_GAP);
         }
     }
     thread::sleep(Duration::from_secs(3));
