Count the absence of an entry from reads without a gap, anew after an outage

Cause: the grace period of a member without an entry counted from the last read that listed it, which lies before the outage. The first read afterwards removed every member whose entry was not back yet, the healthy primary too; 0.7 s later the only listed replica was promoted. The count of replicas that a synchronous promotion must hear was the number of members left, so that one was enough.

Evidence: the promoter logs "member has no entry in the store" and "member removed" in the same millisecond, then "promoting a member need=no_leader old=- candidates=1 replicas=1 synchronous=1". Ruled out: reports of other instances and failed probes (neither is logged, old=-).

Change: `ReadSpan` holds the reads of the store that followed each other without a gap of more than 2 s, by their send times; no revision is compared. An absence counts within one span. A member is gone after 3 s and removed after 4.5 s. That no member reports the primary role is believed after a span of 3 s, also by a process that has just started. A primary without an entry that still replies is replaced when it is gone, not at once; one that fails its probes is replaced as before. Replicas that were removed without having drained count for 20 s.

FakePromotionApi moved to support.

--- a/crates/coriander_service/src/configuration/store_view.rs
+++ b/crates/coriander_service/src/configuration/store_view.rs
@@ -1,12 +1,13 @@
 //! The newest snapshot of the store, for this instance and for those that request updates.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use coriander_core::MonotonicTime;
 use coriander_service_api::ControlSnapshot;
 
 use crate::configuration::config_delta::{ConfigDelta, ConfigHistory};
+use crate::configuration::read_span::ReadSpan;
 use crate::configuration::store_update::{
     KnownSnapshot, SnapshotDigest, SnapshotHistory, StoreUpdate,
 };
@@ -22,6 +23,7 @@
 #[derive(Default)]
 pub struct StoreView {
     newest: RefCell<Option<NewestRead>>,
+    reads: Cell<ReadSpan>,
     history: RefCell<SnapshotHistory>,
     config_history: RefCell<ConfigHistory>,
 }
@@ -40,6 +42,11 @@
         {
             return None;
         }
+        let reads = match &*newest {
+            Some(_) => self.reads.get().extended(sent_at),
+            None => ReadSpan::starting(sent_at),
+        };
+        self.reads.set(reads);
         let previous = newest.as_ref().map(|known| known.digest);
         let digest = SnapshotDigest::of(snapshot);
         let mut history = self.history.borrow_mut();
@@ -64,6 +71,7 @@
             return None;
         }
         read.sent_at = read.sent_at.max(sent_at);
+        self.reads.set(self.reads.get().extended(sent_at));
         if read.snapshot.revision < revision {
             let mut snapshot = (*read.snapshot).clone();
             snapshot.revision = revision;
@@ -78,6 +86,11 @@
         newest.as_ref().map(|read| read.snapshot.clone())
     }
 
+    /// Returns the newest reads that followed each other without a gap.
+    pub fn reads(&self) -> ReadSpan {
+        self.reads.get()
+    }
+
     /// Returns the digest of the newest snapshot.
     pub fn digest(&self) -> SnapshotDigest {
         let newest = self.newest.borrow();
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -30,6 +30,7 @@
 pub use configuration::config_delta::{ConfigDelta, ConfigHistory};
 pub use configuration::control_loop::run_store_sync;
 pub use configuration::list_update::ListUpdate;
+pub use configuration::read_span::ReadSpan;
 pub use configuration::store_update::{
     InstanceUpdate, KnownSnapshot, MemberUpdate, SnapshotDigest, SnapshotHistory, StoreUpdate,
 };
--- a/crates/coriander_service/src/members/database_group.rs
+++ b/crates/coriander_service/src/members/database_group.rs
@@ -13,16 +13,19 @@
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
+use crate::configuration::read_span::ReadSpan;
 use crate::fleet::fleet_view::MemberLocation;
 use crate::members::connection_caps::ConnectionCaps;
+use crate::members::departed_members::DepartedMembers;
 use crate::members::member::Member;
 use crate::members::member_capacity::{MemberCapacity, SharedCapacity};
 use crate::members::member_pool::MemberPool;
 use crate::sessions::exchange::ExchangePlan;
 
-/// How long a member without an entry is still used. Entries lost in an outage of the store return
-/// within this time.
-const MISSING_GRACE_PERIOD: Duration = Duration::from_millis(2_500);
+/// Time without an entry after which a member is removed. A primary that counts as gone is replaced
+/// meanwhile. With the time until a read shows the absence it stays below the bound on work for members
+/// that are gone.
+const REMOVAL_DELAY: Duration = Duration::from_millis(4_500);
 
 /// Maximum time for which a replica that lacked a position is not read from.
 const MAX_LAG_DELAY: Duration = Duration::from_millis(700);
@@ -40,6 +43,9 @@
     ordered_waiting: bool,
     capacity: Option<SharedCapacity>,
     members: RefCell<Vec<Rc<Member>>>,
+    departed: DepartedMembers,
+    /// Reads of the store from which the members follow.
+    reads: Cell<ReadSpan>,
     position_timeline: Rc<RefCell<PositionTimeline>>,
     /// Primary reported by a promotion, until the entry of the member agrees.
     promoted_primary: RefCell<Option<Arc<str>>>,
@@ -63,6 +69,8 @@
             ordered_waiting: false,
             capacity,
             members: RefCell::default(),
+            departed: DepartedMembers::default(),
+            reads: Cell::default(),
             position_timeline: Rc::default(),
             promoted_primary: RefCell::default(),
             designated_primary: RefCell::default(),
@@ -103,18 +111,31 @@
         }
     }
 
-    /// Applies the entries of the group's members.
+    /// Applies the entries of the group's members that the newest of `reads` has returned.
     pub fn apply_entries(
         &self,
         entries: &[&MemberEntry],
         evacuated_zones: &[Arc<str>],
+        reads: ReadSpan,
         now: MonotonicTime,
     ) {
+        self.reads.set(reads);
+        let primary = self.primary(now);
         let mut members = self.members.borrow_mut();
         for entry in entries {
             self.apply_entry(&mut members, entry, now);
         }
-        members.retain(|member| self.retain_member(member, entries, now));
+        members.retain(|member| {
+            if self.retain_member(member, entries) {
+                return true;
+            }
+            let is_primary = primary.as_ref().is_some_and(|known| known.id == member.id);
+            // The log of a member that drained has been transferred to its successor.
+            if !is_primary && !member.entry.borrow().draining {
+                self.departed.add(&member.id, now);
+            }
+            false
+        });
         for member in members.iter() {
             let is_zone_evacuated = evacuated_zones.contains(&member.entry.borrow().zone);
             member.is_zone_evacuated.set(is_zone_evacuated);
@@ -171,30 +192,56 @@
         if let Some(capacity) = &capacity {
             pool.set_statement_limit(capacity.statement_limit());
         }
-        let member = Member::new(entry, pool, capacity, now);
+        self.departed.remove(&entry.id);
+        let member = Member::new(entry, pool, capacity);
         member.update(entry, now);
         members.push(Rc::new(member));
     }
 
-    fn retain_member(&self, member: &Member, entries: &[&MemberEntry], now: MonotonicTime) -> bool {
+    fn retain_member(&self, member: &Member, entries: &[&MemberEntry]) -> bool {
         let listed = entries.iter().any(|entry| entry.id == member.id);
         if listed {
             return true;
         }
-        if !member.missing.replace(true) {
+        let reads = self.reads.get();
+        if !member.is_missing() {
             log::info!(
-                group = &*self.name, member = &*member.id;
+                group = &*self.name, member = &*member.id,
+                reads_span_ms = reads.length().as_millis() as u64;
                 "member has no entry in the store"
             );
         }
-        if now.since(member.last_listed_at.get()) < MISSING_GRACE_PERIOD {
+        let absence = member.record_absence(reads);
+        if absence < REMOVAL_DELAY {
             return true;
         }
-        log::info!(group = &*self.name, member = &*member.id; "member removed");
+        log::info!(
+            group = &*self.name, member = &*member.id, absent_ms = absence.as_millis() as u64;
+            "member removed"
+        );
         member.close();
         false
     }
 
+    /// Closes the connections to all members, as the group has been removed.
+    pub fn close(&self) {
+        for member in self.members.take() {
+            member.close();
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the reads of the store from which the members follow.
+    pub fn reads(&self) -> ReadSpan {
+        self.reads.get()
+    }
+
+    /// Returns how many replicas that are no members any longer may return with commits that no other
+    /// member holds.
+    pub fn departed_count(&self, now: MonotonicTime) -> usize {
+        self.departed.count(now)
+    }
+
     /// Returns a member.
     pub fn member(&self, id: &str) -> Option<Rc<Member>> {
         let members = self.members.borrow();
@@ -327,6 +374,7 @@
     fn is_read_target(member: &Member, tried: &[Arc<str>], now: MonotonicTime) -> bool {
         !tried.contains(&member.id)
             && !member.is_leaving()
+            && !member.is_gone()
             && member.is_usable(now)
             && !member.is_lagging(now)
     }
--- a/crates/coriander_service/src/members/member.rs
+++ b/crates/coriander_service/src/members/member.rs
@@ -8,6 +8,7 @@
 use coriander_core::MonotonicTime;
 use coriander_service_api::{MemberEntry, MemberRole};
 
+use crate::configuration::read_span::ReadSpan;
 use crate::fleet::fleet_view::MemberLocation;
 use crate::members::member_capacity::MemberCapacity;
 use crate::members::member_health::MemberHealth;
@@ -22,6 +23,10 @@
 /// for cold members. Its entry shows a restart within this time.
 const SUSPECTED_RESTART_DURATION: Duration = Duration::from_millis(2_500);
 
+/// How long an entry may be absent after an outage of the store although its member runs, with the
+/// time that a read of the store takes.
+pub const ENTRY_RETURN_TIME: Duration = Duration::from_millis(3_000);
+
 /// How long a leaving primary is used before a successor is promoted. Shorter than the bounds on
 /// work for members that drain or whose zone is taken out of service.
 const MAX_LEAVING_PRIMARY_USE: Duration = Duration::from_millis(3_000);
@@ -47,9 +52,10 @@
     pub(crate) connections: Cell<usize>,
     /// Send times of the outstanding statements.
     pub(crate) outstanding: RefCell<Vec<MonotonicTime>>,
-    /// Last time when a snapshot listed the member.
-    pub(crate) last_listed_at: Cell<MonotonicTime>,
-    pub(crate) missing: Cell<bool>,
+    /// Send time of the first read that showed no entry of the member.
+    missing_since: Cell<Option<MonotonicTime>>,
+    /// For how long reads without a gap have shown that it has no entry.
+    absence: Cell<Duration>,
     pub(crate) is_zone_evacuated: Cell<bool>,
     pub(crate) lagging_until: Cell<MonotonicTime>,
     /// Time until which the member is cold after its start.
@@ -72,7 +78,6 @@
         entry: &MemberEntry,
         pool: Rc<MemberPool>,
         capacity: Option<MemberCapacity>,
-        now: MonotonicTime,
     ) -> Self {
         Self {
             id: entry.id.clone(),
@@ -83,8 +88,8 @@
             in_flight: Cell::new(0),
             connections: Cell::new(1),
             outstanding: RefCell::default(),
-            last_listed_at: Cell::new(now),
-            missing: Cell::new(false),
+            missing_since: Cell::new(None),
+            absence: Cell::new(Duration::ZERO),
             is_zone_evacuated: Cell::new(false),
             lagging_until: Cell::new(MonotonicTime::ZERO),
             cold_until: Cell::new(MonotonicTime::ZERO),
@@ -135,7 +140,21 @@
 
     /// Returns whether the newest snapshot has no entry of the member.
     pub fn is_missing(&self) -> bool {
-        self.missing.get()
+        self.missing_since.get().is_some()
+    }
+
+    /// Returns whether the member has had no entry for so long that it counts as gone.
+    pub fn is_gone(&self) -> bool {
+        self.absence.get() >= ENTRY_RETURN_TIME
+    }
+
+    /// Records that the newest of `reads` has returned no entry of the member. Returns for how long
+    /// its absence has been shown.
+    pub(crate) fn record_absence(&self, reads: ReadSpan) -> Duration {
+        let since = self.missing_since.get().unwrap_or_else(|| reads.newest());
+        self.missing_since.set(Some(since));
+        self.absence.set(reads.absence(since));
+        self.absence.get()
     }
 
     /// Records a reply of the member.
@@ -295,8 +314,8 @@
         } else if self.primary_revision.get() == 0 {
             self.primary_revision.set(entry.revision.max(1));
         }
-        self.last_listed_at.set(now);
-        self.missing.set(false);
+        self.missing_since.set(None);
+        self.absence.set(Duration::ZERO);
         if !entry.warm_up_remaining.is_zero() {
             self.cold_until.set(now + entry.warm_up_remaining);
         }
--- a/crates/coriander_service/src/members/mod.rs
+++ b/crates/coriander_service/src/members/mod.rs
@@ -3,6 +3,7 @@
 pub mod connection_caps;
 pub mod connection_request;
 pub mod database_group;
+pub mod departed_members;
 pub mod held_connection;
 pub mod member;
 pub mod member_capacity;
--- a/crates/coriander_service/src/promotion/promotion_cause.rs
+++ b/crates/coriander_service/src/promotion/promotion_cause.rs
@@ -20,8 +20,8 @@
     Outage,
     /// More than half of the other instances report that the primary does not reply.
     ReportedOutage,
-    /// The newest snapshot has no entry of the primary.
-    Missing,
+    /// The primary has had no entry in the store for so long that it counts as gone.
+    Gone,
     /// No member reports the primary role.
     NoPrimary,
     /// The primary drains or its zone is taken out of service.
@@ -34,16 +34,16 @@
         match self {
             Self::Outage => "outage",
             Self::ReportedOutage => "reported_outage",
-            Self::Missing => "missing",
+            Self::Gone => "gone",
             Self::NoPrimary => "no_leader",
             Self::Leaving => "leaving",
         }
     }
 
-    /// Returns whether the current primary still serves, so that none of its acknowledged commits
-    /// may be lost.
-    pub const fn is_planned(self) -> bool {
-        matches!(self, Self::Leaving)
+    /// Returns whether the current primary may still serve, so that it is demoted before its
+    /// acknowledged commits are lost.
+    pub const fn is_primary_serving(self) -> bool {
+        matches!(self, Self::Gone | Self::Leaving)
     }
 }
 
@@ -63,6 +63,7 @@
     reports: usize,
     peers: usize,
     missing: bool,
+    gone: bool,
     leaving: bool,
     no_primary_for: Duration,
 }
@@ -83,13 +84,20 @@
         self
     }
 
-    /// Sets whether the newest snapshot has no entry of the primary.
+    /// Sets whether the primary has no entry in the store and no outage of the store explains that.
     #[must_use]
     pub const fn with_missing(mut self, missing: bool) -> Self {
         self.missing = missing;
         self
     }
 
+    /// Sets whether the primary has had no entry for so long that it counts as gone.
+    #[must_use]
+    pub const fn with_gone(mut self, gone: bool) -> Self {
+        self.gone = gone;
+        self
+    }
+
     /// Sets whether the primary drains or its zone is taken out of service.
     #[must_use]
     pub const fn with_leaving(mut self, leaving: bool) -> Self {
@@ -97,7 +105,8 @@
         self
     }
 
-    /// Sets for how long no member has reported the primary role.
+    /// Sets for how long no member has reported the primary role, in reads of the store that follow
+    /// so long after an outage of it that the entries of all members are back.
     #[must_use]
     pub const fn with_no_primary(mut self, time: Duration) -> Self {
         self.no_primary_for = time;
@@ -117,8 +126,8 @@
         if self.peers > 0 && self.reports * 2 > self.peers {
             return Some(PromotionCause::ReportedOutage);
         }
-        if self.missing {
-            return Some(PromotionCause::Missing);
+        if self.gone {
+            return Some(PromotionCause::Gone);
         }
         if self.no_primary_for >= NO_PRIMARY_DELAY {
             return Some(PromotionCause::NoPrimary);
@@ -143,7 +152,7 @@
 /// Conditions on the replicas of a group under which one of them is promoted.
 #[derive(Clone, Debug, Default)]
 pub struct SuccessorRule {
-    /// Number of replicas of the group.
+    /// Number of replicas of the group, with those that have lost their entries lately.
     pub replicas: usize,
     /// Number of replicas that hold a commit when it is acknowledged.
     pub sync_replicas: usize,
--- a/crates/coriander_service/src/promotion/promotion_task.rs
+++ b/crates/coriander_service/src/promotion/promotion_task.rs
@@ -15,7 +15,8 @@
 
 use crate::fleet::peer_messages::{OutageReport, PeerMessage, PrimaryNotice};
 use crate::members::database_group::DatabaseGroup;
-use crate::members::member::Member;
+use crate::members::departed_members::RETURN_TIMEOUT;
+use crate::members::member::{ENTRY_RETURN_TIME, Member};
 use crate::promotion::lineage_store::LineageStore;
 use crate::promotion::member_inquiry::MemberInquiry;
 use crate::promotion::primary_confirmation::HAND_OVER_DELAY;
@@ -44,11 +45,6 @@
 /// Interval between status queries of a member that is being promoted.
 const STATUS_INTERVAL: Duration = Duration::from_millis(30);
 
-/// How long a group waits for a member with a whole log before the commits that only absent members
-/// hold are given up. A member that is cut off loses its entry in the store within seconds and
-/// returns with its log.
-const WHOLE_LOG_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Delay after a failed promotion.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -104,11 +100,12 @@
 
     fn check_group(self: &Rc<Self>, group: &Rc<DatabaseGroup>) {
         let now = self.service.clock.now();
+        let primary = group.primary(now);
         for member in group.members() {
-            self.probe_if_silent(&member, now);
+            let is_primary = primary.as_ref().is_some_and(|known| known.id == member.id);
+            self.probe_if_suspect(&member, is_primary, now);
             member.pool.close_surplus();
         }
-        let primary = group.primary(now);
         if let Some(primary) = &primary {
             self.report_outage(group, primary, now);
         }
@@ -131,11 +128,20 @@
         });
     }
 
-    /// Sends a health probe to a member that does not reply to statements or has failed.
-    fn probe_if_silent(self: &Rc<Self>, member: &Rc<Member>, now: MonotonicTime) {
+    /// Sends a health probe to a member that does not reply to statements or has failed, and from the
+    /// promoter to a primary without an entry, which may be idle.
+    fn probe_if_suspect(
+        self: &Rc<Self>,
+        member: &Rc<Member>,
+        is_primary: bool,
+        now: MonotonicTime,
+    ) {
         let is_silent = member.silent_for(now) >= SILENCE_TIMEOUT;
         let failing = member.failing_for(now).is_some();
-        if !(is_silent || failing) || !self.probing_members.borrow_mut().insert(member.id.clone()) {
+        let is_promoter = self.service.promotion_duty.is_held();
+        let may_have_left = is_promoter && is_primary && member.is_missing();
+        let is_suspect = is_silent || failing || may_have_left;
+        if !is_suspect || !self.probing_members.borrow_mut().insert(member.id.clone()) {
             return;
         }
         let (task, member) = (self.clone(), member.clone());
@@ -194,10 +200,14 @@
         primary: Option<&Rc<Member>>,
         now: MonotonicTime,
     ) -> PrimaryObservation {
+        // After an outage of the store, or the start of this process, entries that were lost in an
+        // outage may not be back.
+        let are_entries_back = group.reads().length() >= ENTRY_RETURN_TIME;
         let mut no_primary_since = self.no_primary_since.borrow_mut();
         let Some(primary) = primary else {
             let since = *no_primary_since.entry(group.name.clone()).or_insert(now);
-            return PrimaryObservation::default().with_no_primary(now.since(since));
+            let time = are_entries_back.then(|| now.since(since));
+            return PrimaryObservation::default().with_no_primary(time.unwrap_or_default());
         };
         no_primary_since.remove(&group.name);
         let reports = &self.service.outage_reports;
@@ -205,7 +215,8 @@
         PrimaryObservation::default()
             .with_failing(primary.failing_for(now).unwrap_or_default())
             .with_reports(reports, self.service.peers.peers().len())
-            .with_missing(primary.is_missing())
+            .with_missing(primary.is_missing() && are_entries_back)
+            .with_gone(primary.is_gone())
             .with_leaving(primary.is_leaving())
     }
 
@@ -263,7 +274,7 @@
         }
         if self.promote(group, successor, rule.lineage, token).await {
             if platform_fences
-                && cause.is_planned()
+                && cause.is_primary_serving()
                 && let Some(old_primary) = old_primary
             {
                 // A demoted primary acknowledges no more commits, so that all acknowledged ones
@@ -291,13 +302,14 @@
         let is_replica =
             |member: &&Rc<Member>| primary.is_none_or(|primary| primary.id != member.id);
         let present = members.iter().filter(|member| !member.is_missing());
+        let departed = group.departed_count(self.service.clock.now());
         let lineage = self.lineages.lineage(&group.name);
         let waited = self.time_without_whole_log(group, &lineage, candidates);
         SuccessorRule {
-            replicas: members.iter().filter(is_replica).count(),
+            replicas: members.iter().filter(is_replica).count() + departed,
             sync_replicas: usize::try_from(sync_replicas).unwrap_or(usize::MAX),
             lineage,
-            candidates_complete: present.count() <= candidates.len() && waited >= WHOLE_LOG_TIMEOUT,
+            candidates_complete: present.count() <= candidates.len() && waited >= RETURN_TIMEOUT,
         }
     }
 
--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -213,12 +213,13 @@
         let Some(config) = self.config_view.config() else {
             return;
         };
+        let reads = self.store_view.reads();
         let own_name = self.settings().name.clone();
         for (name, limits) in &config.groups {
             let group = self.group(name);
             let in_group = |entry: &&MemberEntry| entry.group == *name;
             let entries: Vec<_> = snapshot.members.iter().filter(in_group).collect();
-            group.apply_entries(&entries, &snapshot.evacuated_zones, now);
+            group.apply_entries(&entries, &snapshot.evacuated_zones, reads, now);
             group.apply_targets(&config);
             let primaries = &snapshot.primaries;
             let designated = primaries.iter().find(|primary| primary.group == *name);
@@ -243,8 +244,7 @@
         groups.retain(|name, group| {
             let kept = config.groups.contains_key(name);
             if !kept {
-                // Later than the grace period, so that all members are removed at once.
-                group.apply_entries(&[], &[], now + Duration::from_secs(3600));
+                group.close();
             }
             kept
         });
--- a/crates/coriander_service/tests/support/mod.rs
+++ b/crates/coriander_service/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses some items")]
 
 pub mod fake_group;
+pub mod fake_promotion_api;
 pub mod fake_store;
 pub mod relay_instance;
 
