Stop the commits of a group before the logs that decide a promotion are compared

Cause: the logs that decided the choice were not final. A primary cut from the store went on acknowledging commits that the other replica received, while the chosen one, which received nothing, was being promoted. It was demoted only in planned promotions, and after the call.

Evidence: "promoting a member need=missing candidates=2 replicas=2 synchronous=1" 84 ms after "member has no entry in the store", no demotion requested. Ruled out: the count of replicas (both had replied) and the choice (the best was chosen).

Change: with synchronous commits a promotion compares, stops the commits, compares again and calls. A primary that replies is demoted, if a comparison shows a successor; it must have been primary until then. Otherwise so many replicas are paused that no commit can be acknowledged. A replica that holds the whole log of the demoted primary is enough, whatever the others reply. Replicas without an entry are asked too. Promotions that may have ended halfway are found at each start of a tenure, after a pause and after a call without a reply: the primary is confirmed with the newer token before replicas receive again. Without synchronous commits nothing is stopped and nothing waits. A member that is primary of the newest term already is chosen before others.

--- a/crates/coriander_service/src/promotion/member_inquiry.rs
+++ b/crates/coriander_service/src/promotion/member_inquiry.rs
@@ -1,10 +1,11 @@
-//! Queries the role and log of members and demotes them, outside of client sessions.
+//! Statements to members outside of client sessions: status, demotion, and pauses of replicas.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use coriander_core::TermNumber;
-use coriander_service_api::{MemberConnector, MemberStatement, MemberStatus, MemberTarget};
+use coriander_service_api::{
+    MemberConnector, MemberRole, MemberStatement, MemberStatus, MemberTarget,
+};
 
 use crate::members::database_group::DatabaseGroup;
 use crate::members::member::Member;
@@ -13,10 +14,32 @@
 /// Timeout of a status query.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Interval between two status queries of a member whose state is about to change.
+pub const STATUS_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Account name of connections for status queries.
 const CONTROL_ACCOUNT: &str = "-";
 
-/// Queries and demotes members.
+/// A member that has replied, with its status.
+pub type MemberReport = (Rc<Member>, MemberStatus);
+
+/// A member that has confirmed that it is no primary any longer.
+#[derive(Clone, Debug)]
+pub struct Demotion {
+    /// The member, if it was primary until now, so that its log contains all acknowledged commits.
+    /// Otherwise another promotion may have taken effect, and its log proves nothing.
+    demoted: Option<PromotionCandidate>,
+}
+
+impl Demotion {
+    /// Returns the member as a candidate if it was primary until now.
+    pub fn candidate(self) -> Option<PromotionCandidate> {
+        self.demoted
+    }
+}
+
+/// Queries, demotes and pauses members.
+#[derive(Clone)]
 pub struct MemberInquiry {
     connector: Rc<dyn MemberConnector>,
 }
@@ -32,47 +55,60 @@
         self.query(group, member, MemberStatement::Status).await
     }
 
-    /// Returns the log positions of the members that reply, except the primary.
-    pub async fn candidates(
+    /// Sends a statement to members at once and returns the status of those that reply, in the same
+    /// order.
+    pub async fn query_all(
         &self,
-        group: &DatabaseGroup,
-        primary: Option<&Rc<Member>>,
-    ) -> Vec<PromotionCandidate> {
-        let mut candidates = Vec::new();
-        for member in group.members() {
-            let is_primary = primary.is_some_and(|primary| primary.id == member.id);
-            if is_primary || member.is_missing() {
-                continue;
-            }
-            if let Some(status) = self.status(group, &member).await {
-                candidates.push(PromotionCandidate {
-                    member: member.id.clone(),
-                    received: status.received,
-                    term: status.term,
-                    leaving: member.is_leaving(),
-                });
+        group: &Rc<DatabaseGroup>,
+        members: &[Rc<Member>],
+        statement: &MemberStatement,
+    ) -> Vec<MemberReport> {
+        let start = |member: &Rc<Member>| {
+            let (inquiry, group, member) = (self.clone(), group.clone(), member.clone());
+            let statement = statement.clone();
+            ntex::rt::spawn(async move {
+                let status = inquiry.query(&group, &member, statement).await;
+                status.map(|status| (member, status))
+            })
+        };
+        let queries: Vec<_> = members.iter().map(start).collect();
+        let mut reports = Vec::new();
+        for query in queries {
+            match query.await {
+                Ok(report) => reports.extend(report),
+                Err(error) => log::error!(
+                    group = &*group.name, error:% = error;
+                    "query of a member ended without a result"
+                ),
             }
         }
-        candidates
+        reports
     }
 
-    /// Demotes a primary, so that it refuses writes. Returns whether it has confirmed that.
-    pub async fn demote_primary(&self, group: &DatabaseGroup, primary: &Member) -> bool {
-        let Some(status) = self.status(group, primary).await else {
-            return false;
-        };
-        let term = TermNumber::new(status.term.get() + 1);
-        let demoted_status = self
+    /// Demotes a primary, so that it refuses writes. Returns `None` if it does not confirm that.
+    pub async fn demote_primary(
+        &self,
+        group: &DatabaseGroup,
+        primary: &Member,
+    ) -> Option<Demotion> {
+        let status = self.status(group, primary).await?;
+        if status.role == MemberRole::Replica {
+            return Some(Demotion { demoted: None });
+        }
+        let term = status.term.next();
+        let demoted = self
             .query(group, primary, MemberStatement::Demote { term })
             .await;
-        let position =
-            demoted_status.map_or_else(|| "-".to_owned(), |status| status.received.to_string());
+        let demoted = demoted.filter(|status| status.role == MemberRole::Replica);
+        let position = demoted.map_or_else(|| "-".to_owned(), |status| status.received.to_string());
         log::info!(
-            group = &*group.name, member = &*primary.id, stopped = demoted_status.is_some(),
+            group = &*group.name, member = &*primary.id, stopped = demoted.is_some(),
             position = position.as_str();
             "demotion of the former primary requested"
         );
-        demoted_status.is_some()
+        demoted.map(|status| Demotion {
+            demoted: Some(PromotionCandidate::new(primary, &status)),
+        })
     }
 
     async fn query(
--- a/crates/coriander_service/src/promotion/promotion_cause.rs
+++ b/crates/coriander_service/src/promotion/promotion_cause.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use coriander_core::{LogPosition, TermNumber};
+use coriander_service_api::{MemberRole, MemberStatus};
 
+use crate::members::member::Member;
 use crate::promotion::term_lineage::TermLineage;
 
 /// How long the primary must have failed before a successor is promoted.
@@ -26,6 +28,8 @@
     NoPrimary,
     /// The primary drains or its zone is taken out of service.
     Leaving,
+    /// An earlier promotion may have ended halfway, so that replicas receive no commits.
+    Interrupted,
 }
 
 impl PromotionCause {
@@ -37,6 +41,7 @@
             Self::Gone => "gone",
             Self::NoPrimary => "no_leader",
             Self::Leaving => "leaving",
+            Self::Interrupted => "interrupted",
         }
     }
 
@@ -45,6 +50,11 @@
     pub const fn is_primary_serving(self) -> bool {
         matches!(self, Self::Gone | Self::Leaving)
     }
+
+    /// Returns whether the primary may reply to this instance.
+    pub const fn may_primary_reply(self) -> bool {
+        !matches!(self, Self::Outage)
+    }
 }
 
 /// Observations of the primary of a group.
@@ -145,8 +155,26 @@
     pub received: LogPosition,
     /// Newest term that it knows.
     pub term: TermNumber,
-    /// Whether it drains or its zone is taken out of service.
+    /// Whether it drains, its zone is taken out of service or it has no entry in the store.
     pub leaving: bool,
+    /// Whether it already is primary.
+    pub is_primary: bool,
+    /// Whether it has been stopped from receiving commits.
+    pub is_paused: bool,
+}
+
+impl PromotionCandidate {
+    /// Creates a candidate from the status of a member.
+    pub fn new(member: &Member, status: &MemberStatus) -> Self {
+        Self {
+            member: member.id.clone(),
+            received: status.received,
+            term: status.term,
+            leaving: member.is_leaving() || member.is_missing(),
+            is_primary: status.role == MemberRole::Primary,
+            is_paused: status.is_paused,
+        }
+    }
 }
 
 /// Conditions on the replicas of a group under which one of them is promoted.
@@ -156,6 +184,9 @@
     pub replicas: usize,
     /// Number of replicas that hold a commit when it is acknowledged.
     pub sync_replicas: usize,
+    /// End of the log of the former primary, if it has replied. A replica that has received it holds
+    /// all acknowledged commits.
+    pub primary_position: Option<LogPosition>,
     /// Recorded promotions.
     pub lineage: TermLineage,
     /// Whether a log with discarded commits may be chosen if no candidate has another: the
@@ -164,20 +195,32 @@
 }
 
 impl SuccessorRule {
-    /// Returns whether any `candidate_count` replicas include one that holds all acknowledged
-    /// commits.
-    const fn is_met_by(&self, candidate_count: usize) -> bool {
-        candidate_count > 0 && candidate_count + self.sync_replicas > self.replicas
+    /// Returns whether commits are acknowledged only when replicas have received them.
+    pub const fn is_synchronous(&self) -> bool {
+        self.sync_replicas > 0
+    }
+
+    /// Returns whether any `count` replicas include one that holds all acknowledged commits. If they
+    /// receive no more commits, none can be acknowledged any longer.
+    pub const fn is_met_by(&self, count: usize) -> bool {
+        count > 0 && count + self.sync_replicas > self.replicas
+    }
+
+    fn holds_all(&self, candidate: &PromotionCandidate) -> bool {
+        let position = self.primary_position;
+        position.is_some_and(|position| candidate.received >= position)
     }
 }
 
 /// Returns the candidate to promote: the one that has received most. The smaller identifier breaks
-/// ties, so that a repeated choice has the same result.
+/// ties, so that a repeated choice has the same result. A candidate that already is primary of the
+/// newest term is chosen before all others.
 ///
-/// If commits are synchronous, enough candidates must have replied, and a leaving one is chosen if
-/// it alone holds the newest commit. Otherwise a leaving one is never chosen. A log with commits
-/// that a promotion may have discarded is chosen only if no other log is left, because it would
-/// restore these commits in place of newer ones.
+/// If commits are synchronous, enough candidates must have replied, or the chosen one must have
+/// received the whole log of the former primary; a leaving one is chosen if it alone holds the newest
+/// commit. Otherwise a leaving one is never chosen. A log with commits that a promotion may have
+/// discarded is chosen only if no other log is left, because it would restore these commits in place
+/// of newer ones.
 ///
 /// ```
 /// use coriander_core::{LogPosition, TermNumber};
@@ -188,6 +231,8 @@
 ///     received: LogPosition::new(TermNumber::new(1), index),
 ///     term: TermNumber::new(1),
 ///     leaving: false,
+///     is_primary: false,
+///     is_paused: false,
 /// };
 /// let candidates = [at("a", 4), at("b", 7)];
 /// let best = choose_successor(&candidates, &SuccessorRule::default()).expect("two candidates");
@@ -197,14 +242,20 @@
     candidates: &'a [PromotionCandidate],
     rule: &SuccessorRule,
 ) -> Option<&'a PromotionCandidate> {
-    let is_synchronous = rule.sync_replicas > 0;
-    if is_synchronous && !rule.is_met_by(candidates.len()) {
-        return None;
-    }
     let is_whole = |candidate: &PromotionCandidate| rule.lineage.contains(candidate.received);
+    let newest_term = candidates.iter().map(|candidate| candidate.term).max();
+    let primary = candidates.iter().find(|candidate| {
+        candidate.is_primary && Some(candidate.term) == newest_term && is_whole(candidate)
+    });
+    if primary.is_some() {
+        return primary;
+    }
+    let is_synchronous = rule.is_synchronous();
+    let are_enough = !is_synchronous || rule.is_met_by(candidates.len());
     let eligible = candidates
         .iter()
         .filter(|candidate| is_synchronous || !candidate.leaving)
+        .filter(|candidate| are_enough || rule.holds_all(candidate))
         .filter(|candidate| rule.candidates_complete || is_whole(candidate));
     eligible.max_by(|a, b| {
         let by_lineage = is_whole(a).cmp(&is_whole(b));
--- a/crates/coriander_service/src/promotion/term_lineage.rs
+++ b/crates/coriander_service/src/promotion/term_lineage.rs
@@ -140,6 +140,12 @@
         terms.max().unwrap_or_default()
     }
 
+    /// Returns whether the outcome of the newest recorded promotion is not known.
+    pub fn is_newest_uncertain(&self) -> bool {
+        let newest = self.origins.last();
+        newest.is_some_and(|origin| !origin.is_certain)
+    }
+
     fn newest_certain_term(&self) -> Option<TermNumber> {
         let certain = self.origins.iter().filter(|origin| origin.is_certain);
         certain.map(|origin| origin.term).max()
--- a/crates/coriander_service/tests/promotion_cause.rs
+++ b/crates/coriander_service/tests/promotion_cause.rs
@@ -84,6 +84,8 @@
         received: LogPosition::new(TermNumber::new(term), index),
         term: TermNumber::new(term),
         leaving: false,
+        is_primary: false,
+        is_paused: false,
     }
 }
 
@@ -180,3 +182,53 @@
     rule.candidates_complete = true;
     assert!(choose_successor(&candidates, &rule).is_some());
 }
+
+#[test]
+fn choose_successor_takes_a_replica_with_the_whole_log_of_the_former_primary() {
+    // The replica that does not reply cannot hold an acknowledged commit that the primary lacked.
+    let mut rule = rule(1);
+    rule.primary_position = Some(at("old", 1, 9).received);
+    assert_eq!(choose_successor(&[at("a", 1, 8)], &rule), None);
+    assert!(choose_successor(&[at("a", 1, 9)], &rule).is_some());
+}
+
+#[test]
+fn choose_successor_keeps_a_member_that_is_primary_of_the_newest_term() {
+    // Guards against a second primary after a call without a reply that was executed late.
+    let late = PromotionCandidate {
+        is_primary: true,
+        ..at("late", 2, 4)
+    };
+    let candidates = [at("ahead", 1, 9), late.clone()];
+    let chosen = choose_successor(&candidates, &rule(0)).expect("it is primary");
+    assert_eq!(&*chosen.member, "late");
+    let deposed = PromotionCandidate {
+        is_primary: true,
+        ..at("deposed", 1, 9)
+    };
+    let candidates = [deposed, at("newer", 2, 4)];
+    let chosen = choose_successor(&candidates, &rule(0)).expect("two candidates");
+    assert_eq!(&*chosen.member, "newer");
+}
+
+#[test]
+fn choose_successor_counts_replicas_of_groups_of_any_size() {
+    let replies = |count: usize| {
+        let names = ["a", "b", "c", "d"];
+        names[..count]
+            .iter()
+            .map(|name| at(name, 1, 4))
+            .collect::<Vec<_>>()
+    };
+    // Replicas, synchronous replicas, and the replies that are needed.
+    for (replicas, sync_replicas, needed) in [(1, 1, 1), (2, 1, 2), (4, 1, 4), (4, 2, 3), (4, 4, 1)]
+    {
+        let rule = SuccessorRule {
+            replicas,
+            sync_replicas,
+            ..SuccessorRule::default()
+        };
+        assert!(choose_successor(&replies(needed), &rule).is_some());
+        assert_eq!(choose_successor(&replies(needed - 1), &rule), None);
+    }
+}
--- a/crates/coriander_service/tests/support/fake_group.rs
+++ b/crates/coriander_service/tests/support/fake_group.rs
@@ -42,6 +42,10 @@
     pub role: Cell<MemberRole>,
     pub term: Cell<u64>,
     pub applied_index: Cell<u64>,
+    /// Whether it receives commits unless it is paused.
+    pub receives: Cell<bool>,
+    /// Term of the pause in force; 0 without one.
+    pub paused_term: Cell<u64>,
     pub reachable: Cell<bool>,
     pub max_connections: Cell<usize>,
     pub open_connections: Cell<usize>,
@@ -56,6 +60,10 @@
     fn position(&self) -> LogPosition {
         LogPosition::new(TermNumber::new(self.term.get()), self.applied_index.get())
     }
+
+    pub fn is_paused(&self) -> bool {
+        self.paused_term.get() > self.term.get()
+    }
 }
 
 /// A database group in memory. Commits reach replicas only when a test sets their position.
@@ -63,6 +71,10 @@
     pub members: RefCell<HashMap<String, Rc<FakeMember>>>,
     pub ran_statements: RefCell<Vec<RanStatement>>,
     pub promoted: RefCell<Vec<(String, u64)>>,
+    /// Index of the newest acknowledged commit of [`FakeGroup::commit`].
+    pub acknowledged: Cell<u64>,
+    /// Number of acknowledged commits that a promoted member lacked.
+    pub lost_commits: Cell<u64>,
     weak_self: std::rc::Weak<Self>,
 }
 
@@ -72,6 +84,8 @@
             members: RefCell::default(),
             ran_statements: RefCell::default(),
             promoted: RefCell::default(),
+            acknowledged: Cell::new(0),
+            lost_commits: Cell::new(0),
             weak_self: weak_self.clone(),
         });
         for (index, name) in names.iter().enumerate() {
@@ -84,6 +98,8 @@
                 role: Cell::new(role),
                 term: Cell::new(1),
                 applied_index: Cell::new(10),
+                receives: Cell::new(true),
+                paused_term: Cell::new(0),
                 reachable: Cell::new(true),
                 max_connections: Cell::new(20),
                 open_connections: Cell::new(0),
@@ -108,6 +124,55 @@
         faults.entry(word).or_default().push_back(fault);
     }
 
+    /// Commits a write at the primary, as a client of another instance does. It is acknowledged if
+    /// `sync_replicas` replicas have received it. Returns whether it was.
+    pub fn commit(&self, sync_replicas: usize) -> bool {
+        let members = self.members.borrow();
+        let primary = members
+            .values()
+            .find(|member| member.role.get() == MemberRole::Primary);
+        let Some(primary) = primary else {
+            return false;
+        };
+        let index = primary.applied_index.get() + 1;
+        primary.applied_index.set(index);
+        let replicas = members
+            .values()
+            .filter(|member| member.role.get() == MemberRole::Replica);
+        let receiving: Vec<_> = replicas
+            .filter(|member| member.receives.get() && !member.is_paused())
+            .collect();
+        for replica in &receiving {
+            replica.applied_index.set(index);
+        }
+        let is_acknowledged = receiving.len() >= sync_replicas;
+        if is_acknowledged {
+            self.acknowledged.set(index);
+        }
+        is_acknowledged
+    }
+
+    /// Makes a member primary of the next term with what it has received.
+    pub fn lead(&self, name: &str) {
+        let members = self.members.borrow();
+        let promoted = &members[name];
+        if promoted.role.get() == MemberRole::Primary {
+            return;
+        }
+        let lacking = self
+            .acknowledged
+            .get()
+            .saturating_sub(promoted.applied_index.get());
+        self.lost_commits.set(self.lost_commits.get() + lacking);
+        let newest = members.values().map(|member| member.term.get()).max();
+        for member in members.values() {
+            member.role.set(MemberRole::Replica);
+            member.term.set(newest.unwrap_or(1) + 1);
+            member.paused_term.set(0);
+        }
+        promoted.role.set(MemberRole::Primary);
+    }
+
     /// Returns the statements of clients that members have run, in order.
     pub fn ran_texts(&self) -> Vec<String> {
         let ran = self.ran_statements.borrow();
@@ -211,8 +276,10 @@
 
     fn parse_status(&self, reply: &MemberReply) -> Option<MemberStatus> {
         let row = reply.rows.first()?;
-        let (role, received) = row.split_once(' ')?;
+        let (role, row) = row.split_once(' ')?;
+        let (received, paused_term) = row.split_once(' ')?;
         let received: LogPosition = received.parse().ok()?;
+        let paused_term: u64 = paused_term.parse().ok()?;
         let role = if role == "primary" {
             MemberRole::Primary
         } else {
@@ -222,6 +289,7 @@
             role,
             term: received.term,
             received,
+            is_paused: paused_term > received.term.get(),
         })
     }
 }
@@ -295,6 +363,8 @@
         MemberStatement::Reset => "RESET",
         MemberStatement::Status => "STATUS",
         MemberStatement::Demote { .. } => "DEMOTE",
+        MemberStatement::Pause { .. } => "PAUSE",
+        MemberStatement::Resume => "RESUME",
     }
 }
 
@@ -412,8 +482,18 @@
                 self.reply(Ok("-".into()))
             }
             MemberStatement::Status => self.status(),
-            MemberStatement::Demote { .. } => {
-                self.member.role.set(MemberRole::Replica);
+            MemberStatement::Demote { term } => {
+                if term.get() > self.member.term.get() {
+                    self.member.role.set(MemberRole::Replica);
+                }
+                self.status()
+            }
+            MemberStatement::Pause { term } => {
+                self.member.paused_term.set(term.get());
+                self.status()
+            }
+            MemberStatement::Resume => {
+                self.member.paused_term.set(0);
                 self.status()
             }
         }
@@ -426,7 +506,8 @@
             "replica"
         };
         let mut reply = self.reply(Ok("-".into()));
-        let row = format!("{role} {}", self.member.position());
+        let paused_term = self.member.paused_term.get();
+        let row = format!("{role} {} {paused_term}", self.member.position());
         reply.rows.push(row.into());
         reply
     }
--- a/crates/coriander_service/tests/support/fake_promotion_api.rs
+++ b/crates/coriander_service/tests/support/fake_promotion_api.rs
@@ -18,6 +18,10 @@
     pub error: Cell<Option<PromotionError>>,
     /// Whether the promoted member is cut off when it becomes primary.
     pub cuts_off: Cell<bool>,
+    /// Whether clients of other instances commit when the call arrives and until its effect.
+    pub commits: Cell<bool>,
+    /// Whether the promoted member receives nothing from the call on.
+    pub deafens: Cell<bool>,
     pub calls: RefCell<Vec<(String, u64)>>,
 }
 
@@ -28,6 +32,8 @@
             delay: Duration::from_millis(80),
             error: Cell::new(None),
             cuts_off: Cell::new(false),
+            commits: Cell::new(false),
+            deafens: Cell::new(false),
             calls: RefCell::default(),
         })
     }
@@ -47,9 +53,19 @@
             return Err(error);
         }
         let (group, member) = (self.group.clone(), member.to_owned());
-        let (delay, cuts_off) = (self.delay, self.cuts_off.get());
+        let (delay, cuts_off, commits) = (self.delay, self.cuts_off.get(), self.commits.get());
+        if self.deafens.get() {
+            group.member(&member).receives.set(false);
+        }
+        if commits {
+            group.commit(1);
+        }
         ntex::rt::spawn(async move {
-            tokio::time::sleep(delay).await;
+            tokio::time::sleep(delay / 2).await;
+            if commits {
+                group.commit(1);
+            }
+            tokio::time::sleep(delay / 2).await;
             if cuts_off {
                 let promoted = group.member(&member);
                 promoted.reachable.set(false);
@@ -57,15 +73,7 @@
                 promoted.term.set(2);
                 return;
             }
-            for (name, known) in group.members.borrow().iter() {
-                let is_primary = *name == member;
-                known.role.set(if is_primary {
-                    MemberRole::Primary
-                } else {
-                    MemberRole::Replica
-                });
-                known.term.set(2);
-            }
+            group.lead(&member);
         });
         Ok(())
     }
--- a/crates/coriander_service/tests/support/fake_store.rs
+++ b/crates/coriander_service/tests/support/fake_store.rs
@@ -16,7 +16,7 @@
 
 /// Accepts writes with the fencing token `token` only.
 pub struct FakeStore {
-    token: u64,
+    pub token: Cell<u64>,
     pub primaries: RefCell<Vec<DesignatedPrimary>>,
     pub lineages: RefCell<HashMap<Arc<str>, LineageRecord>>,
     pub usage_record: RefCell<UsageRecord>,
@@ -29,7 +29,7 @@
 impl FakeStore {
     pub fn new(token: u64) -> Rc<Self> {
         Rc::new(Self {
-            token,
+            token: Cell::new(token),
             primaries: RefCell::default(),
             lineages: RefCell::default(),
             usage_record: RefCell::default(),
@@ -111,7 +111,7 @@
         let revision = lineages
             .get(&record.group)
             .map_or(0, |known| known.revision);
-        if token != self.token || record.revision != revision {
+        if token != self.token.get() || record.revision != revision {
             return Err(StoreError::Conflict);
         }
         let revision = revision + 1;
@@ -135,7 +135,7 @@
     ) -> Result<u64, StoreError> {
         self.check_reachable()?;
         let mut known = self.usage_record.borrow_mut();
-        if token != self.token || record.revision != known.revision {
+        if token != self.token.get() || record.revision != known.revision {
             return Err(StoreError::Conflict);
         }
         let revision = known.revision + 1;
@@ -151,7 +151,7 @@
         primary: &DesignatedPrimary,
         token: u64,
     ) -> Result<(), StoreError> {
-        if token != self.token {
+        if token != self.token.get() {
             return Err(StoreError::Conflict);
         }
         self.primaries.borrow_mut().push(primary.clone());
--- a/crates/coriander_service_api/src/member_link.rs
+++ b/crates/coriander_service_api/src/member_link.rs
@@ -69,6 +69,14 @@
         /// The member is demoted if its term is lower than this one.
         term: TermNumber,
     },
+    /// Stops a replica from receiving commits, until [`Self::Resume`], a promotion in its group or its
+    /// restart.
+    Pause {
+        /// The replica stops if this term is higher than any that it knows.
+        term: TermNumber,
+    },
+    /// Lets a paused replica receive commits again.
+    Resume,
 }
 
 /// A member's reply to one statement.
@@ -103,6 +111,8 @@
     pub term: TermNumber,
     /// Last log position that the member has received.
     pub received: LogPosition,
+    /// Whether it is a replica that has been stopped from receiving commits.
+    pub is_paused: bool,
 }
 
 /// Failure of a connection to a member.
@@ -190,6 +200,7 @@
     /// opened.
     async fn probe(&self, address: SocketAddr, timeout: Duration) -> Result<(), LinkError>;
 
-    /// Parses the reply to [`MemberStatement::Status`] or [`MemberStatement::Demote`].
+    /// Parses the reply to [`MemberStatement::Status`], [`MemberStatement::Demote`],
+    /// [`MemberStatement::Pause`] or [`MemberStatement::Resume`].
     fn parse_status(&self, reply: &MemberReply) -> Option<MemberStatus>;
 }
