Bound the wait for the store at a planned stop by the shutdown timeout

What callers saw: with a `graceS` of 0.75 s and a store that does not reply, a stopping process waited for the end of its registration longer than the platform waited for the process, and was killed with its sessions open.

Cause: `ShutdownTask::hand_over` awaited the store without a limit of its own; only the client's limit of 0.8 s ended it, which is longer than a short timeout.

Change: the wait is at most half of the time that is left after the exit margin. The registration then ends by itself. With 6 s the limit is 2.75 s, more than the client waits, so that nothing changes there.

Measured: `run_ends_within_a_short_shutdown_timeout_while_the_store_is_slow` fails without the limit ("not ended within 750ms") and passes with it; the other 9 tests of `shutdown` pass.

--- a/crates/coriander_service/src/sessions/shutdown_task.rs
+++ b/crates/coriander_service/src/sessions/shutdown_task.rs
@@ -5,7 +5,7 @@
 
 use coriander_core::MonotonicTime;
 use coriander_service_api::ControlStore;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::fleet::relay::RelayServer;
 use crate::process_lifecycle::ServicePhase;
@@ -52,14 +52,14 @@
     pub async fn run(self) {
         let service = &self.service;
         let started = service.clock.now();
-        let timeout = service.settings().shutdown_timeout;
-        let limit = timeout.saturating_sub(EXIT_MARGIN);
+        let shutdown_timeout = service.settings().shutdown_timeout;
+        let limit = shutdown_timeout.saturating_sub(EXIT_MARGIN);
         service.set_phase(ServicePhase::Draining);
-        self.hand_over().await;
+        self.hand_over(limit / 2).await;
         let drain_end = started + DRAIN_DELAY.min(limit / 2);
         sleep(drain_end.since(service.clock.now())).await;
         service.set_phase(ServicePhase::Closing);
-        self.wait_for_sessions(started + timeout.mul_f64(TRANSACTION_FRACTION))
+        self.wait_for_sessions(started + shutdown_timeout.mul_f64(TRANSACTION_FRACTION))
             .await;
         service.set_phase(ServicePhase::Finishing);
         self.wait_for_sessions(started + limit.saturating_sub(ANSWER_MARGIN))
@@ -78,7 +78,9 @@
         );
     }
 
-    async fn hand_over(&self) {
+    /// Gives up the duties and the registration. The registration ends by itself later if the store
+    /// does not reply within `time_limit`.
+    async fn hand_over(&self, time_limit: Duration) {
         // The successor may act as soon as the lease has ended.
         self.service.promotion_duty.retire();
         self.service.usage_duty.retire();
@@ -86,10 +88,17 @@
         if let Some(usage) = &self.service.usage {
             usage.send_all(&self.service);
         }
-        if let Some(lease) = self.service.registration_lease()
-            && let Err(error) = self.store.end_lease(lease).await
-        {
-            log::warn!(lease = lease.0, error:% = error; "registration not ended");
+        let Some(lease) = self.service.registration_lease() else {
+            return;
+        };
+        match timeout(time_limit, self.store.end_lease(lease)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
+                log::warn!(lease = lease.0, error:% = error; "registration not ended");
+            }
+            Err(_) => {
+                log::warn!(lease = lease.0, time_limit:? = time_limit; "registration not ended in time");
+            }
         }
     }
 
--- a/crates/coriander_service/tests/shutdown.rs
+++ b/crates/coriander_service/tests/shutdown.rs
@@ -8,7 +8,7 @@
 use coriander_core::MonotonicTime;
 use coriander_service::{BootClock, RelayServer, ServicePhase, ServiceSettings, ShutdownTask};
 use coriander_service_api::{
-    ClientSession, FailureCode, FailureReason, FleetConfig, ReadFreshness, SessionFailure,
+    ClientSession, FailureCode, FailureReason, FleetConfig, LeaseId, ReadFreshness, SessionFailure,
     SessionHost, SessionResponse, TransactionStatus,
 };
 use tokio::time::{sleep, timeout};
@@ -210,3 +210,24 @@
     assert_eq!(failure.code, FailureCode::Busy);
     assert_eq!(failure.reason, FailureReason::ShuttingDown);
 }
+
+/// Guards against a process that is killed in the middle of its stop, because it waits longer for
+/// the store than the platform waits for it.
+#[ntex::test]
+async fn run_ends_within_a_short_shutdown_timeout_while_the_store_is_slow() {
+    for shutdown_timeout in [200, 750] {
+        let stopping = StoppingService::start().await;
+        let shutdown_timeout = Duration::from_millis(shutdown_timeout);
+        let settings = (*stopping.service.settings()).clone();
+        let settings = settings.with_shutdown_timeout(shutdown_timeout);
+        stopping.service.apply_settings(&settings);
+        stopping.service.set_registration_lease(Some(LeaseId(7)));
+        let _session = open(&stopping.service).await;
+        let store = FakeStore::new(1);
+        store.lease_end_delay.set(Duration::from_secs(20));
+        let relay = RelayServer::new(&stopping.service);
+        let shutdown = ShutdownTask::new(stopping.service.clone(), relay, store);
+        let ended = timeout(shutdown_timeout, shutdown.run()).await;
+        assert!(ended.is_ok(), "not ended within {shutdown_timeout:?}");
+    }
+}
--- a/crates/coriander_service/tests/support/fake_store.rs
+++ b/crates/coriander_service/tests/support/fake_store.rs
@@ -22,6 +22,8 @@
     pub usage_record: RefCell<UsageRecord>,
     /// Whether it sends no response.
     pub is_silent: Cell<bool>,
+    /// Time until it responds to the end of a lease.
+    pub lease_end_delay: Cell<Duration>,
     /// Reads of the contacts that fail before one succeeds.
     pub failing_contacts: Cell<usize>,
 }
@@ -34,6 +36,7 @@
             lineages: RefCell::default(),
             usage_record: RefCell::default(),
             is_silent: Cell::new(false),
+            lease_end_delay: Cell::default(),
             failing_contacts: Cell::new(0),
         })
     }
@@ -78,6 +81,7 @@
     }
 
     async fn end_lease(&self, _lease: LeaseId) -> Result<(), StoreError> {
+        tokio::time::sleep(self.lease_end_delay.get()).await;
         Err(StoreError::Refused(503))
     }
 
