Count usage windows of any length without rounding to milliseconds

Cause: the number of a window was computed from whole milliseconds of its length. A length such as 0.3333 s gave windows whose numbers are off by five million since the Unix epoch, so that every report would name another window than the platform's. No site in force has such a window.

Change: the policy counts in nanoseconds, in which it keeps its times.

--- a/crates/coriander_usage/src/usage_policy.rs
+++ b/crates/coriander_usage/src/usage_policy.rs
@@ -15,6 +15,8 @@
 /// final one without counts.
 const COLLECT_TIME: Duration = Duration::from_millis(2_500);
 
+const NANOS_PER_SEC: u128 = 1_000_000_000;
+
 /// Length of the windows and times of the reports.
 ///
 /// ```
@@ -57,14 +59,14 @@
 
     /// Returns the number of the window at a time since the Unix epoch.
     pub fn window_at(&self, wall_time: Duration) -> u64 {
-        let number = wall_time.as_millis() / self.window.as_millis().max(1);
+        let number = wall_time.as_nanos() / self.window.as_nanos().max(1);
         u64::try_from(number).unwrap_or(u64::MAX)
     }
 
     /// Returns the end of a window, since the Unix epoch.
     pub fn end_of(&self, window: u64) -> Duration {
-        let millis = (u128::from(window) + 1) * self.window.as_millis();
-        Duration::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+        let nanos = (u128::from(window) + 1) * self.window.as_nanos();
+        duration_from_nanos(nanos)
     }
 
     /// Returns the earliest time at which a window is reported.
@@ -91,3 +93,10 @@
         self.end_of(window) + self.report_delay
     }
 }
+
+/// Converts nanoseconds; a time beyond the range of [`Duration`] becomes the longest one.
+fn duration_from_nanos(nanos: u128) -> Duration {
+    let subsec = (nanos % NANOS_PER_SEC) as u32;
+    let seconds = u64::try_from(nanos / NANOS_PER_SEC);
+    seconds.map_or(Duration::MAX, |seconds| Duration::new(seconds, subsec))
+}
