Keep features and usage windows of a running process at a reload

Cause: a reload replaced all settings but the identity. Parts that a feature needs are created at the start only, so that a running process had a part of it: with ordered waiting turned on, new groups ordered their waiters while rates and repetitions did not, and a changed usage window was used in one place only.

Change: features and usage windows need a restart, as addresses do.

Measured: `apply_settings_keeps_what_the_start_has_created` fails before and passes after.

--- a/crates/coriander_service/src/service.rs
+++ b/crates/coriander_service/src/service.rs
@@ -325,8 +325,8 @@
         self.settings.borrow().clone()
     }
 
-    /// Applies new settings. Name, process identifier, zone and peer address of the process are
-    /// kept.
+    /// Applies new settings. The identity of the process, its features and its usage windows are
+    /// kept: parts that were created at the start depend on them.
     pub fn apply_settings(&self, settings: &ServiceSettings) {
         let old = self.settings();
         let settings = ServiceSettings {
@@ -334,6 +334,8 @@
             process_id: old.process_id.clone(),
             zone: old.zone.clone(),
             peer_address: old.peer_address,
+            features: old.features,
+            usage: old.usage,
             ..settings.clone()
         };
         log::info!(
