Start with every number of the platform, and convert units in the program

Cause: a figure of the platform decided whether a process starts. The template made milliseconds by writing `000` behind seconds, the reader took whole numbers of a fixed range only, and any other number ended the process. A reload refused the same file without ending, so the fault showed at the next stop. Besides, a key lifetime of 0 meant no limit, so that a strict bound of 0, or one rounded to 0, lifted it.

Ruled out as a fix: fractions without typed units (`6.5000` in milliseconds would be 6.5 ms).

The unit is the end of the key (`shutdown_s`, `shutdown_ms`); one reader for both kinds of instances converts times, counts and switches, with one table of ranges and defaults. A number out of range becomes the nearest one that promises no less to callers, with a warning; true or false in place of a number means the default. Strict revocation is a switch. Usage is not reported for a window that is not used as written. `corianderstile_settings_refused` is 1 while no process would start with the file.

`--check` ends with 0 where a process starts: contradictions are warnings there, as at the start.

--- a/crates/coriander_service/src/admission/access.rs
+++ b/crates/coriander_service/src/admission/access.rs
@@ -15,6 +15,10 @@
 /// the read that confirms the configuration.
 const KEY_LIFETIME_MARGIN: Duration = Duration::from_millis(250);
 
+/// Key lifetime below which keys are refused now and then although the store is well: a
+/// configuration is up to 1.6 s old before it is confirmed again.
+pub const SHORT_KEY_LIFETIME: Duration = Duration::from_secs(2);
+
 /// Age of the configuration up to which an unknown key or database is refused at once. With an
 /// older configuration the caller waits for the next read of the store, which may contain the name.
 const UNKNOWN_NAME_AGE: Duration = Duration::from_millis(500);
--- a/crates/coriander_service/src/lib.rs
+++ b/crates/coriander_service/src/lib.rs
@@ -27,6 +27,7 @@
 mod spread;
 mod usage;
 
+pub use admission::access::SHORT_KEY_LIFETIME;
 pub use configuration::config_delta::{ConfigDelta, ConfigHistory};
 pub use configuration::control_loop::run_store_sync;
 pub use configuration::list_update::ListUpdate;
--- a/crates/coriander_service/src/service_metrics.rs
+++ b/crates/coriander_service/src/service_metrics.rs
@@ -100,6 +100,7 @@
     promotion_time: Histogram,
     usage_reports: Family<ResultLabel, Counter>,
     late_usage: Counter,
+    settings_refused: Gauge,
     sessions: Gauge,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
@@ -128,6 +129,7 @@
             promotion_time: latency_histogram(),
             usage_reports: Family::default(),
             late_usage: Counter::default(),
+            settings_refused: Gauge::default(),
             sessions: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
@@ -219,6 +221,11 @@
             "Operations that became known after their window was reported",
             self.late_usage.clone(),
         );
+        registry.register(
+            "settings_refused",
+            "1 if no process starts with the settings file as it is now",
+            self.settings_refused.clone(),
+        );
         registry.register("sessions", "Open sessions", self.sessions.clone());
         registry.register(
             "config_version",
@@ -368,6 +375,11 @@
         self.promotion_time.observe(duration.as_secs_f64());
     }
 
+    /// Records whether the settings file as it is now is refused.
+    pub fn set_settings_refused(&self, is_refused: bool) {
+        self.settings_refused.set(i64::from(is_refused));
+    }
+
     /// Sets the gauges.
     pub fn set_gauges(&self, sessions: usize, config_version: u64, config_age: Option<Duration>) {
         self.sessions.set(sessions as i64);
--- a/crates/corianderstile/src/lib.rs
+++ b/crates/corianderstile/src/lib.rs
@@ -29,12 +29,12 @@
 mod server;
 mod session_server;
 mod settings;
-mod settings_conflicts;
-mod settings_reader;
 
 pub use caller::{bounded_text, count_statements};
 pub use proxy::StartError;
 pub use server::run_server;
-pub use session_server::{SessionSettings, run_session_server};
-pub use settings::{InstanceSettings, InvalidSetting, SettingProblem, SettingsError};
-pub use settings_conflicts::SettingConflict;
+pub use session_server::run_session_server;
+pub use settings::{
+    AdjustedSetting, InstanceSettings, InvalidSetting, ProcessSettings, SessionSettings,
+    SettingConflict, SettingNote, SettingProblem, SettingsError, SettingsFile,
+};
--- a/crates/corianderstile/src/main.rs
+++ b/crates/corianderstile/src/main.rs
@@ -1,15 +1,12 @@
 //! Command line of the proxy process.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use argh::FromArgs;
 use coriander_journal::start_journal;
-use corianderstile::{
-    InstanceSettings, SessionSettings, SettingConflict, SettingsError, run_server,
-    run_session_server,
-};
+use corianderstile::{ProcessSettings, SettingsFile, run_server, run_session_server};
 use platform_adapter::SETTINGS_VARIABLE;
 
 /// Maximum time for writing the remaining log lines at exit.
@@ -43,23 +40,23 @@
         eprintln!("no settings file: give --config or set {SETTINGS_VARIABLE}");
         return Ok(ExitCode::from(EXIT_SETTINGS));
     };
-    let settings = match ProcessSettings::load(&path) {
+    let mut file = SettingsFile::new(path);
+    if arguments.check {
+        return Ok(print_check(&file));
+    }
+    let settings = match file.load().await {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return Ok(ExitCode::from(EXIT_SETTINGS));
         }
     };
-    let conflicts = settings.conflicts();
-    if arguments.check {
-        return Ok(print_check(&path, &conflicts));
-    }
-    for conflict in &conflicts {
-        log::warn!("settings: {conflict}");
+    for note in settings.notes() {
+        log::warn!("settings: {note}");
     }
     let result = match settings {
         ProcessSettings::Hrana(settings) => run_server(*settings).await,
-        ProcessSettings::Sessions(settings) => run_session_server(path, *settings).await,
+        ProcessSettings::Sessions(settings) => run_session_server(file, *settings).await,
     };
     if let Err(error) = &result {
         log::error!("process: cannot start: {error}");
@@ -71,47 +68,23 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Prints the result of `--check` for settings that are valid each.
-fn print_check(path: &Path, conflicts: &[SettingConflict]) -> ExitCode {
-    if conflicts.is_empty() {
-        println!("{}: settings are valid", path.display());
-        return ExitCode::SUCCESS;
-    }
-    for conflict in conflicts {
-        eprintln!("{}: {conflict}", path.display());
+/// Prints the result of `--check`. Notes are no failure: a process starts with these settings.
+fn print_check(file: &SettingsFile) -> ExitCode {
+    let settings = match file.read() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let path = file.path().display();
+    for note in settings.notes() {
+        eprintln!("{path}: warning: {note}");
     }
-    ExitCode::from(EXIT_SETTINGS)
+    println!("{path}: settings are valid");
+    ExitCode::SUCCESS
 }
 
 fn settings_path(option: Option<PathBuf>) -> Option<PathBuf> {
     option.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
 }
-
-/// Settings of an instance of either kind.
-enum ProcessSettings {
-    Hrana(Box<InstanceSettings>),
-    Sessions(Box<SessionSettings>),
-}
-
-impl ProcessSettings {
-    /// Returns the limits that contradict each other. A process starts with them nevertheless.
-    fn conflicts(&self) -> Vec<SettingConflict> {
-        match self {
-            Self::Hrana(settings) => settings.conflicts(),
-            Self::Sessions(settings) => settings.conflicts(),
-        }
-    }
-
-    fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            file: path.to_owned(),
-            source,
-        })?;
-        if SessionSettings::matches_text(&text) {
-            let settings = SessionSettings::parse(path, &text)?;
-            return Ok(Self::Sessions(Box::new(settings)));
-        }
-        let settings = InstanceSettings::parse(path, &text)?;
-        Ok(Self::Hrana(Box::new(settings)))
-    }
-}
--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -1,11 +1,9 @@
 //! The process that serves sessions on the users' platform.
 
-mod settings;
 mod settings_watch;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,11 +25,11 @@
 use rand::Rng;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 
-pub use settings::SessionSettings;
 use settings_watch::watch_settings;
 
 use crate::proxy::StartError;
 use crate::server::wait_for_signal;
+use crate::settings::{SessionSettings, SettingsFile};
 
 /// Maximum duration of one call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -41,6 +39,7 @@
 
 /// Maximum duration of one usage report; a report is repeated each second.
 const USAGE_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Maximum number of connections for metrics; further ones wait to be accepted.
 const MAX_HTTP_CONNECTIONS: usize = 32;
 
@@ -58,7 +57,7 @@
 
 /// Runs the process until SIGTERM or SIGINT.
 pub async fn run_session_server(
-    path: PathBuf,
+    file: SettingsFile,
     settings: SessionSettings,
 ) -> Result<(), StartError> {
     let metrics = bind_http(settings.metrics_address)?;
@@ -72,11 +71,11 @@
         .maxconn(MAX_HTTP_CONNECTIONS)
         .shutdown_timeout(Seconds(1))
         .on_worker_start(move || {
-            let (path, settings) = (path.clone(), settings.clone());
+            let (file, settings) = (file.clone(), settings.clone());
             let events = events.clone();
             let mut stop = worker_stop.subscribe();
             async move {
-                match start_service(path, settings).await {
+                match start_service(file, settings).await {
                     Ok((service, shutdown)) => {
                         SERVICE.set(Some(service));
                         let _ = events.send(WorkerEvent::Started);
@@ -167,7 +166,7 @@
 }
 
 async fn start_service(
-    path: PathBuf,
+    file: SettingsFile,
     mut settings: SessionSettings,
 ) -> Result<(Rc<SessionService>, ShutdownTask), StartError> {
     let epoch: u64 = rand::rng().random();
@@ -218,7 +217,7 @@
     ntex::rt::spawn(serve_clients(listener, service.clone(), gate));
     let state = service.clone();
     ntex::rt::spawn(serve_readiness(readiness, move || state.is_ready()));
-    ntex::rt::spawn(watch_settings(path, service.clone()));
+    ntex::rt::spawn(watch_settings(file, service.clone()));
     let settings = service.settings();
     log::info!(
         version = env!("CARGO_PKG_VERSION"), name = &*settings.name, id = &*settings.process_id,
--- a/crates/corianderstile/src/session_server/settings_watch.rs
+++ b/crates/corianderstile/src/session_server/settings_watch.rs
@@ -1,6 +1,5 @@
 //! Applies changed settings without a restart.
 
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,13 +7,13 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
-use super::SessionSettings;
+use crate::settings::{ProcessSettings, SettingsError, SettingsFile};
 
 /// Interval between two checks of the file, which may change without a signal.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Reads the settings file again at each SIGHUP and at intervals, until the process ends.
-pub async fn watch_settings(path: PathBuf, service: Rc<SessionService>) {
+pub async fn watch_settings(mut file: SettingsFile, service: Rc<SessionService>) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(error) => {
@@ -22,30 +21,40 @@
             return;
         }
     };
-    let mut last_text = std::fs::read_to_string(&path).unwrap_or_default();
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
             () = sleep(CHECK_INTERVAL) => false,
         };
-        let text = match std::fs::read_to_string(&path) {
-            Ok(text) => text,
-            Err(error) => {
-                log::warn!(path:% = path.display(), error:% = error; "settings cannot be read");
-                continue;
-            }
-        };
-        let changed = text != last_text;
+        let changed = file.load_changed().await;
         if signalled {
-            log::info!(changed = changed; "SIGHUP received");
-        }
-        if !changed {
-            continue;
+            log::info!(changed = changed.is_some(); "SIGHUP received");
         }
-        match SessionSettings::parse(&path, &text) {
-            Ok(settings) => service.apply_settings(&settings.service),
-            Err(error) => log::error!(error:% = error; "changed settings are not used"),
+        if let Some(settings) = changed {
+            reload(settings, &service);
         }
-        last_text = text;
     }
 }
+
+/// Applies settings. With a file that is refused the process goes on with the settings in force,
+/// and shows that it would not start with this file.
+fn reload(settings: Result<ProcessSettings, SettingsError>, service: &SessionService) {
+    let is_refused = match settings {
+        Ok(ProcessSettings::Sessions(settings)) => {
+            for note in ProcessSettings::Sessions(settings.clone()).notes() {
+                log::warn!("settings: {note}");
+            }
+            service.apply_settings(&settings.service);
+            false
+        }
+        Ok(ProcessSettings::Hrana(_)) => {
+            log::error!("changed settings are for another kind of instance and need a restart");
+            false
+        }
+        Err(error) => {
+            log::error!(error:% = error; "changed settings are refused, and no process starts with them");
+            true
+        }
+    };
+    service.metrics.set_settings_refused(is_refused);
+}
--- a/crates/corianderstile/src/settings.rs
+++ b/crates/corianderstile/src/settings/instance_settings.rs
@@ -2,98 +2,19 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use coriander_core::{InstanceId, ZoneName};
 use coriander_memory::MachineLimits;
-use thiserror::Error;
 
-use crate::settings_reader::{MACHINE_KEYS, SettingsReader};
-
-/// An invalid entry of a settings file.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct InvalidSetting {
-    /// File that contains the setting.
-    pub file: PathBuf,
-    /// Section, empty for keys before the first section.
-    pub section: String,
-    /// Key, empty if the section itself is unknown.
-    pub key: String,
-    /// Value in the file, if any.
-    pub value: Option<String>,
-    /// Kind of the problem.
-    pub problem: SettingProblem,
-    /// Description of the allowed values.
-    pub allowed: String,
-}
-
-impl fmt::Display for InvalidSetting {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: [{}]", self.file.display(), self.section)?;
-        if !self.key.is_empty() {
-            write!(f, " {}", self.key)?;
-        }
-        if let Some(value) = &self.value {
-            write!(f, " = {value}")?;
-        }
-        write!(f, ": {}; allowed: {}", self.problem, self.allowed)
-    }
-}
-
-/// Kind of a problem in a settings file.
-#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-pub enum SettingProblem {
-    /// The section is not known.
-    #[error("unknown section")]
-    UnknownSection,
-    /// The key is not known in its section.
-    #[error("unknown key")]
-    UnknownKey,
-    /// The key appears more than once.
-    #[error("duplicate key")]
-    DuplicateKey,
-    /// A required key is missing.
-    #[error("missing value")]
-    Missing,
-    /// The value cannot be parsed or is outside its range.
-    #[error("invalid value")]
-    Invalid,
-    /// The zone of the instance is not in the list of zones.
-    #[error("zone is not in the list")]
-    UnknownZone,
-}
-
-/// Failure to load settings.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("cannot read {file}: {source}")]
-    Read {
-        /// File that was requested.
-        file: PathBuf,
-        /// Cause reported by the operating system.
-        source: std::io::Error,
-    },
-    /// The file is not valid INI.
-    #[error("{file}: line {line}: {message}")]
-    Syntax {
-        /// File that was requested.
-        file: PathBuf,
-        /// Line of the syntax error.
-        line: usize,
-        /// Explanation by the parser.
-        message: String,
-    },
-    /// The file has invalid settings; all of them are listed.
-    #[error("{}", join_lines(.0))]
-    Invalid(Vec<InvalidSetting>),
-}
-
-fn join_lines(settings: &[InvalidSetting]) -> String {
-    let lines: Vec<String> = settings.iter().map(ToString::to_string).collect();
-    lines.join("\n")
-}
+use super::known_settings::{
+    BODY_BYTES, CONNECTIONS_PER_DATABASE, IDLE_TRANSACTION, KnownKeys, MACHINE_KEYS, SHUTDOWN,
+    SLOTS_PER_MEMBER, STATEMENTS, UPSTREAM_TIMEOUT,
+};
+use super::setting_note::AdjustedSetting;
+use super::settings_error::{SettingProblem, SettingsError};
+use super::settings_reader::SettingsReader;
 
 /// Limits on requests and resources of an instance.
 #[derive(Clone, Debug)]
@@ -137,6 +58,8 @@
     pub bounds: RequestBounds,
     /// Memory and descriptors of the machine.
     pub machine: MachineLimits,
+    /// Settings that are not used as written.
+    pub adjusted: Vec<AdjustedSetting>,
 }
 
 /// Secret shared by the fleet; its value is not printed.
@@ -164,7 +87,7 @@
 
 const ALLOWED_NAME: &str = "1 to 55 letters, digits, '-', '_' and '.'";
 
-const KNOWN_KEYS: &[(&str, &[&str])] = &[
+const KNOWN_KEYS: &KnownKeys = &[
     ("instance", &["name", "zone"]),
     ("listen", &["callers", "admin", "peers"]),
     ("fleet", &["zones", "secret", "secret_file"]),
@@ -175,25 +98,19 @@
             "body_bytes",
             "statements",
             "idle_transaction_ms",
+            "idle_transaction_s",
             "connections_per_database",
             "slots_per_member",
             "upstream_timeout_ms",
+            "upstream_timeout_s",
             "shutdown_ms",
+            "shutdown_s",
         ],
     ),
     MACHINE_KEYS,
 ];
 
 impl InstanceSettings {
-    /// Reads and checks a settings file.
-    pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            file: path.to_owned(),
-            source,
-        })?;
-        Self::parse(path, &text)
-    }
-
     /// Checks the text of a settings file; `path` is used in messages only.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
         let mut reader = SettingsReader::from_text(path, text, KNOWN_KEYS)?;
@@ -229,7 +146,7 @@
                 .join(", ");
             reader.reject("instance", "zone", SettingProblem::UnknownZone, &allowed);
         }
-        reader.finish()?;
+        let adjusted = reader.finish()?;
         // Every value is present because `finish` reports all that are missing.
         let settings = (|| {
             Some(Self {
@@ -243,6 +160,7 @@
                 fleet_secret: fleet_secret?,
                 bounds,
                 machine,
+                adjusted,
             })
         })();
         settings.ok_or_else(|| SettingsError::Invalid(Vec::new()))
@@ -286,19 +204,13 @@
 }
 
 fn read_bounds(reader: &mut SettingsReader) -> RequestBounds {
-    let mut number = |key, default, low, high| reader.number("bounds", key, default, low..=high);
     RequestBounds {
-        max_body_bytes: number("body_bytes", 1 << 20, 1024, 3 << 20) as usize,
-        max_statements: number("statements", 256, 1, 10_000) as usize,
-        transaction_idle_timeout: Duration::from_millis(number(
-            "idle_transaction_ms",
-            10_000,
-            100,
-            600_000,
-        )),
-        connections_per_database: number("connections_per_database", 20, 2, 10_000) as usize,
-        slots_per_member: number("slots_per_member", 3, 1, 1_000) as usize,
-        upstream_timeout: Duration::from_millis(number("upstream_timeout_ms", 5_000, 100, 600_000)),
-        shutdown_timeout: Duration::from_millis(number("shutdown_ms", 30_000, 100, 30_000)),
+        max_body_bytes: reader.count(&BODY_BYTES),
+        max_statements: reader.count(&STATEMENTS),
+        transaction_idle_timeout: reader.duration(&IDLE_TRANSACTION),
+        connections_per_database: reader.count(&CONNECTIONS_PER_DATABASE),
+        slots_per_member: reader.count(&SLOTS_PER_MEMBER),
+        upstream_timeout: reader.duration(&UPSTREAM_TIMEOUT),
+        shutdown_timeout: reader.duration(&SHUTDOWN),
     }
 }
--- a/crates/corianderstile/src/session_server/settings.rs
+++ b/crates/corianderstile/src/settings/session_settings.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
 
 use coriander_core::{InstanceId, ZoneName};
 use coriander_memory::MachineLimits;
@@ -10,20 +9,41 @@
 use coriander_usage::UsagePolicy;
 use platform_adapter::decode_features;
 
-use crate::settings::SettingsError;
-use crate::settings_reader::{MACHINE_KEYS, SettingsReader};
+use super::known_settings::{
+    KEY_LIFETIME, KnownKeys, MACHINE_KEYS, PLATFORM_FENCES, REPORT_DELAY, SESSION_SHUTDOWN,
+    STRICT_REVOCATION, USAGE_WINDOW,
+};
+use super::setting_note::AdjustedSetting;
+use super::settings_error::SettingsError;
+use super::settings_reader::SettingsReader;
 
-const KNOWN_KEYS: &[(&str, &[&str])] = &[
+const KNOWN_KEYS: &KnownKeys = &[
     ("instance", &["name", "zone"]),
     ("listen", &["sessions", "readiness", "metrics", "peers"]),
     ("store", &["address"]),
     ("promotion", &["address"]),
     (
         "bounds",
-        &["key_lifetime_ms", "shutdown_ms", "platform_fences"],
+        &[
+            "key_lifetime_ms",
+            "key_lifetime_s",
+            "shutdown_ms",
+            "shutdown_s",
+            "strict_revocation",
+            "platform_fences",
+        ],
     ),
     ("features", &["contracts", "duties"]),
-    ("usage", &["address", "window_ms", "report_delay_ms"]),
+    (
+        "usage",
+        &[
+            "address",
+            "window_ms",
+            "window_s",
+            "report_delay_ms",
+            "report_delay_s",
+        ],
+    ),
     MACHINE_KEYS,
 ];
 
@@ -48,6 +68,10 @@
     pub promotion_address: SocketAddr,
     /// Address of the platform's call for usage reports.
     pub usage_address: SocketAddr,
+    /// Whether usage is not reported although the platform asks for it.
+    pub leaves_out_reports: bool,
+    /// Settings that are not used as written.
+    pub adjusted: Vec<AdjustedSetting>,
 }
 
 impl SessionSettings {
@@ -74,25 +98,28 @@
             Some(_) => reader.parse("usage", "address", ALLOWED_ADDRESS),
             None => promotion_address,
         };
-        let window = reader.number("usage", "window_ms", 5_000, 100..=3_600_000);
-        let report_delay = reader.number("usage", "report_delay_ms", 10_000, 100..=3_600_000);
         let usage = UsagePolicy::default()
-            .with_window(Duration::from_millis(window))
-            .with_report_delay(Duration::from_millis(report_delay));
-        let key_lifetime = reader.number("bounds", "key_lifetime_ms", 5_000, 0..=3_600_000);
-        let shutdown_timeout = reader.number("bounds", "shutdown_ms", 6_000, 500..=600_000);
-        let fences = reader.number("bounds", "platform_fences", 0, 0..=1);
+            .with_window(reader.duration(&USAGE_WINDOW))
+            .with_report_delay(reader.duration(&REPORT_DELAY));
+        let lifetime = reader.duration(&KEY_LIFETIME);
+        let key_lifetime = reader.switch(&STRICT_REVOCATION).then_some(lifetime);
+        let shutdown_timeout = reader.duration(&SESSION_SHUTDOWN);
+        let platform_fences = reader.switch(&PLATFORM_FENCES);
         let contracts = reader.text("features", "contracts").unwrap_or_default();
         let duties = reader.text("features", "duties").unwrap_or_default();
+        let mut features = decode_features(&contracts, &duties);
+        // A report is final, and one for other windows than the platform's would be wrong.
+        let leaves_out_reports = features.usage_reports && reader.is_adjusted(&USAGE_WINDOW);
+        features.usage_reports &= !leaves_out_reports;
         let machine = reader.machine();
-        reader.finish()?;
+        let adjusted = reader.finish()?;
         // Every value is present because `finish` reports all that are missing.
         let settings = (|| {
             let service = ServiceSettings::new(name?.as_str(), zone?.as_str(), peer_address?)
-                .with_key_lifetime((key_lifetime > 0).then(|| Duration::from_millis(key_lifetime)))
-                .with_shutdown_timeout(Duration::from_millis(shutdown_timeout))
-                .with_platform_fences(fences == 1)
-                .with_features(decode_features(&contracts, &duties))
+                .with_key_lifetime(key_lifetime)
+                .with_shutdown_timeout(shutdown_timeout)
+                .with_platform_fences(platform_fences)
+                .with_features(features)
                 .with_usage(usage);
             Some(Self {
                 machine,
@@ -103,6 +130,8 @@
                 store_address: store_address?,
                 promotion_address: promotion_address?,
                 usage_address: usage_address?,
+                leaves_out_reports,
+                adjusted,
             })
         })();
         settings.ok_or_else(|| SettingsError::Invalid(Vec::new()))
--- a/crates/corianderstile/src/settings_conflicts.rs
+++ b/crates/corianderstile/src/settings/setting_conflict.rs
@@ -3,11 +3,13 @@
 use std::fmt;
 
 use coriander_memory::{MachineLimits, MemoryLimits, MemoryShare};
+use coriander_service::SHORT_KEY_LIFETIME;
 
 use crate::caller::BODY_COPIES;
 use crate::entry::REQUEST_TIMEOUT;
-use crate::session_server::SessionSettings;
-use crate::settings::InstanceSettings;
+
+use super::instance_settings::InstanceSettings;
+use super::session_settings::SessionSettings;
 
 /// Bytes that a connection of a session holds without being counted: input, rows and values.
 const SESSION_CONNECTION_BYTES: usize = 9 << 10;
@@ -16,6 +18,13 @@
 /// library, and a short body.
 const HTTP_CONNECTION_BYTES: usize = 52 << 10;
 
+/// Memory in MiB below which the program itself has no room.
+const MIN_MEMORY_MB: usize = 48;
+
+/// Descriptors below which few are left for callers: 200 are for files and 128 for members, store
+/// and other instances.
+const MIN_DESCRIPTORS: usize = 360;
+
 /// Two settings of which one has no effect, or asks for more than the other allows.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingConflict {
@@ -36,9 +45,24 @@
     SettingConflict { settings, reason }
 }
 
+/// Checks whether the machine has room for the program and its callers.
+fn check_machine(machine: &MachineLimits, connection_bytes: usize) -> Vec<SettingConflict> {
+    let mut conflicts = Vec::new();
+    if machine.memory_mb < MIN_MEMORY_MB {
+        let reason = format!("the program itself needs {MIN_MEMORY_MB} MiB");
+        conflicts.push(conflict(["[machine] memory_mb", "the program"], reason));
+    }
+    if machine.descriptors < MIN_DESCRIPTORS {
+        let reason = format!("with less than {MIN_DESCRIPTORS} few callers are served");
+        conflicts.push(conflict(["[machine] descriptors", "the program"], reason));
+    }
+    conflicts.extend(check_connections(machine, connection_bytes));
+    conflicts
+}
+
 /// Compares what the connections hold without being counted with half of the memory. A quarter is
 /// for what is counted, and the rest holds the program and the configuration.
-fn check_machine(machine: &MachineLimits, connection_bytes: usize) -> Option<SettingConflict> {
+fn check_connections(machine: &MachineLimits, connection_bytes: usize) -> Option<SettingConflict> {
     let needed = MemoryLimits::new(machine).max_connections * connection_bytes;
     let available = (machine.memory_mb << 20) / 2;
     (needed > available).then(|| {
@@ -55,7 +79,7 @@
     /// Returns the limits that contradict each other.
     pub fn conflicts(&self) -> Vec<SettingConflict> {
         let bounds = &self.bounds;
-        let mut conflicts = Vec::from_iter(check_machine(&self.machine, HTTP_CONNECTION_BYTES));
+        let mut conflicts = check_machine(&self.machine, HTTP_CONNECTION_BYTES);
         let share = MemoryLimits::new(&self.machine).share(MemoryShare::Large);
         let needed = bounds.max_body_bytes * BODY_COPIES;
         if needed > share {
@@ -90,12 +114,25 @@
 impl SessionSettings {
     /// Returns the limits that contradict each other.
     pub fn conflicts(&self) -> Vec<SettingConflict> {
-        let mut conflicts = Vec::from_iter(check_machine(&self.machine, SESSION_CONNECTION_BYTES));
+        let mut conflicts = check_machine(&self.machine, SESSION_CONNECTION_BYTES);
         if self.service.features.usage_reports && !self.service.usage.can_be_punctual() {
             let reason = "the counts of a window arrive after its report is due".to_owned();
             let settings = ["[usage] report_delay_ms", "[features] duties"];
             conflicts.push(conflict(settings, reason));
         }
+        if self.leaves_out_reports {
+            let reason = "usage is not reported, since its windows are not the platform's";
+            let settings = ["[usage] window", "[features] duties"];
+            conflicts.push(conflict(settings, reason.to_owned()));
+        }
+        let lifetime = self.service.key_lifetime;
+        if lifetime.is_some_and(|lifetime| lifetime < SHORT_KEY_LIFETIME) {
+            let reason = format!(
+                "callers with a key are refused at times, with less than {SHORT_KEY_LIFETIME:?}"
+            );
+            let settings = ["[bounds] key_lifetime", "[bounds] strict_revocation"];
+            conflicts.push(conflict(settings, reason));
+        }
         conflicts
     }
 }
