Serve on a platform that names no promotion call

Without `cloudApi` the template renders an empty address, and a process without an address for promotions ended with code 2. The pages promise no such table where no duty is in force.

Change: the address is optional. Without it the promotion duty is not taken, and a warning at the start says that a failed primary is not replaced. Usage reports without an address are a warning too. Addresses on which the process listens and that of the store stay required: nothing can be served without them.

--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -13,7 +13,7 @@
     PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask, UsageTask,
     run_duty, run_registration, run_store_sync,
 };
-use coriander_service_api::{ControlStore, Duty};
+use coriander_service_api::{ControlStore, Duty, MemberConnector};
 use ntex::http::HttpService;
 use ntex::time::Seconds;
 use ntex::web::types::State;
@@ -181,19 +181,15 @@
     let peers = Rc::new(PeerSocket::new(socket, name, process, epoch));
     let store = KvStore::new(settings.store_address, STORE_TIMEOUT).await?;
     let store: Rc<dyn ControlStore> = Rc::new(store);
-    let promotion_client =
-        PromotionClient::new(settings.promotion_address, PROMOTION_TIMEOUT).await?;
+    let promotion_client = match settings.promotion_address {
+        Some(address) => Some(PromotionClient::new(address, PROMOTION_TIMEOUT).await?),
+        None => None,
+    };
     let limits = MemoryLimits::new(&settings.machine);
     let gate = MemoryGate::new(&limits);
     GATE.set(Some(gate.clone()));
     let connector = Rc::new(BoundedConnector::new(gate.clone()));
     let service = SessionService::new(settings.service, connector.clone(), peers.clone());
-    let promotions = PromotionTask::new(
-        service.clone(),
-        connector,
-        store.clone(),
-        Rc::new(promotion_client),
-    );
     let peer_listener = TcpListener::bind(service.settings().peer_address)
         .await
         .map_err(listen_error(service.settings().peer_address))?;
@@ -206,14 +202,14 @@
     }));
     ntex::rt::spawn(run_store_sync(service.clone(), store.clone()));
     ntex::rt::spawn(run_registration(service.clone(), store.clone()));
-    ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::Promotion));
-    let usage_client = UsageClient::new(settings.usage_address, USAGE_TIMEOUT).await?;
-    let usage = UsageTask::new(service.clone(), store.clone(), Rc::new(usage_client));
-    if let Some(usage) = usage {
-        ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::UsageReport));
-        ntex::rt::spawn(usage.run());
+    match promotion_client {
+        Some(client) => start_promotions(&service, &store, connector, client),
+        None => log::warn!("no address for promotions: a failed primary is not replaced"),
+    }
+    if let Some(address) = settings.usage_address {
+        let client = UsageClient::new(address, USAGE_TIMEOUT).await?;
+        start_usage_reports(&service, &store, client);
     }
-    ntex::rt::spawn(promotions.run());
     ntex::rt::spawn(serve_clients(listener, service.clone(), gate));
     let state = service.clone();
     ntex::rt::spawn(serve_readiness(readiness, move || state.is_ready()));
@@ -231,6 +227,33 @@
     Ok((service, shutdown))
 }
 
+/// Starts the tasks that promote members.
+fn start_promotions(
+    service: &Rc<SessionService>,
+    store: &Rc<dyn ControlStore>,
+    connector: Rc<dyn MemberConnector>,
+    client: PromotionClient,
+) {
+    let client = Rc::new(client);
+    let promotions = PromotionTask::new(service.clone(), connector, store.clone(), client);
+    ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::Promotion));
+    ntex::rt::spawn(promotions.run());
+}
+
+/// Starts the tasks that report usage, if the settings name the duty.
+fn start_usage_reports(
+    service: &Rc<SessionService>,
+    store: &Rc<dyn ControlStore>,
+    client: UsageClient,
+) {
+    let usage = UsageTask::new(service.clone(), store.clone(), Rc::new(client));
+    let Some(usage) = usage else {
+        return;
+    };
+    ntex::rt::spawn(run_duty(service.clone(), store.clone(), Duty::UsageReport));
+    ntex::rt::spawn(usage.run());
+}
+
 fn listen_error(address: SocketAddr) -> impl Fn(std::io::Error) -> StartError {
     move |source| StartError::Listen { address, source }
 }
--- a/crates/corianderstile/src/settings/session_settings.rs
+++ b/crates/corianderstile/src/settings/session_settings.rs
@@ -64,10 +64,10 @@
     pub metrics_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
-    /// Address of the platform's promotion call.
-    pub promotion_address: SocketAddr,
-    /// Address of the platform's call for usage reports.
-    pub usage_address: SocketAddr,
+    /// Address of the platform's promotion call; `None` if this platform has none.
+    pub promotion_address: Option<SocketAddr>,
+    /// Address of the platform's call for usage reports; `None` if this platform has none.
+    pub usage_address: Option<SocketAddr>,
     /// Whether usage is not reported although the platform asks for it.
     pub leaves_out_reports: bool,
     /// Settings that are not used as written.
@@ -91,13 +91,10 @@
         let metrics_address = address("listen", "metrics");
         let peer_address = address("listen", "peers");
         let store_address = address("store", "address");
-        let promotion_address = address("promotion", "address");
+        let mut optional = |section| reader.parse_optional(section, "address", ALLOWED_ADDRESS);
+        let promotion_address: Option<SocketAddr> = optional("promotion");
         // Usually the platform takes both calls at one address.
-        let usage_text = reader.text("usage", "address");
-        let usage_address = match usage_text {
-            Some(_) => reader.parse("usage", "address", ALLOWED_ADDRESS),
-            None => promotion_address,
-        };
+        let usage_address = optional("usage").or(promotion_address);
         let usage = UsagePolicy::default()
             .with_window(reader.duration(&USAGE_WINDOW))
             .with_report_delay(reader.duration(&REPORT_DELAY));
@@ -128,8 +125,8 @@
                 readiness_address: readiness_address?,
                 metrics_address: metrics_address?,
                 store_address: store_address?,
-                promotion_address: promotion_address?,
-                usage_address: usage_address?,
+                promotion_address,
+                usage_address,
                 leaves_out_reports,
                 adjusted,
             })
--- a/crates/corianderstile/src/settings/setting_conflict.rs
+++ b/crates/corianderstile/src/settings/setting_conflict.rs
@@ -120,6 +120,11 @@
             let settings = ["[usage] report_delay_ms", "[features] duties"];
             conflicts.push(conflict(settings, reason));
         }
+        if self.service.features.usage_reports && self.usage_address.is_none() {
+            let reason = "usage is not reported without an address".to_owned();
+            let settings = ["[usage] address", "[features] duties"];
+            conflicts.push(conflict(settings, reason));
+        }
         if self.leaves_out_reports {
             let reason = "usage is not reported, since its windows are not the platform's";
             let settings = ["[usage] window", "[features] duties"];
--- a/crates/corianderstile/src/settings/settings_reader.rs
+++ b/crates/corianderstile/src/settings/settings_reader.rs
@@ -86,11 +86,21 @@
 
     /// Returns a required value.
     pub fn parse<T: FromStr>(&mut self, section: &str, key: &str, allowed: &str) -> Option<T> {
-        let Some(text) = self.text(section, key) else {
+        if self.text(section, key).is_none() {
             self.push(section, key, SettingProblem::Missing, allowed);
             return None;
-        };
-        let parsed = text.parse().ok();
+        }
+        self.parse_optional(section, key, allowed)
+    }
+
+    /// Returns a value that may be absent.
+    pub fn parse_optional<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        allowed: &str,
+    ) -> Option<T> {
+        let parsed = self.text(section, key)?.parse().ok();
         if parsed.is_none() {
             self.push(section, key, SettingProblem::Invalid, allowed);
         }
--- a/crates/corianderstile/tests/usage_settings.rs
+++ b/crates/corianderstile/tests/usage_settings.rs
@@ -29,7 +29,10 @@
     assert!(settings.service.features.usage_reports);
     assert_eq!(settings.usage_address, settings.promotion_address);
     let settings = parse(&format!("{SETTINGS}[usage]\naddress = 10.200.0.9:80\n"));
-    assert_eq!(settings.usage_address.port(), 80);
+    assert_eq!(
+        settings.usage_address.map(|address| address.port()),
+        Some(80)
+    );
 }
 
 #[test]
