Ask for leases that are long enough for the store

`ttlMinMs` was not read; leases are asked for with 4 s or more, and a store with a longer minimum refuses them, so that no instance would register and none would hold a duty. No site in force has a minimum above 1 s.

A lease that is longer than its holder counts on is safe: the holder acts on the time that it asked for, and a successor waits longer.

--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -180,6 +180,7 @@
         .map_err(listen_error(settings.service.peer_address))?;
     let peers = Rc::new(PeerSocket::new(socket, name, process, epoch));
     let store = KvStore::new(settings.store_address, STORE_TIMEOUT).await?;
+    let store = store.with_min_lease(settings.min_lease);
     let store: Rc<dyn ControlStore> = Rc::new(store);
     let promotion_client = match settings.promotion_address {
         Some(address) => Some(PromotionClient::new(address, PROMOTION_TIMEOUT).await?),
--- a/crates/corianderstile/src/settings/known_settings.rs
+++ b/crates/corianderstile/src/settings/known_settings.rs
@@ -143,3 +143,11 @@
     default: Duration::from_secs(5),
     range: from_millis(100, 600_000),
 };
+
+/// Shortest lease that the store grants; shorter ones are refused.
+pub const MIN_LEASE: DurationSetting = DurationSetting {
+    section: "store",
+    name: "min_lease",
+    default: Duration::ZERO,
+    range: up_to(Duration::from_secs(600)),
+};
--- a/crates/corianderstile/src/settings/session_settings.rs
+++ b/crates/corianderstile/src/settings/session_settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use coriander_core::{InstanceId, ZoneName};
 use coriander_memory::MachineLimits;
@@ -10,8 +11,8 @@
 use platform_adapter::decode_features;
 
 use super::known_settings::{
-    KEY_LIFETIME, KnownKeys, MACHINE_KEYS, PLATFORM_FENCES, REPORT_DELAY, SESSION_SHUTDOWN,
-    STRICT_REVOCATION, USAGE_WINDOW,
+    KEY_LIFETIME, KnownKeys, MACHINE_KEYS, MIN_LEASE, PLATFORM_FENCES, REPORT_DELAY,
+    SESSION_SHUTDOWN, STRICT_REVOCATION, USAGE_WINDOW,
 };
 use super::setting_note::AdjustedSetting;
 use super::settings_error::SettingsError;
@@ -20,7 +21,7 @@
 const KNOWN_KEYS: &KnownKeys = &[
     ("instance", &["name", "zone"]),
     ("listen", &["sessions", "readiness", "metrics", "peers"]),
-    ("store", &["address"]),
+    ("store", &["min_lease_ms", "min_lease_s", "address"]),
     ("promotion", &["address"]),
     (
         "bounds",
@@ -64,6 +65,8 @@
     pub metrics_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Shortest lease that the store grants.
+    pub min_lease: Duration,
     /// Address of the platform's promotion call; `None` if this platform has none.
     pub promotion_address: Option<SocketAddr>,
     /// Address of the platform's call for usage reports; `None` if this platform has none.
@@ -108,6 +111,7 @@
         // A report is final, and one for other windows than the platform's would be wrong.
         let leaves_out_reports = features.usage_reports && reader.is_adjusted(&USAGE_WINDOW);
         features.usage_reports &= !leaves_out_reports;
+        let min_lease = reader.duration(&MIN_LEASE);
         let machine = reader.machine();
         let adjusted = reader.finish()?;
         // Every value is present because `finish` reports all that are missing.
@@ -125,6 +129,7 @@
                 readiness_address: readiness_address?,
                 metrics_address: metrics_address?,
                 store_address: store_address?,
+                min_lease,
                 promotion_address,
                 usage_address,
                 leaves_out_reports,
