--- a/crates/coriander_standin/src/process/process_group.rs
+++ b/crates/coriander_standin/src/process/process_group.rs
@@ -182,6 +182,11 @@
         self.signal(name, Signal::CONT)
     }
 
+    /// Tells a process with SIGHUP that its settings have changed.
+    pub fn hang_up(&mut self, name: &str) -> Result<(), ProcessError> {
+        self.signal(name, Signal::HUP)
+    }
+
     /// Requests the shutdown of a process with SIGTERM.
     pub fn terminate(&mut self, name: &str) -> Result<(), ProcessError> {
         self.signal(name, Signal::TERM)
