Split the reload of settings and the search for a time into steps

The reload cloned settings to list their notes, and the reader looked for both keys of a time and converted it in one function.

--- a/crates/corianderstile/src/session_server/settings_watch.rs
+++ b/crates/corianderstile/src/session_server/settings_watch.rs
@@ -39,22 +39,21 @@
 /// Applies settings. With a file that is refused the process goes on with the settings in force,
 /// and shows that it would not start with this file.
 fn reload(settings: Result<ProcessSettings, SettingsError>, service: &SessionService) {
-    let is_refused = match settings {
-        Ok(ProcessSettings::Sessions(settings)) => {
-            for note in ProcessSettings::Sessions(settings.clone()).notes() {
-                log::warn!("settings: {note}");
-            }
-            service.apply_settings(&settings.service);
-            false
-        }
-        Ok(ProcessSettings::Hrana(_)) => {
-            log::error!("changed settings are for another kind of instance and need a restart");
-            false
-        }
+    service.metrics.set_settings_refused(settings.is_err());
+    let settings = match settings {
+        Ok(settings) => settings,
         Err(error) => {
             log::error!(error:% = error; "changed settings are refused, and no process starts with them");
-            true
+            return;
         }
     };
-    service.metrics.set_settings_refused(is_refused);
+    for note in settings.notes() {
+        log::warn!("settings: {note}");
+    }
+    match settings {
+        ProcessSettings::Sessions(settings) => service.apply_settings(&settings.service),
+        ProcessSettings::Hrana(_) => {
+            log::error!("changed settings are for another kind of instance and need a restart");
+        }
+    }
 }
--- a/crates/corianderstile/src/settings/setting_number.rs
+++ b/crates/corianderstile/src/settings/setting_number.rs
@@ -16,16 +16,14 @@
     /// All units.
     pub const ALL: [Self; 2] = [Self::Milliseconds, Self::Seconds];
 
-    /// Returns the end of the keys in this unit.
-    pub const fn suffix(self) -> &'static str {
+    const fn suffix(self) -> &'static str {
         match self {
             Self::Milliseconds => "_ms",
             Self::Seconds => "_s",
         }
     }
 
-    /// Returns the name of the unit.
-    pub const fn name(self) -> &'static str {
+    const fn name(self) -> &'static str {
         match self {
             Self::Milliseconds => "milliseconds",
             Self::Seconds => "seconds",
@@ -66,6 +64,11 @@
 }
 
 impl DurationSetting {
+    /// Returns the key in a unit.
+    pub fn key(&self, unit: TimeUnit) -> String {
+        format!("{}{}", self.name, unit.suffix())
+    }
+
     /// Returns the time that a process uses in place of `count` units.
     pub fn fit(&self, count: f64, unit: TimeUnit) -> Duration {
         unit.time(count)
--- a/crates/corianderstile/src/settings/settings_reader.rs
+++ b/crates/corianderstile/src/settings/settings_reader.rs
@@ -120,22 +120,27 @@
         })
     }
 
-    /// Returns an optional time, in the unit of its key.
-    pub fn duration(&mut self, setting: &DurationSetting) -> Duration {
-        let section = setting.section;
-        let mut stated = None;
+    /// Returns the key of a time in the file and its unit, if the file states the time.
+    fn find_duration(&mut self, setting: &DurationSetting) -> Option<(String, TimeUnit)> {
+        let mut found = None;
         for unit in TimeUnit::ALL {
-            let key = format!("{}{}", setting.name, unit.suffix());
-            if self.text(section, &key).is_none() {
+            let key = setting.key(unit);
+            if self.text(setting.section, &key).is_none() {
                 continue;
             }
-            if stated.is_some() {
-                let allowed = "one unit of a time";
-                self.push(section, &key, SettingProblem::DuplicateKey, allowed);
+            if found.is_some() {
+                let allowed = "a time in one unit";
+                self.push(setting.section, &key, SettingProblem::DuplicateKey, allowed);
             }
-            stated = Some((key, unit));
+            found = Some((key, unit));
         }
-        let Some((key, unit)) = stated else {
+        found
+    }
+
+    /// Returns an optional time, in the unit of its key.
+    pub fn duration(&mut self, setting: &DurationSetting) -> Duration {
+        let section = setting.section;
+        let Some((key, unit)) = self.find_duration(setting) else {
             return setting.default;
         };
         let allowed = setting.allowed(unit);
@@ -159,7 +164,7 @@
 
     /// Returns whether the file states a time that is not used as written.
     pub fn is_adjusted(&self, setting: &DurationSetting) -> bool {
-        let keys = TimeUnit::ALL.map(|unit| format!("{}{}", setting.name, unit.suffix()));
+        let keys = TimeUnit::ALL.map(|unit| setting.key(unit));
         let mut adjusted = self.adjusted_settings.iter();
         adjusted.any(|other| other.section == setting.section && keys.contains(&other.key))
     }
