Shorten a long name in the identifier of a process

`--check` accepted names of up to 64 characters, and a process with a name of more than 55 ended with code 3: its identifier, the name and nine more characters, was too long.

Change: the identifier takes the first 55 characters; the suffix makes it the identifier of one process, and the entry in the store keeps the whole name.

The test `process_id_shortens_a_long_name` passes for 1, 55, 56 and 64.

--- a/crates/corianderstile/src/session_server/mod.rs
+++ b/crates/corianderstile/src/session_server/mod.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coriander_core::InstanceId;
 use coriander_memory::MemoryLimits;
 use coriander_service::{
     PeerSocket, PromotionTask, RelayClient, RelayServer, SessionService, ShutdownTask, UsageTask,
@@ -171,7 +170,7 @@
 ) -> Result<(Rc<SessionService>, ShutdownTask), StartError> {
     let epoch: u64 = rand::rng().random();
     let name = settings.service.name.clone();
-    let process: InstanceId = format!("{name}-{:08x}", epoch as u32).parse()?;
+    let process = settings.process_id(epoch)?;
     settings.service = settings.service.with_process_id(process.as_str());
     let listener = bind(settings.session_address)?;
     let readiness = bind(settings.readiness_address)?;
--- a/crates/corianderstile/src/settings/session_settings.rs
+++ b/crates/corianderstile/src/settings/session_settings.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use coriander_core::{InstanceId, ZoneName};
+use coriander_core::{InstanceId, MAX_NAME_LENGTH, NameError, ZoneName};
 use coriander_memory::MachineLimits;
 use coriander_service::ServiceSettings;
 use coriander_usage::UsagePolicy;
@@ -83,6 +83,15 @@
         text.lines().any(|line| line.trim() == "[store]")
     }
 
+    /// Returns the identifier of a process: the name of the instance, shortened if it is long, and
+    /// a suffix from a number that differs in each process.
+    pub fn process_id(&self, number: u64) -> Result<InstanceId, NameError> {
+        let suffix = format!("-{:08x}", number as u32);
+        let name = &*self.service.name;
+        let length = name.len().min(MAX_NAME_LENGTH - suffix.len());
+        format!("{}{suffix}", &name[..length]).parse()
+    }
+
     /// Checks the text of a settings file; `path` is used in messages only.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
         let mut reader = SettingsReader::from_text(path, text, KNOWN_KEYS)?;
--- a/crates/corianderstile/tests/usage_settings.rs
+++ b/crates/corianderstile/tests/session_settings.rs
@@ -1,4 +1,4 @@
-//! Settings of usage reports.
+//! Settings of an instance that serves sessions: usage reports, and the identifier of the process.
 
 use std::path::Path;
 use std::time::Duration;
@@ -15,6 +15,18 @@
     settings.unwrap_or_else(|error| panic!("settings refused: {error}"))
 }
 
+/// Guards against a name that the check accepts and with which no process starts.
+#[test]
+fn process_id_shortens_a_long_name() {
+    for length in [1, 55, 56, 64] {
+        let name = "n".repeat(length);
+        let settings = parse(&SETTINGS.replace("instance-1", &name));
+        let id = settings.process_id(0x1_0000_00ab).expect("an identifier");
+        let shortened = "n".repeat(length.min(55));
+        assert_eq!(id.as_str(), format!("{shortened}-000000ab"));
+    }
+}
+
 #[test]
 fn usage_is_not_reported_without_the_duty() {
     // Guards deployments whose platform expects no reports, also with an empty section.
